--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# make demo: builds, starts everything as separate processes, sends work, stops.
+# make test: everything CI runs.
+.PHONY: demo test build fmt generate measure soak bench
+
+GO ?= go
+TOOL = $(GO) tool -modfile=tools/go.mod
+
+build:
+	$(GO) build -o bin/corianderbank ./cmd/corianderbank
+	$(GO) build -o bin/standin ./cmd/standin
+
+demo: build
+	bash scripts/demo.sh
+
+test:
+	bash .ci/run
+
+fmt:
+	$(TOOL) gofumpt -w $$(git ls-files '*.go' | grep -v '\.pb\.go$$')
+
+generate:
+	$(GO) build -modfile=tools/go.mod -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	protoc --plugin=bin/protoc-gen-go --go_out=. --go_opt=paths=source_relative api/peer/peer.proto
+	sha256sum api/peer/peer.proto | cut -d" " -f1 > api/peer/peer.proto.sha256
+
+measure:
+	$(GO) run ./cmd/measure
+
+SEEDS ?= 1000
+soak:
+	SOAK_SEEDS=$(SEEDS) $(GO) test -count=1 -timeout 80m ./test/invariants/...
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./internal/...
--- /dev/null
+++ b/api/operator.go
@@ -0,0 +1,92 @@
+package api
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// ConfigApply is the body of POST /v1/config.
+type ConfigApply struct {
+	// Expect is the version that the operator edited; another head is a conflict.
+	Expect int64 `json:"expect"`
+	// Document is the whole configuration.
+	Document json.RawMessage `json:"document"`
+}
+
+// ConfigVersion is the answer to POST /v1/config and GET /v1/config.
+type ConfigVersion struct {
+	Version   int64           `json:"version"`
+	Digest    string          `json:"digest"`
+	AppliedAt time.Time       `json:"applied_at"`
+	Document  json.RawMessage `json:"document,omitempty"`
+}
+
+// Problem is one error found in a settings, configuration or rules file.
+type Problem struct {
+	File    string `json:"file"`
+	Path    string `json:"path"`
+	Line    int    `json:"line"`
+	Column  int    `json:"column"`
+	Message string `json:"message"`
+}
+
+// OperatorError is the body of a refused operator call.
+type OperatorError struct {
+	ErrorBody
+	// Problems lists every error found, for KindConfigInvalid.
+	Problems []Problem `json:"problems,omitempty"`
+	// Version is the version in force, for KindConfigConflict.
+	Version int64 `json:"version,omitempty"`
+}
+
+// InstanceStatus is one instance as GET /v1/status shows it.
+type InstanceStatus struct {
+	ID               string  `json:"id"`
+	AvailabilityZone string  `json:"availability_zone"`
+	Addr             string  `json:"addr"`
+	State            string  `json:"state"`
+	Placer           bool    `json:"placer"`
+	Epoch            int64   `json:"epoch,omitempty"`
+	ConfigVersion    int64   `json:"config_version"`
+	ConfigAgeS       float64 `json:"config_age_s"`
+	LastSeenS        float64 `json:"last_seen_s"`
+}
+
+// AccountStatus is one client account in one availability zone.
+type AccountStatus struct {
+	Account          string `json:"account"`
+	AvailabilityZone string `json:"availability_zone"`
+	// Guaranteed, Used, Borrowed and Lent count accelerators.
+	Guaranteed int `json:"guaranteed"`
+	Used       int `json:"used"`
+	Borrowed   int `json:"borrowed"`
+	Lent       int `json:"lent"`
+	// Waiting counts the accelerators that waiting jobs ask for.
+	Waiting int `json:"waiting"`
+	// AtRisk says why the guarantee cannot be given at the moment.
+	AtRisk string `json:"at_risk,omitempty"`
+}
+
+// ZoneStatus is one availability zone as its placer sees it.
+type ZoneStatus struct {
+	AvailabilityZone string  `json:"availability_zone"`
+	Placer           string  `json:"placer"`
+	Epoch            int64   `json:"epoch"`
+	PlatformReach    bool    `json:"platform_reachable"`
+	Workers          int     `json:"workers"`
+	WorkersSick      int     `json:"workers_sick"`
+	Accelerators     int     `json:"accelerators"`
+	Free             int     `json:"accelerators_free"`
+	Running          int     `json:"gangs_running"`
+	Waiting          int     `json:"gangs_waiting"`
+	Fragmentation    float64 `json:"fragmentation"`
+	BackendServers   int     `json:"backend_servers"`
+}
+
+// Status is the body of GET /v1/status.
+type Status struct {
+	Instance  string           `json:"instance"`
+	Instances []InstanceStatus `json:"instances"`
+	Zones     []ZoneStatus     `json:"zones"`
+	Accounts  []AccountStatus  `json:"accounts"`
+}
--- /dev/null
+++ b/charts/charts.go
@@ -0,0 +1,9 @@
+// Package charts embeds the state charts. Package chart interprets them.
+package charts
+
+import "embed"
+
+// Files holds one JSON file for each state chart.
+//
+//go:embed *.json
+var Files embed.FS
--- /dev/null
+++ b/internal/model/model.go
@@ -0,0 +1,170 @@
+// Package model holds the nouns that the decision packages share: workers,
+// gangs, client accounts, backend servers and the configuration that binds
+// them. The types are plain data. Whoever holds a value may read it; a value
+// that was handed to another goroutine is not written again.
+package model
+
+import (
+	"time"
+
+	"github.com/corianderbank/corianderbank/api"
+)
+
+// WorkerHealth is what the fleet knows of a worker.
+type WorkerHealth string
+
+// The states of a worker in charts/worker.json.
+const (
+	WorkerHealthy     WorkerHealth = "healthy"
+	WorkerSuspect     WorkerHealth = "suspect"
+	WorkerQuarantined WorkerHealth = "quarantined"
+	WorkerProbing     WorkerHealth = "probing"
+	WorkerLeaving     WorkerHealth = "leaving"
+	WorkerLost        WorkerHealth = "lost"
+)
+
+// Worker is one worker of an availability zone.
+type Worker struct {
+	ID           string
+	Addr         string
+	Rack         string
+	Zone         string
+	Incarnation  int64
+	Accelerators int
+	Health       WorkerHealth
+	// LastReport is the local time of the last report.
+	LastReport time.Time
+}
+
+// Takes reports whether new tasks may be placed on the worker.
+func (w Worker) Takes() bool { return w.Health == WorkerHealthy }
+
+// GangState is a state of charts/gang.json.
+type GangState string
+
+// The states of a gang that hold or ask for accelerators.
+const (
+	GangWaiting   GangState = "waiting"
+	GangReserving GangState = "reserving"
+	GangStarting  GangState = "starting"
+	GangRunning   GangState = "running"
+	GangStopping  GangState = "stopping"
+)
+
+// Job is an accepted job in the terms of the scheduler.
+type Job struct {
+	ID             string
+	Account        string
+	Kind           string
+	Shape          api.Shape
+	Idempotent     bool
+	Checkpointable bool
+	Urgent         bool
+	SubmittedAt    time.Time
+	// Deadline is zero if the job has none.
+	Deadline    time.Time
+	DeclaredRun time.Duration
+	// Progress is the run time already covered by a checkpoint.
+	Progress time.Duration
+	// Priority is set by the rule; higher goes first within an account.
+	Priority int
+	// MayBorrow is set by the rule: the job may use accelerators beyond its
+	// account's guarantee.
+	MayBorrow bool
+	// MaxWait is set by the rule; zero means no limit.
+	MaxWait time.Duration
+	// Attempt counts the starts so far.
+	Attempt int
+}
+
+// Stoppable reports whether the scheduler may stop the job to reclaim its
+// accelerators: it can be resumed from a checkpoint, or run again.
+func (j Job) Stoppable() bool { return j.Idempotent || j.Checkpointable }
+
+// Gang is a job that holds accelerators.
+type Gang struct {
+	Job        Job
+	State      GangState
+	Placements []api.TaskPlacement
+	StartedAt  time.Time
+	// ExpectedEnd is the corrected estimate.
+	ExpectedEnd time.Time
+	// Borrowed says that the gang runs beyond its account's guarantee.
+	Borrowed  bool
+	Throttled bool
+}
+
+// GuaranteedShape is a shape that an account can claim Count times in a zone.
+type GuaranteedShape struct {
+	api.Shape
+	Count int `json:"count"`
+}
+
+// ClientAccount is a customer with guarantees and limits.
+type ClientAccount struct {
+	Name string `json:"name"`
+	// Guarantees lists the guaranteed shapes by availability zone.
+	Guarantees map[string][]GuaranteedShape `json:"guarantees,omitempty"`
+	// Weight shares what no guarantee covers; zero means 1.
+	Weight int `json:"weight,omitempty"`
+	// MaxInFlight bounds the requests dispatched at the same time by one
+	// availability zone; zero takes the default of the admission package.
+	MaxInFlight int `json:"max_in_flight,omitempty"`
+	// MaxQueued bounds the requests that wait in one instance.
+	MaxQueued int `json:"max_queued,omitempty"`
+	// MaxJobs bounds the waiting and running jobs in one availability zone.
+	MaxJobs int `json:"max_jobs,omitempty"`
+	// MaxAccelerators bounds guaranteed and borrowed use in one zone; zero
+	// means no bound.
+	MaxAccelerators int `json:"max_accelerators,omitempty"`
+}
+
+// GuaranteedAccelerators returns the account's guarantee in a zone.
+func (a ClientAccount) GuaranteedAccelerators(zone string) int {
+	total := 0
+	for _, shape := range a.Guarantees[zone] {
+		total += shape.Count * shape.Accelerators()
+	}
+	return total
+}
+
+// Objectives weighs the two measures of a deployment against each other.
+type Objectives struct {
+	// CompletionTime and Fragmentation are weights from 0 to 1.
+	CompletionTime float64 `json:"completion_time"`
+	Fragmentation  float64 `json:"fragmentation"`
+}
+
+// BackendState is a state of charts/backend_server.json.
+type BackendState string
+
+// The states of a backend server.
+const (
+	BackendReady   BackendState = "ready"
+	BackendRamping BackendState = "ramping"
+	BackendEjected BackendState = "ejected"
+	BackendLeaving BackendState = "leaving"
+	BackendGone    BackendState = "gone"
+)
+
+// BackendServer is one backend server of an availability zone.
+type BackendServer struct {
+	ID          string
+	Addr        string
+	Zone        string
+	Incarnation int64
+	Slots       int
+	State       BackendState
+}
+
+// Instance is one entry instance, as the members of the fleet know it.
+type Instance struct {
+	ID          string
+	Addr        string
+	PeerAddr    string
+	Zone        string
+	Incarnation int64
+	Leaving     bool
+	// LastSeen is the local time of the last sign of life.
+	LastSeen time.Time
+}
--- /dev/null
+++ b/internal/ring/ring.go
@@ -0,0 +1,74 @@
+// Package ring joins duties (goroutines) by bounded queues. What happens when
+// a queue is full is part of its type: Refusing refuses the newest entry,
+// Dropping drops the oldest one. Both count what they turned away.
+package ring
+
+import (
+	"sync/atomic"
+)
+
+// Refusing is a bounded queue whose sender is told when it is full. Use it
+// where every entry matters and the sender can answer for it.
+type Refusing[T any] struct {
+	entries chan T
+	refused atomic.Int64
+}
+
+// NewRefusing returns a queue of the given capacity.
+func NewRefusing[T any](capacity int) *Refusing[T] {
+	return &Refusing[T]{entries: make(chan T, capacity)}
+}
+
+// Offer adds entry, or returns false at once when the queue is full.
+func (r *Refusing[T]) Offer(entry T) bool {
+	select {
+	case r.entries <- entry:
+		return true
+	default:
+		r.refused.Add(1)
+		return false
+	}
+}
+
+// C is where the receiving duty takes entries from.
+func (r *Refusing[T]) C() <-chan T { return r.entries }
+
+// Len returns the number of waiting entries.
+func (r *Refusing[T]) Len() int { return len(r.entries) }
+
+// Refused returns how many entries were refused.
+func (r *Refusing[T]) Refused() int64 { return r.refused.Load() }
+
+// Dropping is a bounded queue that drops its oldest entry when full. Use it for
+// reports of which only the newest matter.
+type Dropping[T any] struct {
+	entries chan T
+	dropped atomic.Int64
+}
+
+// NewDropping returns a queue of the given capacity.
+func NewDropping[T any](capacity int) *Dropping[T] {
+	return &Dropping[T]{entries: make(chan T, capacity)}
+}
+
+// Push adds entry, dropping older ones as needed. It never blocks.
+func (r *Dropping[T]) Push(entry T) {
+	for {
+		select {
+		case r.entries <- entry:
+			return
+		default:
+		}
+		select {
+		case <-r.entries:
+			r.dropped.Add(1)
+		default:
+		}
+	}
+}
+
+// C is where the receiving duty takes entries from.
+func (r *Dropping[T]) C() <-chan T { return r.entries }
+
+// Dropped returns how many entries were dropped.
+func (r *Dropping[T]) Dropped() int64 { return r.dropped.Load() }
--- /dev/null
+++ b/internal/strictjson/strictjson.go
@@ -0,0 +1,251 @@
+// Package strictjson checks a JSON file against a JSON schema and reports all
+// errors at once, each with file, path, line and column. The schema does the
+// judging (santhosh-tekuri/jsonschema); this package adds positions, duplicate
+// names and the decoding into a Go type.
+package strictjson
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+
+	"github.com/corianderbank/corianderbank/api"
+)
+
+// Error carries every problem found in one file.
+type Error struct {
+	Problems []api.Problem
+}
+
+// Error implements error with one line a problem.
+func (e *Error) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, problem := range e.Problems {
+		lines[i] = Format(problem)
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Format renders a problem as file:line:column: path: message.
+func Format(p api.Problem) string {
+	return fmt.Sprintf("%s:%d:%d: %s: %s", p.File, p.Line, p.Column, p.Path, p.Message)
+}
+
+// Schema is a compiled schema.
+type Schema struct {
+	compiled *jsonschema.Schema
+}
+
+// MustCompile compiles an embedded schema and panics on an error, which the
+// tests of the embedding package rule out.
+func MustCompile(name string, data []byte) *Schema {
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		panic(err)
+	}
+	compiler := jsonschema.NewCompiler()
+	if err := compiler.AddResource(name, document); err != nil {
+		panic(err)
+	}
+	return &Schema{compiled: compiler.MustCompile(name)}
+}
+
+// Decode checks data and decodes it into target. On any problem it returns an
+// *Error with all of them and leaves target alone.
+func (s *Schema) Decode(file string, data []byte, target any) error {
+	positions, problems := index(file, data)
+	if len(problems) == 0 {
+		problems = s.validate(file, data, positions)
+	}
+	if len(problems) > 0 {
+		sortProblems(problems)
+		return &Error{Problems: problems}
+	}
+	if err := json.Unmarshal(data, target); err != nil {
+		return &Error{Problems: []api.Problem{{File: file, Path: "/", Line: 1, Column: 1, Message: err.Error()}}}
+	}
+	return nil
+}
+
+func (s *Schema) validate(file string, data []byte, positions *Positions) []api.Problem {
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return []api.Problem{{File: file, Path: "/", Line: 1, Column: 1, Message: err.Error()}}
+	}
+	var failure *jsonschema.ValidationError
+	if err := s.compiled.Validate(document); !errors.As(err, &failure) {
+		return nil
+	}
+	printer := message.NewPrinter(language.English)
+	var problems []api.Problem
+	var walk func(*jsonschema.ValidationError)
+	walk = func(e *jsonschema.ValidationError) {
+		if len(e.Causes) == 0 {
+			problems = append(problems, positions.Problem(pointer(e.InstanceLocation), e.ErrorKind.LocalizedString(printer)))
+		}
+		for _, cause := range e.Causes {
+			walk(cause)
+		}
+	}
+	walk(failure)
+	return problems
+}
+
+func sortProblems(problems []api.Problem) {
+	sort.SliceStable(problems, func(i, j int) bool {
+		if problems[i].Line != problems[j].Line {
+			return problems[i].Line < problems[j].Line
+		}
+		return problems[i].Column < problems[j].Column
+	})
+}
+
+func pointer(location []string) string {
+	escape := strings.NewReplacer("~", "~0", "/", "~1")
+	var out strings.Builder
+	for _, part := range location {
+		out.WriteString("/" + escape.Replace(part))
+	}
+	if out.Len() == 0 {
+		return "/"
+	}
+	return out.String()
+}
+
+// Positions maps JSON pointers of a file to their offsets.
+type Positions struct {
+	file    string
+	data    []byte
+	offsets map[string]int64
+}
+
+// Problem makes a problem at the place of a JSON pointer. A pointer that is not
+// in the file gets the place of its nearest parent.
+func (p *Positions) Problem(path, text string) api.Problem {
+	offset, found := p.offsets[path]
+	for parent := path; !found && parent != ""; {
+		parent = parent[:max(strings.LastIndexByte(parent, '/'), 0)]
+		offset, found = p.offsets[parent]
+	}
+	line, column := position(p.data, offset)
+	return api.Problem{File: p.file, Path: path, Line: line, Column: column, Message: text}
+}
+
+// Index finds the place of every value of a well-formed file.
+func Index(file string, data []byte) *Positions {
+	positions, _ := index(file, data)
+	return positions
+}
+
+func position(data []byte, offset int64) (line, column int) {
+	before := data[:min(offset, int64(len(data)))]
+	line = bytes.Count(before, []byte("\n")) + 1
+	column = len(before) - bytes.LastIndexByte(before, '\n')
+	return line, column
+}
+
+// maxDepth bounds the nesting of a file, so that hostile input cannot exhaust
+// the stack.
+const maxDepth = 64
+
+type indexer struct {
+	positions *Positions
+	decoder   *json.Decoder
+	problems  []api.Problem
+}
+
+func index(file string, data []byte) (*Positions, []api.Problem) {
+	positions := &Positions{file: file, data: data, offsets: map[string]int64{"": 0, "/": 0}}
+	walker := &indexer{positions: positions, decoder: json.NewDecoder(bytes.NewReader(data))}
+	walker.decoder.UseNumber()
+	err := walker.value("", 0)
+	if err == nil {
+		err = walker.end()
+	}
+	if err != nil {
+		line, column := position(data, walker.decoder.InputOffset())
+		walker.problems = append(walker.problems, api.Problem{File: file, Path: "/", Line: line, Column: column, Message: err.Error()})
+	}
+	return positions, walker.problems
+}
+
+func (w *indexer) end() error {
+	if _, err := w.decoder.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("data after the end of the document")
+	}
+	return nil
+}
+
+// start returns the offset of the next token, past separators.
+func (w *indexer) start() int64 {
+	offset := w.decoder.InputOffset()
+	for offset < int64(len(w.positions.data)) && strings.IndexByte(" \t\r\n,:", w.positions.data[offset]) >= 0 {
+		offset++
+	}
+	return offset
+}
+
+func (w *indexer) value(path string, depth int) error {
+	if depth > maxDepth {
+		return fmt.Errorf("nested deeper than %d", maxDepth)
+	}
+	w.positions.offsets[path] = w.start()
+	token, err := w.decoder.Token()
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return err
+	}
+	switch token {
+	case json.Delim('{'):
+		return w.object(path, depth)
+	case json.Delim('['):
+		return w.array(path, depth)
+	}
+	return nil
+}
+
+func (w *indexer) object(path string, depth int) error {
+	seen := make(map[string]bool)
+	for w.decoder.More() {
+		offset := w.start()
+		token, err := w.decoder.Token()
+		if err != nil {
+			return err
+		}
+		name, ok := token.(string)
+		if !ok {
+			return errors.New("object name is not a string")
+		}
+		child := path + pointer([]string{name})
+		if seen[name] {
+			line, column := position(w.positions.data, offset)
+			w.problems = append(w.problems, api.Problem{File: w.positions.file, Path: child, Line: line, Column: column, Message: "duplicate name"})
+		}
+		seen[name] = true
+		if err := w.value(child, depth+1); err != nil {
+			return err
+		}
+	}
+	_, err := w.decoder.Token()
+	return err
+}
+
+func (w *indexer) array(path string, depth int) error {
+	for i := 0; w.decoder.More(); i++ {
+		if err := w.value(fmt.Sprintf("%s/%d", path, i), depth+1); err != nil {
+			return err
+		}
+	}
+	_, err := w.decoder.Token()
+	return err
+}
--- /dev/null
+++ b/internal/strictjson/strictjson_test.go
@@ -0,0 +1,68 @@
+package strictjson
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const testSchema = `{"type":"object","additionalProperties":false,"required":["name"],"properties":{
+	"name":{"type":"string","minLength":1},"size":{"type":"integer","minimum":1},
+	"list":{"type":"array","items":{"type":"object","additionalProperties":false,"properties":{"x":{"type":"integer"}}}}}}`
+
+type testTarget struct {
+	Name string `json:"name"`
+	Size int    `json:"size"`
+}
+
+func TestDecodeReportsEveryProblemWithItsPlace(t *testing.T) {
+	cases := map[string]struct {
+		data string
+		want []string
+	}{
+		"a good file has none":             {`{"name": "a", "size": 2}`, nil},
+		"two faults are reported together": {"{\n \"name\": \"\",\n \"size\": 0\n}", []string{"f.json:2:10: /name", "f.json:3:10: /size"}},
+		"an unknown field":                 {`{"name":"a","colour":1}`, []string{"colour"}},
+		"a duplicate name":                 {"{\"name\":\"a\",\n\"name\":\"b\"}", []string{"f.json:2:1: /name: duplicate name"}},
+		"a wrong type deep inside":         {`{"name":"a","list":[{"x":1},{"x":"q"}]}`, []string{"/list/1/x"}},
+		"a missing field":                  {`{}`, []string{"f.json:1:1"}},
+		"a truncated file":                 {`{"name":`, []string{"unexpected EOF"}},
+		"data after the end":               {`{"name":"a"} x`, []string{"after the end"}},
+		"nesting that is too deep":         {strings.Repeat("[", 100), []string{"nested deeper"}},
+	}
+	schema := MustCompile("test.json", []byte(testSchema))
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			var target testTarget
+			err := schema.Decode("f.json", []byte(test.data), &target)
+			if test.want == nil {
+				assert.NilError(t, err)
+				return
+			}
+			var all *Error
+			assert.Assert(t, errors.As(err, &all))
+			assert.Equal(t, len(all.Problems), len(test.want), "%v", err)
+			for i, want := range test.want {
+				assert.Assert(t, strings.Contains(Format(all.Problems[i]), want), "%v", Format(all.Problems[i]))
+			}
+			assert.Equal(t, target, testTarget{})
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"name":"a"}`))
+	f.Add([]byte(`{"name":"a","name":"b"}`))
+	f.Add([]byte(`[[[`))
+	f.Add([]byte("{\"name\":\"\xff\"}"))
+	schema := MustCompile("test.json", []byte(testSchema))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var target testTarget
+		err := schema.Decode("f.json", data, &target)
+		if err == nil && target.Name == "" {
+			t.Fatal("a file without a name passed")
+		}
+	})
+}
