Rules, configuration document, settings, peer messages and the ports between parts

Cause: parts that are built side by side need the same contracts. Change: first-match rules with explain, configuration and settings schemas, peer protocol, interfaces of claims, job records, leases, peers, membership. Conclusion: interfaces are fixed enough to build against.

--- /dev/null
+++ b/internal/config/document.go
@@ -0,0 +1,60 @@
+// Package config holds the configuration: its document, its versions in the
+// platform's store, and its distribution to every instance.
+package config
+
+import (
+	_ "embed"
+
+	"github.com/corianderbank/corianderbank/internal/model"
+	"github.com/corianderbank/corianderbank/internal/rules"
+	"github.com/corianderbank/corianderbank/internal/strictjson"
+)
+
+// Document is one whole configuration, as an operator writes it.
+type Document struct {
+	// Accounts lists the client accounts; names are unique.
+	Accounts []model.ClientAccount `json:"client_accounts"`
+	// Rules is the ordered list; the first match decides.
+	Rules []rules.Rule `json:"rules"`
+	// Objectives weighs completion time against fragmentation.
+	Objectives model.Objectives `json:"objectives"`
+}
+
+//go:embed schema.json
+var schemaJSON []byte
+
+var schema = strictjson.MustCompile("configuration.json", schemaJSON)
+
+// Parse checks data and returns the document. All problems come back at once
+// in a *strictjson.Error.
+func Parse(file string, data []byte) (*Document, error) {
+	var document Document
+	if err := schema.Decode(file, data, &document); err != nil {
+		return nil, err
+	}
+	return &document, nil
+}
+
+// Account returns the client account of the given name.
+func (d *Document) Account(name string) (model.ClientAccount, bool) {
+	for _, account := range d.Accounts {
+		if account.Name == name {
+			return account, true
+		}
+	}
+	return model.ClientAccount{}, false
+}
+
+// Snapshot is a version of the configuration in force. It is immutable.
+type Snapshot struct {
+	Version  int64
+	Digest   string
+	Document *Document
+	Rules    *rules.Set
+}
+
+// Source gives the configuration in force on this instance.
+type Source interface {
+	// Current returns the snapshot in force, or nil before the first one.
+	Current() *Snapshot
+}
