--- /dev/null
+++ b/internal/config/publish.go
@@ -0,0 +1,244 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/chart"
+	"github.com/corianderbank/corianderbank/internal/platform"
+	"github.com/corianderbank/corianderbank/internal/strictjson"
+)
+
+// The tables. The head row and the history rows are never deleted.
+const (
+	tableHead    = "config"
+	headKey      = "head"
+	tableHistory = "config_history"
+)
+
+// historyPage bounds one read of the history.
+const historyPage = 200
+
+// The events of charts/configuration.json that an operator's proposal meets.
+const (
+	eventValid     chart.Event = "valid"
+	eventInvalid   chart.Event = "invalid"
+	eventStored    chart.Event = "stored"
+	eventHeadMoved chart.Event = "head_moved"
+	eventHeadLost  chart.Event = "head_lost"
+	eventLose      chart.Event = "lose"
+)
+
+// ConflictError says that another version was accepted first.
+type ConflictError struct {
+	// Version is the version in force.
+	Version int64
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("version %d is in force", e.Version)
+}
+
+// proposal is an operator's document on its way through the chart.
+type proposal struct {
+	manager *Manager
+	state   chart.State
+	version int64
+}
+
+// take moves the proposal on and logs it.
+func (p *proposal) take(event chart.Event) {
+	next, err := p.manager.chart.Next(p.state, event)
+	if err != nil {
+		p.manager.options.Logger.Error("configuration proposal", zap.Error(err))
+		return
+	}
+	p.state = next
+	p.manager.options.Logger.Info("configuration proposal",
+		zap.Int64("version", p.version), zap.String("event", string(event)), zap.String("state", string(next)))
+}
+
+// Check parses data and runs the semantic check. All problems come back at
+// once in a *strictjson.Error of KindConfigInvalid.
+func (m *Manager) Check(file string, data []byte) (*Document, error) {
+	document, err := Parse(file, data)
+	if err != nil {
+		return nil, api.NewError(api.KindConfigInvalid, "%w", err)
+	}
+	if problems := m.options.Check(document, strictjson.Index(file, data)); len(problems) > 0 {
+		return nil, api.NewError(api.KindConfigInvalid, "%w", &strictjson.Error{Problems: problems})
+	}
+	return document, nil
+}
+
+// Publish makes data the configuration that follows version expect. Errors:
+// KindConfigInvalid with every problem in a *strictjson.Error, KindConfigConflict
+// with the winning version in a *ConflictError, KindStoreUnavailable if nothing
+// was applied, KindResultUnknown if it may have been.
+func (m *Manager) Publish(ctx context.Context, expect int64, file string, data []byte) (api.ConfigVersion, error) {
+	attempt := &proposal{manager: m, state: m.chart.Initial, version: expect + 1}
+	if _, err := m.Check(file, data); err != nil {
+		attempt.take(eventInvalid)
+		return api.ConfigVersion{}, err
+	}
+	attempt.take(eventValid)
+	row, present, err := m.head(ctx)
+	if err != nil {
+		return api.ConfigVersion{}, err
+	}
+	if present.Version != expect {
+		return api.ConfigVersion{}, conflictWith(present.Version)
+	}
+	next := headRow{Version: expect + 1, Digest: digestOf(data), AppliedAt: time.Now().UTC()}
+	next.Object = fmt.Sprintf("config-%012d-%s", next.Version, next.Digest)
+	if err := m.options.Objects.Put(ctx, next.Object, data); err != nil {
+		attempt.take(eventLose)
+		return api.ConfigVersion{}, api.NewError(api.KindStoreUnavailable, "the document was not stored: %w", err)
+	}
+	attempt.take(eventStored)
+	if err := m.moveHead(ctx, attempt, row, next); err != nil {
+		return api.ConfigVersion{}, err
+	}
+	if _, err := m.Offer(next.Version, next.Digest, data); err != nil {
+		m.options.Logger.Error("configuration in force", zap.Error(err))
+	}
+	return next.message(nil), nil
+}
+
+// moveHead makes next the head if the head row is still the one read.
+func (m *Manager) moveHead(ctx context.Context, attempt *proposal, present api.Row, next headRow) error {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return api.NewError(api.KindInternal, "configuration head: %w", err)
+	}
+	result := m.options.Tables.Commit(ctx, platform.PurposeConfig, api.Tx{
+		WriteID: platform.NewWriteID(),
+		Ops: []api.Op{
+			{Ref: present.Ref, IfVersion: present.Version, Value: value},
+			{Ref: historyRef(next.Version), Value: value},
+		},
+	})
+	switch {
+	case result.State == platform.CommitDone:
+		attempt.take(eventHeadMoved)
+		return nil
+	case result.State == platform.CommitUnknown:
+		attempt.take(eventLose)
+		return platform.ErrorOf(result)
+	case result.Err != nil:
+		attempt.take(eventHeadLost)
+		return platform.ErrorOf(result)
+	default:
+		attempt.take(eventHeadLost)
+		return conflictWith(winner(result.Conflicts, next.Version))
+	}
+}
+
+// winner returns the version of the head among the conflicting rows.
+func winner(conflicts []api.Row, least int64) int64 {
+	for _, row := range conflicts {
+		var present headRow
+		if row.Table == tableHead && json.Unmarshal(row.Value, &present) == nil {
+			return present.Version
+		}
+	}
+	return least
+}
+
+func conflictWith(number int64) error {
+	return api.NewError(api.KindConfigConflict, "%w", &ConflictError{Version: number})
+}
+
+// Winner returns the version in force that an error of KindConfigConflict names.
+func Winner(err error) int64 {
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		return conflict.Version
+	}
+	return 0
+}
+
+// Problems returns every problem that an error of KindConfigInvalid carries.
+func Problems(err error) []api.Problem {
+	var invalid *strictjson.Error
+	if errors.As(err, &invalid) {
+		return invalid.Problems
+	}
+	return nil
+}
+
+func historyRef(number int64) api.Ref {
+	return api.Ref{Table: tableHistory, Key: fmt.Sprintf("%012d", number)}
+}
+
+// head reads the head row; Version 0 means that there is no configuration yet.
+func (m *Manager) head(ctx context.Context) (api.Row, headRow, error) {
+	var present headRow
+	rows, err := m.options.Tables.Read(ctx, platform.PurposeConfig, api.Ref{Table: tableHead, Key: headKey})
+	if err != nil {
+		return api.Row{}, present, err
+	}
+	row := rows.Rows[0]
+	if row.Version == 0 {
+		return row, present, nil
+	}
+	if err := json.Unmarshal(row.Value, &present); err != nil {
+		return row, present, api.NewError(api.KindInternal, "configuration head: %w", err)
+	}
+	return row, present, nil
+}
+
+// History returns the accepted versions, the oldest first, without documents.
+func (m *Manager) History(ctx context.Context) ([]api.ConfigVersion, error) {
+	var versions []api.ConfigVersion
+	query := api.ScanQuery{Table: tableHistory, Limit: historyPage}
+	for {
+		page, err := m.options.Tables.Scan(ctx, platform.PurposeConfig, query)
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range page.Rows {
+			var entry headRow
+			if err := json.Unmarshal(row.Value, &entry); err != nil {
+				return nil, api.NewError(api.KindInternal, "history row %s: %w", row.Key, err)
+			}
+			versions = append(versions, entry.message(nil))
+			query.After = row.Key
+		}
+		if !page.More || len(page.Rows) == 0 {
+			return versions, nil
+		}
+	}
+}
+
+// Get returns an accepted version with its document, or KindNotFound. Number
+// zero means the version in force on this instance.
+func (m *Manager) Get(ctx context.Context, number int64) (api.ConfigVersion, error) {
+	if present := m.current.Load(); present != nil && (number == 0 || number == present.snapshot.Version) {
+		snapshot := present.snapshot
+		return api.ConfigVersion{Version: snapshot.Version, Digest: snapshot.Digest, Document: present.document}, nil
+	}
+	rows, err := m.options.Tables.Read(ctx, platform.PurposeConfig, historyRef(number))
+	if err != nil {
+		return api.ConfigVersion{}, err
+	}
+	if rows.Rows[0].Version == 0 {
+		return api.ConfigVersion{}, api.NewError(api.KindNotFound, "no configuration version %d", number)
+	}
+	var entry headRow
+	if err := json.Unmarshal(rows.Rows[0].Value, &entry); err != nil {
+		return api.ConfigVersion{}, api.NewError(api.KindInternal, "history row of %d: %w", number, err)
+	}
+	data, err := m.options.Objects.Get(ctx, entry.Object)
+	if err != nil {
+		return api.ConfigVersion{}, err
+	}
+	return entry.message(data), nil
+}
