--- /dev/null
+++ b/internal/entry/callers.go
@@ -0,0 +1,200 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/request"
+	"github.com/corianderbank/corianderbank/internal/settings"
+)
+
+// Bounds of callers' fields.
+const (
+	maxNameBytes   = 64
+	maxKeyBytes    = 256
+	maxDeclaredRun = 90 * 24 * time.Hour
+	maxWait        = time.Minute
+	maxListed      = 1000
+	defaultListed  = 100
+)
+
+func (s *Server) postRequest(w http.ResponseWriter, r *http.Request) {
+	id := request.NewID()
+	var submission api.RequestSubmission
+	if err := s.admitRequest(w, r, &submission); err != nil {
+		s.writeRequest(w, request.Refusal(id, "", err))
+		return
+	}
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	ctx, cancel := context.WithTimeout(r.Context(), settings.Duration(submission.DeadlineMS))
+	defer cancel()
+	s.writeRequest(w, s.opts.Requests.Execute(ctx, id, submission))
+}
+
+func (s *Server) admitRequest(w http.ResponseWriter, r *http.Request, submission *api.RequestSubmission) error {
+	if err := s.opts.Ready(); err != nil {
+		return err
+	}
+	if s.inFlight.Load() >= int64(s.opts.Settings.Limits.MaxRequests) {
+		return api.NewError(api.KindQueueFull, "%d requests are under way in this instance", s.inFlight.Load())
+	}
+	if err := s.decode(w, r, submission); err != nil {
+		return err
+	}
+	return s.checkRequest(submission)
+}
+
+func (s *Server) checkRequest(submission *api.RequestSubmission) error {
+	if err := checkNames(submission.Account, submission.Kind, submission.IdempotencyKey); err != nil {
+		return err
+	}
+	timing := s.opts.Settings.Timing
+	if submission.DeadlineMS < 0 {
+		return api.NewError(api.KindPastDeadline, "deadline_ms is negative")
+	}
+	if submission.DeadlineMS > timing.MaxDeadlineMS {
+		return api.NewError(api.KindInvalidField, "deadline_ms exceeds %d", timing.MaxDeadlineMS)
+	}
+	if submission.DeadlineMS == 0 {
+		submission.DeadlineMS = timing.DefaultDeadlineMS
+	}
+	return nil
+}
+
+func checkNames(account, kind, key string) error {
+	switch {
+	case account == "" || len(account) > maxNameBytes:
+		return api.NewError(api.KindInvalidField, "account must have 1 to %d bytes", maxNameBytes)
+	case kind == "" || len(kind) > maxNameBytes:
+		return api.NewError(api.KindInvalidField, "kind must have 1 to %d bytes", maxNameBytes)
+	case len(key) > maxKeyBytes:
+		return api.NewError(api.KindInvalidField, "idempotency_key exceeds %d bytes", maxKeyBytes)
+	}
+	return nil
+}
+
+func (s *Server) writeRequest(w http.ResponseWriter, answer api.RequestAnswer) {
+	s.count("request", answer.Outcome, answer.ErrorKind)
+	w.Header().Set(api.HeaderRequestID, answer.ID)
+	setRetryAfter(w, answer.RetryAfterS)
+	writeJSON(w, statusOf(answer.Outcome, answer.ErrorKind), answer)
+}
+
+func (s *Server) count(work string, outcome api.Outcome, kind api.Kind) {
+	name := `corianderbank_answers_total{work="` + work + `",outcome="` + string(outcome) + `",error_kind="` + string(kind) + `"}`
+	s.answers.GetOrCreateCounter(name).Inc()
+}
+
+func (s *Server) postJob(w http.ResponseWriter, r *http.Request) {
+	var job api.JobSubmission
+	if err := s.admitJob(w, r, &job); err != nil {
+		s.writeJob(w, refusedJob(api.JobAnswer{}, err))
+		return
+	}
+	answer, err := s.opts.Jobs.Submit(r.Context(), job)
+	if err != nil {
+		answer = refusedJob(answer, err)
+	}
+	s.writeJob(w, answer)
+}
+
+func (s *Server) admitJob(w http.ResponseWriter, r *http.Request, job *api.JobSubmission) error {
+	if err := s.opts.Ready(); err != nil {
+		return err
+	}
+	if err := s.decode(w, r, job); err != nil {
+		return err
+	}
+	return checkJob(job, time.Now())
+}
+
+func checkJob(job *api.JobSubmission, now time.Time) error {
+	if err := checkNames(job.Account, job.Kind, job.IdempotencyKey); err != nil {
+		return err
+	}
+	shape := job.Shape
+	switch {
+	case shape.Tasks < 1 || shape.Tasks > api.MaxGangTasks:
+		return api.NewError(api.KindInvalidShape, "tasks must be 1 to %d", api.MaxGangTasks)
+	case shape.AcceleratorsPerTask < 1 || shape.AcceleratorsPerTask > api.MaxAcceleratorsPerTask:
+		return api.NewError(api.KindInvalidShape, "accelerators_per_task must be 1 to %d", api.MaxAcceleratorsPerTask)
+	case job.DeclaredRunS <= 0 || job.DeclaredRunS > maxDeclaredRun.Seconds():
+		return api.NewError(api.KindInvalidField, "declared_run_s must be above 0 and at most %.0f", maxDeclaredRun.Seconds())
+	case job.Deadline != nil && !job.Deadline.After(now):
+		return api.NewError(api.KindPastDeadline, "the deadline %s has passed", job.Deadline.UTC().Format(time.RFC3339))
+	}
+	return nil
+}
+
+// refusedJob is the answer to a job call that failed.
+func refusedJob(answer api.JobAnswer, err error) api.JobAnswer {
+	answer.Outcome = api.OutcomeNotRun
+	if api.IsKind(err, api.KindResultUnknown) {
+		answer.Outcome = api.OutcomeUnknown
+	}
+	answer.ErrorKind, answer.Message, answer.RetryAfterS = api.KindOf(err), err.Error(), api.RetryAfterS(err)
+	return answer
+}
+
+func (s *Server) writeJob(w http.ResponseWriter, answer api.JobAnswer) {
+	s.count("job", answer.Outcome, answer.ErrorKind)
+	setRetryAfter(w, answer.RetryAfterS)
+	writeJSON(w, statusOf(answer.Outcome, answer.ErrorKind), answer)
+}
+
+func (s *Server) getJob(w http.ResponseWriter, r *http.Request) {
+	wait, err := waitOf(r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	answer, err := s.opts.Jobs.Get(r.Context(), r.PathValue("id"), wait)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, answer)
+}
+
+func waitOf(r *http.Request) (time.Duration, error) {
+	text := r.URL.Query().Get("wait_ms")
+	if text == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 0 || ms > maxWait.Milliseconds() {
+		return 0, api.NewError(api.KindInvalidField, "wait_ms must be 0 to %d", maxWait.Milliseconds())
+	}
+	return settings.Duration(ms), nil
+}
+
+func (s *Server) cancelJob(w http.ResponseWriter, r *http.Request) {
+	answer, err := s.opts.Jobs.Cancel(r.Context(), r.PathValue("id"))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, answer)
+}
+
+func (s *Server) listJobs(w http.ResponseWriter, r *http.Request) {
+	limit := defaultListed
+	if text := r.URL.Query().Get("limit"); text != "" {
+		parsed, err := strconv.Atoi(text)
+		if err != nil || parsed < 1 || parsed > maxListed {
+			writeError(w, api.NewError(api.KindInvalidField, "limit must be 1 to %d", maxListed))
+			return
+		}
+		limit = parsed
+	}
+	answers, err := s.opts.Jobs.List(r.Context(), r.URL.Query().Get("account"), limit)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, answers)
+}
--- /dev/null
+++ b/internal/entry/operators.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/config"
+)
+
+// configFile names the document in the problems of a refused configuration.
+const configFile = "configuration"
+
+func (s *Server) applyConfig(w http.ResponseWriter, r *http.Request) {
+	var apply api.ConfigApply
+	if err := s.decode(w, r, &apply); err != nil {
+		writeOperatorError(w, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
+	defer cancel()
+	version, err := s.opts.Config.Publish(ctx, apply.Expect, configFile, apply.Document)
+	if err != nil {
+		writeOperatorError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, version)
+}
+
+func writeOperatorError(w http.ResponseWriter, err error) {
+	setRetryAfter(w, api.RetryAfterS(err))
+	writeJSON(w, api.AnswerFor(api.KindOf(err)).Status, api.OperatorError{
+		ErrorBody: api.BodyOf(err), Problems: config.Problems(err), Version: config.Winner(err),
+	})
+}
+
+func (s *Server) showConfig(w http.ResponseWriter, _ *http.Request) {
+	number, digest, document := s.opts.Config.Highest()
+	if number == 0 {
+		writeError(w, api.NewError(api.KindNotFound, "no configuration has been accepted yet"))
+		return
+	}
+	writeJSON(w, http.StatusOK, api.ConfigVersion{Version: number, Digest: digest, Document: document})
+}
+
+func (s *Server) configHistory(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
+	defer cancel()
+	history, err := s.opts.Config.History(ctx)
+	if err != nil {
+		writeOperatorError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, history)
+}
+
+// configStatus shows which instance has which version in force.
+func (s *Server) configStatus(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
+	defer cancel()
+	writeJSON(w, http.StatusOK, s.opts.Fleet.Status(ctx).Instances)
+}
+
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
+	defer cancel()
+	writeJSON(w, http.StatusOK, s.opts.Fleet.Status(ctx))
+}
+
+func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
+	defer cancel()
+	explanation := s.opts.Fleet.Explain(ctx, r.PathValue("id"))
+	if len(explanation.Decisions) == 0 {
+		writeError(w, api.NewError(api.KindNotFound, "no instance that answers remembers %q", explanation.ID))
+		return
+	}
+	writeJSON(w, http.StatusOK, explanation)
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,193 @@
+// Package entry serves callers and operators over HTTP.
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/config"
+	"github.com/corianderbank/corianderbank/internal/settings"
+)
+
+// Requests answers callers' requests; package request implements it.
+type Requests interface {
+	Execute(ctx context.Context, id string, submission api.RequestSubmission) api.RequestAnswer
+}
+
+// Jobs answers callers' job calls; package jobs implements it.
+type Jobs interface {
+	Submit(ctx context.Context, job api.JobSubmission) (api.JobAnswer, error)
+	Get(ctx context.Context, id string, wait time.Duration) (api.JobAnswer, error)
+	Cancel(ctx context.Context, id string) (api.JobAnswer, error)
+	List(ctx context.Context, account string, limit int) ([]api.JobAnswer, error)
+}
+
+// Fleet answers the questions about more than this instance.
+type Fleet interface {
+	Status(ctx context.Context) api.Status
+	Explain(ctx context.Context, id string) api.Explanation
+}
+
+// Options are what a Server works with. All fields are needed.
+type Options struct {
+	Settings *settings.Settings
+	Requests Requests
+	Jobs     Jobs
+	Fleet    Fleet
+	Config   *config.Manager
+	Logger   *zap.Logger
+	// Ready returns nil while the instance takes callers' work.
+	Ready func() error
+}
+
+// Server serves HTTP. It is safe for concurrent use.
+type Server struct {
+	opts     Options
+	http     *http.Server
+	inFlight atomic.Int64
+	answers  *metrics.Set
+}
+
+// Times of the HTTP server.
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	operatorTimeout   = 10 * time.Second
+)
+
+// New returns a server; Serve makes it work.
+func New(opts Options) *Server {
+	s := &Server{opts: opts, answers: metrics.NewSet()}
+	s.answers.NewGauge("corianderbank_requests_in_flight", func() float64 { return float64(s.inFlight.Load()) })
+	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	return s
+}
+
+func (s *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/requests", s.postRequest)
+	mux.HandleFunc("POST /v1/jobs", s.postJob)
+	mux.HandleFunc("GET /v1/jobs", s.listJobs)
+	mux.HandleFunc("GET /v1/jobs/{id}", s.getJob)
+	mux.HandleFunc("DELETE /v1/jobs/{id}", s.cancelJob)
+	mux.HandleFunc("POST /v1/config", s.applyConfig)
+	mux.HandleFunc("GET /v1/config", s.showConfig)
+	mux.HandleFunc("GET /v1/config/history", s.configHistory)
+	mux.HandleFunc("GET /v1/config/status", s.configStatus)
+	mux.HandleFunc("GET /v1/explain/{id}", s.explain)
+	mux.HandleFunc("GET /v1/status", s.status)
+	mux.HandleFunc("GET /healthz", s.healthz)
+	mux.HandleFunc("GET /readyz", s.readyz)
+	mux.HandleFunc("GET /metrics", s.metrics)
+	mux.HandleFunc("/", s.notFound)
+	return mux
+}
+
+// Serve answers calls on listener until Shutdown.
+func (s *Server) Serve(listener net.Listener) error {
+	limited := netutil.LimitListener(listener, s.opts.Settings.Limits.MaxConnections)
+	if err := s.http.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Shutdown stops taking connections and waits for the calls in flight.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+// InFlight returns the number of callers' requests under way.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+func (s *Server) healthz(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, struct {
+		Status string `json:"status"`
+	}{"ok"})
+}
+
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
+	if err := s.opts.Ready(); err != nil {
+		writeError(w, err)
+		return
+	}
+	s.healthz(w, nil)
+}
+
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+	s.answers.WritePrometheus(w)
+	metrics.WritePrometheus(w, true)
+}
+
+func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
+	writeError(w, api.NewError(api.KindNotFound, "no resource %s %s", r.Method, r.URL.Path))
+}
+
+// decode reads a bounded JSON body strictly into target.
+func (s *Server) decode(w http.ResponseWriter, r *http.Request, target any) error {
+	body := http.MaxBytesReader(w, r.Body, s.opts.Settings.Limits.MaxBodyBytes)
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		return bodyError(err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return api.NewError(api.KindMalformedBody, "data after the end of the body")
+	}
+	return nil
+}
+
+func bodyError(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return api.NewError(api.KindBodyTooLarge, "the body exceeds %d bytes", tooLarge.Limit)
+	}
+	return api.NewError(api.KindMalformedBody, "%v", err)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		status = http.StatusInternalServerError
+		data = []byte(`{"error_kind":"internal"}`)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)+1))
+	w.WriteHeader(status)
+	_, _ = w.Write(append(data, '\n'))
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	setRetryAfter(w, api.RetryAfterS(err))
+	writeJSON(w, api.AnswerFor(api.KindOf(err)).Status, api.BodyOf(err))
+}
+
+// setRetryAfter sets the standard header, whose unit is whole seconds.
+func setRetryAfter(w http.ResponseWriter, seconds float64) {
+	if seconds > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(seconds))))
+	}
+}
+
+// statusOf is the HTTP status of an answer: 200 for done, 202 for accepted,
+// else that of its kind.
+func statusOf(outcome api.Outcome, kind api.Kind) int {
+	switch {
+	case kind != "":
+		return api.AnswerFor(kind).Status
+	case outcome == api.OutcomeAccepted:
+		return http.StatusAccepted
+	}
+	return http.StatusOK
+}
--- /dev/null
+++ b/internal/jobs/router.go
@@ -0,0 +1,303 @@
+// Package jobs takes callers' job calls to the placer of the right availability
+// zone: this instance's own, a peer's, or, for a job that has ended, the table.
+package jobs
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/corianderbank/corianderbank/api"
+	peerpb "github.com/corianderbank/corianderbank/api/peer"
+	"github.com/corianderbank/corianderbank/internal/jobstore"
+	"github.com/corianderbank/corianderbank/internal/peer"
+	"github.com/corianderbank/corianderbank/internal/placer"
+	"github.com/corianderbank/corianderbank/internal/rules"
+)
+
+// The operations of a peerpb.JobCall.
+const (
+	opSubmit = "submit"
+	opGet    = "get"
+	opCancel = "cancel"
+	opStatus = "status"
+)
+
+// zoneSeparator ends the random part of a job's id; the zone follows.
+const zoneSeparator = "~"
+
+// Placer is the local placer; package placer implements it.
+type Placer interface {
+	Epoch() int64
+	Submit(ctx context.Context, s placer.Submission) (api.JobAnswer, error)
+	Get(ctx context.Context, id string, wait time.Duration) (api.JobAnswer, error)
+	Cancel(ctx context.Context, id string) (api.JobAnswer, error)
+	Status(ctx context.Context) api.Status
+}
+
+// Peers tells which instance holds which zone's placer lease.
+type Peers interface {
+	// PlacerOf returns the instance with the highest known epoch of a zone.
+	PlacerOf(zone string) (instance string, ok bool)
+	// Zones returns the availability zones of all known instances.
+	Zones() []string
+}
+
+// Router is safe for concurrent use.
+type Router struct {
+	Zone   string
+	Placer Placer
+	Peers  Peers
+	Caller peer.Caller
+	Store  jobstore.Store
+	// Evaluate applies the rules in force to a submission for a zone. Each
+	// zone judges with its own load.
+	Evaluate func(job api.JobSubmission, zone string) rules.Verdict
+}
+
+// NewID returns a fresh id of a job in a zone.
+func NewID(zone string) string { return "j-" + strings.ToLower(rand.Text()) + zoneSeparator + zone }
+
+func zoneOf(id string) (string, bool) {
+	_, zone, ok := strings.Cut(id, zoneSeparator)
+	return zone, ok && zone != ""
+}
+
+// Submit offers the job to its zone, or to each zone in turn: its own first.
+// The refusal of the first zone is the one that is returned.
+func (r *Router) Submit(ctx context.Context, job api.JobSubmission) (api.JobAnswer, error) {
+	var first error
+	var rule string
+	for i, zone := range r.candidates(job) {
+		verdict := r.Evaluate(job, zone)
+		answer, err := r.submitTo(ctx, zone, job, verdict)
+		if err == nil {
+			return answer, nil
+		}
+		if first == nil {
+			first, rule = err, verdict.Rule
+		}
+		if !movable(err) || (i == 0 && !verdict.Spill) {
+			break
+		}
+	}
+	if first == nil {
+		first = api.NewError(api.KindNoPlacer, "no availability zone is known")
+	}
+	return api.JobAnswer{Rule: rule}, first
+}
+
+// movable reports whether another zone may be asked: the job was surely not
+// accepted by this one, and the reason is this zone's own.
+func movable(err error) bool {
+	switch api.KindOf(err) {
+	case api.KindNoPlacer, api.KindShapeNeverFits, api.KindDeadlineUnreachable, api.KindNotReady, api.KindStopping, api.KindQueueFull:
+		return true
+	}
+	return false
+}
+
+func (r *Router) candidates(job api.JobSubmission) []string {
+	if job.AvailabilityZone != "" {
+		return []string{job.AvailabilityZone}
+	}
+	zones := []string{r.Zone}
+	for _, zone := range r.Peers.Zones() {
+		if zone != r.Zone {
+			zones = append(zones, zone)
+		}
+	}
+	sort.Strings(zones[1:])
+	return zones
+}
+
+func (r *Router) submitTo(ctx context.Context, zone string, job api.JobSubmission, verdict rules.Verdict) (api.JobAnswer, error) {
+	if verdict.Refuse {
+		err := api.NewError(api.KindRefusedByRule, "rule %q refuses", verdict.Rule)
+		return api.JobAnswer{}, api.WithRetryAfter(err, time.Duration(verdict.RetryAfterS*float64(time.Second)))
+	}
+	if zone == r.Zone && r.Placer.Epoch() > 0 {
+		return r.submitHere(ctx, job, verdict)
+	}
+	body, err := json.Marshal(job)
+	if err != nil {
+		return api.JobAnswer{}, api.NewError(api.KindInternal, "%v", err)
+	}
+	return r.forward(ctx, zone, &peerpb.JobCall{Op: opSubmit, Submission: body, Rule: verdict.Rule})
+}
+
+func (r *Router) submitHere(ctx context.Context, job api.JobSubmission, verdict rules.Verdict) (api.JobAnswer, error) {
+	return r.Placer.Submit(ctx, placer.Submission{ID: NewID(r.Zone), Job: job, Verdict: verdict})
+}
+
+// Get returns a job's answer, from its placer or from the table.
+func (r *Router) Get(ctx context.Context, id string, wait time.Duration) (api.JobAnswer, error) {
+	zone, ok := zoneOf(id)
+	if !ok {
+		return api.JobAnswer{}, api.NewError(api.KindNotFound, "no job %q", id)
+	}
+	answer, err := r.getFrom(ctx, zone, id, wait)
+	if err == nil {
+		return answer, nil
+	}
+	record, storeErr := r.Store.Get(ctx, id)
+	if storeErr == nil {
+		return answerOf(record), nil
+	}
+	if api.IsKind(storeErr, api.KindNotFound) {
+		return api.JobAnswer{}, storeErr
+	}
+	return api.JobAnswer{}, err
+}
+
+func (r *Router) getFrom(ctx context.Context, zone, id string, wait time.Duration) (api.JobAnswer, error) {
+	if zone == r.Zone && r.Placer.Epoch() > 0 {
+		return r.Placer.Get(ctx, id, wait)
+	}
+	return r.forward(ctx, zone, &peerpb.JobCall{Op: opGet, JobId: id, WaitMs: wait.Milliseconds()})
+}
+
+// Cancel cancels a job.
+func (r *Router) Cancel(ctx context.Context, id string) (api.JobAnswer, error) {
+	zone, ok := zoneOf(id)
+	if !ok {
+		return api.JobAnswer{}, api.NewError(api.KindNotFound, "no job %q", id)
+	}
+	answer, err := r.cancelAt(ctx, zone, id)
+	if !api.IsKind(err, api.KindNotFound) {
+		return answer, err
+	}
+	record, storeErr := r.Store.Get(ctx, id)
+	if storeErr != nil {
+		return api.JobAnswer{}, storeErr
+	}
+	return answerOf(record), nil
+}
+
+func (r *Router) cancelAt(ctx context.Context, zone, id string) (api.JobAnswer, error) {
+	if zone == r.Zone && r.Placer.Epoch() > 0 {
+		return r.Placer.Cancel(ctx, id)
+	}
+	return r.forward(ctx, zone, &peerpb.JobCall{Op: opCancel, JobId: id})
+}
+
+// List returns an account's jobs from the table, newest first.
+func (r *Router) List(ctx context.Context, account string, limit int) ([]api.JobAnswer, error) {
+	records, err := r.Store.List(ctx, account, limit)
+	if err != nil {
+		return nil, err
+	}
+	answers := make([]api.JobAnswer, 0, len(records))
+	for _, record := range records {
+		answers = append(answers, answerOf(record))
+	}
+	return answers, nil
+}
+
+// Status collects the status of every zone whose placer answers.
+func (r *Router) Status(ctx context.Context) api.Status {
+	var total api.Status
+	zones := r.Peers.Zones()
+	sort.Strings(zones)
+	for _, zone := range zones {
+		status := r.zoneStatus(ctx, zone)
+		total.Zones = append(total.Zones, status.Zones...)
+		total.Accounts = append(total.Accounts, status.Accounts...)
+	}
+	return total
+}
+
+func (r *Router) zoneStatus(ctx context.Context, zone string) api.Status {
+	if zone == r.Zone && r.Placer.Epoch() > 0 {
+		return r.Placer.Status(ctx)
+	}
+	var status api.Status
+	reply, err := r.callPlacer(ctx, zone, &peerpb.JobCall{Op: opStatus})
+	if err != nil || json.Unmarshal(reply.GetAnswer(), &status) != nil {
+		return api.Status{Zones: []api.ZoneStatus{{AvailabilityZone: zone}}}
+	}
+	return status
+}
+
+func (r *Router) forward(ctx context.Context, zone string, call *peerpb.JobCall) (api.JobAnswer, error) {
+	reply, err := r.callPlacer(ctx, zone, call)
+	if err != nil {
+		return api.JobAnswer{}, err
+	}
+	var answer api.JobAnswer
+	if err := json.Unmarshal(reply.GetAnswer(), &answer); err != nil {
+		return api.JobAnswer{}, api.NewError(api.KindResultUnknown, "the placer's answer is not whole: %v", err)
+	}
+	return answer, nil
+}
+
+func (r *Router) callPlacer(ctx context.Context, zone string, call *peerpb.JobCall) (*peerpb.JobReply, error) {
+	instance, ok := r.Peers.PlacerOf(zone)
+	if !ok {
+		return nil, api.NewError(api.KindNoPlacer, "no placer is known in availability zone %q", zone)
+	}
+	response, err := r.Caller.Call(ctx, instance, &peerpb.Request{Body: &peerpb.Request_Job{Job: call}})
+	if err != nil {
+		return nil, err
+	}
+	return response.GetJob(), nil
+}
+
+// Handle answers a peer's job call with the local placer only, so that calls
+// never go in a circle.
+func (r *Router) Handle(ctx context.Context, call *peerpb.JobCall) (*peerpb.JobReply, error) {
+	if r.Placer.Epoch() == 0 {
+		return nil, api.NewError(api.KindNoPlacer, "this instance does not hold the placer lease")
+	}
+	answer, err := r.handle(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	body, err := json.Marshal(answer)
+	if err != nil {
+		return nil, api.NewError(api.KindInternal, "%v", err)
+	}
+	return &peerpb.JobReply{Answer: body}, nil
+}
+
+func (r *Router) handle(ctx context.Context, call *peerpb.JobCall) (any, error) {
+	switch call.GetOp() {
+	case opSubmit:
+		var job api.JobSubmission
+		if err := json.Unmarshal(call.GetSubmission(), &job); err != nil {
+			return nil, api.NewError(api.KindMalformedBody, "%v", err)
+		}
+		verdict := r.Evaluate(job, r.Zone)
+		if verdict.Refuse {
+			return nil, api.NewError(api.KindRefusedByRule, "rule %q refuses", verdict.Rule)
+		}
+		return r.submitHere(ctx, job, verdict)
+	case opGet:
+		return r.Placer.Get(ctx, call.GetJobId(), time.Duration(call.GetWaitMs())*time.Millisecond)
+	case opCancel:
+		return r.Placer.Cancel(ctx, call.GetJobId())
+	case opStatus:
+		return r.Placer.Status(ctx), nil
+	}
+	return nil, api.NewError(api.KindInvalidField, "unknown operation %q", call.GetOp())
+}
+
+// answerOf is what the table alone tells of a job.
+func answerOf(record jobstore.Record) api.JobAnswer {
+	shape := record.Submission.Shape
+	answer := api.JobAnswer{
+		ID: record.ID, Outcome: api.OutcomeAccepted, Rule: record.Rule, State: string(record.Phase),
+		AvailabilityZone: record.Zone, Attempt: record.Attempt, Account: record.Submission.Account,
+		Kind: record.Submission.Kind, Shape: &shape, SubmittedAt: &record.SubmittedAt,
+	}
+	if record.Phase == jobstore.PhaseEnded {
+		answer.Outcome, answer.ErrorKind, answer.Message = record.Outcome, record.ErrorKind, record.Message
+		answer.State = record.State
+		answer.EndedAt = &record.EndedAt
+		answer.RetryAfterS = api.AnswerFor(record.ErrorKind).RetryAfterS
+	}
+	return answer
+}
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -31,7 +31,7 @@
 	Borrow    bool   `json:"borrow"`
 	MaxWaitMS int64  `json:"max_wait_ms"`
 	Phase     Phase  `json:"phase"`
-	// Attempt counts the starts; Epoch is the epoch of the last one.
+	// Attempt counts the starts; Epoch is the epoch of the last writer.
 	Attempt int   `json:"attempt"`
 	Epoch   int64 `json:"epoch"`
 	// Checkpoint names the last known checkpoint.
--- /dev/null
+++ b/internal/placer/calls.go
@@ -0,0 +1,190 @@
+package placer
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/jobstore"
+	"github.com/corianderbank/corianderbank/internal/placement"
+	"github.com/corianderbank/corianderbank/internal/rules"
+)
+
+// Submission is a job that an entry instance hands to the placer, with the
+// verdict of the rules.
+type Submission struct {
+	ID      string
+	Job     api.JobSubmission
+	Verdict rules.Verdict
+}
+
+// reply is the answer to a call on the core.
+type reply struct {
+	answer api.JobAnswer
+	err    error
+}
+
+// admitCall asks whether a submission may be accepted.
+type admitCall struct {
+	submission Submission
+	reply      chan reply
+}
+
+// acceptedCall adds an accepted record to the queue.
+type acceptedCall struct {
+	record jobstore.Record
+	reply  chan reply
+}
+
+// getCall asks for a job's answer.
+type getCall struct {
+	id    string
+	reply chan reply
+}
+
+// cancelCall cancels a job.
+type cancelCall struct {
+	id    string
+	reply chan reply
+}
+
+// statusCall asks for the zone's status.
+type statusCall struct {
+	reply chan api.Status
+}
+
+var errNoPlacer = api.NewError(api.KindNoPlacer, "this instance does not hold the placer lease")
+
+func (c *core) ready() error {
+	if !c.held || !c.recovered {
+		return errNoPlacer
+	}
+	return nil
+}
+
+func (call admitCall) apply(c *core, now time.Time) {
+	answer, err := c.admit(call.submission, now)
+	call.reply <- reply{answer, err}
+}
+
+// admit refuses at once what can never run, and what cannot finish in time.
+func (c *core) admit(s Submission, now time.Time) (api.JobAnswer, error) {
+	if err := c.ready(); err != nil {
+		return api.JobAnswer{}, err
+	}
+	if id, ok := c.byKey[s.Job.Account+"\x00"+s.Job.IdempotencyKey]; ok && s.Job.IdempotencyKey != "" {
+		if e := c.jobs[id]; e != nil {
+			return c.answer(e), nil
+		}
+	}
+	if open := len(c.jobs) - len(c.ended); open >= c.maxJobs {
+		return api.JobAnswer{}, api.NewError(api.KindQueueFull, "the placer holds %d jobs", open)
+	}
+	if err := c.accountLimit(s); err != nil {
+		return api.JobAnswer{}, err
+	}
+	e := &entry{record: c.record(s, now)}
+	finish, refusal := placement.Admit(c.snapshot(now), e.job())
+	if refusal != nil {
+		c.decide(now, e, "admit", "refuse", refusal.Reason, "")
+		return api.JobAnswer{}, api.WithRetryAfter(api.NewError(refusal.Kind, "%s", refusal.Reason), refusal.RetryAfter)
+	}
+	c.decide(now, e, "admit", "accept", fmt.Sprintf("%s, expected to finish by %s", describe(s.Job.Shape), finish.UTC().Format(time.RFC3339)), "")
+	return api.JobAnswer{ID: s.ID, Outcome: api.OutcomeAccepted, EstimatedFinish: &finish}, nil
+}
+
+func (c *core) accountLimit(s Submission) error {
+	if c.config == nil {
+		return api.NewError(api.KindNotReady, "no configuration yet")
+	}
+	account, ok := c.config.Document.Account(s.Job.Account)
+	if !ok {
+		return api.NewError(api.KindUnknownAccount, "client account %q is not in configuration %d", s.Job.Account, c.config.Version)
+	}
+	open, waiting := 0, 0
+	for _, e := range c.jobs {
+		if c.chart.Final(e.state) || e.record.Submission.Account != s.Job.Account {
+			continue
+		}
+		open++
+		if e.state == stWaiting && e.record.Rule == s.Verdict.Rule {
+			waiting++
+		}
+	}
+	if account.MaxJobs > 0 && open >= account.MaxJobs {
+		return api.NewError(api.KindAccountLimit, "client account %q has %d open jobs", s.Job.Account, open)
+	}
+	if s.Verdict.MaxQueued > 0 && waiting >= s.Verdict.MaxQueued {
+		return api.NewError(api.KindQueueFull, "%d jobs wait under rule %q", waiting, s.Verdict.Rule)
+	}
+	return nil
+}
+
+func (c *core) record(s Submission, now time.Time) jobstore.Record {
+	return jobstore.Record{
+		ID: s.ID, Zone: c.zone, Submission: s.Job, Rule: s.Verdict.Rule, Priority: s.Verdict.Priority,
+		Borrow: s.Verdict.Borrow, MaxWaitMS: s.Verdict.MaxWaitMS, Phase: jobstore.PhaseAccepted, SubmittedAt: now,
+	}
+}
+
+func (call acceptedCall) apply(c *core, _ time.Time) {
+	if err := c.ready(); err != nil {
+		// The row is safe: the zone's next placer finds it.
+		call.reply <- reply{api.JobAnswer{ID: call.record.ID, Outcome: api.OutcomeAccepted, AvailabilityZone: c.zone}, nil}
+		return
+	}
+	e, known := c.jobs[call.record.ID]
+	if !known {
+		e = c.addWaiting(call.record)
+	}
+	call.reply <- reply{c.answer(e), nil}
+}
+
+func (call getCall) apply(c *core, _ time.Time) {
+	if err := c.ready(); err != nil {
+		call.reply <- reply{err: err}
+		return
+	}
+	e, ok := c.jobs[call.id]
+	if !ok {
+		call.reply <- reply{err: api.NewError(api.KindNotFound, "no job %q in memory", call.id)}
+		return
+	}
+	call.reply <- reply{answer: c.answer(e)}
+}
+
+func (call cancelCall) apply(c *core, now time.Time) {
+	if err := c.ready(); err != nil {
+		call.reply <- reply{err: err}
+		return
+	}
+	e, ok := c.jobs[call.id]
+	if !ok {
+		call.reply <- reply{err: api.NewError(api.KindNotFound, "no open job %q", call.id)}
+		return
+	}
+	c.cancel(e, now)
+	call.reply <- reply{answer: c.answer(e)}
+}
+
+func (c *core) cancel(e *entry, now time.Time) {
+	before := e.state
+	if !c.step(e, evCancel, "cancelled by the caller", now) {
+		return
+	}
+	switch before {
+	case stReserving:
+		c.do(releaseAction{ref: e.ref, parts: e.parts})
+		e.parts = nil
+	case stStarting, stRunning:
+		c.sendStop(e, false, stopWithin)
+	}
+}
+
+func (call statusCall) apply(c *core, now time.Time) {
+	if c.ready() != nil {
+		call.reply <- api.Status{Instance: c.instance}
+		return
+	}
+	call.reply <- c.status(now)
+}
--- /dev/null
+++ b/internal/placer/core.go
@@ -0,0 +1,297 @@
+// Package placer is the loop that drives placement in one availability zone. It
+// runs on every instance and acts while the instance holds the zone's placer
+// lease.
+//
+// The core is a state machine without network, clock or locks: events and the
+// time go in, actions come out. The shell (Placer) runs the core in one
+// goroutine, carries out actions in a pool, and posts their results as events
+// through a bounded ring. Gangs move by charts/gang.json.
+package placer
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/chart"
+	"github.com/corianderbank/corianderbank/internal/config"
+	"github.com/corianderbank/corianderbank/internal/decision"
+	"github.com/corianderbank/corianderbank/internal/estimate"
+	"github.com/corianderbank/corianderbank/internal/jobstore"
+	"github.com/corianderbank/corianderbank/internal/model"
+)
+
+// The events of charts/gang.json.
+const (
+	evPlace       chart.Event = "place"
+	evReserved    chart.Event = "reserved"
+	evShort       chart.Event = "short"
+	evStarted     chart.Event = "started"
+	evStartFailed chart.Event = "start_failed"
+	evFinish      chart.Event = "finish"
+	evFail        chart.Event = "fail"
+	evReclaim     chart.Event = "reclaim"
+	evStopped     chart.Event = "stopped"
+	evWorkerLost  chart.Event = "worker_lost"
+	evCancel      chart.Event = "cancel"
+	evRefuse      chart.Event = "refuse"
+	evLose        chart.Event = "lose"
+)
+
+// The states of charts/gang.json.
+const (
+	stWaiting    chart.State = "waiting"
+	stReserving  chart.State = "reserving"
+	stStarting   chart.State = "starting"
+	stRunning    chart.State = "running"
+	stStopping   chart.State = "stopping"
+	stCancelling chart.State = "cancelling"
+	stDone       chart.State = "done"
+	stFailed     chart.State = "failed"
+	stCancelled  chart.State = "cancelled"
+	stNotRun     chart.State = "not_run"
+	stUnknown    chart.State = "unknown"
+)
+
+// Limits and times of the loop.
+const (
+	// retryPlacementAfter keeps a job whose reservation fell short from asking
+	// the same workers again in every round.
+	retryPlacementAfter = 500 * time.Millisecond
+	// persistRetryAfter paces repeated writes while the store is out.
+	persistRetryAfter = time.Second
+	// stopWithin bounds a plain stop of tasks.
+	stopWithin = 2 * time.Second
+	// maxFailures ends a job that failed on this many different sets of
+	// workers; see package quarantine for telling it from a sick worker.
+	maxFailures = 3
+	// keepEnded is how many ended jobs stay in memory for late readers.
+	keepEnded = 4096
+)
+
+// entry is one job in the placer's memory.
+type entry struct {
+	record      jobstore.Record
+	state       chart.State
+	ref         api.GangRef
+	parts       []part
+	reports     map[string]seenReport
+	borrowed    bool
+	throttled   bool
+	expectedEnd time.Time
+	notBefore   time.Time
+	// mayRun says that some part of the present attempt may have started.
+	mayRun bool
+	// ranEver says that an earlier attempt may have run.
+	ranEver bool
+	// checkpointed says that the stop of this attempt wrote a checkpoint.
+	checkpointed bool
+	// stopSent says that a stop is under way; it is sent again if it must be.
+	stopSent bool
+	// lapseAt is when the leases of unconfirmed workers have surely lapsed.
+	lapseAt    time.Time
+	stopReason string
+	// refusal is the kind of a refusal, set before evRefuse.
+	refusal  api.Kind
+	failures int
+	// dirty records are written when nothing is in flight for the row.
+	dirty     bool
+	writing   bool
+	nextWrite time.Time
+	released  bool
+}
+
+// seenReport is the last report of a part.
+type seenReport struct {
+	state api.TaskState
+	ranS  float64
+	msg   string
+	// renewedAt is when the renewal that the worker confirmed was sent.
+	renewedAt time.Time
+}
+
+type workerState struct {
+	model.Worker
+	lastReport time.Time
+	chartState chart.State
+}
+
+// core is owned by one goroutine; see the package comment.
+type core struct {
+	zone        string
+	instance    string
+	epoch       int64
+	held        bool
+	mayPlace    bool
+	platform    bool
+	recovered   bool
+	recovering  bool
+	recoverAt   time.Time
+	chart       *chart.Chart
+	workerChart *chart.Chart
+	jobs        map[string]*entry
+	ended       []string
+	byKey       map[string]string
+	workers     map[string]*workerState
+	runs        estimate.Source
+	health      healthTracker
+	config      *config.Snapshot
+	recorder    *decision.Recorder
+	workerLease time.Duration
+	maxJobs     int
+	actions     []action
+	// waiters are told when a job's answer changes.
+	changed map[string]bool
+}
+
+// healthTracker tells sick workers from sick jobs; see package quarantine.
+type healthTracker interface {
+	TaskFailed(worker, job string, now time.Time)
+	TaskSucceeded(worker, job string, now time.Time)
+	SickWorker(worker string, now time.Time) bool
+	SickJob(job string, now time.Time) (evidence string, sick bool)
+}
+
+func (c *core) do(a action) { c.actions = append(c.actions, a) }
+
+func (c *core) takeActions() []action {
+	taken := c.actions
+	c.actions = nil
+	return taken
+}
+
+// step moves e by an event of the chart. It returns false if the chart ignores
+// the event in the present state.
+func (c *core) step(e *entry, ev chart.Event, reason string, now time.Time) bool {
+	next, err := c.chart.Next(e.state, ev)
+	if err != nil {
+		c.decide(now, e, "fault", string(ev), err.Error(), "")
+		return false
+	}
+	if next == e.state {
+		return false
+	}
+	c.decide(now, e, "gang", string(next), reason, "")
+	e.state = next
+	c.changed[e.record.ID] = true
+	if c.chart.Final(next) {
+		c.end(e, reason, now)
+	}
+	return true
+}
+
+func (c *core) decide(now time.Time, e *entry, step, choice, reason, second string) {
+	c.recorder.Record(api.Decision{
+		At: now, Step: step, Subject: e.record.ID, Account: e.record.Submission.Account,
+		Rule: e.record.Rule, Choice: choice, Reason: reason, SecondBest: second,
+	})
+}
+
+// end records the final outcome of e and sees to it that it is written.
+func (c *core) end(e *entry, reason string, now time.Time) {
+	e.record.Phase = jobstore.PhaseEnded
+	e.record.EndedAt = now
+	e.record.State = string(e.state)
+	e.record.Message = reason
+	e.record.Outcome, e.record.ErrorKind = finalOutcome(e)
+	e.dirty = true
+	c.ended = append(c.ended, e.record.ID)
+	c.forgetOldest()
+}
+
+// finalOutcome maps an end of the chart to the outcome that the caller gets.
+func finalOutcome(e *entry) (api.Outcome, api.Kind) {
+	switch e.state {
+	case stDone:
+		return api.OutcomeDone, ""
+	case stFailed:
+		return api.OutcomeDone, api.KindJobFailed
+	case stUnknown:
+		return api.OutcomeUnknown, api.KindResultUnknown
+	case stCancelled:
+		return notRunUnlessRan(e), api.KindCancelled
+	default:
+		return notRunUnlessRan(e), e.refusal
+	}
+}
+
+// notRunUnlessRan keeps not_run truthful: a job of which an earlier attempt may
+// have run ends as unknown.
+func notRunUnlessRan(e *entry) api.Outcome {
+	if e.ranEver || e.mayRun {
+		return api.OutcomeUnknown
+	}
+	return api.OutcomeNotRun
+}
+
+// forgetOldest bounds the ended jobs in memory; their rows stay in the store.
+func (c *core) forgetOldest() {
+	for len(c.ended) > keepEnded {
+		id := c.ended[0]
+		e := c.jobs[id]
+		if e != nil && (e.dirty || e.writing) {
+			return
+		}
+		c.ended = c.ended[1:]
+		delete(c.jobs, id)
+	}
+}
+
+// live returns the jobs that have not ended, in order of submission.
+func (c *core) live() []*entry {
+	var list []*entry
+	for _, e := range c.jobs {
+		if !c.chart.Final(e.state) {
+			list = append(list, e)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool {
+		a, b := list[i].record, list[j].record
+		if !a.SubmittedAt.Equal(b.SubmittedAt) {
+			return a.SubmittedAt.Before(b.SubmittedAt)
+		}
+		return a.ID < b.ID
+	})
+	return list
+}
+
+func (c *core) addWaiting(record jobstore.Record) *entry {
+	e := &entry{record: record, state: c.chart.Initial, reports: make(map[string]seenReport)}
+	c.jobs[record.ID] = e
+	if key := record.Submission.IdempotencyKey; key != "" {
+		c.byKey[record.Submission.Account+"\x00"+key] = record.ID
+	}
+	c.changed[record.ID] = true
+	return e
+}
+
+// stepDown forgets everything: another instance holds the lease, or may.
+func (c *core) stepDown() {
+	c.held, c.recovered, c.recovering, c.mayPlace = false, false, false, false
+	for id := range c.jobs {
+		c.changed[id] = true
+	}
+	c.jobs = make(map[string]*entry)
+	c.byKey = make(map[string]string)
+	c.ended = nil
+}
+
+func (c *core) apply(ev event, now time.Time) { ev.apply(c, now) }
+
+// current returns the entry whose present attempt ref names.
+func (c *core) current(ref api.GangRef) (*entry, bool) {
+	e, ok := c.jobs[ref.Gang]
+	if !ok || e.ref != ref {
+		return nil, false
+	}
+	return e, true
+}
+
+func describe(shape api.Shape) string {
+	text := fmt.Sprintf("%d x %d accelerators", shape.Tasks, shape.AcceleratorsPerTask)
+	if shape.SameRack {
+		return text + " in one rack"
+	}
+	return text
+}
--- /dev/null
+++ b/internal/placer/gangs.go
@@ -0,0 +1,273 @@
+package placer
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/chart"
+	"github.com/corianderbank/corianderbank/internal/jobstore"
+	"github.com/corianderbank/corianderbank/internal/placement"
+)
+
+// reserveTTLFactor makes a reservation outlive its start: it must not lapse on
+// one worker while the start is under way on another.
+const reserveTTLFactor = 1
+
+// begin reserves the parts of a placement.
+func (c *core) begin(e *entry, p placement.Placement, now time.Time) {
+	parts, ok := c.partsOf(p.Tasks)
+	if !ok || !c.step(e, evPlace, "placed on "+describeTasks(p.Tasks), now) {
+		return
+	}
+	e.ref = api.GangRef{Epoch: c.epoch, Gang: e.record.ID, Attempt: e.nextAttempt()}
+	e.parts = parts
+	e.reports = make(map[string]seenReport)
+	e.borrowed = p.Borrowed
+	e.expectedEnd = p.ExpectedEnd
+	e.mayRun, e.stopSent, e.released, e.checkpointed = false, false, false, false
+	e.lapseAt = time.Time{}
+	c.do(reserveAction{ref: e.ref, account: e.record.Submission.Account, parts: parts, ttl: reserveTTLFactor * c.workerLease})
+}
+
+// nextAttempt rises with each reservation, so that a worker can tell a late
+// call for an earlier one.
+func (e *entry) nextAttempt() int { return max(e.ref.Attempt, e.record.Attempt) + 1 }
+
+func (c *core) partsOf(tasks []api.TaskPlacement) ([]part, bool) {
+	parts := make([]part, 0, len(tasks))
+	for _, task := range tasks {
+		w, ok := c.workers[task.Worker]
+		if !ok {
+			return nil, false
+		}
+		parts = append(parts, part{worker: task.Worker, addr: w.Addr, task: task})
+	}
+	return parts, true
+}
+
+func (ev reservedEvent) apply(c *core, now time.Time) {
+	e, ok := c.current(ev.ref)
+	if !ok || e.state != stReserving {
+		c.do(releaseAction{ref: ev.ref, parts: ev.parts})
+		return
+	}
+	if ev.err != nil {
+		c.fallBack(e, fmt.Sprintf("reservation refused by %s: %v", ev.worker, ev.err), now)
+		return
+	}
+	if !c.step(e, evReserved, "every part is reserved", now) {
+		return
+	}
+	e.record.Attempt = ev.ref.Attempt
+	e.record.Epoch = ev.ref.Epoch
+	e.record.Phase = jobstore.PhaseStarted
+	e.record.StartedAt = now
+	if e.record.Submission.Idempotent {
+		e.dirty = true
+		c.start(e)
+		return
+	}
+	e.writing = true
+	c.do(grantAction{record: e.record})
+}
+
+// fallBack returns a gang that never started to the queue.
+func (c *core) fallBack(e *entry, reason string, now time.Time) {
+	c.step(e, evShort, reason, now)
+	e.notBefore = now.Add(retryPlacementAfter)
+	e.parts = nil
+}
+
+func (ev grantedEvent) apply(c *core, now time.Time) {
+	e, ok := c.jobs[ev.ref.Gang]
+	if !ok {
+		return
+	}
+	e.writing = false
+	if ev.err == nil {
+		e.record.Version = ev.record.Version
+	}
+	if e.ref != ev.ref || e.state != stStarting {
+		return
+	}
+	if ev.err != nil {
+		c.do(reloadAction{record: e.record})
+		e.writing = true
+		c.stop(e, evStartFailed, fmt.Sprintf("the right to start was not recorded: %v", ev.err), now)
+		return
+	}
+	c.start(e)
+}
+
+func (c *core) start(e *entry) {
+	e.mayRun = true
+	c.do(startAction{
+		ref: e.ref, parts: e.parts, lease: c.workerLease,
+		checkpoint: e.record.Checkpoint, payload: e.record.Submission.Payload,
+	})
+}
+
+func (ev startedEvent) apply(c *core, now time.Time) {
+	e, ok := c.current(ev.ref)
+	if !ok || e.state != stStarting {
+		return
+	}
+	if ev.err == nil {
+		for _, p := range e.parts {
+			e.reports[p.worker] = seenReport{state: api.TaskRunning, renewedAt: now}
+		}
+		c.step(e, evStarted, "every part started", now)
+		return
+	}
+	e.mayRun = ev.mayRun
+	c.stop(e, evStartFailed, fmt.Sprintf("start refused by %s: %v", ev.worker, ev.err), now)
+}
+
+// stop moves e to a stopping state and stops the whole gang.
+func (c *core) stop(e *entry, ev chart.Event, reason string, now time.Time) {
+	if !c.step(e, ev, reason, now) {
+		return
+	}
+	e.stopReason = reason
+	c.sendStop(e, false, stopWithin)
+}
+
+func (c *core) sendStop(e *entry, checkpoint bool, within time.Duration) {
+	e.stopSent = true
+	c.do(stopAction{ref: e.ref, parts: e.parts, checkpoint: checkpoint, within: within})
+}
+
+// reclaim stops a gang so that another account gets its guarantee.
+func (c *core) reclaim(e *entry, r placement.Reclaim, now time.Time) {
+	reason := fmt.Sprintf("%s within %s for %s", r.Method, r.Within, r.For)
+	if !c.step(e, evReclaim, reason, now) {
+		return
+	}
+	e.stopReason = reason
+	c.sendStop(e, r.Method == placement.MethodCheckpoint, r.Within)
+}
+
+func (ev stoppedEvent) apply(c *core, now time.Time) {
+	e, ok := c.current(ev.ref)
+	if !ok || (e.state != stStopping && e.state != stCancelling) {
+		return
+	}
+	e.stopSent = false
+	if ev.checkpoint != "" {
+		e.record.Checkpoint = ev.checkpoint
+		e.record.ProgressS += e.ranS()
+	}
+	e.checkpointed = ev.checkpoint != ""
+	if len(ev.unconfirmed) > 0 {
+		c.awaitLapse(e, ev.unconfirmed, now)
+	}
+	if now.Before(e.lapseAt) {
+		return
+	}
+	c.stopped(e, now)
+}
+
+// awaitLapse keeps e stopping until the leases of silent workers have surely
+// lapsed: a worker that no one renews stops its tasks by itself.
+func (c *core) awaitLapse(e *entry, workers []string, now time.Time) {
+	for _, worker := range workers {
+		renewed := e.reports[worker].renewedAt
+		if renewed.IsZero() {
+			renewed = now
+		}
+		if until := renewed.Add(c.workerLease); until.After(e.lapseAt) {
+			e.lapseAt = until
+		}
+	}
+	if e.lapseAt.Before(now.Add(retryPlacementAfter)) {
+		e.lapseAt = now.Add(retryPlacementAfter)
+	}
+}
+
+// stopped ends the present attempt: every part is surely not running.
+func (c *core) stopped(e *entry, now time.Time) {
+	c.do(releaseAction{ref: e.ref, parts: e.parts})
+	e.parts = nil
+	e.ranEver = e.ranEver || e.mayRun
+	if e.state == stCancelling {
+		c.step(e, evStopped, "cancelled by the caller", now)
+		return
+	}
+	if e.mayRun && !e.record.Submission.Idempotent && !e.checkpointed {
+		c.step(e, evLose, "stopped while it may have run; not idempotent: "+e.stopReason, now)
+		return
+	}
+	if evidence, sick := c.health.SickJob(e.record.ID, now); sick && e.mayRun {
+		c.step(e, evFail, evidence, now)
+		return
+	}
+	e.notBefore = now.Add(retryPlacementAfter)
+	e.dirty = true
+	c.step(e, evStopped, "waits again: "+e.stopReason, now)
+}
+
+func (e *entry) ranS() float64 {
+	longest := 0.0
+	for _, report := range e.reports {
+		longest = max(longest, report.ranS)
+	}
+	return longest
+}
+
+func (ev persistedEvent) apply(c *core, now time.Time) {
+	e, ok := c.jobs[ev.id]
+	if !ok {
+		return
+	}
+	e.writing = false
+	if ev.err == nil {
+		if ev.record.Epoch > c.epoch {
+			c.stepDown()
+			return
+		}
+		e.record.Version = ev.record.Version
+		return
+	}
+	e.dirty = true
+	e.nextWrite = now.Add(persistRetryAfter)
+	if api.IsKind(ev.err, api.KindConflict) || api.IsKind(ev.err, api.KindResultUnknown) {
+		e.writing = true
+		c.do(reloadAction{record: e.record})
+	}
+}
+
+// persist writes dirty records under the present epoch and releases ended gangs whose outcome is safe.
+func (c *core) persist(now time.Time) {
+	for _, e := range c.jobs {
+		if e.dirty && !e.writing && !now.Before(e.nextWrite) {
+			e.dirty, e.writing = false, true
+			e.record.Epoch = c.epoch
+			c.do(persistAction{record: e.record})
+		}
+		durable := !e.dirty && !e.writing && c.chart.Final(e.state)
+		if durable && !e.released {
+			e.released = true
+			if len(e.parts) > 0 {
+				c.do(releaseAction{ref: e.ref, parts: e.parts})
+			}
+		}
+	}
+}
+
+func describeTasks(tasks []api.TaskPlacement) string {
+	text := ""
+	for i, task := range tasks {
+		if i == maxDescribedTasks {
+			return fmt.Sprintf("%s and %d more", text, len(tasks)-i)
+		}
+		if i > 0 {
+			text += " "
+		}
+		text += fmt.Sprintf("%s(%d)", task.Worker, task.Accelerators)
+	}
+	return text
+}
+
+// maxDescribedTasks bounds a log line for a large gang.
+const maxDescribedTasks = 8
--- /dev/null
+++ b/internal/placer/placer.go
@@ -0,0 +1,301 @@
+package placer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"go.uber.org/zap"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/chart"
+	"github.com/corianderbank/corianderbank/internal/config"
+	"github.com/corianderbank/corianderbank/internal/decision"
+	"github.com/corianderbank/corianderbank/internal/estimate"
+	"github.com/corianderbank/corianderbank/internal/jobstore"
+	"github.com/corianderbank/corianderbank/internal/lease"
+	"github.com/corianderbank/corianderbank/internal/membership"
+	"github.com/corianderbank/corianderbank/internal/worker"
+)
+
+// Bounds of the shell.
+const (
+	// eventCapacity bounds the events that wait for the core. A poster waits
+	// when it is full: every event is a result that the core needs.
+	eventCapacity = 1024
+	// poolSize bounds the concurrent actions; each is a few calls to workers.
+	poolSize = 64
+	// fanOut bounds the concurrent calls of one gang: 512 parts in 8 rounds.
+	fanOut = 64
+	// leasePart is the part of a lease after which it is renewed.
+	leasePart = 3
+	// watchPart is the part of a worker lease after which workers are renewed.
+	watchPart = 10
+	// waitPoll bounds how late a waiting reader sees a change.
+	waitPoll = 50 * time.Millisecond
+)
+
+// Options are what a placer works with. All fields are needed.
+type Options struct {
+	Zone        string
+	Instance    string
+	Config      config.Source
+	Fleet       membership.View
+	Jobs        jobstore.Store
+	Leases      lease.Leases
+	Workers     worker.Client
+	Runs        estimate.Source
+	Health      Health
+	Recorder    *decision.Recorder
+	Logger      *zap.Logger
+	PlacerLease time.Duration
+	WorkerLease time.Duration
+	Interval    time.Duration
+	MaxJobs     int
+	// MayPlace says whether a holder whose lease is past its time (the store
+	// does not answer) may still start new work.
+	MayPlace func() bool
+	// OnEpoch, if set, is told when this instance
+	// becomes the placer, or is no longer: epoch 0 means it is not.
+	OnEpoch func(epoch int64)
+}
+
+// Health tells sick workers from sick jobs; package quarantine implements it.
+type Health = healthTracker
+
+// Placer runs the core on this instance. Its methods are safe for concurrent use.
+type Placer struct {
+	opts   Options
+	events chan event
+	pool   pond.Pool
+	core   *core
+
+	mu    sync.Mutex
+	epoch int64 // epoch while ready; read by other goroutines
+
+	leaving   chan struct{}
+	leaveOnce sync.Once
+	left      chan struct{}
+}
+
+// New returns a placer; Run makes it work.
+func New(opts Options) *Placer {
+	return &Placer{
+		opts:    opts,
+		events:  make(chan event, eventCapacity),
+		pool:    pond.NewPool(poolSize),
+		leaving: make(chan struct{}),
+		left:    make(chan struct{}),
+		core: &core{
+			zone: opts.Zone, instance: opts.Instance,
+			chart: chart.MustLoad("gang"), workerChart: chart.MustLoad("worker"),
+			jobs: make(map[string]*entry), byKey: make(map[string]string), workers: make(map[string]*workerState),
+			changed: make(map[string]bool), runs: opts.Runs, health: opts.Health, recorder: opts.Recorder,
+			workerLease: opts.WorkerLease, maxJobs: opts.MaxJobs,
+		},
+	}
+}
+
+// Run works until ctx ends. It returns after its goroutines have ended.
+func (p *Placer) Run(ctx context.Context) {
+	var duties sync.WaitGroup
+	duties.Go(func() { p.leaseDuty(ctx) })
+	duties.Go(func() { p.watchDuty(ctx) })
+	p.loop(ctx)
+	duties.Wait()
+	p.pool.StopAndWait()
+}
+
+// Epoch returns the epoch under which this instance places, or 0.
+func (p *Placer) Epoch() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.epoch
+}
+
+// Leave gives the lease up and takes it no more. It returns when the lease is
+// released, or ctx ends.
+func (p *Placer) Leave(ctx context.Context) {
+	p.leaveOnce.Do(func() { close(p.leaving) })
+	select {
+	case <-p.left:
+	case <-ctx.Done():
+	}
+}
+
+// loop owns the core.
+func (p *Placer) loop(ctx context.Context) {
+	ticker := time.NewTicker(p.opts.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ev := <-p.events:
+			p.core.apply(ev, time.Now())
+			p.drain()
+			p.core.persist(time.Now())
+		case <-ticker.C:
+			p.tick(time.Now())
+		}
+		p.publish()
+		p.carryOut(ctx)
+	}
+}
+
+// drain applies what else is waiting, so that a burst costs one round.
+func (p *Placer) drain() {
+	for range len(p.events) {
+		p.core.apply(<-p.events, time.Now())
+	}
+}
+
+func (p *Placer) tick(now time.Time) {
+	p.core.config = p.opts.Config.Current()
+	p.core.setWorkers(p.opts.Fleet.Workers(p.opts.Zone), now)
+	p.core.round(now)
+}
+
+func (p *Placer) publish() {
+	epoch := int64(0)
+	if p.core.ready() == nil {
+		epoch = p.core.epoch
+	}
+	p.mu.Lock()
+	changed := p.epoch != epoch
+	p.epoch = epoch
+	p.mu.Unlock()
+	if changed {
+		p.opts.Logger.Info("placer", zap.Int64("epoch", epoch), zap.Bool("active", epoch > 0))
+		if p.opts.OnEpoch != nil {
+			p.opts.OnEpoch(epoch)
+		}
+	}
+}
+
+// post hands an event to the core. It waits when the ring is full.
+func (p *Placer) post(ctx context.Context, ev event) bool {
+	select {
+	case p.events <- ev:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// leaseDuty takes and keeps the zone's lease.
+func (p *Placer) leaseDuty(ctx context.Context) {
+	defer close(p.left)
+	var held lease.Held
+	for {
+		held = p.renewLease(ctx, held)
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.leaving:
+			p.post(ctx, termEvent{})
+			if held.Epoch > 0 {
+				if err := p.opts.Leases.Release(ctx, held, p.opts.Instance); err != nil {
+					p.opts.Logger.Warn("placer lease not released; it lapses", zap.Error(err))
+				}
+			}
+			return
+		case <-time.After(p.opts.PlacerLease / leasePart):
+		}
+	}
+}
+
+// renewLease asks for the lease once and tells the core what is known. While
+// the store does not answer, a holder stays holder: the role changes hands only
+// through the table, and the workers refuse an older epoch.
+func (p *Placer) renewLease(ctx context.Context, held lease.Held) lease.Held {
+	callCtx, cancel := context.WithTimeout(ctx, p.opts.PlacerLease/leasePart)
+	defer cancel()
+	fresh, err := p.opts.Leases.Acquire(callCtx, p.opts.Zone, p.opts.Instance)
+	switch {
+	case err == nil:
+		p.post(ctx, termEvent{epoch: fresh.Epoch, held: true, mayPlace: true, platform: true})
+		return fresh
+	case api.IsKind(err, api.KindConflict):
+		p.post(ctx, termEvent{platform: true})
+		return lease.Held{}
+	}
+	inTime := time.Now().Before(held.Until)
+	p.post(ctx, termEvent{epoch: held.Epoch, held: held.Epoch > 0, mayPlace: inTime || p.opts.MayPlace()})
+	return held
+}
+
+// Admit asks whether the job may be accepted. It changes nothing. An answer
+// with another id than the submission's is an earlier job of the same key.
+func (p *Placer) Admit(ctx context.Context, s Submission) (api.JobAnswer, error) {
+	return p.call(ctx, func(r chan reply) event { return admitCall{s, r} })
+}
+
+// Submit admits and durably accepts the job.
+func (p *Placer) Submit(ctx context.Context, s Submission) (api.JobAnswer, error) {
+	answer, err := p.Admit(ctx, s)
+	if err != nil || answer.ID != s.ID {
+		return answer, err
+	}
+	record := p.core.record(s, time.Now())
+	accepted, _, err := p.opts.Jobs.Accept(ctx, record)
+	if err != nil {
+		return api.JobAnswer{}, err
+	}
+	answer, err = p.call(ctx, func(r chan reply) event { return acceptedCall{accepted, r} })
+	if err != nil {
+		// The row is written: the zone's placer finds it.
+		return api.JobAnswer{ID: accepted.ID, Outcome: api.OutcomeAccepted, AvailabilityZone: p.opts.Zone, Rule: record.Rule}, nil
+	}
+	return answer, nil
+}
+
+// Get returns the job's answer. It waits up to wait for a final one.
+func (p *Placer) Get(ctx context.Context, id string, wait time.Duration) (api.JobAnswer, error) {
+	until := time.Now().Add(wait)
+	for {
+		answer, err := p.call(ctx, func(r chan reply) event { return getCall{id, r} })
+		if err != nil || answer.Outcome != api.OutcomeAccepted || !time.Now().Before(until) {
+			return answer, err
+		}
+		select {
+		case <-ctx.Done():
+			return answer, nil
+		case <-time.After(min(waitPoll, time.Until(until))):
+		}
+	}
+}
+
+// Cancel cancels the job and returns its answer.
+func (p *Placer) Cancel(ctx context.Context, id string) (api.JobAnswer, error) {
+	return p.call(ctx, func(r chan reply) event { return cancelCall{id, r} })
+}
+
+// Status returns the zone as this placer sees it; without zones if it is not
+// the placer.
+func (p *Placer) Status(ctx context.Context) api.Status {
+	answer := make(chan api.Status, 1)
+	if !p.post(ctx, statusCall{answer}) {
+		return api.Status{Instance: p.opts.Instance}
+	}
+	select {
+	case status := <-answer:
+		return status
+	case <-ctx.Done():
+		return api.Status{Instance: p.opts.Instance}
+	}
+}
+
+func (p *Placer) call(ctx context.Context, newCall func(chan reply) event) (api.JobAnswer, error) {
+	answer := make(chan reply, 1)
+	if !p.post(ctx, newCall(answer)) {
+		return api.JobAnswer{}, errNoPlacer
+	}
+	select {
+	case r := <-answer:
+		return r.answer, r.err
+	case <-ctx.Done():
+		return api.JobAnswer{}, api.NewError(api.KindNoPlacer, "the placer did not answer in time")
+	}
+}
--- /dev/null
+++ b/internal/placer/round.go
@@ -0,0 +1,170 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/model"
+	"github.com/corianderbank/corianderbank/internal/placement"
+)
+
+// snapshot is what the placement decisions see. ready leaves out jobs that must
+// not be placed yet.
+func (c *core) snapshot(now time.Time) placement.Snapshot {
+	s := placement.Snapshot{Now: now, Zone: c.zone, Runs: c.runs}
+	if c.config != nil {
+		s.Accounts = c.config.Document.Accounts
+		s.Objectives = c.config.Document.Objectives
+	}
+	for _, id := range sortedKeys(c.workers) {
+		s.Workers = append(s.Workers, c.workers[id].Worker)
+	}
+	for _, e := range c.live() {
+		if e.state == stWaiting {
+			if !now.Before(e.notBefore) {
+				s.Waiting = append(s.Waiting, e.job())
+			}
+			continue
+		}
+		s.Gangs = append(s.Gangs, e.gang())
+	}
+	return s
+}
+
+func (e *entry) job() model.Job {
+	submission := e.record.Submission
+	job := model.Job{
+		ID: e.record.ID, Account: submission.Account, Kind: submission.Kind, Shape: submission.Shape,
+		Idempotent: submission.Idempotent, Checkpointable: submission.Checkpointable, Urgent: submission.Urgent,
+		SubmittedAt: e.record.SubmittedAt, DeclaredRun: seconds(submission.DeclaredRunS),
+		Progress: seconds(e.record.ProgressS), Priority: e.record.Priority, MayBorrow: e.record.Borrow,
+		MaxWait: time.Duration(e.record.MaxWaitMS) * time.Millisecond, Attempt: e.record.Attempt,
+	}
+	if submission.Deadline != nil {
+		job.Deadline = *submission.Deadline
+	}
+	return job
+}
+
+func (e *entry) gang() model.Gang {
+	gang := model.Gang{
+		Job: e.job(), State: model.GangState(e.state), StartedAt: e.record.StartedAt,
+		ExpectedEnd: e.expectedEnd, Borrowed: e.borrowed, Throttled: e.throttled,
+	}
+	if e.state == stCancelling {
+		gang.State = model.GangStopping
+	}
+	for _, p := range e.parts {
+		gang.Placements = append(gang.Placements, p.task)
+	}
+	return gang
+}
+
+// round decides and begins what the plan says. Each placement is checked again
+// against the state that the ones before it left.
+func (c *core) round(now time.Time) {
+	c.checkSilence(now)
+	c.persist(now)
+	if !c.held || !c.recovered {
+		return
+	}
+	plan := placement.Decide(c.snapshot(now))
+	for _, d := range plan.Decisions {
+		c.recorder.Record(d)
+	}
+	for _, refusal := range plan.Refusals {
+		c.refuse(refusal, now)
+	}
+	if !c.mayPlace {
+		return
+	}
+	for _, r := range plan.Reclaims {
+		if e, ok := c.jobs[r.JobID]; ok {
+			c.reclaim(e, r, now)
+		}
+	}
+	for _, p := range plan.Placements {
+		c.place(p, now)
+	}
+}
+
+func (c *core) refuse(r placement.Refusal, now time.Time) {
+	e, ok := c.jobs[r.JobID]
+	if !ok || e.state != stWaiting {
+		return
+	}
+	e.refusal = r.Kind
+	c.step(e, evRefuse, r.Reason, now)
+}
+
+func (c *core) place(p placement.Placement, now time.Time) {
+	e, ok := c.jobs[p.JobID]
+	if !ok || e.state != stWaiting {
+		return
+	}
+	if !e.record.Submission.Idempotent && !c.platform {
+		c.decide(now, e, "wait", "waiting", "the platform is needed to record the start of work that is not idempotent", "")
+		return
+	}
+	if err := placement.Recheck(c.snapshot(now), p); err != nil {
+		c.decide(now, e, "recheck", "waiting", err.Error(), "")
+		return
+	}
+	c.begin(e, p, now)
+}
+
+// answer is what callers are told of a job.
+func (c *core) answer(e *entry) api.JobAnswer {
+	r := e.record
+	shape := r.Submission.Shape
+	answer := api.JobAnswer{
+		ID: r.ID, Outcome: api.OutcomeAccepted, Rule: r.Rule, State: string(e.state), AvailabilityZone: r.Zone,
+		Attempt: r.Attempt, Account: r.Submission.Account, Kind: r.Submission.Kind, Shape: &shape,
+		SubmittedAt: timeOrNil(r.SubmittedAt), StartedAt: timeOrNil(r.StartedAt), EndedAt: timeOrNil(r.EndedAt),
+	}
+	if c.chart.Final(e.state) {
+		answer.Outcome, answer.ErrorKind, answer.Message = r.Outcome, r.ErrorKind, r.Message
+		answer.RetryAfterS = api.AnswerFor(r.ErrorKind).RetryAfterS
+		return answer
+	}
+	answer.EstimatedFinish = timeOrNil(e.expectedEnd)
+	for _, p := range e.parts {
+		answer.Placements = append(answer.Placements, p.task)
+	}
+	return answer
+}
+
+func timeOrNil(t time.Time) *time.Time {
+	if t.IsZero() {
+		return nil
+	}
+	return &t
+}
+
+// status is the zone as this placer sees it.
+func (c *core) status(now time.Time) api.Status {
+	s := c.snapshot(now)
+	zone := api.ZoneStatus{AvailabilityZone: c.zone, Placer: c.instance, Epoch: c.epoch, PlatformReach: c.platform}
+	free := make(map[string]int)
+	for _, w := range s.Workers {
+		zone.Workers++
+		if !w.Takes() {
+			zone.WorkersSick++
+			continue
+		}
+		zone.Accelerators += w.Accelerators
+		free[w.ID] = w.Accelerators
+	}
+	for _, gang := range s.Gangs {
+		zone.Running++
+		for _, task := range gang.Placements {
+			free[task.Worker] -= task.Accelerators
+		}
+	}
+	for _, n := range free {
+		zone.Free += max(n, 0)
+	}
+	zone.Waiting = len(s.Waiting)
+	zone.Fragmentation = placement.Fragmentation(s)
+	return api.Status{Instance: c.instance, Zones: []api.ZoneStatus{zone}, Accounts: placement.Accounts(s)}
+}
--- /dev/null
+++ b/internal/worker/client.go
@@ -0,0 +1,120 @@
+// Package worker calls the workers of an availability zone.
+package worker
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-resty/resty/v2"
+
+	"github.com/corianderbank/corianderbank/api"
+)
+
+// Client calls workers by their address. Implementations are safe for
+// concurrent use. An error carries the worker's own kind; KindNotReady if the
+// call surely did not reach the worker; KindResultUnknown if its answer was
+// lost, so that the call may have taken effect.
+type Client interface {
+	Reserve(ctx context.Context, addr string, call api.Reserve) error
+	Start(ctx context.Context, addr string, call api.Start) error
+	Release(ctx context.Context, addr string, call api.Release) error
+	Stop(ctx context.Context, addr string, call api.Stop) (api.StopAnswer, error)
+	Checkpoint(ctx context.Context, addr string, call api.Stop) (api.StopAnswer, error)
+	Renew(ctx context.Context, addr string, call api.Renew) (api.WorkerReport, error)
+}
+
+// callTimeout bounds a call that names no time of its own. A worker answers
+// from memory; 2 s is far beyond that and well inside the urgent start target.
+const callTimeout = 2 * time.Second
+
+// maxConnectionsPerWorker bounds the connections to one worker.
+const maxConnectionsPerWorker = 4
+
+// HTTP is the client over HTTP with JSON bodies.
+type HTTP struct {
+	client *resty.Client
+}
+
+// NewHTTP returns a client.
+func NewHTTP() *HTTP {
+	transport := &http.Transport{
+		MaxConnsPerHost:     maxConnectionsPerWorker,
+		MaxIdleConnsPerHost: maxConnectionsPerWorker,
+		IdleConnTimeout:     time.Minute,
+		DialContext:         (&net.Dialer{Timeout: callTimeout}).DialContext,
+	}
+	return &HTTP{client: resty.NewWithClient(&http.Client{Transport: transport})}
+}
+
+// Reserve implements Client.
+func (c *HTTP) Reserve(ctx context.Context, addr string, call api.Reserve) error {
+	return c.post(ctx, addr, "/v1/reserve", callTimeout, call, nil)
+}
+
+// Start implements Client.
+func (c *HTTP) Start(ctx context.Context, addr string, call api.Start) error {
+	return c.post(ctx, addr, "/v1/start", callTimeout, call, nil)
+}
+
+// Release implements Client.
+func (c *HTTP) Release(ctx context.Context, addr string, call api.Release) error {
+	return c.post(ctx, addr, "/v1/release", callTimeout, call, nil)
+}
+
+// Stop implements Client.
+func (c *HTTP) Stop(ctx context.Context, addr string, call api.Stop) (api.StopAnswer, error) {
+	var answer api.StopAnswer
+	err := c.post(ctx, addr, "/v1/stop", withinOf(call), call, &answer)
+	return answer, err
+}
+
+// Checkpoint implements Client.
+func (c *HTTP) Checkpoint(ctx context.Context, addr string, call api.Stop) (api.StopAnswer, error) {
+	var answer api.StopAnswer
+	err := c.post(ctx, addr, "/v1/checkpoint", withinOf(call), call, &answer)
+	return answer, err
+}
+
+// Renew implements Client.
+func (c *HTTP) Renew(ctx context.Context, addr string, call api.Renew) (api.WorkerReport, error) {
+	var report api.WorkerReport
+	err := c.post(ctx, addr, "/v1/renew", callTimeout, call, &report)
+	return report, err
+}
+
+func withinOf(call api.Stop) time.Duration {
+	return time.Duration(call.WithinMS)*time.Millisecond + callTimeout
+}
+
+func (c *HTTP) post(ctx context.Context, addr, path string, timeout time.Duration, body, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var failure api.ErrorBody
+	request := c.client.R().SetContext(ctx).SetBody(body).SetError(&failure)
+	if result != nil {
+		request.SetResult(result)
+	}
+	response, err := request.Post("http://" + addr + path)
+	if err != nil {
+		return transportError(addr, err)
+	}
+	if !response.IsError() {
+		return nil
+	}
+	if failure.Kind == "" {
+		return api.NewError(api.KindInternal, "worker %s: status %d", addr, response.StatusCode())
+	}
+	return api.NewError(failure.Kind, "worker %s: %s", addr, failure.Message)
+}
+
+// transportError tells a call that never left from one whose answer was lost.
+func transportError(addr string, err error) error {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return api.NewError(api.KindNotReady, "worker %s: %v", addr, err)
+	}
+	return api.NewError(api.KindResultUnknown, "worker %s: %v", addr, err)
+}
