--- /dev/null
+++ b/internal/placement/decide.go
@@ -0,0 +1,198 @@
+package placement
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/model"
+)
+
+// holder is a gang of the snapshot in the terms of a zone.
+type holder struct {
+	gang    *model.Gang
+	account int
+	parts   []part
+	// fixed gangs may not be stopped for a claim.
+	fixed bool
+	// ending gangs are being stopped already.
+	ending bool
+}
+
+// decider is the state of one decision: what is held, what is free and what
+// was decided so far.
+type decider struct {
+	s        *Snapshot
+	z        *zone
+	accounts map[string]int
+	claims   []claim
+	holders  []holder
+	// held is what fixed gangs hold, those placed by this decision included.
+	held *holdings
+	// packed is how the guarantees fit around held.
+	packed packing
+	// free is what no gang holds and no claim waits for; coming is what ending
+	// gangs are about to give back and no claim waits for.
+	free, coming []int
+	// use counts the accelerators of each account, fixedUse those of its fixed
+	// gangs, guaranteed its guarantee.
+	use, fixedUse, guaranteed []int
+	plan                      Plan
+}
+
+// Decide returns what is to be done now: gangs to place, borrowers to stop,
+// jobs to refuse, each with its reason.
+func Decide(s Snapshot) Plan {
+	d := newDecider(&s)
+	q := newQueue(&s, d.accounts)
+	q.each(d.use, d.refuseIfLost)
+	q.each(d.use, d.claimGuarantee)
+	q.each(d.use, d.placeBeyondGuarantee)
+	d.plan.AtRisk = d.atRisk()
+	return d.plan
+}
+
+func newDecider(s *Snapshot) *decider {
+	z := newZone(s.Workers, false)
+	d := &decider{
+		s: s, z: z,
+		accounts:   make(map[string]int, len(s.Accounts)),
+		claims:     claimsOf(s.Zone, s.Accounts),
+		held:       newHoldings(z, len(s.Accounts)),
+		free:       append([]int(nil), z.capacity...),
+		coming:     z.vector(),
+		use:        make([]int, len(s.Accounts)),
+		fixedUse:   make([]int, len(s.Accounts)),
+		guaranteed: make([]int, len(s.Accounts)),
+	}
+	for i := range s.Accounts {
+		d.accounts[s.Accounts[i].Name] = i
+		d.guaranteed[i] = s.Accounts[i].GuaranteedAccelerators(s.Zone)
+	}
+	for i := range s.Gangs {
+		d.hold(&s.Gangs[i])
+	}
+	for w := range d.free {
+		d.free[w] = max(0, d.free[w])
+	}
+	d.packed = z.pack(d.held, d.claims)
+	return d
+}
+
+// hold enters a gang of the snapshot.
+func (d *decider) hold(gang *model.Gang) {
+	if gang.State == model.GangWaiting {
+		return
+	}
+	account, known := d.accounts[gang.Job.Account]
+	if !known {
+		account = -1
+	}
+	h := holder{gang: gang, account: account, parts: d.z.holding(gang.Placements), ending: gang.State == model.GangStopping}
+	h.fixed = !h.ending && (!gang.Borrowed || !gang.Job.Stoppable())
+	perTask := gang.Job.Shape.AcceleratorsPerTask
+	add(d.free, h.parts, -perTask)
+	if h.ending {
+		add(d.coming, h.parts, perTask)
+	}
+	if h.fixed {
+		d.held.add(account, h.parts, perTask)
+	}
+	if known && !h.ending {
+		d.use[account] += gang.Job.Shape.Accelerators()
+	}
+	if known && h.fixed {
+		d.fixedUse[account] += gang.Job.Shape.Accelerators()
+	}
+	d.holders = append(d.holders, h)
+}
+
+// placeBeyondGuarantee places a job that its account's guarantee does not
+// cover: as a borrower if it can be stopped, else where it breaks no shape.
+func (d *decider) placeBeyondGuarantee(e *entry) {
+	if d.overLimit(e) {
+		return
+	}
+	parts := d.z.fit(d.free, nil, e.job.Shape)
+	switch {
+	case parts == nil:
+		return
+	case !e.job.Stoppable():
+		if d.keepsGuarantees(e, parts, false) {
+			d.fix(e, parts)
+			d.place(e, parts, false, "fits beside every guarantee")
+		}
+	case e.job.MayBorrow:
+		d.place(e, parts, true, "borrows free accelerators")
+	}
+}
+
+// overLimit reports whether the job would take its account over its bound.
+func (d *decider) overLimit(e *entry) bool {
+	limit := d.s.Accounts[e.account].MaxAccelerators
+	return limit > 0 && d.use[e.account]+e.job.Shape.Accelerators() > limit
+}
+
+// place enters a placement into the plan.
+func (d *decider) place(e *entry, parts []part, borrowed bool, reason string) {
+	add(d.free, parts, -e.job.Shape.AcceleratorsPerTask)
+	d.use[e.account] += e.job.Shape.Accelerators()
+	e.done = true
+	d.plan.Placements = append(d.plan.Placements, Placement{
+		JobID:       e.job.ID,
+		Tasks:       d.z.placements(parts, e.job.Shape),
+		Borrowed:    borrowed,
+		ExpectedEnd: d.s.Now.Add(e.run),
+	})
+	d.decided("place", e.job, fmt.Sprintf("%s and %d more workers", d.z.workers[parts[0].worker].ID, len(parts)-1), reason)
+}
+
+// fix enters the parts of a job as fixed holdings of its account.
+func (d *decider) fix(e *entry, parts []part) {
+	d.held.add(e.account, parts, e.job.Shape.AcceleratorsPerTask)
+	d.fixedUse[e.account] += e.job.Shape.Accelerators()
+	d.packed = d.z.pack(d.held, d.claims)
+}
+
+// keepsGuarantees reports whether, with the job fixed on the parts, every
+// guarantee still packs as far as it did before. With inside, the job must lie
+// in its own account's shapes too.
+func (d *decider) keepsGuarantees(e *entry, parts []part, inside bool) bool {
+	perTask := e.job.Shape.AcceleratorsPerTask
+	d.held.add(e.account, parts, perTask)
+	after := d.z.pack(d.held, d.claims)
+	d.held.add(e.account, parts, -perTask)
+	for account := range after.missing {
+		if after.missing[account] > d.packed.missing[account] {
+			return false
+		}
+	}
+	return !inside || after.outside[e.account] <= d.packed.outside[e.account]
+}
+
+// atRisk names the accounts whose guarantee cannot be given.
+func (d *decider) atRisk() map[string]string {
+	risks := make(map[string]string)
+	for i, missing := range d.packed.missing {
+		if missing > 0 {
+			risks[d.s.Accounts[i].Name] = fmt.Sprintf(
+				"%d of its guaranteed shapes do not pack into the workers that take tasks", missing)
+		}
+	}
+	return risks
+}
+
+// decided records one decision.
+func (d *decider) decided(step string, job *model.Job, choice, reason string) {
+	d.plan.Decisions = append(d.plan.Decisions, api.Decision{
+		At: d.s.Now, Step: step, Subject: job.ID, Account: job.Account, Choice: choice, Reason: reason,
+	})
+}
+
+// refuse enters a refusal into the plan.
+func (d *decider) refuse(e *entry, kind api.Kind, reason string) {
+	e.done = true
+	after := time.Duration(api.AnswerFor(kind).RetryAfterS * float64(time.Second))
+	d.plan.Refusals = append(d.plan.Refusals, Refusal{JobID: e.job.ID, Kind: kind, Reason: reason, RetryAfter: after})
+	d.decided("refuse", e.job, string(kind), reason)
+}
--- /dev/null
+++ b/internal/placement/zone.go
@@ -0,0 +1,90 @@
+package placement
+
+import (
+	"sort"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/model"
+)
+
+// zone is an availability zone's workers in the order of their racks, with
+// dense indices, so that every count of accelerators is a vector by worker.
+type zone struct {
+	workers []model.Worker
+	index   map[string]int
+	racks   []rack
+	// capacity is zero for a worker that takes no new tasks.
+	capacity []int
+}
+
+// rack is a run of workers: those with first <= index < end.
+type rack struct {
+	first, end int
+}
+
+// part is a number of a gang's tasks on one worker.
+type part struct {
+	worker, tasks int
+}
+
+// newZone orders the workers. With everyWorker, workers in any state of health
+// count as capacity; else only those that take new tasks.
+func newZone(workers []model.Worker, everyWorker bool) *zone {
+	z := &zone{workers: append([]model.Worker(nil), workers...), index: make(map[string]int, len(workers))}
+	sort.Slice(z.workers, func(i, j int) bool {
+		a, b := &z.workers[i], &z.workers[j]
+		if a.Rack != b.Rack {
+			return a.Rack < b.Rack
+		}
+		return a.ID < b.ID
+	})
+	z.capacity = make([]int, len(z.workers))
+	for i := range z.workers {
+		w := &z.workers[i]
+		z.index[w.ID] = i
+		if everyWorker || w.Takes() {
+			z.capacity[i] = w.Accelerators
+		}
+		if i == 0 || w.Rack != z.workers[i-1].Rack {
+			z.racks = append(z.racks, rack{first: i})
+		}
+		z.racks[len(z.racks)-1].end = i + 1
+	}
+	return z
+}
+
+// vector returns a zero vector by worker.
+func (z *zone) vector() []int { return make([]int, len(z.workers)) }
+
+// holding turns a gang's placements into parts. Tasks on workers that are no
+// longer known are left out.
+func (z *zone) holding(placements []api.TaskPlacement) []part {
+	parts := make([]part, 0, len(placements))
+	for _, placement := range placements {
+		if worker, ok := z.index[placement.Worker]; ok {
+			parts = append(parts, part{worker: worker, tasks: placement.Tasks})
+		}
+	}
+	return parts
+}
+
+// placements turns parts into the messages of a plan.
+func (z *zone) placements(parts []part, shape api.Shape) []api.TaskPlacement {
+	tasks := make([]api.TaskPlacement, 0, len(parts))
+	for _, p := range parts {
+		tasks = append(tasks, api.TaskPlacement{
+			Worker:       z.workers[p.worker].ID,
+			Tasks:        p.tasks,
+			Accelerators: p.tasks * shape.AcceleratorsPerTask,
+		})
+	}
+	return tasks
+}
+
+// add adds the parts of a gang with perTask accelerators a task to a vector;
+// a negative perTask takes them away.
+func add(vector []int, parts []part, perTask int) {
+	for _, p := range parts {
+		vector[p.worker] += p.tasks * perTask
+	}
+}
