Peers and membership: thin working version

Cause: instances need to reach each other and to know the fleet from signals that lag. Change: peer.Node (yamux and protobuf, one connection for each pair, errors by whether the call left), membership.Fleet (pure state, list and gossip duties).

--- /dev/null
+++ b/internal/membership/backend.go
@@ -0,0 +1,142 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/model"
+)
+
+// backendEntry is what is known of one backend server.
+type backendEntry struct {
+	model.BackendServer
+	// since is when this incarnation became known.
+	since time.Time
+	// lastSeen is when the list named it or it answered.
+	lastSeen time.Time
+	flaps    flapping
+}
+
+// backendListed takes in an entry of the instance list.
+func (s *state) backendListed(listed api.ListedInstance, now time.Time) bool {
+	entry := s.backendSeen(listed.ID, listed.Incarnation, now)
+	if entry == nil {
+		return false
+	}
+	entry.Addr = listed.Addr
+	entry.Zone = listed.AvailabilityZone
+	if listed.Leaving {
+		return s.backendLeft(listed.ID, listed.Incarnation, now)
+	}
+	return false
+}
+
+// backendSaid takes in a backend server's own answer. Only the list makes a
+// backend server known, because only it has the address; a sign of leaving is
+// kept in any case.
+func (s *state) backendSaid(id string, incarnation int64, leaving bool, now time.Time) bool {
+	if leaving {
+		return s.backendLeft(id, incarnation, now)
+	}
+	if _, ok := s.backends[id]; ok {
+		s.backendSeen(id, incarnation, now)
+	}
+	return false
+}
+
+// backendSeen notes a sign of life under an incarnation and returns the entry;
+// nil if the sign is older than what is known.
+func (s *state) backendSeen(id string, incarnation int64, now time.Time) *backendEntry {
+	entry, ok := s.backends[id]
+	if !ok {
+		entry = s.newBackend(id, incarnation, now)
+		s.backends[id] = entry
+	}
+	if incarnation < entry.Incarnation {
+		return nil
+	}
+	if incarnation > entry.Incarnation {
+		entry.Incarnation = incarnation
+		entry.since = now
+		entry.State = next(s.backendSM, entry.State, eventNewIncarnation)
+		s.applyLeft(entry)
+	}
+	entry.lastSeen = now
+	if entry.State == model.BackendGone {
+		s.backendBack(entry, now)
+	}
+	return entry
+}
+
+func (s *state) newBackend(id string, incarnation int64, now time.Time) *backendEntry {
+	entry := &backendEntry{since: now, lastSeen: now}
+	entry.ID = id
+	entry.Incarnation = incarnation
+	entry.State = model.BackendState(s.backendSM.Initial)
+	s.applyLeft(entry)
+	return entry
+}
+
+// backendBack lets a backend server that was gone begin anew, unless it left
+// under this incarnation or flaps.
+func (s *state) backendBack(entry *backendEntry, now time.Time) {
+	if s.hasLeft(entry.ID, entry.Incarnation) || entry.flaps.held(now) {
+		return
+	}
+	entry.since = now
+	entry.State = model.BackendState(s.backendSM.Initial)
+}
+
+// backendLeft notes that an incarnation leaves. It returns whether that is new.
+func (s *state) backendLeft(id string, incarnation int64, now time.Time) bool {
+	mark, known := s.leftBackends[id]
+	if known && mark.incarnation >= incarnation {
+		return false
+	}
+	s.leftBackends[id] = leftMark{incarnation: incarnation, at: now}
+	if entry, ok := s.backends[id]; ok {
+		s.applyLeft(entry)
+	}
+	return true
+}
+
+func (s *state) hasLeft(id string, incarnation int64) bool {
+	mark, ok := s.leftBackends[id]
+	return ok && incarnation <= mark.incarnation
+}
+
+func (s *state) applyLeft(entry *backendEntry) {
+	if s.hasLeft(entry.ID, entry.Incarnation) {
+		entry.State = next(s.backendSM, entry.State, eventLeave)
+	}
+}
+
+// backendTick judges the silence of one backend server. A list that is not
+// being read says nothing, so nobody is gone by it.
+func (s *state) backendTick(id string, entry *backendEntry, listFresh bool, now time.Time) {
+	silent := now.Sub(entry.lastSeen)
+	if silent > s.thresholds.Forget && listFresh {
+		delete(s.backends, id)
+		return
+	}
+	if listFresh && silent > s.thresholds.BackendSilence && entry.State != model.BackendGone {
+		entry.State = next(s.backendSM, entry.State, eventSilence)
+		entry.flaps.lost(now)
+		return
+	}
+	if entry.State == model.BackendRamping && now.Sub(entry.since) >= s.thresholds.BackendRamp {
+		entry.State = next(s.backendSM, entry.State, eventRamped)
+	}
+}
+
+// backendServers returns the backend servers of a zone that are not gone.
+func (s *state) backendServers(zone string) []model.BackendServer {
+	var servers []model.BackendServer
+	for _, id := range sortedKeys(s.backends) {
+		entry := s.backends[id]
+		if entry.Zone == zone && entry.State != model.BackendGone {
+			servers = append(servers, entry.BackendServer)
+		}
+	}
+	return servers
+}
--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,90 @@
+package peer
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	peerpb "github.com/corianderbank/corianderbank/api/peer"
+)
+
+// lengthBytes is the size of the length before each message.
+const lengthBytes = 4
+
+var errTooLarge = errors.New("message exceeds the limit")
+
+// writeMessage writes the length of message and its bytes in one call.
+func writeMessage(w io.Writer, message proto.Message, limit int) error {
+	size := proto.Size(message)
+	if size > limit {
+		return fmt.Errorf("%w: %d of %d bytes", errTooLarge, size, limit)
+	}
+	frame := make([]byte, lengthBytes, lengthBytes+size)
+	binary.BigEndian.PutUint32(frame, uint32(size))
+	frame, err := proto.MarshalOptions{}.MarshalAppend(frame, message)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(frame)
+	return err
+}
+
+// readMessage reads one message written by writeMessage.
+func readMessage(r io.Reader, message proto.Message, limit int) error {
+	var length [lengthBytes]byte
+	if _, err := io.ReadFull(r, length[:]); err != nil {
+		return err
+	}
+	size := binary.BigEndian.Uint32(length[:])
+	if uint64(size) > uint64(limit) {
+		return fmt.Errorf("%w: %d of %d bytes", errTooLarge, size, limit)
+	}
+	data := make([]byte, size)
+	if _, err := io.ReadFull(r, data); err != nil {
+		return err
+	}
+	return proto.Unmarshal(data, message)
+}
+
+// handshakeBytes bounds a handshake message.
+const handshakeBytes = 1 << 10
+
+// handshake tells the other side who this instance is and learns who it is.
+// Both sides do the same: a Request without a body each way.
+func (n *Node) handshake(conn net.Conn) (string, int64, error) {
+	if err := conn.SetDeadline(time.Now().Add(n.limits.DialTimeout)); err != nil {
+		return "", 0, err
+	}
+	own := &peerpb.Request{From: n.options.Instance, Incarnation: n.options.Incarnation}
+	if err := writeMessage(conn, own, handshakeBytes); err != nil {
+		return "", 0, err
+	}
+	var theirs peerpb.Request
+	if err := readMessage(conn, &theirs, handshakeBytes); err != nil {
+		return "", 0, err
+	}
+	if theirs.GetFrom() == "" {
+		return "", 0, errors.New("the other side names no instance")
+	}
+	return theirs.GetFrom(), theirs.GetIncarnation(), conn.SetDeadline(time.Time{})
+}
+
+// yamuxLogger writes yamux's own messages as lines of this process.
+type yamuxLogger struct{ logger *zap.Logger }
+
+// Print implements yamux.Logger.
+func (l yamuxLogger) Print(v ...any) { l.logger.Debug("yamux", zap.String("detail", fmt.Sprint(v...))) }
+
+// Printf implements yamux.Logger.
+func (l yamuxLogger) Printf(format string, v ...any) {
+	l.logger.Debug("yamux", zap.String("detail", fmt.Sprintf(format, v...)))
+}
+
+// Println implements yamux.Logger.
+func (l yamuxLogger) Println(v ...any) { l.Print(v...) }
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,208 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"go.uber.org/zap"
+)
+
+// connection is one established session with a peer.
+type connection struct {
+	*yamux.Session
+	// incarnation is the peer's.
+	incarnation int64
+	// dialedBy is the id of the instance that dialed.
+	dialedBy string
+	since    time.Time
+}
+
+// link is what a node knows of the way to one peer.
+type link struct {
+	instance string
+	// calls holds one entry for each call under way.
+	calls chan struct{}
+
+	// mu guards the rest.
+	mu      sync.Mutex
+	current *connection
+	// dialing is closed when the dial under way ends; nil without one.
+	dialing  chan struct{}
+	dialErr  error
+	failures int
+	// notBefore is the earliest time of the next dial.
+	notBefore time.Time
+}
+
+// crossingWindow is how far apart two dials in opposite directions may be seen
+// to still count as crossing.
+const crossingWindow = 3 * time.Second
+
+// register makes c the current connection, or not; it returns the surplus one.
+// A higher incarnation of the peer wins. Within one incarnation the newer
+// connection wins, because the peer dials again only when it lost the older;
+// but of two dials that crossed, both sides keep the one of the lower id.
+func (l *link) register(self string, c *connection, now time.Time) *connection {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.since = now
+	l.failures = 0
+	l.notBefore = time.Time{}
+	old := l.current
+	if old == nil || old.IsClosed() {
+		l.current = c
+		return nil
+	}
+	if !replaces(self, l.instance, old, c) {
+		return c
+	}
+	l.current = c
+	return old
+}
+
+func replaces(self, peer string, old, c *connection) bool {
+	if c.incarnation != old.incarnation {
+		return c.incarnation > old.incarnation
+	}
+	crossed := c.dialedBy != old.dialedBy && c.since.Sub(old.since) < crossingWindow
+	if crossed {
+		return c.dialedBy == min(self, peer)
+	}
+	return true
+}
+
+// connected returns the current connection if it is open.
+func (l *link) connected() *connection {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current == nil || l.current.IsClosed() {
+		return nil
+	}
+	return l.current
+}
+
+// drop forgets c, so that the next call dials.
+func (l *link) drop(c *connection) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current == c {
+		l.current = nil
+	}
+}
+
+// connection returns an open connection, dialing if needed. Callers that come
+// while a dial is under way share its result.
+func (n *Node) connection(ctx context.Context, l *link) (*connection, error) {
+	if c := l.connected(); c != nil {
+		return c, nil
+	}
+	done, err := n.startDial(l)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return nil, errNotReady(l.instance, "no connection in time: %w", ctx.Err())
+	}
+	if c := l.connected(); c != nil {
+		return c, nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return nil, errNotReady(l.instance, "no connection: %v", l.dialErr)
+}
+
+// startDial starts a dial, or joins the one under way. It refuses during the
+// backoff after a failure.
+func (n *Node) startDial(l *link) (<-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dialing != nil {
+		return l.dialing, nil
+	}
+	if wait := time.Until(l.notBefore); wait > 0 {
+		return nil, errNotReady(l.instance, "backing off after %d failures: %v", l.failures, l.dialErr)
+	}
+	if !n.addDuty() {
+		return nil, errNotReady(l.instance, "node is closed")
+	}
+	l.dialing = make(chan struct{})
+	go n.dial(l)
+	return l.dialing, nil
+}
+
+// addDuty counts a new goroutine; false after Close.
+func (n *Node) addDuty() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return false
+	}
+	n.duties.Add(1)
+	return true
+}
+
+func (n *Node) dial(l *link) {
+	defer n.duties.Done()
+	c, err := n.connect(l.instance)
+	if err == nil {
+		n.adopt(l.instance, c)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dialErr = err
+	if err != nil {
+		l.failures++
+		l.notBefore = time.Now().Add(jitter(dialBackoff(l.failures)))
+		n.logger.Debug("dial", zap.String("peer", l.instance), zap.Int("failures", l.failures), zap.Error(err))
+	}
+	close(l.dialing)
+	l.dialing = nil
+}
+
+const (
+	backoffBase = 100 * time.Millisecond
+	backoffMax  = 5 * time.Second
+)
+
+// dialBackoff returns the longest wait after the given number of failures in a
+// row. It stays well under the time in which a healed cut must be noticed.
+func dialBackoff(failures int) time.Duration {
+	wait := backoffBase
+	for i := 1; i < failures && wait < backoffMax; i++ {
+		wait *= 2
+	}
+	return min(wait, backoffMax)
+}
+
+// connect dials the instance, shakes hands and opens the session.
+func (n *Node) connect(instance string) (*connection, error) {
+	addr, ok := n.options.Resolve(instance)
+	if !ok {
+		return nil, errNotReady(instance, "no address known")
+	}
+	dialer := net.Dialer{Timeout: n.limits.DialTimeout}
+	conn, err := dialer.DialContext(n.ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	conn = n.wrap(conn)
+	from, incarnation, err := n.handshake(conn)
+	if err == nil && from != instance {
+		err = errNotReady(instance, "%s answers at %s", from, addr)
+	}
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	session, err := yamux.Client(conn, n.sessionConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return &connection{Session: session, incarnation: incarnation, dialedBy: n.options.Instance}, nil
+}
--- /dev/null
+++ b/internal/peer/node.go
@@ -0,0 +1,321 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/hashicorp/yamux"
+	"go.uber.org/zap"
+
+	"github.com/corianderbank/corianderbank/api"
+)
+
+// Limits bounds what peers may make an instance use. A zero field takes its
+// default.
+type Limits struct {
+	// MaxMessageBytes bounds one message; default 4 MiB.
+	MaxMessageBytes int
+	// MaxCalls bounds the calls under way to one peer; default 128. A further
+	// call waits within its context.
+	MaxCalls int
+	// MaxControl and MaxWork bound the calls of peers being handled: state,
+	// configuration and slots (default 64), and forwarded work (default 512).
+	// A further call is refused with KindQueueFull.
+	MaxControl, MaxWork int
+	// DialTimeout bounds connecting and the handshake; default 2 s.
+	DialTimeout time.Duration
+	// CallTimeout bounds a call whose context has no deadline; default 30 s.
+	CallTimeout time.Duration
+	// IOTimeout bounds reading one request and writing one message; default 5 s.
+	IOTimeout time.Duration
+	// KeepAlive is the time between probes of an idle connection; default 5 s.
+	KeepAlive time.Duration
+}
+
+const (
+	defaultMaxMessageBytes = 4 << 20
+	defaultMaxCalls        = 128
+	defaultMaxControl      = 64
+	defaultMaxWork         = 512
+	defaultDialTimeout     = 2 * time.Second
+	defaultCallTimeout     = 30 * time.Second
+	defaultIOTimeout       = 5 * time.Second
+	defaultKeepAlive       = 5 * time.Second
+)
+
+func (l Limits) withDefaults() Limits {
+	setInt(&l.MaxMessageBytes, defaultMaxMessageBytes)
+	setInt(&l.MaxCalls, defaultMaxCalls)
+	setInt(&l.MaxControl, defaultMaxControl)
+	setInt(&l.MaxWork, defaultMaxWork)
+	setDuration(&l.DialTimeout, defaultDialTimeout)
+	setDuration(&l.CallTimeout, defaultCallTimeout)
+	setDuration(&l.IOTimeout, defaultIOTimeout)
+	setDuration(&l.KeepAlive, defaultKeepAlive)
+	return l
+}
+
+func setInt(value *int, fallback int) {
+	if *value == 0 {
+		*value = fallback
+	}
+}
+
+func setDuration(value *time.Duration, fallback time.Duration) {
+	if *value == 0 {
+		*value = fallback
+	}
+}
+
+// Options are what a Node needs.
+type Options struct {
+	// Instance and Incarnation identify this instance to its peers.
+	Instance    string
+	Incarnation int64
+	// Listen is the IP number and port for peers.
+	Listen  string
+	Handler Handler
+	Logger  *zap.Logger
+	// Resolve returns the peer address of an instance.
+	Resolve func(instance string) (addr string, ok bool)
+	Limits  Limits
+	// WrapConn, if set, wraps each new connection; measurements count bytes by it.
+	WrapConn func(net.Conn) net.Conn
+}
+
+// Node connects one instance with its peers. It implements Caller. One TCP
+// connection for each pair carries the calls of both sides.
+type Node struct {
+	options  Options
+	limits   Limits
+	logger   *zap.Logger
+	listener net.Listener
+	control  pond.Pool
+	work     pond.Pool
+	readers  pond.Pool
+	ctx      context.Context
+	cancel   context.CancelFunc
+	duties   sync.WaitGroup
+
+	// mu guards links, sessions and closed.
+	mu       sync.Mutex
+	links    map[string]*link
+	sessions map[*yamux.Session]struct{}
+	closed   bool
+}
+
+var _ Caller = (*Node)(nil)
+
+// New returns a node that does nothing until Start. Call needs no Start.
+func New(options Options) *Node {
+	ctx, cancel := context.WithCancel(context.Background())
+	limits := options.Limits.withDefaults()
+	logger := options.Logger
+	if logger == nil {
+		logger = zap.NewNop()
+	}
+	return &Node{
+		options:  options,
+		limits:   limits,
+		logger:   logger.Named("peer"),
+		control:  newPool(limits.MaxControl),
+		work:     newPool(limits.MaxWork),
+		readers:  newPool(limits.MaxControl + limits.MaxWork),
+		ctx:      ctx,
+		cancel:   cancel,
+		links:    make(map[string]*link),
+		sessions: make(map[*yamux.Session]struct{}),
+	}
+}
+
+// newPool returns a pool whose queue is as long as its concurrency; when both
+// are full a task is refused.
+func newPool(size int) pond.Pool {
+	return pond.NewPool(size, pond.WithQueueSize(size), pond.WithNonBlocking(true))
+}
+
+// Start listens for peers. It returns the error of listening.
+func (n *Node) Start() error {
+	listener, err := net.Listen("tcp", n.options.Listen)
+	if err != nil {
+		return err
+	}
+	n.listener = listener
+	n.duties.Add(1)
+	go n.accept()
+	return nil
+}
+
+// Addr returns the address that the node listens on, after Start.
+func (n *Node) Addr() string { return n.listener.Addr().String() }
+
+// Close closes every connection and waits for the handlers under way, whose
+// contexts end at once. Calls after it return KindNotReady.
+func (n *Node) Close() {
+	n.mu.Lock()
+	if n.closed {
+		n.mu.Unlock()
+		return
+	}
+	n.closed = true
+	sessions := make([]*yamux.Session, 0, len(n.sessions))
+	for session := range n.sessions {
+		sessions = append(sessions, session)
+	}
+	n.mu.Unlock()
+
+	n.cancel()
+	if n.listener != nil {
+		_ = n.listener.Close()
+	}
+	for _, session := range sessions {
+		_ = session.Close()
+	}
+	n.duties.Wait()
+	n.readers.StopAndWait()
+	n.control.StopAndWait()
+	n.work.StopAndWait()
+}
+
+// accept takes connections until the listener closes.
+func (n *Node) accept() {
+	defer n.duties.Done()
+	for {
+		conn, err := n.listener.Accept()
+		if err != nil {
+			if n.ctx.Err() == nil {
+				n.logger.Warn("accept", zap.Error(err))
+				n.pause(acceptPause)
+				continue
+			}
+			return
+		}
+		n.duties.Add(1)
+		go n.welcome(conn)
+	}
+}
+
+// acceptPause keeps a failing listener (out of file descriptors) from spinning.
+const acceptPause = 50 * time.Millisecond
+
+func (n *Node) pause(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-n.ctx.Done():
+	}
+}
+
+// welcome shakes hands with a peer that connected and serves its calls.
+func (n *Node) welcome(conn net.Conn) {
+	defer n.duties.Done()
+	conn = n.wrap(conn)
+	from, incarnation, err := n.handshake(conn)
+	if err != nil {
+		n.logger.Warn("handshake", zap.String("remote", conn.RemoteAddr().String()), zap.Error(err))
+		_ = conn.Close()
+		return
+	}
+	session, err := yamux.Server(conn, n.sessionConfig())
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	n.adopt(from, &connection{Session: session, incarnation: incarnation, dialedBy: from})
+}
+
+func (n *Node) wrap(conn net.Conn) net.Conn {
+	if n.options.WrapConn == nil {
+		return conn
+	}
+	return n.options.WrapConn(conn)
+}
+
+func (n *Node) sessionConfig() *yamux.Config {
+	config := yamux.DefaultConfig()
+	config.LogOutput = nil
+	config.Logger = yamuxLogger{n.logger}
+	config.KeepAliveInterval = n.limits.KeepAlive
+	config.ConnectionWriteTimeout = n.limits.IOTimeout
+	config.StreamOpenTimeout = 2 * n.limits.IOTimeout
+	config.StreamCloseTimeout = 2 * n.limits.IOTimeout
+	return config
+}
+
+// link returns the link to an instance, making it at the first use.
+func (n *Node) link(instance string) *link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l, ok := n.links[instance]
+	if !ok {
+		l = &link{instance: instance, calls: make(chan struct{}, n.limits.MaxCalls)}
+		n.links[instance] = l
+	}
+	return l
+}
+
+// adopt registers a new connection, starts serving it, and retires the one
+// that it replaces.
+func (n *Node) adopt(instance string, c *connection) {
+	if !n.track(c.Session) {
+		_ = c.Close()
+		return
+	}
+	surplus := n.link(instance).register(n.options.Instance, c, time.Now())
+	n.duties.Add(1)
+	go n.serveSession(instance, c)
+	if surplus != nil {
+		n.duties.Add(1)
+		go n.retire(surplus)
+	}
+}
+
+// track remembers a session for Close; false after Close.
+func (n *Node) track(session *yamux.Session) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return false
+	}
+	n.sessions[session] = struct{}{}
+	return true
+}
+
+func (n *Node) untrack(session *yamux.Session) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.sessions, session)
+}
+
+const (
+	// retireGrace lets a call that already chose the connection open its stream.
+	retireGrace = 2 * time.Second
+	retirePoll  = time.Second
+	// retireLimit bounds the wait for calls on a connection that was replaced.
+	retireLimit = 10 * time.Minute
+)
+
+// retire closes a replaced connection once its calls ended.
+func (n *Node) retire(c *connection) {
+	defer n.duties.Done()
+	started := time.Now()
+	n.pause(retireGrace)
+	for n.ctx.Err() == nil && c.NumStreams() > 0 && time.Since(started) < retireLimit {
+		n.pause(retirePoll)
+	}
+	_ = c.Close()
+}
+
+// errNotReady is the error of a call that never left.
+func errNotReady(instance string, format string, args ...any) error {
+	return api.NewError(api.KindNotReady, "peer "+instance+": "+format, args...)
+}
+
+// jitter returns a random duration in [d/2, d].
+func jitter(d time.Duration) time.Duration {
+	half := int64(d / 2)
+	return time.Duration(half + rand.Int64N(half+1))
+}
--- /dev/null
+++ b/internal/peer/node_test.go
@@ -0,0 +1,213 @@
+package peer_test
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/corianderbank/corianderbank/api"
+	peerpb "github.com/corianderbank/corianderbank/api/peer"
+	"github.com/corianderbank/corianderbank/internal/peer"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// handlerFunc adapts a function to peer.Handler.
+type handlerFunc func(context.Context, *peerpb.Request) (*peerpb.Response, error)
+
+func (f handlerFunc) Handle(ctx context.Context, request *peerpb.Request) (*peerpb.Response, error) {
+	return f(ctx, request)
+}
+
+// echo answers a configuration query with the version it asks for.
+func echo(_ context.Context, request *peerpb.Request) (*peerpb.Response, error) {
+	version := &peerpb.ConfigVersion{Version: request.GetConfig().GetHave()}
+	return &peerpb.Response{Body: &peerpb.Response_Config{Config: version}}, nil
+}
+
+func configQuery(have int64) *peerpb.Request {
+	return &peerpb.Request{Body: &peerpb.Request_Config{Config: &peerpb.ConfigQuery{Have: have}}}
+}
+
+// book is the address book of a test.
+type book map[string]string
+
+func (b book) resolve(instance string) (string, bool) {
+	addr, ok := b[instance]
+	return addr, ok
+}
+
+// startNode starts a node on a free port and enters it in the book.
+func startNode(t *testing.T, addresses book, options peer.Options) *peer.Node {
+	t.Helper()
+	if options.Listen == "" {
+		options.Listen = "127.0.0.1:0"
+	}
+	if options.Handler == nil {
+		options.Handler = handlerFunc(echo)
+	}
+	options.Resolve = addresses.resolve
+	node := peer.New(options)
+	assert.NilError(t, node.Start())
+	t.Cleanup(node.Close)
+	addresses[options.Instance] = node.Addr()
+	return node
+}
+
+func TestCallReachesBothWaysOverOneConnection(t *testing.T) {
+	var dials atomic.Int64
+	addresses := book{}
+	counted := peer.Options{WrapConn: countDials(&dials)}
+	counted.Instance, counted.Incarnation = "a", 1
+	a := startNode(t, addresses, counted)
+	b := startNode(t, addresses, peer.Options{Instance: "b", Incarnation: 1})
+
+	for have := range int64(20) {
+		caller, target := a, "b"
+		if have%2 == 1 {
+			caller, target = b, "a"
+		}
+		response, err := caller.Call(t.Context(), target, configQuery(have))
+		assert.NilError(t, err)
+		assert.Equal(t, response.GetConfig().GetVersion(), have)
+	}
+	assert.Equal(t, dials.Load(), int64(1))
+}
+
+func TestRemoteErrorsKeepTheirKind(t *testing.T) {
+	kinds := []api.Kind{api.KindConflict, api.KindNotFound, api.KindNoPlacer, api.KindStopping, api.KindNotReady}
+	addresses := book{}
+	handler := func(_ context.Context, request *peerpb.Request) (*peerpb.Response, error) {
+		err := api.NewError(kinds[request.GetConfig().GetHave()], "because")
+		return nil, api.WithRetryAfter(err, 7*time.Second)
+	}
+	a := startNode(t, addresses, peer.Options{Instance: "a"})
+	startNode(t, addresses, peer.Options{Instance: "b", Handler: handlerFunc(handler)})
+	for i, kind := range kinds {
+		_, err := a.Call(t.Context(), "b", configQuery(int64(i)))
+		assert.Equal(t, api.KindOf(err), kind)
+		assert.Equal(t, api.RetryAfterS(err), 7.0)
+		assert.Assert(t, strings.Contains(err.Error(), "because"))
+	}
+}
+
+func TestCallFailuresSayWhetherTheCallLeft(t *testing.T) {
+	cases := map[string]struct {
+		// target is the instance called.
+		target  string
+		handler handlerFunc
+		request *peerpb.Request
+		timeout time.Duration
+		kind    api.Kind
+	}{
+		"an instance without address was not reached":            {"nobody", echo, configQuery(1), time.Second, api.KindNotReady},
+		"a closed port was not reached":                          {"closed", echo, configQuery(1), time.Second, api.KindNotReady},
+		"another instance at the address is not called":          {"alias", echo, configQuery(1), time.Second, api.KindNotReady},
+		"a handler slower than the deadline may have run":        {"b", stall, configQuery(1), 50 * time.Millisecond, api.KindResultUnknown},
+		"a handler that panics answers with an internal error":   {"b", panics, configQuery(1), time.Second, api.KindInternal},
+		"a request beyond the limit is refused before it leaves": {"b", echo, tooLarge(), time.Second, api.KindBodyTooLarge},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			addresses := book{"closed": "127.0.0.1:1"}
+			a := startNode(t, addresses, peer.Options{Instance: "a", Limits: peer.Limits{MaxMessageBytes: 1 << 10}})
+			startNode(t, addresses, peer.Options{Instance: "b", Handler: test.handler})
+			addresses["alias"] = addresses["b"]
+			ctx, cancel := context.WithTimeout(t.Context(), test.timeout)
+			defer cancel()
+			_, err := a.Call(ctx, test.target, test.request)
+			assert.Equal(t, api.KindOf(err), test.kind, "%v", err)
+		})
+	}
+}
+
+func stall(ctx context.Context, _ *peerpb.Request) (*peerpb.Response, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func panics(context.Context, *peerpb.Request) (*peerpb.Response, error) { panic("planted") }
+
+func tooLarge() *peerpb.Request {
+	submission := make([]byte, 2<<10)
+	return &peerpb.Request{Body: &peerpb.Request_Execute{Execute: &peerpb.ExecuteCall{Submission: submission}}}
+}
+
+func TestResponseLostWithItsProcessIsUnknown(t *testing.T) {
+	addresses := book{}
+	entered := make(chan struct{})
+	handler := func(ctx context.Context, _ *peerpb.Request) (*peerpb.Response, error) {
+		close(entered)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	a := startNode(t, addresses, peer.Options{Instance: "a"})
+	b := startNode(t, addresses, peer.Options{Instance: "b", Handler: handlerFunc(handler)})
+	go func() {
+		<-entered
+		b.Close()
+	}()
+	_, err := a.Call(t.Context(), "b", configQuery(1))
+	assert.Equal(t, api.KindOf(err), api.KindResultUnknown, "%v", err)
+}
+
+func TestRestartedPeerIsReachedAgain(t *testing.T) {
+	addresses := book{}
+	a := startNode(t, addresses, peer.Options{Instance: "a", Incarnation: 1})
+	old := startNode(t, addresses, peer.Options{Instance: "b", Incarnation: 1})
+	_, err := a.Call(t.Context(), "b", configQuery(1))
+	assert.NilError(t, err)
+	old.Close()
+	startNode(t, addresses, peer.Options{Instance: "b", Incarnation: 2})
+	callUntilAnswered(t, a, "b")
+}
+
+// callUntilAnswered calls until the backoff of a lost connection is over.
+func callUntilAnswered(t *testing.T, node *peer.Node, target string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	for {
+		_, err := node.Call(ctx, target, configQuery(2))
+		if err == nil {
+			return
+		}
+		assert.NilError(t, ctx.Err(), "last error: %v", err)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func TestTooManyCallsAreRefusedAndStateStillPasses(t *testing.T) {
+	addresses := book{}
+	handler := func(ctx context.Context, request *peerpb.Request) (*peerpb.Response, error) {
+		if request.GetExecute() == nil {
+			return echo(ctx, request)
+		}
+		return stall(ctx, request)
+	}
+	a := startNode(t, addresses, peer.Options{Instance: "a"})
+	limits := peer.Limits{MaxWork: 1}
+	startNode(t, addresses, peer.Options{Instance: "b", Handler: handlerFunc(handler), Limits: limits})
+	work := &peerpb.Request{Body: &peerpb.Request_Execute{Execute: &peerpb.ExecuteCall{}}}
+	ctx, cancel := context.WithCancel(t.Context())
+	results := make(chan error, 3)
+	for range 3 {
+		go func() {
+			_, err := a.Call(ctx, "b", work)
+			results <- err
+		}()
+	}
+	// One runs, one waits in the queue of the pool, the third is refused.
+	assert.Equal(t, api.KindOf(<-results), api.KindQueueFull)
+	_, err := a.Call(t.Context(), "b", configQuery(3))
+	assert.NilError(t, err)
+	cancel()
+	for range 2 {
+		assert.Equal(t, api.KindOf(<-results), api.KindResultUnknown)
+	}
+}
