Wiring of one entry instance

Cause: the parts exist but no process runs them. Change: internal/serve builds and runs the duties, answers peers' calls, collects status and explanations, stops in order; the placer uses the quarantine tracker and probes cooled workers.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -23,7 +23,7 @@
 const maxAnswerBytes = 8 << 20
 
 // Observer is told what a backend server says of itself with each answer.
-type Observer func(id string, leaving bool)
+type Observer func(id string, incarnation int64, leaving bool)
 
 // Client is safe for concurrent use.
 type Client struct {
@@ -51,7 +51,7 @@
 	if err != nil {
 		return api.ExecuteAnswer{}, transportError(ctx, server, err)
 	}
-	c.observe(server.ID, response.Header().Get(api.HeaderLeaving) == "true")
+	c.observe(server.ID, server.Incarnation, response.Header().Get(api.HeaderLeaving) == "true")
 	var answer api.ExecuteAnswer
 	if err := json.Unmarshal(response.Body(), &answer); err != nil {
 		return answer, api.NewError(api.KindAnswerNotWhole, "backend server %s: %v", server.ID, err)
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -20,6 +20,7 @@
 	"github.com/corianderbank/corianderbank/internal/estimate"
 	"github.com/corianderbank/corianderbank/internal/jobstore"
 	"github.com/corianderbank/corianderbank/internal/model"
+	"github.com/corianderbank/corianderbank/internal/quarantine"
 )
 
 // The events of charts/gang.json.
@@ -63,9 +64,9 @@
 	persistRetryAfter = time.Second
 	// stopWithin bounds a plain stop of tasks.
 	stopWithin = 2 * time.Second
-	// maxFailures ends a job that failed on this many different sets of
-	// workers; see package quarantine for telling it from a sick worker.
-	maxFailures = 3
+	// maxFailures bounds the failed attempts of one job whatever they are put
+	// down to, so that a job cannot restart for ever.
+	maxFailures = 6
 	// keepEnded is how many ended jobs stay in memory for late readers.
 	keepEnded = 4096
 )
@@ -135,7 +136,7 @@
 	byKey       map[string]string
 	workers     map[string]*workerState
 	runs        estimate.Source
-	health      healthTracker
+	health      *quarantine.Tracker
 	config      *config.Snapshot
 	recorder    *decision.Recorder
 	workerLease time.Duration
@@ -145,14 +146,6 @@
 	changed map[string]bool
 }
 
-// healthTracker tells sick workers from sick jobs; see package quarantine.
-type healthTracker interface {
-	TaskFailed(worker, job string, now time.Time)
-	TaskSucceeded(worker, job string, now time.Time)
-	SickWorker(worker string, now time.Time) bool
-	SickJob(job string, now time.Time) (evidence string, sick bool)
-}
-
 func (c *core) do(a action) { c.actions = append(c.actions, a) }
 
 func (c *core) takeActions() []action {
@@ -196,6 +189,7 @@
 	e.record.Message = reason
 	e.record.Outcome, e.record.ErrorKind = finalOutcome(e)
 	e.dirty = true
+	c.health.JobEnded(e.record.ID)
 	c.ended = append(c.ended, e.record.ID)
 	c.forgetOldest()
 }
--- a/internal/placer/gangs.go
+++ b/internal/placer/gangs.go
@@ -198,10 +198,6 @@
 		c.step(e, evLose, "stopped while it may have run; not idempotent: "+e.stopReason, now)
 		return
 	}
-	if evidence, sick := c.health.SickJob(e.record.ID, now); sick && e.mayRun {
-		c.step(e, evFail, evidence, now)
-		return
-	}
 	e.notBefore = now.Add(retryPlacementAfter)
 	e.dirty = true
 	c.step(e, evStopped, "waits again: "+e.stopReason, now)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -16,6 +16,7 @@
 	"github.com/corianderbank/corianderbank/internal/jobstore"
 	"github.com/corianderbank/corianderbank/internal/lease"
 	"github.com/corianderbank/corianderbank/internal/membership"
+	"github.com/corianderbank/corianderbank/internal/quarantine"
 	"github.com/corianderbank/corianderbank/internal/worker"
 )
 
@@ -46,7 +47,7 @@
 	Leases      lease.Leases
 	Workers     worker.Client
 	Runs        estimate.Source
-	Health      Health
+	Health      *quarantine.Tracker
 	Recorder    *decision.Recorder
 	Logger      *zap.Logger
 	PlacerLease time.Duration
@@ -61,9 +62,6 @@
 	OnEpoch func(epoch int64)
 }
 
-// Health tells sick workers from sick jobs; package quarantine implements it.
-type Health = healthTracker
-
 // Placer runs the core on this instance. Its methods are safe for concurrent use.
 type Placer struct {
 	opts   Options
--- a/internal/placer/reports.go
+++ b/internal/placer/reports.go
@@ -8,6 +8,7 @@
 	"github.com/corianderbank/corianderbank/internal/chart"
 	"github.com/corianderbank/corianderbank/internal/jobstore"
 	"github.com/corianderbank/corianderbank/internal/model"
+	"github.com/corianderbank/corianderbank/internal/quarantine"
 )
 
 // The events of charts/worker.json that the placer raises.
@@ -15,9 +16,6 @@
 	wkReport      chart.Event = "report"
 	wkSilence     chart.Event = "silence"
 	wkLongSilence chart.Event = "long_silence"
-	wkSick        chart.Event = "sick"
-	wkCooled      chart.Event = "cooled"
-	wkProbeOK     chart.Event = "probe_ok"
 	wkLeave       chart.Event = "leave"
 	wkNew         chart.Event = "new_incarnation"
 )
@@ -174,6 +172,7 @@
 func (c *core) finished(e *entry, now time.Time) {
 	for _, p := range e.parts {
 		c.health.TaskSucceeded(p.worker, e.record.ID, now)
+		c.probePassed(p.worker, now)
 	}
 	c.observe(e)
 	c.step(e, evFinish, "every part finished", now)
@@ -198,24 +197,44 @@
 // evidence, or it is tried again elsewhere if it may be.
 func (c *core) taskFailed(e *entry, worker string, report seenReport, now time.Time) {
 	e.failures++
-	c.health.TaskFailed(worker, e.record.ID, now)
-	if w := c.workers[worker]; w != nil && c.health.SickWorker(worker, now) {
-		c.stepWorker(w, wkSick)
-		c.decide(now, e, "quarantine", worker, "tasks of several jobs failed there", "")
-	}
+	verdict := c.health.TaskFailed(worker, e.record.ID, now)
+	c.judgeWorker(e, worker, verdict, now)
 	reason := fmt.Sprintf("task failed on %s: %s", worker, report.msg)
-	evidence, sick := c.health.SickJob(e.record.ID, now)
-	if e.record.Submission.Idempotent && !sick && e.failures < maxFailures {
+	if e.record.Submission.Idempotent && verdict.SickJob == "" && e.failures < maxFailures {
 		c.stop(e, evWorkerLost, reason, now)
 		return
 	}
-	if evidence != "" {
-		reason += "; " + evidence
+	if verdict.SickJob != "" {
+		reason += "; " + verdict.Evidence
 	}
 	c.do(stopAction{ref: e.ref, parts: e.parts, within: stopWithin})
 	c.step(e, evFail, reason, now)
 }
 
+// judgeWorker quarantines a worker that the tracker finds sick, and sends a
+// probed one back.
+func (c *core) judgeWorker(e *entry, worker string, verdict quarantine.Verdict, now time.Time) {
+	w := c.workers[worker]
+	if w == nil {
+		return
+	}
+	if w.chartState == chart.State(model.WorkerProbing) {
+		c.stepWorker(w, c.health.Probed(worker, false, now))
+		return
+	}
+	if verdict.SickWorker == worker {
+		c.stepWorker(w, quarantine.EventSick)
+		c.decide(now, e, "quarantine", worker, verdict.Evidence, "")
+	}
+}
+
+// probePassed returns a probed worker to work after a task ended well there.
+func (c *core) probePassed(worker string, now time.Time) {
+	if w := c.workers[worker]; w != nil && w.chartState == chart.State(model.WorkerProbing) {
+		c.stepWorker(w, c.health.Probed(worker, true, now))
+	}
+}
+
 // checkSilence raises what follows from time alone.
 func (c *core) checkSilence(now time.Time) {
 	for _, w := range c.workers {
@@ -225,9 +244,10 @@
 		} else if silent > time.Duration(silenceFactor*float64(c.workerLease)) {
 			c.stepWorker(w, wkSilence)
 		}
-		if w.chartState == chart.State(model.WorkerQuarantined) && !c.health.SickWorker(w.ID, now) {
-			c.stepWorker(w, wkCooled)
-			c.stepWorker(w, wkProbeOK)
+	}
+	for _, worker := range c.health.Cooled(now) {
+		if w := c.workers[worker]; w != nil {
+			c.stepWorker(w, quarantine.EventCooled)
 		}
 	}
 	for _, e := range c.live() {
--- a/internal/placer/round.go
+++ b/internal/placer/round.go
@@ -16,9 +16,6 @@
 		s.Accounts = c.config.Document.Accounts
 		s.Objectives = c.config.Document.Objectives
 	}
-	for _, id := range sortedKeys(c.workers) {
-		s.Workers = append(s.Workers, c.workers[id].Worker)
-	}
 	for _, e := range c.live() {
 		if e.state == stWaiting {
 			if !now.Before(e.notBefore) {
@@ -28,9 +25,43 @@
 		}
 		s.Gangs = append(s.Gangs, e.gang())
 	}
+	s.Workers = c.workerList(anyIdempotent(s.Waiting))
 	return s
 }
 
+// workerList returns the workers as placement sees them. A worker that is being
+// probed takes one gang, as long as work is waiting that may be run again.
+func (c *core) workerList(probe bool) []model.Worker {
+	list := make([]model.Worker, 0, len(c.workers))
+	for _, id := range sortedKeys(c.workers) {
+		w := c.workers[id].Worker
+		if probe && w.Health == model.WorkerProbing && !c.holdsGang(id) {
+			w.Health = model.WorkerHealthy
+		}
+		list = append(list, w)
+	}
+	return list
+}
+
+func anyIdempotent(jobs []model.Job) bool {
+	for _, job := range jobs {
+		if job.Idempotent {
+			return true
+		}
+	}
+	return false
+}
+
+// onProbe reports whether a placement touches a worker that is being probed.
+func (c *core) onProbe(p placement.Placement) bool {
+	for _, task := range p.Tasks {
+		if w := c.workers[task.Worker]; w != nil && w.Health == model.WorkerProbing {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *entry) job() model.Job {
 	submission := e.record.Submission
 	job := model.Job{
@@ -106,6 +137,10 @@
 		c.decide(now, e, "wait", "waiting", "the platform is needed to record the start of work that is not idempotent", "")
 		return
 	}
+	if !e.record.Submission.Idempotent && c.onProbe(p) {
+		c.decide(now, e, "wait", "waiting", "a worker of the placement is being probed", "")
+		return
+	}
 	if err := placement.Recheck(c.snapshot(now), p); err != nil {
 		c.decide(now, e, "recheck", "waiting", err.Error(), "")
 		return
--- /dev/null
+++ b/internal/serve/peers.go
@@ -0,0 +1,69 @@
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/corianderbank/corianderbank/api"
+	peerpb "github.com/corianderbank/corianderbank/api/peer"
+)
+
+// handler answers the calls of other instances.
+type handler struct{ *instance }
+
+// Handle implements peer.Handler.
+func (h handler) Handle(ctx context.Context, request *peerpb.Request) (*peerpb.Response, error) {
+	switch body := request.GetBody().(type) {
+	case *peerpb.Request_State:
+		return &peerpb.Response{Body: &peerpb.Response_State{State: h.fleet.HandleState(body.State)}}, nil
+	case *peerpb.Request_Config:
+		return h.configFor(body.Config), nil
+	case *peerpb.Request_Job:
+		reply, err := h.jobs.Handle(ctx, body.Job)
+		if err != nil {
+			return nil, err
+		}
+		return &peerpb.Response{Body: &peerpb.Response_Job{Job: reply}}, nil
+	case *peerpb.Request_Execute:
+		return h.execute(ctx, body.Execute)
+	case *peerpb.Request_Explain:
+		return h.explain(body.Explain)
+	}
+	return nil, api.NewError(api.KindInvalidField, "unknown call")
+}
+
+func (h handler) configFor(query *peerpb.ConfigQuery) *peerpb.Response {
+	number, digest, document := h.config.Highest()
+	version := &peerpb.ConfigVersion{}
+	if number > query.GetHave() {
+		version = &peerpb.ConfigVersion{Version: number, Digest: digest, Document: document}
+	}
+	return &peerpb.Response{Body: &peerpb.Response_Config{Config: version}}
+}
+
+// execute runs a request that another availability zone passed on.
+func (h handler) execute(ctx context.Context, call *peerpb.ExecuteCall) (*peerpb.Response, error) {
+	if err := h.ready(); err != nil {
+		return nil, err
+	}
+	var submission api.RequestSubmission
+	if err := json.Unmarshal(call.GetSubmission(), &submission); err != nil {
+		return nil, api.NewError(api.KindMalformedBody, "%v", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(call.GetDeadlineMs())*time.Millisecond)
+	defer cancel()
+	body, err := json.Marshal(h.executor.Execute(ctx, call.GetId(), submission))
+	if err != nil {
+		return nil, api.NewError(api.KindInternal, "%v", err)
+	}
+	return &peerpb.Response{Body: &peerpb.Response_Execute{Execute: &peerpb.ExecuteReply{Answer: body}}}, nil
+}
+
+func (h handler) explain(query *peerpb.ExplainQuery) (*peerpb.Response, error) {
+	body, err := json.Marshal(api.Explanation{ID: query.GetId(), Decisions: h.recorder.Explain(query.GetId())})
+	if err != nil {
+		return nil, api.NewError(api.KindInternal, "%v", err)
+	}
+	return &peerpb.Response{Body: &peerpb.Response_Explain{Explain: &peerpb.ExplainReply{Explanation: body}}}, nil
+}
--- /dev/null
+++ b/internal/serve/serve.go
@@ -0,0 +1,180 @@
+// Package serve wires the parts of an entry instance together and runs them.
+package serve
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/backend"
+	"github.com/corianderbank/corianderbank/internal/claim"
+	"github.com/corianderbank/corianderbank/internal/config"
+	"github.com/corianderbank/corianderbank/internal/decision"
+	"github.com/corianderbank/corianderbank/internal/entry"
+	"github.com/corianderbank/corianderbank/internal/estimate"
+	"github.com/corianderbank/corianderbank/internal/jobs"
+	"github.com/corianderbank/corianderbank/internal/jobstore"
+	"github.com/corianderbank/corianderbank/internal/lease"
+	"github.com/corianderbank/corianderbank/internal/logging"
+	"github.com/corianderbank/corianderbank/internal/membership"
+	"github.com/corianderbank/corianderbank/internal/model"
+	"github.com/corianderbank/corianderbank/internal/peer"
+	"github.com/corianderbank/corianderbank/internal/placer"
+	"github.com/corianderbank/corianderbank/internal/platform"
+	"github.com/corianderbank/corianderbank/internal/quarantine"
+	"github.com/corianderbank/corianderbank/internal/request"
+	"github.com/corianderbank/corianderbank/internal/settings"
+	"github.com/corianderbank/corianderbank/internal/worker"
+)
+
+// rememberedSubjects bounds the requests and jobs that can be explained: about
+// 20 MB at 64 decisions each would need far more than the usual three.
+const rememberedSubjects = 20000
+
+// instance is one entry instance and its parts.
+type instance struct {
+	settings *settings.Settings
+	logger   *zap.Logger
+	platform *platform.Client
+	config   *config.Manager
+	recorder *decision.Recorder
+	fleet    *membership.Fleet
+	node     *peer.Node
+	placer   *placer.Placer
+	jobs     *jobs.Router
+	executor *request.Executor
+	server   *entry.Server
+	life     *life
+}
+
+// Run serves with the settings of a file until SIGTERM or SIGINT, then shuts
+// down gracefully.
+func Run(file string) error {
+	loaded, err := settings.Load(file)
+	if err != nil {
+		return err
+	}
+	logger, err := logging.New(os.Stdout, loaded.LogLevel, loaded.Instance, loaded.AvailabilityZone)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(loaded.Limits.MemoryMB << 20)
+	stop := make(chan os.Signal, 2)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	return build(loaded, logger).run(stop)
+}
+
+func build(s *settings.Settings, logger *zap.Logger) *instance {
+	client := platform.NewClient(s.Platform)
+	i := &instance{
+		settings: s, logger: logger, platform: client, life: newLife(),
+		recorder: decision.NewRecorder(logger, s.Instance, rememberedSubjects),
+		config:   config.NewManager(config.Options{Tables: client, Objects: client, Logger: logger}),
+	}
+	incarnation := time.Now().UnixMilli()
+	i.node = peer.New(peer.Options{
+		Instance: s.Instance, Incarnation: incarnation, Listen: s.PeerListen,
+		Handler: handler{i}, Logger: logger, Resolve: func(id string) (string, bool) { return i.fleet.Resolve(id) },
+	})
+	i.fleet = membership.New(membership.Options{
+		Self:  model.Instance{ID: s.Instance, Addr: s.Listen, PeerAddr: s.PeerListen, Zone: s.AvailabilityZone, Incarnation: incarnation},
+		Seeds: s.Peers, Lister: client, Caller: i.node, Local: i.local, Logger: logger,
+		PeerInterval: settings.Duration(s.Timing.PeerIntervalMS), ListInterval: settings.Duration(s.Timing.ListPollMS),
+	})
+	i.buildWork()
+	i.server = entry.New(entry.Options{
+		Settings: s, Requests: i.executor, Jobs: i.jobs, Fleet: fleetView{i}, Config: i.config, Logger: logger, Ready: i.ready,
+	})
+	return i
+}
+
+// buildWork makes the parts that run requests and jobs.
+func (i *instance) buildWork() {
+	s := i.settings
+	store := jobstore.New(i.platform)
+	i.placer = placer.New(placer.Options{
+		Zone: s.AvailabilityZone, Instance: s.Instance, Config: i.config, Fleet: i.fleet, Jobs: store,
+		Leases:  lease.New(i.platform, settings.Duration(s.Timing.PlacerLeaseMS)),
+		Workers: worker.NewHTTP(), Runs: estimate.NewHistory(), Health: quarantine.NewTracker(),
+		Recorder: i.recorder, Logger: i.logger,
+		PlacerLease: settings.Duration(s.Timing.PlacerLeaseMS), WorkerLease: settings.Duration(s.Timing.WorkerLeaseMS),
+		Interval: settings.Duration(s.Timing.PlaceIntervalMS), MaxJobs: s.Limits.MaxJobs, MayPlace: i.reachesZonePeer,
+	})
+	i.jobs = &jobs.Router{
+		Zone: s.AvailabilityZone, Placer: i.placer, Peers: zonePeers{i}, Caller: i.node, Store: store, Evaluate: i.evaluateJob,
+	}
+	i.executor = &request.Executor{
+		Zone: s.AvailabilityZone, Instance: s.Instance, Config: i.config, Fleet: i.fleet,
+		Claims: claim.New(i.platform), Backend: backend.NewClient(s.Limits.MaxBackendConnections, i.fleet.ObserveBackend),
+		Recorder: i.recorder, PlatformReachable: i.platform.Reachable,
+	}
+}
+
+// run starts every duty and stops them in order; see life.
+func (i *instance) run(stop <-chan os.Signal) error {
+	listener, err := net.Listen("tcp", i.settings.Listen)
+	if err != nil {
+		return err
+	}
+	if err := i.node.Start(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var duties sync.WaitGroup
+	duties.Go(func() { i.fleet.Run(ctx) })
+	duties.Go(func() { i.config.Run(ctx, settings.Duration(i.settings.Timing.ConfigPollMS)) })
+	duties.Go(func() { i.configFromPeers(ctx) })
+	duties.Go(func() { i.placer.Run(ctx) })
+	served := make(chan error, 1)
+	go func() { served <- i.server.Serve(listener) }()
+	i.logger.Info("started", zap.String("listen", i.settings.Listen), zap.String("peer_listen", i.settings.PeerListen))
+
+	select {
+	case err = <-served:
+	case received := <-stop:
+		i.logger.Info("stopping", zap.String("signal", received.String()))
+		err = i.drain()
+	}
+	cancel()
+	duties.Wait()
+	i.node.Close()
+	i.logger.Info("stopped", zap.Error(err))
+	return err
+}
+
+// drain stops in order: not ready, told to the peers, the placer lease given
+// up, the calls in flight finished.
+func (i *instance) drain() error {
+	i.life.step(lifeStop)
+	i.fleet.SetLeaving()
+	ctx, cancel := context.WithTimeout(context.Background(), settings.Duration(i.settings.Timing.StopWithinMS))
+	defer cancel()
+	i.placer.Leave(ctx)
+	err := i.server.Shutdown(ctx)
+	if err != nil {
+		return fmt.Errorf("calls still in flight after %d ms: %w", i.settings.Timing.StopWithinMS, err)
+	}
+	i.life.step(lifeDrained)
+	return nil
+}
+
+func (i *instance) ready() error {
+	if i.life.draining() {
+		return api.NewError(api.KindStopping, "instance %s is shutting down", i.settings.Instance)
+	}
+	if i.config.Current() == nil {
+		return api.NewError(api.KindNotReady, "instance %s has no configuration yet", i.settings.Instance)
+	}
+	i.life.step(lifeConfigured)
+	return nil
+}
