--- /dev/null
+++ b/internal/lifecycle/lifecycle_test.go
@@ -0,0 +1,150 @@
+package lifecycle_test
+
+import (
+	"context"
+	"errors"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/corianderbank/corianderbank/internal/chart"
+	"github.com/corianderbank/corianderbank/internal/lifecycle"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// recorder notes the steps in the order of their starts.
+type recorder struct {
+	mu    sync.Mutex
+	names []string
+}
+
+func (r *recorder) step(name string, takes time.Duration, result error) lifecycle.Step {
+	return func(ctx context.Context) error {
+		r.mu.Lock()
+		r.names = append(r.names, name)
+		r.mu.Unlock()
+		select {
+		case <-time.After(takes):
+			return result
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+var errPlanted = errors.New("planted")
+
+func TestShutdownRunsItsStepsInOrderWithinItsTime(t *testing.T) {
+	const never = time.Hour
+	all := []string{"announce", "hand over", "drain", "close"}
+	cases := map[string]struct {
+		announce, handOver, drain time.Duration
+		handOverErr               error
+		linger                    time.Duration
+		// took is the whole time; failed says that drain did not finish.
+		took   time.Duration
+		failed bool
+	}{
+		"every step answers":                    {announce: time.Second, handOver: time.Second, drain: 5 * time.Second, took: 7 * time.Second},
+		"no peer answers":                       {announce: never, drain: time.Second, took: 4 * time.Second},
+		"the store is down":                     {handOver: never, drain: time.Second, took: 7 * time.Second},
+		"the lease is already lost":             {handOverErr: errPlanted, drain: time.Second, took: time.Second},
+		"the balancer needs a while":            {announce: time.Second, drain: time.Second, linger: 3 * time.Second, took: 4 * time.Second},
+		"neither peers nor store answer":        {announce: never, handOver: never, drain: time.Second, took: 10 * time.Second},
+		"a request outlives the time to stop":   {drain: never, took: 30 * time.Second, failed: true},
+		"nobody answers and a request goes on":  {announce: never, handOver: never, drain: never, took: 30 * time.Second, failed: true},
+		"the balancer's time exceeds the bound": {linger: never, took: 30 * time.Second, failed: true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var steps recorder
+				life := lifecycle.New(lifecycle.Options{
+					StopWithin: 30 * time.Second,
+					Linger:     test.linger,
+					Announce:   steps.step("announce", test.announce, nil),
+					HandOver:   steps.step("hand over", test.handOver, test.handOverErr),
+					Drain:      steps.step("drain", test.drain, nil),
+					Close:      steps.step("close", 0, nil),
+				})
+				life.Configured()
+				started := time.Now()
+				err := life.Stop()
+				assert.Equal(t, err != nil, test.failed, "%v", err)
+				assert.Equal(t, time.Since(started), test.took)
+				assert.Assert(t, slices.Equal(steps.names, all), "%v", steps.names)
+				assert.Equal(t, life.State(), lifecycle.Stopped)
+			})
+		})
+	}
+}
+
+func TestStateFollowsTheChart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		var during chart.State
+		var life *lifecycle.Life
+		life = lifecycle.New(lifecycle.Options{StopWithin: time.Minute, Announce: func(context.Context) error {
+			during = life.State()
+			<-release
+			return nil
+		}})
+		assert.Equal(t, life.State(), lifecycle.Starting)
+		life.Configured()
+		assert.Assert(t, life.Ready())
+		go func() { _ = life.Stop() }()
+		synctest.Wait()
+		assert.Equal(t, during, lifecycle.Draining)
+		life.Configured()
+		assert.Assert(t, !life.Ready(), "a draining instance never becomes ready again")
+		close(release)
+		assert.NilError(t, life.Stop())
+	})
+}
+
+func TestSecondStopAndSecondSignalChangeNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var steps recorder
+		life := lifecycle.New(lifecycle.Options{StopWithin: time.Minute, Drain: steps.step("drain", 10*time.Second, nil)})
+		life.Configured()
+		signals := make(chan os.Signal, 4)
+		signals <- syscall.SIGTERM
+		results := make(chan error, 3)
+		started := time.Now()
+		go func() { results <- life.StopOnSignal(signals) }()
+		go func() { results <- life.Stop() }()
+		go func() { results <- life.Stop() }()
+		time.Sleep(time.Second)
+		signals <- syscall.SIGTERM
+		signals <- syscall.SIGINT
+		for range 3 {
+			assert.NilError(t, <-results)
+		}
+		assert.Equal(t, time.Since(started), 10*time.Second)
+		assert.Assert(t, slices.Equal(steps.names, []string{"drain"}), "%v", steps.names)
+	})
+}
+
+func TestStepThatPanicsOrHangsDoesNotStopTheShutdown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var steps recorder
+		hang := make(chan struct{})
+		life := lifecycle.New(lifecycle.Options{
+			StopWithin: 10 * time.Second,
+			Announce:   func(context.Context) error { panic("planted") },
+			HandOver:   func(context.Context) error { <-hang; return nil },
+			Drain:      steps.step("drain", time.Second, nil),
+		})
+		assert.NilError(t, life.Stop())
+		assert.Assert(t, slices.Equal(steps.names, []string{"drain"}), "%v", steps.names)
+		close(hang)
+	})
+}
