--- a/api/caller.go
+++ b/api/caller.go
@@ -156,3 +156,8 @@
 	ID        string     `json:"id"`
 	Decisions []Decision `json:"decisions"`
 }
+
+// JobList is the body of GET /v1/jobs, newest job first.
+type JobList struct {
+	Jobs []JobAnswer `json:"jobs"`
+}
--- a/api/operator.go
+++ b/api/operator.go
@@ -90,3 +90,18 @@
 	Zones     []ZoneStatus     `json:"zones"`
 	Accounts  []AccountStatus  `json:"accounts"`
 }
+
+// ConfigHistory is the body of GET /v1/config/history, newest version first and
+// without documents.
+type ConfigHistory struct {
+	Versions []ConfigVersion `json:"versions"`
+}
+
+// ConfigStatus is the body of GET /v1/config/status: who has which version.
+type ConfigStatus struct {
+	// Head is the highest version that the answering instance knows.
+	Head int64 `json:"head"`
+	// Everywhere says that every listed instance has Head in force.
+	Everywhere bool             `json:"everywhere"`
+	Instances  []InstanceStatus `json:"instances"`
+}
--- /dev/null
+++ b/internal/cli/files.go
@@ -0,0 +1,158 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/config"
+	"github.com/corianderbank/corianderbank/internal/rules"
+	"github.com/corianderbank/corianderbank/internal/settings"
+)
+
+// checked is what a check command prints of a file without problems.
+type checked struct {
+	File     string        `json:"file"`
+	Problems []api.Problem `json:"problems"`
+	Rules    int           `json:"rules,omitempty"`
+	Accounts int           `json:"client_accounts,omitempty"`
+}
+
+func (s *shell) addSettings() {
+	group := s.app.Command("settings", "Work on settings files.")
+	check := group.Command("check", "Check a settings file and print every problem.")
+	file := check.Arg("file", "Settings file.").Required().String()
+	s.add(check, func() error {
+		if _, err := settings.Load(*file); err != nil {
+			return err
+		}
+		return s.print(checked{File: *file, Problems: []api.Problem{}}, func(w io.Writer) {
+			_, _ = fmt.Fprintf(w, "%s: no problems\n", *file)
+		})
+	})
+}
+
+func (s *shell) addRules() {
+	group := s.app.Command("rules", "Work on the rules of a configuration file, without a network.")
+	check := group.Command("check", "Check a configuration file and its rules and print every problem.")
+	file := check.Arg("file", "Configuration file.").Required().String()
+	s.add(check, func() error { return s.checkRules(*file) })
+	s.addRulesExplain(group)
+}
+
+func (s *shell) checkRules(file string) error {
+	document, err := loadConfig(file)
+	if err != nil {
+		return err
+	}
+	result := checked{File: file, Problems: []api.Problem{}, Rules: len(document.Rules), Accounts: len(document.Accounts)}
+	return s.print(result, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "%s: no problems (%d rules, %d client accounts)\n", file, result.Rules, result.Accounts)
+	})
+}
+
+func loadConfig(file string) (*config.Document, error) {
+	data, err := readInput(file)
+	if err != nil {
+		return nil, err
+	}
+	return config.Parse(file, data)
+}
+
+// explained is what rules explain prints.
+type explained struct {
+	Situation rules.Situation `json:"situation"`
+	Steps     []rules.Step    `json:"steps"`
+	Verdict   rules.Verdict   `json:"verdict"`
+}
+
+func (s *shell) addRulesExplain(group *kingpin.CmdClause) {
+	command := group.Command("explain", "Print the rule that decides a situation, and why the ones above it do not.")
+	file := command.Flag("config", "Configuration file.").Required().PlaceHolder("FILE").String()
+	from := command.Flag("situation", "File with the situation as JSON; the other flags are then not read.").PlaceHolder("FILE").String()
+	situation := situationFlags(command)
+	s.add(command, func() error {
+		if *from != "" {
+			return s.explainFrom(*file, *from)
+		}
+		return s.explainRules(*file, *situation)
+	})
+}
+
+func situationFlags(command *kingpin.CmdClause) *rules.Situation {
+	situation := &rules.Situation{}
+	work := (*string)(&situation.Work)
+	command.Flag("work", "Sort of work: request or job.").Default(string(rules.WorkRequest)).EnumVar(work, string(rules.WorkRequest), string(rules.WorkJob))
+	command.Flag("account", "Client account.").StringVar(&situation.Account)
+	command.Flag("kind", "Kind of work.").StringVar(&situation.Kind)
+	command.Flag("zone", "Availability zone.").StringVar(&situation.Zone)
+	command.Flag("accelerators", "Accelerators of the whole gang.").IntVar(&situation.Accelerators)
+	command.Flag("deadline", "The work has a deadline.").BoolVar(&situation.HasDeadline)
+	command.Flag("slack", "Seconds between the estimated end and the deadline.").Float64Var(&situation.SlackS)
+	command.Flag("idempotent", "The work is idempotent.").BoolVar(&situation.Idempotent)
+	command.Flag("keyed", "The work carries an idempotency key.").BoolVar(&situation.Keyed)
+	command.Flag("urgent", "The work is urgent.").BoolVar(&situation.Urgent)
+	command.Flag("platform", "The zone reaches the platform's store.").Default("true").BoolVar(&situation.PlatformReachable)
+	command.Flag("load", "Load level of the zone.").Float64Var(&situation.Load)
+	return situation
+}
+
+func (s *shell) explainFrom(file, from string) error {
+	data, err := readInput(from)
+	if err != nil {
+		return err
+	}
+	situation, err := rules.ParseSituation(from, data)
+	if err != nil {
+		return err
+	}
+	return s.explainRules(file, situation)
+}
+
+func (s *shell) explainRules(file string, situation rules.Situation) error {
+	document, err := loadConfig(file)
+	if err != nil {
+		return err
+	}
+	set := rules.NewSet(document.Rules)
+	result := explained{Situation: situation, Steps: set.Explain(situation), Verdict: set.Decide(situation)}
+	return s.print(result, func(w io.Writer) { printExplained(w, result) })
+}
+
+func printExplained(w io.Writer, result explained) {
+	table(w, func(row func(...any)) {
+		for i, step := range result.Steps {
+			verdict := "decides"
+			if !step.Matched {
+				verdict = "no: " + step.Why
+			}
+			row(i+1, step.Rule, verdict)
+		}
+	})
+	_, _ = fmt.Fprintln(w, describeVerdict(result.Verdict))
+}
+
+func describeVerdict(v rules.Verdict) string {
+	if v.Refuse {
+		return fmt.Sprintf("refused, to come back after %g s", v.RetryAfterS)
+	}
+	parts := []string{fmt.Sprintf("let in with priority %d", v.Priority), fmt.Sprintf("retries %d", v.Retries)}
+	if v.MaxQueued > 0 {
+		parts = append(parts, fmt.Sprintf("at most %d waiting", v.MaxQueued))
+	}
+	if v.MaxWaitMS > 0 {
+		parts = append(parts, fmt.Sprintf("waits at most %d ms", v.MaxWaitMS))
+	}
+	parts = append(parts, "borrow "+yesNo(v.Borrow), "spill "+yesNo(v.Spill))
+	return strings.Join(parts, ", ")
+}
+
+func yesNo(value bool) string {
+	if value {
+		return "yes"
+	}
+	return "no"
+}
