--- a/api/kind.go
+++ b/api/kind.go
@@ -128,3 +128,12 @@
 	}
 	return answer
 }
+
+// DefaultRetryAfterS returns the time to come back of a kind, in seconds; zero
+// where there is no error.
+func DefaultRetryAfterS(kind Kind) float64 {
+	if kind == "" {
+		return 0
+	}
+	return AnswerFor(kind).RetryAfterS
+}
--- a/internal/jobs/router.go
+++ b/internal/jobs/router.go
@@ -297,7 +297,7 @@
 		answer.Outcome, answer.ErrorKind, answer.Message = record.Outcome, record.ErrorKind, record.Message
 		answer.State = record.State
 		answer.EndedAt = &record.EndedAt
-		answer.RetryAfterS = api.AnswerFor(record.ErrorKind).RetryAfterS
+		answer.RetryAfterS = api.DefaultRetryAfterS(record.ErrorKind)
 	}
 	return answer
 }
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -61,7 +61,7 @@
 		"neither peers nor store answer":        {announce: never, handOver: never, drain: time.Second, took: 10 * time.Second},
 		"a request outlives the time to stop":   {drain: never, took: 30 * time.Second, failed: true},
 		"nobody answers and a request goes on":  {announce: never, handOver: never, drain: never, took: 30 * time.Second, failed: true},
-		"the balancer's time exceeds the bound": {linger: never, took: 30 * time.Second, failed: true},
+		"the balancer's time exceeds the bound": {drain: time.Second, linger: never, took: 30 * time.Second, failed: true},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/placer/reports.go
+++ b/internal/placer/reports.go
@@ -180,7 +180,7 @@
 
 // observer learns real run times; estimate.History is one.
 type observer interface {
-	Observe(account, kind string, declared, real time.Duration)
+	Observe(account, kind string, declared, actual time.Duration)
 }
 
 func (c *core) observe(e *entry) {
--- a/internal/placer/round.go
+++ b/internal/placer/round.go
@@ -159,7 +159,7 @@
 	}
 	if c.chart.Final(e.state) {
 		answer.Outcome, answer.ErrorKind, answer.Message = r.Outcome, r.ErrorKind, r.Message
-		answer.RetryAfterS = api.AnswerFor(r.ErrorKind).RetryAfterS
+		answer.RetryAfterS = api.DefaultRetryAfterS(r.ErrorKind)
 		return answer
 	}
 	answer.EstimatedFinish = timeOrNil(e.expectedEnd)
--- a/internal/serve/fleet.go
+++ b/internal/serve/fleet.go
@@ -134,7 +134,7 @@
 func (f fleetView) peerStatuses() []api.InstanceStatus {
 	var list []api.InstanceStatus
 	for _, heard := range f.fleet.PeerStates() {
-		list = append(list, statusOf(heard.State, heard.At))
+		list = append(list, statusOf(heard.State, heard.HeardAt))
 	}
 	sort.Slice(list, func(a, b int) bool { return list[a].ID < list[b].ID })
 	return list
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"os"
 	"os/signal"
@@ -24,6 +23,7 @@
 	"github.com/corianderbank/corianderbank/internal/jobs"
 	"github.com/corianderbank/corianderbank/internal/jobstore"
 	"github.com/corianderbank/corianderbank/internal/lease"
+	"github.com/corianderbank/corianderbank/internal/lifecycle"
 	"github.com/corianderbank/corianderbank/internal/logging"
 	"github.com/corianderbank/corianderbank/internal/membership"
 	"github.com/corianderbank/corianderbank/internal/model"
@@ -53,7 +53,7 @@
 	jobs     *jobs.Router
 	executor *request.Executor
 	server   *entry.Server
-	life     *life
+	life     *lifecycle.Life
 }
 
 // Run serves with the settings of a file until SIGTERM or SIGINT, then shuts
@@ -76,7 +76,7 @@
 func build(s *settings.Settings, logger *zap.Logger) *instance {
 	client := platform.NewClient(s.Platform)
 	i := &instance{
-		settings: s, logger: logger, platform: client, life: newLife(),
+		settings: s, logger: logger, platform: client,
 		recorder: decision.NewRecorder(logger, s.Instance, rememberedSubjects),
 		config:   config.NewManager(config.Options{Tables: client, Objects: client, Logger: logger}),
 	}
@@ -94,6 +94,7 @@
 	i.server = entry.New(entry.Options{
 		Settings: s, Requests: i.executor, Jobs: i.jobs, Fleet: fleetView{i}, Config: i.config, Logger: logger, Ready: i.ready,
 	})
+	i.life = i.newLife()
 	return i
 }
 
@@ -119,8 +120,9 @@
 	}
 }
 
-// run starts every duty and stops them in order; see life.
-func (i *instance) run(stop <-chan os.Signal) error {
+// run starts every duty, and ends them when a signal has led the instance
+// through its shutdown.
+func (i *instance) run(signals <-chan os.Signal) error {
 	listener, err := net.Listen("tcp", i.settings.Listen)
 	if err != nil {
 		return err
@@ -139,11 +141,11 @@
 	go func() { served <- i.server.Serve(listener) }()
 	i.logger.Info("started", zap.String("listen", i.settings.Listen), zap.String("peer_listen", i.settings.PeerListen))
 
-	select {
-	case err = <-served:
-	case received := <-stop:
-		i.logger.Info("stopping", zap.String("signal", received.String()))
-		err = i.drain()
+	stopped := make(chan error, 1)
+	go func() { stopped <- i.life.StopOnSignal(signals) }()
+	err = <-stopped
+	if serveErr := <-served; err == nil {
+		err = serveErr
 	}
 	cancel()
 	duties.Wait()
@@ -152,29 +154,33 @@
 	return err
 }
 
-// drain stops in order: not ready, told to the peers, the placer lease given
-// up, the calls in flight finished.
-func (i *instance) drain() error {
-	i.life.step(lifeStop)
-	i.fleet.SetLeaving()
-	ctx, cancel := context.WithTimeout(context.Background(), settings.Duration(i.settings.Timing.StopWithinMS))
-	defer cancel()
-	i.placer.Leave(ctx)
-	err := i.server.Shutdown(ctx)
-	if err != nil {
-		return fmt.Errorf("calls still in flight after %d ms: %w", i.settings.Timing.StopWithinMS, err)
-	}
-	i.life.step(lifeDrained)
-	return nil
+// newLife names the steps of a graceful shutdown; package lifecycle orders them.
+func (i *instance) newLife() *lifecycle.Life {
+	return lifecycle.New(lifecycle.Options{
+		Logger:     i.logger,
+		StopWithin: settings.Duration(i.settings.Timing.StopWithinMS),
+		Announce: func(context.Context) error {
+			i.fleet.SetLeaving()
+			return nil
+		},
+		HandOver: func(ctx context.Context) error {
+			i.placer.Leave(ctx)
+			return nil
+		},
+		Drain: i.server.Shutdown,
+	})
 }
 
 func (i *instance) ready() error {
-	if i.life.draining() {
+	switch i.life.State() {
+	case lifecycle.Draining, lifecycle.Stopped:
 		return api.NewError(api.KindStopping, "instance %s is shutting down", i.settings.Instance)
+	case lifecycle.Ready:
+		return nil
 	}
 	if i.config.Current() == nil {
 		return api.NewError(api.KindNotReady, "instance %s has no configuration yet", i.settings.Instance)
 	}
-	i.life.step(lifeConfigured)
+	i.life.Configured()
 	return nil
 }
