Demo, driver and examples; status of the configuration as an object

GET /v1/config/status and /v1/config/history answer with the messages of package api, so that fields can be added.

--- a/cmd/corianderbank/main.go
+++ b/cmd/corianderbank/main.go
@@ -5,19 +5,10 @@
 import (
 	"os"
 
-	"github.com/corianderbank/corianderbank/api"
 	"github.com/corianderbank/corianderbank/internal/cli"
-	"github.com/corianderbank/corianderbank/internal/settings"
+	"github.com/corianderbank/corianderbank/internal/serve"
 )
 
 func main() {
-	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr, serve))
-}
-
-// serve runs an entry instance with the settings of a file.
-func serve(settingsFile string) error {
-	if _, err := settings.Load(settingsFile); err != nil {
-		return err
-	}
-	return api.NewError(api.KindNotReady, "the entry instance is not wired yet")
+	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr, serve.Run))
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -42,6 +42,11 @@
 	addPlatform(ctx, app)
 	addBackend(ctx, app)
 	addWorker(ctx, app)
+	addDrive(ctx, app)
+	addPorts(app)
+	addWait(ctx, app)
+	addListening(ctx, app)
+	addSettle(ctx, app)
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
 		os.Exit(1)
--- /dev/null
+++ b/cmd/standin/settle.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-resty/resty/v2"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/standin/drive"
+)
+
+// The line that a stand-in logs once it listens has this message and field.
+const (
+	listeningMessage = "msg=listening"
+	addrField        = "addr="
+)
+
+func addListening(ctx context.Context, app *kingpin.Application) {
+	command := app.Command("listening", "Print the address that a stand-in's log says it listens on.")
+	limit := command.Flag("limit", "Time limit.").Default("20s").Duration()
+	file := command.Arg("log", "Log file of the stand-in.").Required().String()
+	command.Action(func(*kingpin.ParseContext) error {
+		ctx, cancel := context.WithTimeout(ctx, *limit)
+		defer cancel()
+		return poll(ctx, *file+" names no address", func() bool {
+			addr := listeningAddr(*file)
+			if addr != "" {
+				fmt.Println(addr)
+			}
+			return addr != ""
+		})
+	})
+}
+
+func listeningAddr(file string) string {
+	log, err := os.Open(file)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = log.Close() }()
+	for lines := bufio.NewScanner(log); lines.Scan(); {
+		if strings.Contains(lines.Text(), listeningMessage) {
+			return field(lines.Text(), addrField)
+		}
+	}
+	return ""
+}
+
+// field returns the value of a key=value line's field.
+func field(line, prefix string) string {
+	for _, pair := range strings.Fields(line) {
+		if value, found := strings.CutPrefix(pair, prefix); found {
+			return value
+		}
+	}
+	return ""
+}
+
+// poll calls check until it holds, or until ctx ends; then the error says what.
+func poll(ctx context.Context, what string, check func() bool) error {
+	for !check() {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s: %w", what, ctx.Err())
+		case <-time.After(pollInterval):
+		}
+	}
+	return nil
+}
+
+func addSettle(ctx context.Context, app *kingpin.Application) {
+	command := app.Command("settle", "Wait until each zone of the entry instances has a placer and knows the given numbers of backend servers and workers.")
+	limit := command.Flag("limit", "Time limit.").Default("20s").Duration()
+	fleet := fleetFlags(command)
+	command.Action(func(*kingpin.ParseContext) error {
+		ctx, cancel := context.WithTimeout(ctx, *limit)
+		defer cancel()
+		client := resty.New()
+		var last string
+		err := poll(ctx, "the fleet did not settle", func() bool {
+			last = unsettled(ctx, client, fleet)
+			return last == ""
+		})
+		if err != nil {
+			return fmt.Errorf("%w (%s)", err, last)
+		}
+		return nil
+	})
+}
+
+// unsettled says what is still missing, or returns an empty string.
+func unsettled(ctx context.Context, client *resty.Client, fleet *drive.Fleet) string {
+	for _, entry := range fleet.Entries {
+		response, err := client.R().SetContext(ctx).Get("http://" + entry + "/v1/status")
+		if err != nil {
+			return err.Error()
+		}
+		var status api.Status
+		if err := json.Unmarshal(response.Body(), &status); err != nil {
+			return err.Error()
+		}
+		backends, workers := 0, 0
+		for _, zone := range status.Zones {
+			if zone.Placer == "" {
+				return zone.AvailabilityZone + " has no placer"
+			}
+			backends += zone.BackendServers
+			workers += zone.Workers
+		}
+		if backends < len(fleet.Backends) || workers < len(fleet.Workers) {
+			return fmt.Sprintf("%s knows %d backend servers and %d workers", entry, backends, workers)
+		}
+	}
+	return ""
+}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/corianderbank/corianderbank/api"
 	"github.com/corianderbank/corianderbank/internal/config"
@@ -51,14 +52,23 @@
 		writeOperatorError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, history)
+	slices.Reverse(history)
+	writeJSON(w, http.StatusOK, api.ConfigHistory{Versions: history})
 }
 
 // configStatus shows which instance has which version in force.
 func (s *Server) configStatus(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
 	defer cancel()
-	writeJSON(w, http.StatusOK, s.opts.Fleet.Status(ctx).Instances)
+	number, _, _ := s.opts.Config.Highest()
+	status := api.ConfigStatus{Head: number, Everywhere: true, Instances: s.opts.Fleet.Status(ctx).Instances}
+	for _, instance := range status.Instances {
+		status.Head = max(status.Head, instance.ConfigVersion)
+	}
+	for _, instance := range status.Instances {
+		status.Everywhere = status.Everywhere && instance.ConfigVersion == status.Head
+	}
+	writeJSON(w, http.StatusOK, status)
 }
 
 func (s *Server) status(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -177,6 +177,7 @@
 	case b.slots <- struct{}{}:
 		defer func() { <-b.slots }()
 	default:
+		w.Header().Set(api.HeaderRequestID, request.ID)
 		writeJSON(w, http.StatusTooManyRequests, api.ExecuteAnswer{ID: request.ID, NotRun: true, Message: "all slots are busy"})
 		return
 	}
