Whole gangs and at-most-once jobs played in virtual time

Cause: the placer had no proof. Change: the placer reads its zone's open records every 10 s; recovery has a file of its own; gang histories with faults alone, together and twice.

--- a/internal/placer/action.go
+++ b/internal/placer/action.go
@@ -75,14 +75,22 @@
 	epoch int64
 }
 
-func (reserveAction) isAction() {}
-func (grantAction) isAction()   {}
-func (startAction) isAction()   {}
-func (stopAction) isAction()    {}
-func (releaseAction) isAction() {}
-func (persistAction) isAction() {}
-func (reloadAction) isAction()  {}
-func (recoverAction) isAction() {}
+// reconcileAction reads the open records of the zone again. A submission whose
+// row was written while the lease changed hands is in no placer's memory; this
+// finds it. It results in reconciledEvent.
+type reconcileAction struct {
+	epoch int64
+}
+
+func (reconcileAction) isAction() {}
+func (reserveAction) isAction()   {}
+func (grantAction) isAction()     {}
+func (startAction) isAction()     {}
+func (stopAction) isAction()      {}
+func (releaseAction) isAction()   {}
+func (persistAction) isAction()   {}
+func (reloadAction) isAction()    {}
+func (recoverAction) isAction()   {}
 
 // event is a result or a report that changes the core.
 type event interface{ apply(c *core, now time.Time) }
@@ -145,6 +153,12 @@
 	err     error
 }
 
+// reconciledEvent is the result of a reconcileAction.
+type reconciledEvent struct {
+	epoch   int64
+	records []jobstore.Record
+}
+
 // termEvent says that the instance holds the zone's lease, or does not.
 type termEvent struct {
 	epoch int64
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -62,6 +62,9 @@
 	retryPlacementAfter = 500 * time.Millisecond
 	// persistRetryAfter paces repeated writes while the store is out.
 	persistRetryAfter = time.Second
+	// reconcileInterval is the time between reads of the open records: one
+	// store read for each zone every 10 s.
+	reconcileInterval = 10 * time.Second
 	// stopWithin bounds a plain stop of tasks.
 	stopWithin = 2 * time.Second
 	// maxFailures bounds the failed attempts of one job whatever they are put
@@ -129,6 +132,7 @@
 	recovered   bool
 	recovering  bool
 	recoverAt   time.Time
+	reconcileAt time.Time
 	chart       *chart.Chart
 	workerChart *chart.Chart
 	jobs        map[string]*entry
--- a/internal/placer/execute.go
+++ b/internal/placer/execute.go
@@ -15,7 +15,7 @@
 // overlap, but for releases: the chart has one call under way for each state.
 func (p *Placer) carryOut(ctx context.Context) {
 	for _, a := range p.core.takeActions() {
-		p.pool.Submit(func() { p.execute(ctx, a) })
+		p.submit(func() { p.execute(ctx, a) })
 	}
 }
 
@@ -38,6 +38,8 @@
 		p.post(ctx, persistedEvent{id: a.record.ID, record: record, err: err})
 	case reloadAction:
 		p.post(ctx, p.reload(ctx, a))
+	case reconcileAction:
+		p.reconcile(ctx, a)
 	case recoverAction:
 		p.post(ctx, p.recover(ctx, a))
 	}
@@ -146,6 +148,14 @@
 	})
 }
 
+func (p *Placer) reconcile(ctx context.Context, a reconcileAction) {
+	callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	if records, err := p.opts.Jobs.Open(callCtx, p.opts.Zone); err == nil {
+		p.post(ctx, reconciledEvent{epoch: a.epoch, records: records})
+	}
+}
+
 // recover reads what is open and what the workers hold. The renewal under the
 // new epoch makes the workers refuse the epochs before it.
 func (p *Placer) recover(ctx context.Context, a recoverAction) recoveredEvent {
--- a/internal/placer/gangs.go
+++ b/internal/placer/gangs.go
@@ -222,6 +222,10 @@
 			c.stepDown()
 			return
 		}
+		if ev.record.Phase == jobstore.PhaseEnded && e.record.Phase != jobstore.PhaseEnded {
+			delete(c.jobs, ev.id)
+			return
+		}
 		e.record.Version = ev.record.Version
 		return
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -72,6 +72,9 @@
 	mu    sync.Mutex
 	epoch int64 // epoch while ready; read by other goroutines
 
+	// underWay counts the actions in the pool.
+	underWay sync.WaitGroup
+
 	leaving   chan struct{}
 	leaveOnce sync.Once
 	left      chan struct{}
@@ -102,7 +105,17 @@
 	duties.Go(func() { p.watchDuty(ctx) })
 	p.loop(ctx)
 	duties.Wait()
-	p.pool.StopAndWait()
+	p.underWay.Wait()
+}
+
+// submit runs f in the pool. The pool keeps no idle goroutines, so it needs no
+// stop of its own.
+func (p *Placer) submit(f func()) {
+	p.underWay.Add(1)
+	p.pool.Submit(func() {
+		defer p.underWay.Done()
+		f()
+	})
 }
 
 // Epoch returns the epoch under which this instance places, or 0.
--- /dev/null
+++ b/internal/placer/recover.go
@@ -0,0 +1,146 @@
+package placer
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/jobstore"
+)
+
+// term follows the zone's lease.
+func (ev termEvent) apply(c *core, now time.Time) {
+	c.platform = ev.platform
+	if !ev.held {
+		if c.held {
+			c.stepDown()
+		}
+		return
+	}
+	c.mayPlace = ev.mayPlace
+	if c.held && c.epoch == ev.epoch {
+		if !c.recovered && !c.recovering && !now.Before(c.recoverAt) {
+			c.recovering = true
+			c.do(recoverAction{epoch: c.epoch})
+		}
+		if c.recovered && ev.platform && !now.Before(c.reconcileAt) {
+			c.reconcileAt = now.Add(reconcileInterval)
+			c.do(reconcileAction{epoch: c.epoch})
+		}
+		return
+	}
+	if c.held {
+		c.stepDown()
+	}
+	c.held, c.epoch, c.mayPlace, c.recovering = true, ev.epoch, ev.mayPlace, true
+	c.do(recoverAction{epoch: ev.epoch})
+}
+
+// apply rebuilds the jobs of the zone from the table and the workers.
+func (ev recoveredEvent) apply(c *core, now time.Time) {
+	if !c.held || ev.epoch != c.epoch {
+		return
+	}
+	c.recovering = false
+	if ev.err != nil {
+		c.recoverAt = now.Add(persistRetryAfter)
+		return
+	}
+	c.recovered = true
+	c.reconcileAt = now.Add(reconcileInterval)
+	held := make(map[string]map[string]api.ReservationReport)
+	for _, report := range ev.reports {
+		for _, r := range report.report.Reservations {
+			if held[r.Gang] == nil {
+				held[r.Gang] = make(map[string]api.ReservationReport)
+			}
+			if old, ok := held[r.Gang][report.worker]; !ok || old.Attempt < r.Attempt {
+				held[r.Gang][report.worker] = r
+			}
+		}
+	}
+	for _, record := range ev.records {
+		c.adopt(record, held[record.ID], now)
+	}
+	for _, report := range ev.reports {
+		report.apply(c, now)
+	}
+}
+
+func (ev reconciledEvent) apply(c *core, now time.Time) {
+	if !c.held || !c.recovered || ev.epoch != c.epoch {
+		return
+	}
+	for _, record := range ev.records {
+		if _, known := c.jobs[record.ID]; !known {
+			c.adopt(record, nil, now)
+		}
+	}
+}
+
+// adopt takes over one open record with what the workers hold of it.
+func (c *core) adopt(record jobstore.Record, held map[string]api.ReservationReport, now time.Time) {
+	e := c.addWaiting(record)
+	attempt := record.Attempt
+	for _, r := range held {
+		attempt = max(attempt, r.Attempt)
+	}
+	e.ref = api.GangRef{Epoch: c.epoch, Gang: record.ID, Attempt: attempt}
+	tasks := 0
+	for worker, r := range held {
+		if r.Attempt != attempt {
+			continue
+		}
+		w := c.workers[worker]
+		if w == nil {
+			continue
+		}
+		tasks += r.Tasks
+		e.parts = append(e.parts, part{worker: worker, addr: w.Addr, task: api.TaskPlacement{Worker: worker, Tasks: r.Tasks, Accelerators: r.Accelerators}})
+		e.reports[worker] = seenReport{state: r.State, ranS: r.RanS, msg: r.Message, renewedAt: now}
+		if r.State != api.TaskReserved {
+			e.mayRun = true
+		}
+	}
+	e.record.Attempt = attempt
+	c.resume(e, tasks == record.Submission.Shape.Tasks, now)
+}
+
+// resume decides what becomes of an adopted gang: whole ones run on, others are
+// stopped first, those that hold nothing wait or have an unknown result.
+func (c *core) resume(e *entry, whole bool, now time.Time) {
+	started := e.record.Phase == jobstore.PhaseStarted
+	switch {
+	case whole && e.mayRun && !e.anyReserved():
+		e.state = stRunning
+		c.decide(now, e, "recover", "running", "every part is held by its worker", "")
+		c.judge(e, now)
+	case len(e.parts) > 0 || started:
+		e.state = stStopping
+		e.mayRun = e.mayRun || started
+		e.stopReason = "taken over with " + describeHeld(len(e.parts))
+		e.lapseAt = now.Add(c.workerLease)
+		c.decide(now, e, "recover", "stopping", e.stopReason, "")
+		if len(e.parts) > 0 {
+			c.sendStop(e, false, stopWithin)
+		}
+	default:
+		c.decide(now, e, "recover", "waiting", "holds nothing", "")
+	}
+}
+
+func describeHeld(parts int) string {
+	if parts == 0 {
+		return "no part held by a worker that answers"
+	}
+	return fmt.Sprintf("%d parts held, not the whole gang", parts)
+}
+
+func (e *entry) anyReserved() bool {
+	for _, report := range e.reports {
+		if report.state == api.TaskReserved {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/placer/watch.go
+++ b/internal/placer/watch.go
@@ -71,7 +71,7 @@
 		return
 	}
 	for _, r := range list {
-		p.pool.Submit(func() { p.post(ctx, p.renewOne(ctx, r.part, r.epoch, r.gangs)) })
+		p.submit(func() { p.post(ctx, p.renewOne(ctx, r.part, r.epoch, r.gangs)) })
 	}
 }
 
--- /dev/null
+++ b/test/invariants/gang_world_test.go
@@ -0,0 +1,328 @@
+package invariants
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/config"
+	"github.com/corianderbank/corianderbank/internal/decision"
+	"github.com/corianderbank/corianderbank/internal/estimate"
+	"github.com/corianderbank/corianderbank/internal/jobstore"
+	"github.com/corianderbank/corianderbank/internal/lease"
+	"github.com/corianderbank/corianderbank/internal/model"
+	"github.com/corianderbank/corianderbank/internal/placer"
+	"github.com/corianderbank/corianderbank/internal/platform/fake"
+	"github.com/corianderbank/corianderbank/internal/quarantine"
+	"github.com/corianderbank/corianderbank/internal/rules"
+	"github.com/corianderbank/corianderbank/internal/standin"
+)
+
+// The times of the gang world, as in a deployment.
+const (
+	gangZone        = "nl-west-a"
+	gangPlacerLease = 4 * time.Second
+	gangWorkerLease = 15 * time.Second
+	gangInterval    = 200 * time.Millisecond
+	gangCallTimeout = 2 * time.Second
+)
+
+// gangWorld is one availability zone in virtual time: real placers over fake
+// tables, stand-in workers, and a network whose faults a test chooses.
+type gangWorld struct {
+	platform *fake.Platform
+	store    jobstore.Store
+	document *config.Document
+
+	mu      sync.Mutex
+	workers map[string]*standin.Worker
+	racks   map[string]string
+	order   []string
+	retired []*standin.Worker // replaced incarnations, for their records
+	placers map[string]*gangPlacer
+	saved   map[string]standin.Progress
+	random  *rand.Rand
+	// cut says whether calls between an instance and a worker are lost.
+	cut map[[2]string]bool
+	// lossPercent of calls to workers lose the call, or their answer.
+	lossPercent int
+	planted     plantedFault
+	recorders   []*decision.Recorder
+	submitted   int
+}
+
+// plantedFault is a fault of the product that a check must catch.
+type plantedFault int
+
+const (
+	plantedNone plantedFault = iota
+	// plantedBlind hides that a worker lost its part of a gang.
+	plantedBlind
+	// plantedForgetful says that a start which took effect was refused.
+	plantedForgetful
+)
+
+// gangPlacer is one instance's placer.
+type gangPlacer struct {
+	placer *placer.Placer
+	cancel context.CancelFunc
+	done   chan struct{}
+	// frozen instances' calls to workers and store wait until the thaw.
+	thaw chan struct{}
+}
+
+func newGangWorld(seed uint64, racks, perRack int) *gangWorld {
+	w := &gangWorld{
+		platform: fake.New(), workers: make(map[string]*standin.Worker), racks: make(map[string]string),
+		placers: make(map[string]*gangPlacer), saved: make(map[string]standin.Progress),
+		random: rand.New(rand.NewPCG(seed, 1)), cut: make(map[[2]string]bool),
+	}
+	w.store = jobstore.New(w.platform)
+	for r := range racks {
+		for k := range perRack {
+			id := fmt.Sprintf("w-%d-%d", r, k)
+			w.order = append(w.order, id)
+			w.racks[id] = fmt.Sprintf("rack-%d", r)
+			w.workers[id] = w.newWorker(id, 1)
+		}
+	}
+	w.document = &config.Document{
+		Accounts: []model.ClientAccount{
+			{Name: "acme", Guarantees: map[string][]model.GuaranteedShape{gangZone: {{Shape: api.Shape{Tasks: 2, AcceleratorsPerTask: 8, SameRack: true}, Count: 1}}}},
+			{Name: "orbit"},
+		},
+		Rules: []rules.Rule{{Name: "all"}},
+	}
+	return w
+}
+
+func (w *gangWorld) newWorker(id string, incarnation int64) *standin.Worker {
+	return standin.NewWorker(standin.WorkerConfig{ID: id, Zone: gangZone, Rack: w.racks[id], Incarnation: incarnation, Accelerators: 8}, gangCheckpoints{w}, nil)
+}
+
+// gangCheckpoints keeps checkpoints in memory.
+type gangCheckpoints struct{ *gangWorld }
+
+func (c gangCheckpoints) Save(_ context.Context, name string, progress standin.Progress) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.saved[name] = progress
+	return nil
+}
+
+func (c gangCheckpoints) Load(_ context.Context, name string) (standin.Progress, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.saved[name], nil
+}
+
+// Current implements config.Source.
+func (w *gangWorld) Current() *config.Snapshot {
+	return &config.Snapshot{Version: 1, Document: w.document, Rules: rules.NewSet(w.document.Rules)}
+}
+
+// Instances implements membership.View.
+func (w *gangWorld) Instances() []model.Instance { return nil }
+
+// BackendServers implements membership.View.
+func (w *gangWorld) BackendServers(string) []model.BackendServer { return nil }
+
+// Workers implements membership.View. The address of a worker is its id.
+func (w *gangWorld) Workers(string) []model.Worker {
+	list := make([]model.Worker, 0, len(w.order))
+	for _, id := range w.order {
+		list = append(list, model.Worker{ID: id, Addr: id, Zone: gangZone, Incarnation: 1, Health: model.WorkerSuspect})
+	}
+	return list
+}
+
+// startPlacer runs a placer on an instance until it is killed. It does nothing
+// if one runs.
+func (w *gangWorld) startPlacer(instance string) {
+	w.mu.Lock()
+	running := w.placers[instance] != nil
+	w.mu.Unlock()
+	if !running {
+		w.runPlacer(instance)
+	}
+}
+
+func (w *gangWorld) runPlacer(instance string) {
+	tables := &frozenTables{Platform: w.platform, world: w, instance: instance}
+	ctx, cancel := context.WithCancel(context.Background())
+	running := &gangPlacer{cancel: cancel, done: make(chan struct{})}
+	running.placer = placer.New(placer.Options{
+		Zone: gangZone, Instance: instance, Config: w, Fleet: w, Jobs: jobstore.New(tables),
+		Leases: lease.New(tables, gangPlacerLease), Workers: gangNetwork{w, instance},
+		Runs: estimate.NewHistory(), Health: quarantine.NewTracker(),
+		Recorder: w.newRecorder(instance), Logger: zap.NewNop(),
+		PlacerLease: gangPlacerLease, WorkerLease: gangWorkerLease, Interval: gangInterval,
+		MaxJobs: 1000, MayPlace: func() bool { return true },
+	})
+	w.mu.Lock()
+	w.placers[instance] = running
+	w.mu.Unlock()
+	go func() {
+		running.placer.Run(ctx)
+		close(running.done)
+	}()
+}
+
+func (w *gangWorld) newRecorder(instance string) *decision.Recorder {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	recorder := decision.NewRecorder(zap.NewNop(), instance, 1000)
+	w.recorders = append(w.recorders, recorder)
+	return recorder
+}
+
+// trace returns every decision on a job, a line each.
+func (w *gangWorld) trace(id string) string {
+	var all []api.Decision
+	for _, recorder := range w.recorders {
+		all = append(all, recorder.Explain(id)...)
+	}
+	sort.SliceStable(all, func(i, j int) bool { return all[i].At.Before(all[j].At) })
+	var out strings.Builder
+	for _, d := range all {
+		fmt.Fprintf(&out, "  %s %s %s %s: %s\n", d.At.Format("04:05.000"), d.Instance, d.Step, d.Choice, d.Reason)
+	}
+	return out.String()
+}
+
+// killPlacer ends an instance without any goodbye.
+func (w *gangWorld) killPlacer(instance string) {
+	w.thawPlacer(instance)
+	w.mu.Lock()
+	running := w.placers[instance]
+	delete(w.placers, instance)
+	w.mu.Unlock()
+	if running != nil {
+		running.cancel()
+		<-running.done
+	}
+}
+
+// freezePlacer makes an instance's calls wait, as a paused process would.
+func (w *gangWorld) freezePlacer(instance string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if running := w.placers[instance]; running != nil && running.thaw == nil {
+		running.thaw = make(chan struct{})
+	}
+}
+
+func (w *gangWorld) thawPlacer(instance string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if running := w.placers[instance]; running != nil && running.thaw != nil {
+		close(running.thaw)
+		running.thaw = nil
+	}
+}
+
+// awaitThaw blocks a frozen instance's call. A thawed one goes on as if nothing
+// had happened: the fences have to hold.
+func (w *gangWorld) awaitThaw(instance string) {
+	w.mu.Lock()
+	running := w.placers[instance]
+	var thaw chan struct{}
+	if running != nil {
+		thaw = running.thaw
+	}
+	w.mu.Unlock()
+	if thaw != nil {
+		<-thaw
+	}
+}
+
+// replaceWorker kills a worker with all its tasks; it comes back empty.
+func (w *gangWorld) replaceWorker(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	old := w.workers[id]
+	for _, r := range old.Report().Reservations {
+		_ = old.Release(api.Release{GangRef: api.GangRef{Epoch: 1 << 40, Gang: r.Gang, Attempt: r.Attempt}})
+	}
+	w.retired = append(w.retired, old)
+	w.workers[id] = w.newWorker(id, old.Report().Incarnation+1)
+}
+
+func (w *gangWorld) worker(id string) *standin.Worker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.workers[id]
+}
+
+// submit hands a job to whichever placer is active. It returns "" if none
+// accepted it for sure.
+func (w *gangWorld) submit(job api.JobSubmission) string {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	w.mu.Lock()
+	var active *placer.Placer
+	for _, running := range w.placers {
+		if running.placer.Epoch() > 0 && running.thaw == nil {
+			active = running.placer
+		}
+	}
+	w.mu.Unlock()
+	if active == nil {
+		return ""
+	}
+	verdict := rules.NewSet(w.document.Rules).Decide(rules.Situation{Work: rules.WorkJob})
+	answer, err := active.Submit(ctx, placer.Submission{ID: w.nextID(), Job: job, Verdict: verdict})
+	if err != nil {
+		return ""
+	}
+	return answer.ID
+}
+
+func (w *gangWorld) nextID() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.submitted++
+	return fmt.Sprintf("j-%03d~%s", w.submitted, gangZone)
+}
+
+// starts returns every start of a task in the world's history.
+func (w *gangWorld) starts() []standin.TaskStart {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var all []standin.TaskStart
+	for _, old := range w.retired {
+		all = append(all, old.Starts()...)
+	}
+	for _, id := range w.order {
+		all = append(all, w.workers[id].Starts()...)
+	}
+	return all
+}
+
+// stopAll ends every placer.
+func (w *gangWorld) stopAll() {
+	w.mu.Lock()
+	var names []string
+	for instance := range w.placers {
+		names = append(names, instance)
+	}
+	w.mu.Unlock()
+	for _, instance := range names {
+		w.killPlacer(instance)
+	}
+	synctest.Wait()
+}
+
+// gangPayload is the work of a job in the stand-in's terms.
+func gangPayload(run time.Duration, fail bool) json.RawMessage {
+	return json.RawMessage(fmt.Sprintf(`{"run_ms":%d,"fail":%v}`, run.Milliseconds(), fail))
+}
