--- a/cmd/standin/settle.go
+++ b/cmd/standin/settle.go
@@ -78,6 +78,7 @@
 func addSettle(ctx context.Context, app *kingpin.Application) {
 	command := app.Command("settle", "Wait until each zone of the entry instances has a placer and knows the given numbers of backend servers and workers.")
 	limit := command.Flag("limit", "Time limit.").Default("20s").Duration()
+	accelerators := command.Flag("accelerators", "Accelerators of all workers together.").Int()
 	fleet := fleetFlags(command)
 	command.Action(func(*kingpin.ParseContext) error {
 		ctx, cancel := context.WithTimeout(ctx, *limit)
@@ -85,7 +86,7 @@
 		client := resty.New()
 		var last string
 		err := poll(ctx, "the fleet did not settle", func() bool {
-			last = unsettled(ctx, client, fleet)
+			last = unsettled(ctx, client, fleet, *accelerators)
 			return last == ""
 		})
 		if err != nil {
@@ -96,7 +97,7 @@
 }
 
 // unsettled says what is still missing, or returns an empty string.
-func unsettled(ctx context.Context, client *resty.Client, fleet *drive.Fleet) string {
+func unsettled(ctx context.Context, client *resty.Client, fleet *drive.Fleet, want int) string {
 	for _, entry := range fleet.Entries {
 		response, err := client.R().SetContext(ctx).Get("http://" + entry + "/v1/status")
 		if err != nil {
@@ -106,16 +107,17 @@
 		if err := json.Unmarshal(response.Body(), &status); err != nil {
 			return err.Error()
 		}
-		backends, workers := 0, 0
+		backends, workers, accelerators := 0, 0, 0
 		for _, zone := range status.Zones {
 			if zone.Placer == "" {
 				return zone.AvailabilityZone + " has no placer"
 			}
 			backends += zone.BackendServers
 			workers += zone.Workers
+			accelerators += zone.Accelerators
 		}
-		if backends < len(fleet.Backends) || workers < len(fleet.Workers) {
-			return fmt.Sprintf("%s knows %d backend servers and %d workers", entry, backends, workers)
+		if backends < len(fleet.Backends) || workers < len(fleet.Workers) || accelerators < want {
+			return fmt.Sprintf("%s knows %d backend servers and %d workers with %d accelerators", entry, backends, workers, accelerators)
 		}
 	}
 	return ""
--- a/internal/placer/calls.go
+++ b/internal/placer/calls.go
@@ -85,6 +85,9 @@
 	}
 	e := &entry{record: c.record(s, now)}
 	finish, refusal := placement.Admit(c.snapshot(now), e.job())
+	if refusal != nil && c.unreported() > 0 {
+		return api.JobAnswer{}, api.NewError(api.KindNoPlacer, "%d workers have not reported their accelerators yet", c.unreported())
+	}
 	if refusal != nil {
 		c.decide(now, e, "admit", "refuse", refusal.Reason, "")
 		return api.JobAnswer{}, api.WithRetryAfter(api.NewError(refusal.Kind, "%s", refusal.Reason), refusal.RetryAfter)
--- a/internal/placer/reports.go
+++ b/internal/placer/reports.go
@@ -46,6 +46,18 @@
 	}
 }
 
+// unreported counts the listed workers whose accelerators are not known yet. A
+// refusal that rests on too few accelerators would not be true meanwhile.
+func (c *core) unreported() int {
+	count := 0
+	for _, w := range c.workers {
+		if w.Accelerators == 0 && w.Takes() {
+			count++
+		}
+	}
+	return count
+}
+
 func (c *core) holdsGang(worker string) bool {
 	for _, e := range c.jobs {
 		for _, p := range e.parts {
--- a/internal/standin/drive/input.go
+++ b/internal/standin/drive/input.go
@@ -121,12 +121,12 @@
 	return request
 }
 
-func (p piece) job(now time.Time) api.JobSubmission {
+func (p piece) job(arrival time.Time) api.JobSubmission {
 	job := *p.item.Job
 	job.Payload = p.payload
 	job.IdempotencyKey = p.key()
 	if p.item.DeadlineInS != 0 {
-		deadline := now.Add(time.Duration(p.item.DeadlineInS * float64(time.Second)))
+		deadline := arrival.Add(time.Duration(p.item.DeadlineInS * float64(time.Second)))
 		job.Deadline = &deadline
 	}
 	return job
--- a/internal/standin/drive/run.go
+++ b/internal/standin/drive/run.go
@@ -107,7 +107,7 @@
 
 func (r *runner) deliverJob(ctx context.Context, entry string, answer *Answer) {
 	var got api.JobAnswer
-	if !r.call(ctx, "POST", entry, "/v1/jobs", answer.piece.job(time.Now()), &got, answer) {
+	if !r.call(ctx, "POST", entry, "/v1/jobs", answer.piece.job(r.begin.Add(answer.piece.at)), &got, answer) {
 		return
 	}
 	for got.Outcome == api.OutcomeAccepted {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -13,14 +13,20 @@
 backends_per_zone=2
 workers_per_zone=4
 workers_per_rack=2
+accelerators_per_worker=8
 
 logs=$(mktemp -d)
 pids=()
 
+# stop_all stops the latest started process first, and the platform last.
 stop_all() {
-  local pid
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  local i
+  for ((i = ${#pids[@]} - 1; i > 0; i--)); do kill -TERM "${pids[i]}" 2>/dev/null || true; done
+  for ((i = ${#pids[@]} - 1; i > 0; i--)); do wait "${pids[i]}" 2>/dev/null || true; done
+  if [ ${#pids[@]} -gt 0 ]; then
+    kill -TERM "${pids[0]}" 2>/dev/null || true
+    wait "${pids[0]}" 2>/dev/null || true
+  fi
   pids=()
 }
 
@@ -34,7 +40,7 @@
     for file in "$logs"/entry-*.log; do
       [ -e "$file" ] || continue
       echo "== end of $(basename "$file")" >&2
-      tail -n 15 "$file" >&2
+      grep -v "step=route" "$file" | tail -n 5 >&2
     done
   fi
   exit "$code"
@@ -101,7 +107,7 @@
   done
   for ((i = 0; i < workers_per_zone; i++)); do
     start "worker-$zone-$i" bin/standin worker --listen 127.0.0.1:0 --id "worker-$zone-$i" --zone "$zone" \
-      --rack "$zone-rack-$((i / workers_per_rack))" --accelerators 8 --platform "$platform"
+      --rack "$zone-rack-$((i / workers_per_rack))" --accelerators "$accelerators_per_worker" --platform "$platform"
     members+=("worker worker-$zone-$i")
   done
 done
@@ -115,7 +121,7 @@
 echo "loading $configuration"
 bin/corianderbank --addr "${addresses[0]}" config apply --expect 0 "$configuration"
 bin/standin wait --path /readyz "${addresses[@]}"
-bin/standin settle --limit 20s "${flags[@]}"
+bin/standin settle --limit 20s --accelerators $((${#zones[@]} * workers_per_zone * accelerators_per_worker)) "${flags[@]}"
 
 echo "sending $work"
 bin/standin drive --input "$work" --limit 45s "${flags[@]}"
