--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/corianderbank/corianderbank/api"
-	"github.com/corianderbank/corianderbank/internal/config"
 )
 
 func (s *shell) addConfig() {
@@ -27,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := config.Parse(file, data); err != nil {
+	if _, err := parseConfig(file, data); err != nil {
 		return err
 	}
 	var version api.ConfigVersion
--- a/internal/cli/files.go
+++ b/internal/cli/files.go
@@ -11,6 +11,7 @@
 	"github.com/corianderbank/corianderbank/internal/config"
 	"github.com/corianderbank/corianderbank/internal/rules"
 	"github.com/corianderbank/corianderbank/internal/settings"
+	"github.com/corianderbank/corianderbank/internal/strictjson"
 )
 
 // checked is what a check command prints of a file without problems.
@@ -59,7 +60,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return config.Parse(file, data)
+	return parseConfig(file, data)
+}
+
+// parseConfig checks a configuration as an entry instance does.
+func parseConfig(file string, data []byte) (*config.Document, error) {
+	document, err := config.Parse(file, data)
+	if err != nil {
+		return nil, err
+	}
+	if problems := config.Check(document, strictjson.Index(file, data)); len(problems) > 0 {
+		return nil, &strictjson.Error{Problems: problems}
+	}
+	return document, nil
 }
 
 // explained is what rules explain prints.
@@ -127,7 +140,7 @@
 		for i, step := range result.Steps {
 			verdict := "decides"
 			if !step.Matched {
-				verdict = "no: " + step.Why
+				verdict = "no, " + step.Why + ": " + step.Detail
 			}
 			row(i+1, step.Rule, verdict)
 		}
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -155,6 +155,8 @@
 	Matched bool   `json:"matched"`
 	// Why names the first field that did not match; empty for a match.
 	Why string `json:"why,omitempty"`
+	// Detail compares that field with the situation, in words.
+	Detail string `json:"detail,omitempty"`
 }
 
 // Explain returns each rule down to the one that decides, and why the ones
@@ -163,7 +165,7 @@
 	var steps []Step
 	for _, rule := range s.rules {
 		why := mismatch(rule.When, situation)
-		steps = append(steps, Step{Rule: rule.Name, Matched: why == "", Why: why})
+		steps = append(steps, Step{Rule: rule.Name, Matched: why == "", Why: why, Detail: detail(why, rule.When, situation)})
 		if why == "" {
 			break
 		}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -78,7 +78,7 @@
 	i := &instance{
 		settings: s, logger: logger, platform: client,
 		recorder: decision.NewRecorder(logger, s.Instance, rememberedSubjects),
-		config:   config.NewManager(config.Options{Tables: client, Objects: client, Logger: logger}),
+		config:   config.NewManager(config.Options{Tables: client, Objects: client, Check: config.Check, Logger: logger}),
 	}
 	incarnation := time.Now().UnixMilli()
 	i.node = peer.New(peer.Options{
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -139,6 +139,15 @@
 	return api.Problem{File: p.file, Path: path, Line: line, Column: column, Message: text}
 }
 
+// Has reports whether the file has a value at a JSON pointer.
+func (p *Positions) Has(path string) bool {
+	_, found := p.offsets[path]
+	return found
+}
+
+// Sort orders problems by their place in the file.
+func Sort(problems []api.Problem) { sortProblems(problems) }
+
 // Index finds the place of every value of a well-formed file.
 func Index(file string, data []byte) *Positions {
 	positions, _ := index(file, data)
