--- a/internal/rules/check_test.go
+++ b/internal/rules/check_test.go
@@ -225,3 +225,29 @@
 		}
 	})
 }
+
+// longList is as long as a configuration may be, and hostile: every rule cuts
+// the ones below it in another place.
+func longList() []Rule {
+	rules := make([]Rule, 1000)
+	for i := range rules {
+		low, high, flag := i%37, i%37+i%11, i%2 == 0
+		slack := float64(i % 53)
+		when := When{MinAccelerators: &low, MaxAccelerators: &high, SlackBelowS: &slack, Keyed: &flag}
+		for k := range 10 {
+			when.Kinds = append(when.Kinds, fmt.Sprintf("k%d", (i*7+k*13)%3000))
+		}
+		rules[i] = Rule{Name: fmt.Sprintf("r%d", i), When: when}
+	}
+	return append(rules[:999], Rule{Name: "all"})
+}
+
+func BenchmarkCheckLongList(b *testing.B) {
+	list := longList()
+	text, err := json.Marshal(list)
+	assert.NilError(b, err)
+	positions := strictjson.Index("f", text)
+	for b.Loop() {
+		Check(list, nil, "", positions)
+	}
+}
--- a/internal/rules/reach.go
+++ b/internal/rules/reach.go
@@ -31,8 +31,8 @@
 func (r *reach) pieces(i int) []box {
 	var pieces []box
 	for _, possible := range r.space.possible() {
-		if piece, ok := possible.and(r.boxes[i]); ok {
-			pieces = append(pieces, piece)
+		if possible.overlaps(r.boxes[i]) {
+			pieces = append(pieces, possible.and(r.boxes[i]))
 		}
 	}
 	return pieces
@@ -67,18 +67,27 @@
 // shadowedByOne returns the first rule above that alone covers all pieces.
 func (r *reach) shadowedByOne(i int, pieces []box) string {
 	for j := range i {
-		if rest, _ := subtract(pieces, r.boxes[j]); len(rest) == 0 && len(pieces) > 0 {
+		if allWithin(pieces, r.boxes[j]) {
 			return r.list[j].Name
 		}
 	}
 	return ""
 }
 
+func allWithin(pieces []box, other box) bool {
+	for _, piece := range pieces {
+		if !piece.within(other) {
+			return false
+		}
+	}
+	return len(pieces) > 0
+}
+
 // subtract takes other away from every piece, and reports whether there was
 // anything to take away.
 func subtract(pieces []box, other box) (rest []box, cut bool) {
 	for _, piece := range pieces {
-		if _, overlap := piece.and(other); overlap {
+		if piece.overlaps(other) {
 			cut = true
 			rest = append(rest, piece.without(other)...)
 			continue
--- a/internal/rules/space.go
+++ b/internal/rules/space.go
@@ -27,15 +27,54 @@
 	dimensions
 )
 
-// atoms is a set of atoms of one dimension.
-type atoms []bool
+// atomsPerWord is the number of atoms in one word of a set.
+const atomsPerWord = 64
 
-func (a atoms) empty() bool { return !slices.Contains(a, true) }
+// atoms is a set of atoms of one dimension, one bit each.
+type atoms []uint64
+
+// newAtoms returns the set of those of n atoms that in holds for.
+func newAtoms(n int, in func(i int) bool) atoms {
+	out := make(atoms, (n+atomsPerWord-1)/atomsPerWord)
+	for i := range n {
+		if in(i) {
+			out[i/atomsPerWord] |= 1 << (i % atomsPerWord)
+		}
+	}
+	return out
+}
+
+func (a atoms) empty() bool {
+	for _, word := range a {
+		if word != 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (a atoms) overlaps(b atoms) bool {
+	for i := range a {
+		if a[i]&b[i] != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (a atoms) within(b atoms) bool {
+	for i := range a {
+		if a[i]&^b[i] != 0 {
+			return false
+		}
+	}
+	return true
+}
 
 func (a atoms) and(b atoms) atoms {
 	out := make(atoms, len(a))
 	for i := range a {
-		out[i] = a[i] && b[i]
+		out[i] = a[i] & b[i]
 	}
 	return out
 }
@@ -43,7 +82,7 @@
 func (a atoms) without(b atoms) atoms {
 	out := make(atoms, len(a))
 	for i := range a {
-		out[i] = a[i] && !b[i]
+		out[i] = a[i] &^ b[i]
 	}
 	return out
 }
@@ -51,24 +90,35 @@
 // box is a product of sets of atoms. It is not changed once made.
 type box [dimensions]atoms
 
-func (b box) and(other box) (box, bool) {
+func (b box) overlaps(other box) bool {
+	for d := range b {
+		if !b[d].overlaps(other[d]) {
+			return false
+		}
+	}
+	return true
+}
+
+func (b box) within(other box) bool {
+	for d := range b {
+		if !b[d].within(other[d]) {
+			return false
+		}
+	}
+	return true
+}
+
+func (b box) and(other box) box {
 	var out box
 	for d := range b {
 		out[d] = b[d].and(other[d])
-		if out[d].empty() {
-			return box{}, false
-		}
 	}
-	return out, true
+	return out
 }
 
 // without returns boxes that do not overlap and together hold what is in b and
 // not in other.
 func (b box) without(other box) []box {
-	common, overlap := b.and(other)
-	if !overlap {
-		return []box{b}
-	}
 	var rest []box
 	remaining := b
 	for d := range b {
@@ -78,7 +128,7 @@
 			piece[d] = outside
 			rest = append(rest, piece)
 		}
-		remaining[d] = common[d]
+		remaining[d] = remaining[d].and(other[d])
 	}
 	return rest
 }
@@ -111,7 +161,7 @@
 // boxOf returns the situations that a condition matches.
 func (s *space) boxOf(when When) box {
 	var b box
-	b[dimWork] = atoms{when.Work != WorkJob, when.Work != WorkRequest}
+	b[dimWork] = newAtoms(2, func(i int) bool { return when.Work == "" || (i == 0) == (when.Work == WorkRequest) })
 	b[dimAccount] = s.accounts.set(when.Accounts)
 	b[dimKind] = s.kinds.set(when.Kinds)
 	b[dimZone] = s.zones.set(when.Zones)
@@ -152,14 +202,14 @@
 }
 
 func (n names) set(list []string) atoms {
-	out := make(atoms, len(n)+1)
-	for i := range out {
-		out[i] = len(list) == 0
+	if len(list) == 0 {
+		return newAtoms(len(n)+1, func(int) bool { return true })
 	}
+	listed := make(map[int]bool, len(list))
 	for _, name := range list {
-		out[n[name]] = true
+		listed[n[name]] = true
 	}
-	return out
+	return newAtoms(len(n)+1, func(i int) bool { return listed[i] })
 }
 
 // cuts are the values at which a number line is cut. Atom i holds the values
@@ -184,22 +234,16 @@
 // between returns the values from low, inclusively, to high, exclusively; nil
 // is no bound.
 func (c cuts) between(low, high *float64) atoms {
-	out := make(atoms, len(c)+1)
-	for i := range out {
+	return newAtoms(len(c)+1, func(i int) bool {
 		aboveLow := low == nil || i > 0 && c[i-1] >= *low
 		belowHigh := high == nil || i < len(c) && c[i] <= *high
-		out[i] = aboveLow && belowHigh
-	}
-	return out
+		return aboveLow && belowHigh
+	})
 }
 
 // from returns every atom that holds a value of at least low.
 func (c cuts) from(low float64) atoms {
-	out := make(atoms, len(c)+1)
-	for i := range out {
-		out[i] = i == len(c) || c[i] > low
-	}
-	return out
+	return newAtoms(len(c)+1, func(i int) bool { return i == len(c) || c[i] > low })
 }
 
 // intCut is the cut below value, or above it with plus 1.
@@ -212,5 +256,5 @@
 }
 
 func flag(want *bool) atoms {
-	return atoms{want == nil || !*want, want == nil || *want}
+	return newAtoms(2, func(i int) bool { return want == nil || *want == (i == 1) })
 }
