--- a/cmd/corianderbank/main.go
+++ b/cmd/corianderbank/main.go
@@ -2,4 +2,13 @@
 // operators' command line.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/corianderbank/corianderbank/internal/cli"
+	"github.com/corianderbank/corianderbank/internal/serve"
+)
+
+func main() {
+	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr, serve.Run))
+}
