Requests get their turns from one dispatcher duty that applies the decisions

Cause: the thin path sent each request to the first ready backend server, with no limits, shares or bounds. Change: request.Dispatcher, one duty that owns queue, routing table, retry budget, slot shares and spill, fed by typed events over bounded queues; attempts run in a pond pool and keep their slot until the backend server has really ended, also when the caller's time is over; keyed requests claim before they hold a slot, and arrivals of a key under way in the instance wait for its answer here; slot demands between instances by peer messages; spill by ExecuteCall; histograms and counters. An instance is ready once it has slots (Dispatcher.Warm).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -159,6 +159,11 @@
 	return float64(len(q.running)+len(q.entries)) / float64(q.capacity)
 }
 
+// Expected returns the mean run time of requests like this one.
+func (q *Queue) Expected(request Request) time.Duration {
+	return q.times.Mean(request.Account, request.Kind)
+}
+
 // Check says whether Offer would refuse the request now, without queueing it.
 func (q *Queue) Check(request Request, now time.Time) *Refusal {
 	acct := q.account(request.Account)
--- a/internal/request/executor.go
+++ b/internal/request/executor.go
@@ -1,7 +1,8 @@
 // Package request takes one caller's request from its rule to its only answer:
 // admission, the claim of a keyed request that is not idempotent, dispatch to a
 // backend server, and the retries that are allowed. Requests move by
-// charts/request.json.
+// charts/request.json; the decisions are those of packages admission, routing,
+// retry and slots.
 package request
 
 import (
@@ -11,14 +12,19 @@
 	"encoding/hex"
 	"encoding/json"
 	"strings"
+	"sync"
 	"time"
 
+	"github.com/alitto/pond/v2"
+
 	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/admission"
 	"github.com/corianderbank/corianderbank/internal/claim"
 	"github.com/corianderbank/corianderbank/internal/config"
 	"github.com/corianderbank/corianderbank/internal/decision"
 	"github.com/corianderbank/corianderbank/internal/membership"
 	"github.com/corianderbank/corianderbank/internal/model"
+	"github.com/corianderbank/corianderbank/internal/peer"
 	"github.com/corianderbank/corianderbank/internal/rules"
 )
 
@@ -40,23 +46,79 @@
 	Claims   claim.Claims
 	Backend  Backend
 	Recorder *decision.Recorder
+	// Dispatcher gives the turns; its duty must be running.
+	Dispatcher *Dispatcher
+	// Caller reaches instances of other availability zones.
+	Caller peer.Caller
 	// PlatformReachable says whether the store answered last.
 	PlatformReachable func() bool
+	// MaxAttempts bounds the calls to backend servers under way.
+	MaxAttempts int
+
+	setUp   sync.Once
+	pool    pond.Pool
+	flights flights
+	late    sync.WaitGroup
+}
+
+// job is one request on its way.
+type job struct {
+	progress
+	submission api.RequestSubmission
+	verdict    rules.Verdict
+	// admitted is what admission knows of it.
+	admitted admission.Request
+	// forwarded says that another availability zone passed it on.
+	forwarded bool
+	answer    api.RequestAnswer
 }
 
 // NewID returns a fresh request id.
 func NewID() string { return "r-" + strings.ToLower(rand.Text()) }
 
-// Execute answers one request. It always returns exactly one final answer.
+// Execute answers a caller's request. It always returns exactly one final
+// answer. ctx must have a deadline.
 func (x *Executor) Execute(ctx context.Context, id string, submission api.RequestSubmission) api.RequestAnswer {
-	answer, err := x.run(ctx, id, submission)
+	return x.execute(ctx, id, submission, false)
+}
+
+// ExecuteForwarded answers a request that another availability zone passed on;
+// it is not passed on again.
+func (x *Executor) ExecuteForwarded(ctx context.Context, id string, submission api.RequestSubmission) api.RequestAnswer {
+	return x.execute(ctx, id, submission, true)
+}
+
+// Drain waits for the attempts whose callers have their answers already.
+func (x *Executor) Drain(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		x.late.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (x *Executor) execute(ctx context.Context, id string, submission api.RequestSubmission, forwarded bool) api.RequestAnswer {
+	x.setUp.Do(func() { x.pool = pond.NewPool(max(1, x.MaxAttempts)) })
+	started := time.Now()
+	answer, err := x.run(ctx, id, submission, forwarded)
 	if err != nil {
-		return Refusal(id, answer.Rule, err)
+		attempts := answer.Attempts
+		answer = Refusal(id, answer.Rule, err)
+		answer.Attempts = attempts
+	}
+	if answer.ErrorKind != api.KindUnknownAccount {
+		observeAnswer(submission.Account, answer.Outcome, time.Since(started))
 	}
 	return answer
 }
 
-// Refusal is the answer to a request that did not run.
+// Refusal is the answer to a request that has none from a backend server.
 func Refusal(id, rule string, err error) api.RequestAnswer {
 	outcome := api.OutcomeNotRun
 	if mayHaveRun(err) {
@@ -76,102 +138,55 @@
 	return false
 }
 
-func (x *Executor) run(ctx context.Context, id string, submission api.RequestSubmission) (api.RequestAnswer, error) {
+func (x *Executor) run(ctx context.Context, id string, submission api.RequestSubmission, forwarded bool) (api.RequestAnswer, error) {
+	none := api.RequestAnswer{ID: id}
 	snapshot := x.Config.Current()
 	if snapshot == nil {
-		return api.RequestAnswer{}, api.NewError(api.KindNotReady, "no configuration yet")
+		return none, api.NewError(api.KindNotReady, "no configuration yet")
 	}
 	if _, ok := snapshot.Document.Account(submission.Account); !ok {
-		return api.RequestAnswer{}, api.NewError(api.KindUnknownAccount, "client account %q is not in configuration %d", submission.Account, snapshot.Version)
+		return none, api.NewError(api.KindUnknownAccount, "client account %q is not in configuration %d", submission.Account, snapshot.Version)
 	}
 	verdict := snapshot.Rules.Decide(x.situation(ctx, submission))
-	base := api.RequestAnswer{ID: id, Rule: verdict.Rule}
+	j := &job{
+		progress: newProgress(), submission: submission, verdict: verdict, forwarded: forwarded,
+		admitted: admittedOf(ctx, id, submission, verdict), answer: api.RequestAnswer{ID: id, Rule: verdict.Rule},
+	}
 	if verdict.Refuse {
+		j.step(eventRefuse)
 		err := api.NewError(api.KindRefusedByRule, "rule %q refuses", verdict.Rule)
-		x.decide(id, submission, verdict, "refuse", err.Error())
-		return base, api.WithRetryAfter(err, time.Duration(verdict.RetryAfterS*float64(time.Second)))
-	}
-	if submission.Idempotent || submission.IdempotencyKey == "" {
-		return x.dispatch(ctx, base, submission, verdict)
-	}
-	return x.claimed(ctx, base, submission, verdict)
-}
-
-func (x *Executor) claimed(ctx context.Context, base api.RequestAnswer, submission api.RequestSubmission, verdict rules.Verdict) (api.RequestAnswer, error) {
-	held, recorded, err := x.Claims.Claim(ctx, claim.Request{
-		Account: submission.Account, Key: submission.IdempotencyKey, RequestID: base.ID,
-		BodyDigest: digest(submission), Holder: x.Instance,
-	})
-	if err != nil {
-		return base, err
-	}
-	if recorded != nil {
-		recorded.Replayed = true
-		return *recorded, nil
+		x.decide(j, "admit", "refuse", err.Error(), "")
+		return j.answer, api.WithRetryAfter(err, time.Duration(verdict.RetryAfterS*float64(time.Second)))
 	}
-	answer, err := x.dispatch(ctx, base, submission, verdict)
-	if err != nil && !mayHaveRun(err) {
-		if giveUpErr := held.GiveUp(context.WithoutCancel(ctx)); giveUpErr != nil {
-			x.decide(base.ID, submission, verdict, "claim kept", giveUpErr.Error())
-		}
-		return answer, err
+	if spilled, done := x.spill(ctx, j); done {
+		return spilled, nil
 	}
-	final := answer
-	if err != nil {
-		final = Refusal(base.ID, base.Rule, err)
-	}
-	if settleErr := held.Settle(context.WithoutCancel(ctx), final); settleErr != nil {
-		x.decide(base.ID, submission, verdict, "answer not recorded", settleErr.Error())
+	if submission.Idempotent || submission.IdempotencyKey == "" {
+		j.step(eventQueue)
+		return x.dispatch(ctx, j)
 	}
-	return final, nil
+	return x.claimed(ctx, j)
 }
 
-// dispatch sends the request until it has an answer. Work that is not
-// idempotent is sent again only if no backend server can have run it.
-func (x *Executor) dispatch(ctx context.Context, base api.RequestAnswer, submission api.RequestSubmission, verdict rules.Verdict) (api.RequestAnswer, error) {
-	tried := make(map[string]bool)
-	var last error
-	for base.Attempts = 0; base.Attempts <= verdict.Retries; {
-		server, ok := x.choose(tried)
-		if !ok {
-			break
-		}
-		tried[server.ID] = true
-		base.Attempts++
-		x.decide(base.ID, submission, verdict, server.ID, "first ready backend server not tried yet")
-		answer, err := x.Backend.Execute(ctx, server, api.Execute{ID: base.ID, Account: submission.Account, Kind: submission.Kind, Payload: submission.Payload})
-		if err == nil {
-			base.Outcome, base.BackendServer, base.Payload = api.OutcomeDone, server.ID, answer.Payload
-			return base, nil
-		}
-		last = err
-		if mayHaveRun(err) && !submission.Idempotent {
-			return base, err
-		}
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	if last == nil {
-		last = api.NewError(api.KindNoBackendServer, "no backend server is ready in %s", x.Zone)
-	}
-	return base, last
-}
-
-func (x *Executor) choose(tried map[string]bool) (model.BackendServer, bool) {
-	for _, server := range x.Fleet.BackendServers(x.Zone) {
-		usable := server.State == model.BackendReady || server.State == model.BackendRamping
-		if usable && !tried[server.ID] {
-			return server, true
-		}
+// admittedOf is what admission has to know.
+func admittedOf(ctx context.Context, id string, submission api.RequestSubmission, verdict rules.Verdict) admission.Request {
+	now := time.Now()
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = now.Add(time.Duration(submission.DeadlineMS) * time.Millisecond)
+	}
+	return admission.Request{
+		ID: id, Account: submission.Account, Kind: submission.Kind, Priority: verdict.Priority, Arrived: now,
+		Deadline: deadline, MaxWait: time.Duration(verdict.MaxWaitMS) * time.Millisecond,
+		MaxQueued: verdict.MaxQueued, Rule: verdict.Rule,
 	}
-	return model.BackendServer{}, false
 }
 
 func (x *Executor) situation(ctx context.Context, submission api.RequestSubmission) rules.Situation {
 	situation := rules.Situation{
 		Work: rules.WorkRequest, Account: submission.Account, Kind: submission.Kind, Zone: x.Zone,
-		Idempotent: submission.Idempotent, Keyed: submission.IdempotencyKey != "", PlatformReachable: x.PlatformReachable(),
+		Idempotent: submission.Idempotent, Keyed: submission.IdempotencyKey != "",
+		PlatformReachable: x.PlatformReachable(), Load: x.Dispatcher.Load(),
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		situation.HasDeadline = true
@@ -180,10 +195,17 @@
 	return situation
 }
 
-func (x *Executor) decide(id string, submission api.RequestSubmission, verdict rules.Verdict, choice, reason string) {
+// refused turns admission's refusal into an error, and notes it.
+func (x *Executor) refused(j *job, refusal *admission.Refusal) error {
+	countRefusal(j.submission.Account, refusal.Kind)
+	x.decide(j, "admit", "refuse", refusal.Reason, "")
+	return api.WithRetryAfter(api.NewError(refusal.Kind, "%s", refusal.Reason), refusal.RetryAfter)
+}
+
+func (x *Executor) decide(j *job, step, choice, reason, secondBest string) {
 	x.Recorder.Record(api.Decision{
-		At: time.Now(), Step: "route", Subject: id, Account: submission.Account,
-		Rule: verdict.Rule, Choice: choice, Reason: reason,
+		At: time.Now(), Step: step, Subject: j.answer.ID, Account: j.submission.Account,
+		Rule: j.verdict.Rule, Choice: choice, Reason: reason, SecondBest: secondBest,
 	})
 }
 
--- a/internal/routing/ejection.go
+++ b/internal/routing/ejection.go
@@ -21,6 +21,9 @@
 	slowRatio = 3.0
 	// failureRatio is the share of failed attempts that ejects.
 	failureRatio = 0.5
+	// failingTimes is how many times more often than the median server it must
+	// fail, so that requests that fail everywhere eject nobody.
+	failingTimes = 2.0
 	// minSamples is what a judgment needs.
 	minSamples = 8
 	// maxEjectedShare bounds the ejected servers of a zone, but one is always
@@ -49,9 +52,10 @@
 	if t.policy.NoEjection {
 		return
 	}
-	median := t.medianSlowness()
+	median := t.median(func(s *server) float64 { return s.slowness }, 1)
+	failing := t.median(func(s *server) float64 { return s.failures }, 0)
 	for _, s := range t.servers {
-		if reason := faultOf(s, median); reason != "" && t.mayEject() {
+		if reason := faultOf(s, median, failing); reason != "" && t.mayEject() {
 			t.apply(s, eventSlow, reason, now)
 			s.ejections++
 			s.samples, s.slowness, s.failures = 0, 1, 0
@@ -85,11 +89,11 @@
 }
 
 // faultOf says why the server is to be ejected, or nothing.
-func faultOf(s *server, median float64) string {
+func faultOf(s *server, median, failing float64) string {
 	if s.samples < minSamples || (s.State != model.BackendReady && s.State != model.BackendRamping) {
 		return ""
 	}
-	if s.failures > failureRatio {
+	if s.failures > max(failureRatio, failingTimes*failing) {
 		return fmt.Sprintf("%.0f%% of attempts failed", 100*s.failures)
 	}
 	if s.slowness > slowRatio*median {
@@ -98,15 +102,16 @@
 	return ""
 }
 
-func (t *Table) medianSlowness() float64 {
+// median returns the median of value over the servers that take work.
+func (t *Table) median(value func(*server) float64, otherwise float64) float64 {
 	var all []float64
 	for _, s := range t.servers {
 		if s.State == model.BackendReady || s.State == model.BackendRamping {
-			all = append(all, s.slowness)
+			all = append(all, value(s))
 		}
 	}
 	if len(all) == 0 {
-		return 1
+		return otherwise
 	}
 	slices.Sort(all)
 	return all[len(all)/2]
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -305,6 +305,16 @@
 
 func probedScore(s *server) float64 { return float64(max(s.probed, s.inFlight)+1) * s.slowness }
 
+// Free reports whether any backend server that takes work has a free slot.
+func (t *Table) Free(usable func(id string) int) bool {
+	for _, s := range t.servers {
+		if (s.State == model.BackendReady || s.State == model.BackendRamping) && s.inFlight < usable(s.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 // Probed records a probe's answer.
 func (t *Table) Probed(id string, inFlight int) {
 	if known, ok := t.byID[id]; ok {
--- a/internal/routing/spill.go
+++ b/internal/routing/spill.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Load pattern: one availability zone has more load than it can carry, or has lost
 // its backend servers, while another has room.
@@ -44,8 +47,13 @@
 }
 
 // Update takes in the load levels. It is called at a regular interval of about
-// 100 ms.
+// 100 ms. An infinite local load says that no backend server takes work here:
+// then everything goes to the zone with the least load.
 func (s *Spill) Update(local float64, remotes []ZoneLoad, now time.Time) {
+	if best, found := least(remotes); found && math.IsInf(local, 1) {
+		s.zone, s.share = best.Zone, 1
+		return
+	}
 	if s.zone == "" {
 		s.start(local, remotes, now)
 		return
@@ -57,6 +65,7 @@
 	case local > spillOnLoad && remote < remoteOnLoad:
 		s.share = min(s.share+spillStep, maxSpill)
 	}
+	s.share = min(s.share, maxSpill)
 	if s.share <= 0 || !known {
 		*s = Spill{}
 	}
--- a/internal/serve/fleet.go
+++ b/internal/serve/fleet.go
@@ -21,6 +21,7 @@
 	return membership.Local{
 		ConfigVersion: i.config.Version(), ConfigAge: inForce,
 		Epoch: i.placer.Epoch(), PlatformReachable: i.platform.Reachable(),
+		LoadPermille: int64(1000 * i.dispatch.Load()),
 	}
 }
 
--- a/internal/serve/peers.go
+++ b/internal/serve/peers.go
@@ -25,6 +25,12 @@
 			return nil, err
 		}
 		return &peerpb.Response{Body: &peerpb.Response_Job{Job: reply}}, nil
+	case *peerpb.Request_Slots:
+		grants := h.dispatch.HandleSlots(request.GetFrom(), body.Slots)
+		if grants == nil {
+			return nil, api.NewError(api.KindStopping, "instance %s grants no slots any more", h.settings.Instance)
+		}
+		return &peerpb.Response{Body: &peerpb.Response_Slots{Slots: grants}}, nil
 	case *peerpb.Request_Execute:
 		return h.execute(ctx, body.Execute)
 	case *peerpb.Request_Explain:
@@ -53,7 +59,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(call.GetDeadlineMs())*time.Millisecond)
 	defer cancel()
-	body, err := json.Marshal(h.executor.Execute(ctx, call.GetId(), submission))
+	body, err := json.Marshal(h.executor.ExecuteForwarded(ctx, call.GetId(), submission))
 	if err != nil {
 		return nil, api.NewError(api.KindInternal, "%v", err)
 	}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"os"
 	"os/signal"
@@ -52,6 +53,7 @@
 	placer   *placer.Placer
 	jobs     *jobs.Router
 	executor *request.Executor
+	dispatch *request.Dispatcher
 	server   *entry.Server
 	life     *lifecycle.Life
 }
@@ -90,7 +92,7 @@
 		Seeds: s.Peers, Lister: client, Caller: i.node, Local: i.local, Logger: logger,
 		PeerInterval: settings.Duration(s.Timing.PeerIntervalMS), ListInterval: settings.Duration(s.Timing.ListPollMS),
 	})
-	i.buildWork()
+	i.buildWork(incarnation)
 	i.server = entry.New(entry.Options{
 		Settings: s, Requests: i.executor, Jobs: i.jobs, Fleet: fleetView{i}, Config: i.config, Logger: logger, Ready: i.ready,
 	})
@@ -99,7 +101,7 @@
 }
 
 // buildWork makes the parts that run requests and jobs.
-func (i *instance) buildWork() {
+func (i *instance) buildWork(incarnation int64) {
 	s := i.settings
 	store := jobstore.New(i.platform)
 	i.placer = placer.New(placer.Options{
@@ -113,10 +115,16 @@
 	i.jobs = &jobs.Router{
 		Zone: s.AvailabilityZone, Placer: i.placer, Peers: zonePeers{i}, Caller: i.node, Store: store, Evaluate: i.evaluateJob,
 	}
+	i.dispatch = request.NewDispatcher(request.DispatcherOptions{
+		Zone: s.AvailabilityZone, Instance: s.Instance, Incarnation: incarnation, Fleet: i.fleet, Caller: i.node,
+		Config: i.config, Recorder: i.recorder, Logger: i.logger, MaxRequests: s.Limits.MaxRequests,
+		Seed: uint64(incarnation),
+	})
 	i.executor = &request.Executor{
 		Zone: s.AvailabilityZone, Instance: s.Instance, Config: i.config, Fleet: i.fleet,
 		Claims: claim.New(i.platform), Backend: backend.NewClient(s.Limits.MaxBackendConnections, i.fleet.ObserveBackend),
 		Recorder: i.recorder, PlatformReachable: i.platform.Reachable,
+		Dispatcher: i.dispatch, Caller: i.node, MaxAttempts: s.Limits.MaxRequests,
 	}
 }
 
@@ -137,6 +145,7 @@
 	duties.Go(func() { i.config.Run(ctx, settings.Duration(i.settings.Timing.ConfigPollMS)) })
 	duties.Go(func() { i.configFromPeers(ctx) })
 	duties.Go(func() { i.placer.Run(ctx) })
+	duties.Go(func() { i.dispatch.Run(ctx) })
 	served := make(chan error, 1)
 	go func() { served <- i.server.Serve(listener) }()
 	i.logger.Info("started", zap.String("listen", i.settings.Listen), zap.String("peer_listen", i.settings.PeerListen))
@@ -167,7 +176,9 @@
 			i.placer.Leave(ctx)
 			return nil
 		},
-		Drain: i.server.Shutdown,
+		Drain: func(ctx context.Context) error {
+			return errors.Join(i.server.Shutdown(ctx), i.executor.Drain(ctx))
+		},
 	})
 }
 
@@ -181,6 +192,9 @@
 	if i.config.Current() == nil {
 		return api.NewError(api.KindNotReady, "instance %s has no configuration yet", i.settings.Instance)
 	}
+	if !i.dispatch.Warm() {
+		return api.NewError(api.KindNotReady, "instance %s has no slots of backend servers yet", i.settings.Instance)
+	}
 	i.life.Configured()
 	return nil
 }
