--- a/internal/estimate/history.go
+++ b/internal/estimate/history.go
@@ -53,15 +53,15 @@
 func NewHistory() *History { return &History{byKey: make(map[key]*ratios)} }
 
 // Observe records that a job of this account and kind with the declared run
-// time really took real. Times that are not positive are ignored.
-func (h *History) Observe(account, kind string, declared, real time.Duration) {
-	if declared <= 0 || real <= 0 {
+// time took this long. Times that are not positive are ignored.
+func (h *History) Observe(account, kind string, declared, took time.Duration) {
+	if declared <= 0 || took <= 0 {
 		return
 	}
 	h.observed++
 	r := h.ratiosOf(key{account, kind})
 	r.observed = h.observed
-	ratio := min(max(real.Seconds()/declared.Seconds(), minRatio), maxRatio)
+	ratio := min(max(took.Seconds()/declared.Seconds(), minRatio), maxRatio)
 	if len(r.ring) < samplesPerKey {
 		r.ring = append(r.ring, ratio)
 	} else {
--- a/internal/placement/admit.go
+++ b/internal/placement/admit.go
@@ -74,48 +74,22 @@
 // earliestStart returns the time from which the job fits if nothing else is
 // placed before it.
 func (d *decider) earliestStart(job *model.Job) (time.Time, bool) {
-	account, known := d.accounts[job.Account]
-	if known && d.fixedUse[account]+job.Shape.Accelerators() <= d.guaranteed[account] {
+	if account, known := d.accounts[job.Account]; known && d.entitled(&entry{job: job, account: account}) {
 		return d.s.Now, true
 	}
-	usable := append([]int(nil), d.free...)
+	usable := slices.Clone(d.free)
 	if d.z.fit(usable, nil, job.Shape) != nil {
 		return d.s.Now, true
 	}
-	for _, h := range d.byEnd() {
-		add(usable, h.parts, h.gang.Job.Shape.AcceleratorsPerTask)
-		d.z.clampToCapacity(usable)
-		if d.z.fit(usable, nil, job.Shape) != nil {
-			return later(d.s.Now, h.gang.ExpectedEnd), true
+	for _, end := range d.ends() {
+		add(usable, end.parts, end.perTask)
+		if d.z.fit(d.z.withinCapacity(usable), nil, job.Shape) != nil {
+			return end.at, true
 		}
 	}
 	return time.Time{}, false
 }
 
-// byEnd lists the holders by their expected end.
-func (d *decider) byEnd() []*holder {
-	order := make([]*holder, 0, len(d.holders))
-	for i := range d.holders {
-		order = append(order, &d.holders[i])
-	}
-	slices.SortStableFunc(order, func(a, b *holder) int { return a.gang.ExpectedEnd.Compare(b.gang.ExpectedEnd) })
-	return order
-}
-
-// clampToCapacity bounds a vector by the workers that take tasks.
-func (z *zone) clampToCapacity(usable []int) {
-	for w := range usable {
-		usable[w] = min(usable[w], z.capacity[w])
-	}
-}
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 // refuseIfLost ends a waiting job that can no longer finish in time, that can
 // never run, or that waited as long as its rule allows. A job that has run is
 // not refused, because not_run would be untrue.
--- /dev/null
+++ b/internal/placement/backfill.go
@@ -0,0 +1,98 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// This file answers large gangs among a stream of small ones. Without it small
+// gangs take each accelerator that comes free, and a large gang never finds its
+// whole shape. The first job in the fair order that does not fit gets a
+// reservation in time: the region that comes free first by the corrected run
+// times. Later jobs may go ahead of it only if they end before the reservation
+// starts, or use accelerators that it does not need (EASY backfill, Lifka 1995).
+//
+// One reservation is enough, because the fair order moves the next job to the
+// front as soon as the first has started.
+
+// overdueShare is how much longer a gang that has outlived its estimate is
+// taken to run, as a share of its run so far. A quarter: an estimate that was
+// wrong says little, and a larger share would open the reservation's region to
+// backfill that does not end in time.
+const overdueShare = 4
+
+// reservation keeps a region for one job from a time on.
+type reservation struct {
+	start time.Time
+	// spare is what a job that runs past start may use, by worker.
+	spare []int
+}
+
+// reserveFirst makes the reservation for the first job that does not fit now.
+// Without a time at which it would fit, nothing is reserved.
+func (d *decider) reserveFirst(e *entry) {
+	if d.reserved != nil {
+		return
+	}
+	usable := slices.Clone(d.free)
+	for _, end := range d.ends() {
+		add(usable, end.parts, end.perTask)
+		parts := d.z.fit(d.z.withinCapacity(usable), nil, e.job.Shape)
+		if parts == nil {
+			continue
+		}
+		spare := d.z.withinCapacity(usable)
+		add(spare, parts, -e.job.Shape.AcceleratorsPerTask)
+		d.reserved = &reservation{start: end.at, spare: spare}
+		return
+	}
+}
+
+// available is what a job may use beside the reservation.
+func (d *decider) available(e *entry) []int {
+	if !d.outlasts(e) {
+		return d.free
+	}
+	return minimum(d.free, d.reserved.spare)
+}
+
+// outlasts reports whether a job placed now would run past the reservation.
+func (d *decider) outlasts(e *entry) bool {
+	return d.reserved != nil && d.s.Now.Add(e.run).After(d.reserved.start)
+}
+
+// end is the release of a gang's accelerators.
+type end struct {
+	at      time.Time
+	parts   []part
+	perTask int
+}
+
+// ends lists the releases that are to come, in order of time: of the gangs of
+// the snapshot and of those that this decision places.
+func (d *decider) ends() []end {
+	ends := make([]end, 0, len(d.holders)+len(d.placed))
+	for i := range d.holders {
+		h := &d.holders[i]
+		ends = append(ends, end{at: d.expectedEnd(h), parts: h.parts, perTask: h.gang.Job.Shape.AcceleratorsPerTask})
+	}
+	ends = append(ends, d.placed...)
+	slices.SortStableFunc(ends, func(a, b end) int { return a.at.Compare(b.at) })
+	return ends
+}
+
+// expectedEnd is when a gang is expected to give its accelerators back.
+func (d *decider) expectedEnd(h *holder) time.Time {
+	if h.ending {
+		return d.s.Now
+	}
+	if h.gang.ExpectedEnd.After(d.s.Now) {
+		return h.gang.ExpectedEnd
+	}
+	return d.s.Now.Add(d.s.Now.Sub(h.gang.StartedAt) / overdueShare)
+}
+
+// withinCapacity returns a copy bounded by the workers that take tasks.
+func (z *zone) withinCapacity(usable []int) []int {
+	return minimum(usable, z.capacity)
+}
--- a/internal/placement/claim.go
+++ b/internal/placement/claim.go
@@ -1,8 +1,9 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
-	"time"
+	"slices"
 
 	"github.com/corianderbank/corianderbank/api"
 	"github.com/corianderbank/corianderbank/internal/reclaim"
@@ -13,34 +14,96 @@
 // accelerators if some do; else the borrowers on the cheapest adjacent region
 // are stopped, and the region is kept for the claim until they are gone.
 
+// maxRegions bounds the regions that are tried for one claim, the cheapest
+// first. Each costs one packing; the first does in nearly every case, because
+// guarantees leave few regions that break another's shape.
+const maxRegions = 8
+
+// region is where a claim could go once its borrowers are stopped.
+type region struct {
+	parts   []part
+	victims []reclaim.Victim
+	cost    float64
+}
+
 // claimGuarantee places a job inside its account's guarantee, or stops the
 // borrowers that stand in its way. A job that the guarantee does not cover is
 // left for placeBeyondGuarantee.
 func (d *decider) claimGuarantee(e *entry) {
-	if d.fixedUse[e.account]+e.job.Shape.Accelerators() > d.guaranteed[e.account] || d.overLimit(e) {
+	attempt := failure{account: e.account, shape: e.job.Shape, claims: true}
+	if d.failed[attempt] || !d.entitled(e) || d.overLimit(e) {
 		return
 	}
+	if !d.claimFree(e) && !d.claimBorrowed(e) {
+		d.failed[attempt] = true
+	}
+}
+
+// entitled reports whether the job stays within its account's guarantee by
+// the count of accelerators. Gangs outside the account's shapes do not count.
+func (d *decider) entitled(e *entry) bool {
+	inside := d.fixedUse[e.account] - d.packed.outside[e.account]
+	return inside+e.job.Shape.Accelerators() <= d.guaranteed[e.account]
+}
+
+// claimFree places a job on free accelerators: those of its account's shapes as
+// they are packed now, else any others around which everything packs again.
+func (d *decider) claimFree(e *entry) bool {
 	for _, usable := range [][]int{minimum(d.free, d.packed.cells[e.account]), d.free} {
 		parts := d.z.fit(usable, nil, e.job.Shape)
-		if parts != nil && d.keepsGuarantees(e, parts, true) {
-			d.fix(e, parts)
+		if parts != nil && d.fix(e, parts, true) {
 			d.place(e, parts, false, "lies within the account's guarantee")
-			return
+			return true
 		}
 	}
-	d.reclaimFor(e)
+	return false
+}
+
+// claimBorrowed takes the cheapest region that is held by nothing but
+// borrowers, and stops these.
+func (d *decider) claimBorrowed(e *entry) bool {
+	regions := d.regions(e)
+	for _, r := range regions[:min(len(regions), maxRegions)] {
+		if !d.fix(e, r.parts, true) {
+			continue
+		}
+		if d.isFree(e, r.parts) {
+			d.place(e, r.parts, false, "lies within the account's guarantee")
+		} else {
+			d.keepFor(e, r)
+		}
+		return true
+	}
+	return false
+}
+
+// isFree reports whether the job can start on the parts now.
+func (d *decider) isFree(e *entry, parts []part) bool {
+	return !slices.ContainsFunc(parts, func(p part) bool {
+		return d.free[p.worker] < p.tasks*e.job.Shape.AcceleratorsPerTask
+	})
 }
 
-// reclaimFor looks for a region of the account's guarantee that is held by
-// nothing but borrowers, and stops them.
-func (d *decider) reclaimFor(e *entry) {
-	for _, usable := range [][]int{d.unfixed(), d.packed.cells[e.account]} {
-		parts := d.z.fit(usable, d.idle(), e.job.Shape)
-		if parts != nil && d.keepsGuarantees(e, parts, true) {
-			d.keepFor(e, parts)
-			return
+// regions lists where a job could go if borrowers were stopped, the cheapest
+// first: each rack that would hold it whole, and over several racks the one way
+// that fit finds.
+func (d *decider) regions(e *entry) []region {
+	idle := sumOf(d.free, d.coming)
+	unfixed := d.unfixed()
+	var regions []region
+	for _, r := range d.z.racks {
+		if d.z.slots(r, unfixed, e.job.Shape.AcceleratorsPerTask) >= e.job.Shape.Tasks {
+			parts := d.z.fill(nil, r, unfixed, idle, e.job.Shape, e.job.Shape.Tasks)
+			regions = append(regions, d.price(e, parts))
+		}
+	}
+	for _, usable := range [][]int{d.packed.cells[e.account], unfixed} {
+		if parts := d.z.fit(usable, idle, e.job.Shape); parts != nil {
+			regions = append(regions, d.price(e, parts))
 		}
 	}
+	slices.SortStableFunc(regions, func(a, b region) int { return cmp.Compare(a.cost, b.cost) })
+	return regions
 }
 
 // unfixed is what no fixed gang holds and no earlier claim waits for.
@@ -52,60 +115,61 @@
 	return usable
 }
 
-// idle is what is free or about to be.
-func (d *decider) idle() []int {
-	idle := d.z.vector()
-	for w := range idle {
-		idle[w] = d.free[w] + d.coming[w]
-	}
-	return idle
-}
-
-// keepFor keeps a region for a job and stops the borrowers on it.
-func (d *decider) keepFor(e *entry, parts []part) {
-	stopped := 0
+// price finds the borrowers to stop on a region, and what that loses. A gang
+// that is stopped for one worker frees its part on the next as well.
+func (d *decider) price(e *entry, parts []part) region {
+	r := region{parts: parts}
+	chosen := make(map[int]bool)
 	for _, p := range parts {
-		need := p.tasks * e.job.Shape.AcceleratorsPerTask
-		need -= takeFrom(d.free, p.worker, need)
-		need -= takeFrom(d.coming, p.worker, need)
-		if need == 0 {
+		want := p.tasks*e.job.Shape.AcceleratorsPerTask - d.free[p.worker] - d.coming[p.worker]
+		var victims []reclaim.Victim
+		for _, index := range d.onWorker[p.worker] {
+			victim := d.victim(index, p.worker)
+			switch {
+			case d.holders[index].ending:
+			case chosen[index]:
+				want -= victim.Here
+			default:
+				victims = append(victims, victim)
+			}
+		}
+		if want <= 0 {
 			continue
 		}
-		for _, victim := range reclaim.Cheapest(d.borrowersOn(p.worker), need, d.s.Now) {
-			d.stop(victim, e)
-			stopped++
+		for _, victim := range reclaim.Cheapest(victims, want, d.s.Now) {
+			chosen[victim.Index] = true
+			r.victims = append(r.victims, victim)
+			r.cost += reclaim.Cost(victim.Gang, d.s.Now)
 		}
-		takeFrom(d.coming, p.worker, need)
 	}
-	d.fix(e, parts)
-	d.use[e.account] += e.job.Shape.Accelerators()
-	e.done = true
-	d.decided("reclaim", e.job, fmt.Sprintf("stop %d gangs", stopped), "the account claims its guarantee")
+	return r
 }
 
-// takeFrom takes up to want from one worker's entry and returns what it took.
-func takeFrom(vector []int, worker, want int) int {
-	taken := min(want, vector[worker])
-	vector[worker] -= taken
-	return taken
+// victim is a holder that may be stopped, seen from one of its workers.
+func (d *decider) victim(index, worker int) reclaim.Victim {
+	h := &d.holders[index]
+	v := reclaim.Victim{Gang: h.gang, Index: index}
+	for _, p := range h.parts {
+		if p.worker == worker {
+			v.Here += p.tasks * h.gang.Job.Shape.AcceleratorsPerTask
+		}
+	}
+	return v
 }
 
-// borrowersOn lists the gangs on a worker that may be stopped.
-func (d *decider) borrowersOn(worker int) []reclaim.Victim {
-	var victims []reclaim.Victim
-	for i := range d.holders {
-		h := &d.holders[i]
-		if h.fixed || h.ending {
-			continue
-		}
-		for _, p := range h.parts {
-			if p.worker == worker {
-				here := p.tasks * h.gang.Job.Shape.AcceleratorsPerTask
-				victims = append(victims, reclaim.Victim{Gang: h.gang, Index: i, Here: here})
-			}
-		}
+// keepFor stops the borrowers on a region and keeps the region for the job.
+func (d *decider) keepFor(e *entry, r region) {
+	for _, victim := range r.victims {
+		d.stop(victim, e)
 	}
-	return victims
+	for _, p := range r.parts {
+		need := p.tasks * e.job.Shape.AcceleratorsPerTask
+		need -= takeFrom(d.free, p.worker, need)
+		takeFrom(d.coming, p.worker, need)
+	}
+	d.use[e.account] += e.job.Shape.Accelerators()
+	e.done = true
+	d.decided("reclaim", e.job, fmt.Sprintf("stop %d gangs", len(r.victims)), "the account claims its guarantee")
 }
 
 // stop enters a reclaim into the plan; the whole gang ends.
@@ -116,19 +180,25 @@
 	if h.account >= 0 {
 		d.use[h.account] -= h.gang.Job.Shape.Accelerators()
 	}
-	method, within := MethodStop, time.Duration(0)
 	checkpoint, stop := reclaim.Limits(claimant.job.Urgent)
-	within = stop
+	order := Reclaim{JobID: h.gang.Job.ID, For: claimant.job.ID, Method: MethodStop, Within: stop}
 	if h.gang.Job.Checkpointable {
-		method, within = MethodCheckpoint, checkpoint
+		order.Method, order.Within = MethodCheckpoint, checkpoint
 	}
-	d.plan.Reclaims = append(d.plan.Reclaims, Reclaim{JobID: h.gang.Job.ID, For: claimant.job.ID, Method: method, Within: within})
+	d.plan.Reclaims = append(d.plan.Reclaims, order)
 	d.plan.Decisions = append(d.plan.Decisions, api.Decision{
-		At: d.s.Now, Step: "stop", Subject: h.gang.Job.ID, Account: h.gang.Job.Account,
-		Choice: string(method), Reason: "borrows what job " + claimant.job.ID + " of account " + claimant.job.Account + " claims",
+		At: d.s.Now, Step: "stop", Subject: h.gang.Job.ID, Account: h.gang.Job.Account, Choice: string(order.Method),
+		Reason: fmt.Sprintf("borrows what job %s of account %s claims", claimant.job.ID, claimant.job.Account),
 	})
 }
 
+// takeFrom takes up to want from one worker's entry and returns what it took.
+func takeFrom(vector []int, worker, want int) int {
+	taken := min(want, vector[worker])
+	vector[worker] -= taken
+	return taken
+}
+
 // minimum returns the smaller of two vectors, entry by entry.
 func minimum(a, b []int) []int {
 	out := make([]int, len(a))
@@ -137,3 +207,12 @@
 	}
 	return out
 }
+
+// sumOf returns the sum of two vectors, entry by entry.
+func sumOf(a, b []int) []int {
+	out := make([]int, len(a))
+	for i := range a {
+		out[i] = a[i] + b[i]
+	}
+	return out
+}
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/corianderbank/corianderbank/api"
@@ -37,7 +38,26 @@
 	// use counts the accelerators of each account, fixedUse those of its fixed
 	// gangs, guaranteed its guarantee.
 	use, fixedUse, guaranteed []int
-	plan                      Plan
+	// onWorker lists the holders that may be stopped, by worker.
+	onWorker [][]int
+	// placed are the releases of the gangs that this decision places.
+	placed   []end
+	reserved *reservation
+	// failed remembers what did not fit: free accelerators only get fewer
+	// during a decision, so the same does not fit later either.
+	failed map[failure]bool
+	plan   Plan
+}
+
+// failure is a kind of placement that does not fit.
+type failure struct {
+	account int
+	shape   api.Shape
+	// stoppable jobs beyond a guarantee fail for every account alike.
+	stoppable bool
+	claims    bool
+	// outlasts is said of jobs that run past the reservation.
+	outlasts bool
 }
 
 // Decide returns what is to be done now: gangs to place, borrowers to stop,
@@ -64,6 +84,8 @@
 		use:        make([]int, len(s.Accounts)),
 		fixedUse:   make([]int, len(s.Accounts)),
 		guaranteed: make([]int, len(s.Accounts)),
+		onWorker:   make([][]int, len(z.workers)),
+		failed:     make(map[failure]bool),
 	}
 	for i := range s.Accounts {
 		d.accounts[s.Accounts[i].Name] = i
@@ -88,7 +110,8 @@
 	if !known {
 		account = -1
 	}
-	h := holder{gang: gang, account: account, parts: d.z.holding(gang.Placements), ending: gang.State == model.GangStopping}
+	h := holder{gang: gang, account: account, parts: d.z.holding(gang.Placements)}
+	h.ending = gang.State == model.GangStopping
 	h.fixed = !h.ending && (!gang.Borrowed || !gang.Job.Stoppable())
 	perTask := gang.Job.Shape.AcceleratorsPerTask
 	add(d.free, h.parts, -perTask)
@@ -104,26 +127,38 @@
 	if known && h.fixed {
 		d.fixedUse[account] += gang.Job.Shape.Accelerators()
 	}
+	if !h.ending && !h.fixed {
+		for _, p := range h.parts {
+			d.onWorker[p.worker] = append(d.onWorker[p.worker], len(d.holders))
+		}
+	}
 	d.holders = append(d.holders, h)
 }
 
 // placeBeyondGuarantee places a job that its account's guarantee does not
-// cover: as a borrower if it can be stopped, else where it breaks no shape.
+// cover: as a borrower if it can be stopped, else where it breaks no shape. The
+// first that does not fit gets the reservation.
 func (d *decider) placeBeyondGuarantee(e *entry) {
-	if d.overLimit(e) {
+	stoppable := e.job.Stoppable()
+	if d.overLimit(e) || (stoppable && !e.job.MayBorrow) {
 		return
 	}
-	parts := d.z.fit(d.free, nil, e.job.Shape)
-	switch {
-	case parts == nil:
+	attempt := failure{account: e.account, shape: e.job.Shape, stoppable: stoppable, outlasts: d.outlasts(e)}
+	if stoppable {
+		attempt.account = -1
+	}
+	if d.failed[attempt] {
 		return
-	case !e.job.Stoppable():
-		if d.keepsGuarantees(e, parts, false) {
-			d.fix(e, parts)
-			d.place(e, parts, false, "fits beside every guarantee")
-		}
-	case e.job.MayBorrow:
+	}
+	parts := d.z.fit(d.available(e), nil, e.job.Shape)
+	switch {
+	case parts != nil && stoppable:
 		d.place(e, parts, true, "borrows free accelerators")
+	case parts != nil && d.fix(e, parts, false):
+		d.place(e, parts, false, "fits beside every guarantee")
+	default:
+		d.failed[attempt] = true
+		d.reserveFirst(e)
 	}
 }
 
@@ -135,7 +170,12 @@
 
 // place enters a placement into the plan.
 func (d *decider) place(e *entry, parts []part, borrowed bool, reason string) {
-	add(d.free, parts, -e.job.Shape.AcceleratorsPerTask)
+	perTask := e.job.Shape.AcceleratorsPerTask
+	add(d.free, parts, -perTask)
+	if d.outlasts(e) {
+		add(d.reserved.spare, parts, -perTask)
+	}
+	d.placed = append(d.placed, end{at: d.s.Now.Add(e.run), parts: parts, perTask: perTask})
 	d.use[e.account] += e.job.Shape.Accelerators()
 	e.done = true
 	d.plan.Placements = append(d.plan.Placements, Placement{
@@ -147,27 +187,37 @@
 	d.decided("place", e.job, fmt.Sprintf("%s and %d more workers", d.z.workers[parts[0].worker].ID, len(parts)-1), reason)
 }
 
-// fix enters the parts of a job as fixed holdings of its account.
-func (d *decider) fix(e *entry, parts []part) {
-	d.held.add(e.account, parts, e.job.Shape.AcceleratorsPerTask)
-	d.fixedUse[e.account] += e.job.Shape.Accelerators()
-	d.packed = d.z.pack(d.held, d.claims)
-}
-
-// keepsGuarantees reports whether, with the job fixed on the parts, every
+// fix enters the parts of a job as fixed holdings of its account, if then every
 // guarantee still packs as far as it did before. With inside, the job must lie
-// in its own account's shapes too.
-func (d *decider) keepsGuarantees(e *entry, parts []part, inside bool) bool {
+// in its own account's shapes too. It reports whether it did.
+func (d *decider) fix(e *entry, parts []part, inside bool) bool {
 	perTask := e.job.Shape.AcceleratorsPerTask
+	if d.fixInside(e, parts) {
+		return true
+	}
 	d.held.add(e.account, parts, perTask)
 	after := d.z.pack(d.held, d.claims)
-	d.held.add(e.account, parts, -perTask)
-	for account := range after.missing {
-		if after.missing[account] > d.packed.missing[account] {
-			return false
-		}
+	if !after.keeps(&d.packed) || (inside && after.outside[e.account] > d.packed.outside[e.account]) {
+		d.held.add(e.account, parts, -perTask)
+		return false
+	}
+	d.packed = after
+	d.fixedUse[e.account] += e.job.Shape.Accelerators()
+	return true
+}
+
+// fixInside enters the parts of a job that lie in its account's shapes as they
+// are packed now: then the packing stands as it is.
+func (d *decider) fixInside(e *entry, parts []part) bool {
+	perTask := e.job.Shape.AcceleratorsPerTask
+	cells := d.packed.cells[e.account]
+	if slices.ContainsFunc(parts, func(p part) bool { return cells[p.worker] < p.tasks*perTask }) {
+		return false
 	}
-	return !inside || after.outside[e.account] <= d.packed.outside[e.account]
+	add(cells, parts, -perTask)
+	d.held.add(e.account, parts, perTask)
+	d.fixedUse[e.account] += e.job.Shape.Accelerators()
+	return true
 }
 
 // atRisk names the accounts whose guarantee cannot be given.
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -1,7 +1,8 @@
 package placement
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 
 	"github.com/corianderbank/corianderbank/api"
 )
@@ -17,7 +18,7 @@
 // at its disposal, or nil. Workers with a bonus are taken first; bonus may be
 // nil.
 func (z *zone) fit(usable, bonus []int, shape api.Shape) []part {
-	if best := z.bestRack(usable, bonus, shape, nil); best >= 0 {
+	if best := z.bestRack(usable, bonus, shape); best >= 0 {
 		return z.fill(nil, z.racks[best], usable, bonus, shape, shape.Tasks)
 	}
 	if shape.SameRack {
@@ -27,39 +28,53 @@
 }
 
 // bestRack returns the rack that holds the whole shape with the highest bonus,
-// then the fewest task slots, or -1. Racks that skip reports are left out.
-func (z *zone) bestRack(usable, bonus []int, shape api.Shape, skip []bool) int {
-	best, bestSlots, bestBonus := -1, 0, 0
-	for r := range z.racks {
-		if skip != nil && skip[r] {
-			continue
-		}
-		slots := z.slots(z.racks[r], usable, shape.AcceleratorsPerTask)
+// then with the fewest tasks on workers that are unused so far, then with the
+// fewest task slots; or -1.
+func (z *zone) bestRack(usable, bonus []int, shape api.Shape) int {
+	best, bestBonus, bestOpened, bestSlots := -1, 0, 0, 0
+	for i, r := range z.racks {
+		slots, begun := z.slotsBegun(r, usable, shape.AcceleratorsPerTask)
 		if slots < shape.Tasks {
 			continue
 		}
-		gain := sum(bonus, z.racks[r])
-		if best < 0 || gain > bestBonus || (gain == bestBonus && slots < bestSlots) {
-			best, bestSlots, bestBonus = r, slots, gain
+		gain, opened := sum(bonus, r), max(0, shape.Tasks-begun)
+		if best < 0 || gain > bestBonus ||
+			(gain == bestBonus && (opened < bestOpened || (opened == bestOpened && slots < bestSlots))) {
+			best, bestBonus, bestOpened, bestSlots = i, gain, opened, slots
 		}
 	}
 	return best
 }
 
-// fitOverRacks takes the racks with the most task slots first, so that the gang
-// spans the fewest, and the tightest rack that completes it last.
+// slotsBegun counts the task slots of a rack, and those of them on workers
+// that are used in part.
+func (z *zone) slotsBegun(r rack, usable []int, perTask int) (slots, begun int) {
+	for w := r.first; w < r.end; w++ {
+		if usable[w] < perTask {
+			continue
+		}
+		slots += usable[w] / perTask
+		if usable[w] < z.capacity[w] {
+			begun += usable[w] / perTask
+		}
+	}
+	return slots, begun
+}
+
+// fitOverRacks takes the racks with the highest bonus first, among equals those
+// with the most task slots, so that the gang spans the fewest. The last rack is
+// the tightest among equals that completes the gang.
 func (z *zone) fitOverRacks(usable, bonus []int, shape api.Shape) []part {
-	order, slots := z.racksBySlots(usable, bonus, shape.AcceleratorsPerTask)
+	order := z.racksBySlots(usable, bonus, shape.AcceleratorsPerTask)
 	var parts []part
 	left := shape.Tasks
 	for i := 0; i < len(order) && left > 0; i++ {
 		chosen := i
-		for j := i + 1; j < len(order) && slots[order[j]] >= left; j++ {
+		for j := i + 1; j < len(order) && order[j].bonus == order[i].bonus && order[j].slots >= left; j++ {
 			chosen = j
 		}
-		r := order[chosen]
-		tasks := min(left, slots[r])
-		parts = z.fill(parts, z.racks[r], usable, bonus, shape, tasks)
+		tasks := min(left, order[chosen].slots)
+		parts = z.fill(parts, order[chosen].rack, usable, bonus, shape, tasks)
 		left -= tasks
 	}
 	if left > 0 {
@@ -68,60 +83,107 @@
 	return parts
 }
 
+// rankedRack is a rack with what decides its turn.
+type rankedRack struct {
+	rack
+	bonus, slots int
+}
+
 // racksBySlots orders the racks by falling bonus, then falling task slots.
-func (z *zone) racksBySlots(usable, bonus []int, perTask int) (order, slots []int) {
-	order = make([]int, len(z.racks))
-	slots = make([]int, len(z.racks))
-	for r := range z.racks {
-		order[r] = r
-		slots[r] = z.slots(z.racks[r], usable, perTask)
+func (z *zone) racksBySlots(usable, bonus []int, perTask int) []rankedRack {
+	order := make([]rankedRack, len(z.racks))
+	for i, r := range z.racks {
+		order[i] = rankedRack{rack: r, bonus: sum(bonus, r), slots: z.slots(r, usable, perTask)}
 	}
-	sort.SliceStable(order, func(i, j int) bool {
-		a, b := order[i], order[j]
-		if x, y := sum(bonus, z.racks[a]), sum(bonus, z.racks[b]); x != y {
-			return x > y
+	slices.SortStableFunc(order, func(a, b rankedRack) int {
+		if a.bonus != b.bonus {
+			return cmp.Compare(b.bonus, a.bonus)
 		}
-		return slots[a] > slots[b]
+		return cmp.Compare(b.slots, a.slots)
 	})
-	return order, slots
+	return order
 }
 
-// fill appends the given number of tasks on one rack's workers to parts, by
-// falling bonus, then the least usable accelerators. The rack must hold them.
+// fill appends the given number of tasks on one rack's workers to parts: first
+// those that the bonus covers, then on the workers with the least usable
+// accelerators. The rack must hold them.
 func (z *zone) fill(parts []part, r rack, usable, bonus []int, shape api.Shape, tasks int) []part {
-	taken := len(parts)
+	filled := filling{parts: parts, before: len(parts), usable: usable, perTask: shape.AcceleratorsPerTask}
+	if bonus != nil {
+		tasks = filled.cover(r, bonus, tasks)
+	}
+	for tasks > 0 {
+		best := -1
+		for w := r.first; w < r.end; w++ {
+			if filled.room(w) > 0 && (best < 0 || filled.left(w) < filled.left(best)) {
+				best = w
+			}
+		}
+		tasks -= filled.take(best, min(tasks, filled.room(best)))
+	}
+	return filled.parts
+}
+
+// filling is the state of filling one rack.
+type filling struct {
+	parts []part
+	// before counts the parts on other racks.
+	before  int
+	usable  []int
+	perTask int
+}
+
+// cover takes workers by falling bonus, each for no more tasks than its bonus
+// touches, and returns the tasks left.
+func (f *filling) cover(r rack, bonus []int, tasks int) int {
 	for tasks > 0 {
 		best := -1
 		for w := r.first; w < r.end; w++ {
-			if usable[w] < shape.AcceleratorsPerTask || isTaken(parts[taken:], w) {
+			if bonus[w] <= 0 || f.taken(w) > 0 || f.room(w) == 0 {
 				continue
 			}
-			if best < 0 || tighter(usable, bonus, w, best) {
+			if best < 0 || bonus[w] > bonus[best] {
 				best = w
 			}
 		}
-		count := min(tasks, usable[best]/shape.AcceleratorsPerTask)
-		parts = append(parts, part{worker: best, tasks: count})
-		tasks -= count
+		if best < 0 {
+			return tasks
+		}
+		touched := (bonus[best] + f.perTask - 1) / f.perTask
+		tasks -= f.take(best, min(tasks, touched, f.room(best)))
 	}
-	return parts
+	return 0
 }
 
-// tighter reports whether worker a is to be taken before worker b.
-func tighter(usable, bonus []int, a, b int) bool {
-	if bonus != nil && bonus[a] != bonus[b] {
-		return bonus[a] > bonus[b]
-	}
-	return usable[a] < usable[b]
+// left is what a worker has beside the tasks it was given.
+func (f *filling) left(worker int) int {
+	return f.usable[worker] - f.taken(worker)*f.perTask
+}
+
+// room counts the tasks that a worker takes beside those it was given.
+func (f *filling) room(worker int) int {
+	return max(0, f.left(worker)) / f.perTask
 }
 
-func isTaken(parts []part, worker int) bool {
-	for _, p := range parts {
+func (f *filling) taken(worker int) int {
+	for _, p := range f.parts[f.before:] {
 		if p.worker == worker {
-			return true
+			return p.tasks
+		}
+	}
+	return 0
+}
+
+// take gives a worker tasks and returns their number.
+func (f *filling) take(worker, tasks int) int {
+	for i := f.before; i < len(f.parts); i++ {
+		if f.parts[i].worker == worker {
+			f.parts[i].tasks += tasks
+			return tasks
 		}
 	}
-	return false
+	f.parts = append(f.parts, part{worker: worker, tasks: tasks})
+	return tasks
 }
 
 // slots counts the tasks of the given size that a rack's usable accelerators take.
--- a/internal/placement/guarantee.go
+++ b/internal/placement/guarantee.go
@@ -1,8 +1,9 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
-	"sort"
+	"slices"
 
 	"github.com/corianderbank/corianderbank/api"
 	"github.com/corianderbank/corianderbank/internal/model"
@@ -20,6 +21,11 @@
 // accounts: each may have to go first once.
 const packAttempts = 4
 
+// searchBudget bounds the steps of the search that follows when no order packs.
+// It finds the packings of small zones without slack, where order alone fails;
+// in large zones it ends within a millisecond.
+const searchBudget = 200
+
 // claim is one guaranteed shape of one account, by its index.
 type claim struct {
 	account int
@@ -57,19 +63,24 @@
 			}
 		}
 	}
-	sort.SliceStable(claims, func(i, j int) bool { return harder(claims[i].shape, claims[j].shape) })
+	slices.SortStableFunc(claims, func(a, b claim) int { return harder(a.shape, b.shape) })
 	return claims
 }
 
-// harder orders shapes by rack constraint, size of a task, then size.
-func harder(a, b api.Shape) bool {
-	if a.SameRack != b.SameRack {
-		return a.SameRack
+// harder orders shapes by rack constraint, size of a task, then size. One task
+// lies in one rack in any case.
+func harder(a, b api.Shape) int {
+	aBound, bBound := a.SameRack && a.Tasks > 1, b.SameRack && b.Tasks > 1
+	if aBound != bBound {
+		if aBound {
+			return -1
+		}
+		return 1
 	}
 	if a.AcceleratorsPerTask != b.AcceleratorsPerTask {
-		return a.AcceleratorsPerTask > b.AcceleratorsPerTask
+		return cmp.Compare(b.AcceleratorsPerTask, a.AcceleratorsPerTask)
 	}
-	return a.Tasks > b.Tasks
+	return cmp.Compare(b.Tasks, a.Tasks)
 }
 
 // newHoldings returns empty holdings.
@@ -89,7 +100,8 @@
 	}
 }
 
-// pack fits all claims around the holdings. The order of claims is not changed.
+// pack fits all claims around the holdings. If no order does, the packing of
+// the order that misses the fewest shapes is returned.
 func (z *zone) pack(h *holdings, claims []claim) packing {
 	best := z.packInOrder(h, claims)
 	order := claims
@@ -101,57 +113,182 @@
 		}
 		best = next
 	}
+	if best.failed == nil {
+		return best
+	}
+	k := newPacker(z, h)
+	budget := searchBudget
+	if k.search(k.coverAll(claims), &budget) {
+		return k.result()
+	}
 	return best
 }
 
+// packInOrder tries one order of claims.
 func (z *zone) packInOrder(h *holdings, claims []claim) packing {
-	p := packing{
-		missing: make([]int, len(h.own)),
-		outside: make([]int, len(h.own)),
-		cells:   make([][]int, len(h.own)),
-	}
-	open := z.vector()
-	for w := range open {
-		open[w] = max(0, z.capacity[w]-h.total[w])
-	}
-	left := make([][]int, len(h.own))
-	for i := range left {
-		left[i] = append([]int(nil), h.own[i]...)
-		p.cells[i] = z.vector()
-	}
-	usable := z.vector()
-	for i := range claims {
-		c := &claims[i]
-		own := left[c.account]
-		for w := range usable {
-			usable[w] = open[w] + own[w]
-		}
-		parts := z.fit(usable, own, c.shape)
-		if parts == nil {
-			p.missing[c.account]++
-			if p.failed == nil {
-				p.failed = c
-			}
+	k := newPacker(z, h)
+	for _, c := range k.coverAll(claims) {
+		if parts := z.fit(k.open, nil, c.shape); parts != nil {
+			k.give(c, parts, 1)
 			continue
 		}
-		p.take(c, parts, own, open)
+		k.missing[c.account]++
+		if k.failed == nil {
+			k.failed = &c
+		}
 	}
-	for i := range left {
-		p.outside[i] = totalOf(left[i])
+	return k.result()
+}
+
+// packer is the state of packing in one order.
+type packer struct {
+	packing
+	z *zone
+	// open is held by nobody; own is held by fixed gangs and not covered by
+	// their account's shapes yet; left is the sum of own by account.
+	open []int
+	own  [][]int
+	left []int
+}
+
+func newPacker(z *zone, h *holdings) *packer {
+	accounts := len(h.own)
+	k := &packer{z: z, open: z.vector(), own: make([][]int, accounts), left: make([]int, accounts)}
+	k.missing = make([]int, accounts)
+	k.cells = make([][]int, accounts)
+	for w := range k.open {
+		k.open[w] = max(0, z.capacity[w]-h.total[w])
 	}
-	return p
+	for i := range h.own {
+		k.own[i] = append([]int(nil), h.own[i]...)
+		k.left[i] = totalOf(h.own[i])
+		k.cells[i] = z.vector()
+	}
+	return k
+}
+
+// result returns the packing.
+func (k *packer) result() packing {
+	k.outside = k.left
+	return k.packing
+}
+
+// coverAll lays the claims of accounts that hold something over it, so that
+// fixed gangs come to lie inside their account's shapes, and returns what is
+// left to pack.
+func (k *packer) coverAll(claims []claim) []claim {
+	rest := make([]claim, 0, len(claims))
+	for _, c := range claims {
+		if k.left[c.account] > 0 {
+			c.shape.Tasks -= k.cover(c)
+		}
+		if c.shape.Tasks > 0 {
+			rest = append(rest, c)
+		}
+	}
+	return rest
+}
+
+// cover lays a claim over what its account holds, and returns the number of
+// tasks that found their room so: the whole claim or nothing if it has to lie in
+// one rack, else those tasks that touch what the account holds.
+func (k *packer) cover(c claim) int {
+	own := k.own[c.account]
+	usable := sumOf(k.open, own)
+	var parts []part
+	if c.shape.SameRack {
+		parts = k.z.fit(usable, own, c.shape)
+	} else {
+		around := filling{usable: usable, perTask: c.shape.AcceleratorsPerTask}
+		around.cover(rack{first: 0, end: len(usable)}, own, c.shape.Tasks)
+		parts = around.parts
+	}
+	if !touches(parts, own) {
+		return 0
+	}
+	k.take(c, parts)
+	return tasksOf(parts)
+}
+
+// touches reports whether a part lies on a worker with an entry above zero.
+func touches(parts []part, vector []int) bool {
+	return slices.ContainsFunc(parts, func(p part) bool { return vector[p.worker] > 0 })
+}
+
+func tasksOf(parts []part) int {
+	total := 0
+	for _, p := range parts {
+		total += p.tasks
+	}
+	return total
 }
 
 // take gives a claim its parts: what its account holds there already, then
 // what is open.
-func (p *packing) take(c *claim, parts []part, own, open []int) {
-	for _, part := range parts {
-		need := part.tasks * c.shape.AcceleratorsPerTask
-		covered := min(need, own[part.worker])
-		own[part.worker] -= covered
-		open[part.worker] -= need - covered
-		p.cells[c.account][part.worker] += need - covered
+func (k *packer) take(c claim, parts []part) {
+	own, cells := k.own[c.account], k.cells[c.account]
+	for _, p := range parts {
+		need := p.tasks * c.shape.AcceleratorsPerTask
+		covered := min(need, own[p.worker])
+		own[p.worker] -= covered
+		k.left[c.account] -= covered
+		k.open[p.worker] -= need - covered
+		cells[p.worker] += need - covered
+	}
+}
+
+// give gives a claim parts of what is open, or takes them back with sign -1.
+func (k *packer) give(c claim, parts []part, sign int) {
+	add(k.open, parts, -sign*c.shape.AcceleratorsPerTask)
+	add(k.cells[c.account], parts, sign*c.shape.AcceleratorsPerTask)
+}
+
+// search packs the claims by depth-first search over the racks of those that
+// have to lie in one. It gives up when the budget of steps is spent.
+func (k *packer) search(claims []claim, budget *int) bool {
+	if len(claims) == 0 {
+		return true
+	}
+	c := claims[0]
+	for _, parts := range k.options(c) {
+		if *budget == 0 {
+			return false
+		}
+		*budget--
+		k.give(c, parts, 1)
+		if k.search(claims[1:], budget) {
+			return true
+		}
+		k.give(c, parts, -1)
 	}
+	return false
+}
+
+// options lists the ways to pack a claim that search tries.
+func (k *packer) options(c claim) [][]part {
+	var options [][]part
+	if parts := k.z.fit(k.open, nil, c.shape); parts != nil {
+		options = append(options, parts)
+	}
+	if !c.shape.SameRack || c.shape.Tasks == 1 {
+		return options
+	}
+	for _, r := range k.z.racks {
+		if slots, _ := k.z.slotsBegun(r, k.open, c.shape.AcceleratorsPerTask); slots >= c.shape.Tasks {
+			options = append(options, k.z.fill(nil, r, k.open, nil, c.shape, c.shape.Tasks))
+		}
+	}
+	return options
+}
+
+// keeps reports whether no account misses more shapes than before.
+func (p *packing) keeps(before *packing) bool {
+	for account := range p.missing {
+		if p.missing[account] > before.missing[account] {
+			return false
+		}
+	}
+	return true
 }
 
 // CheckGuarantees reports, by account and shape, the first guarantee of a zone
@@ -177,17 +314,19 @@
 	return fmt.Sprintf("%d tasks of %d accelerators %s", shape.Tasks, shape.AcceleratorsPerTask, where)
 }
 
-func toFront(claims []claim, first claim) []claim {
-	order := make([]claim, 0, len(claims))
-	order = append(order, first)
-	skipped := false
-	for _, c := range claims {
-		if !skipped && c == first {
-			skipped = true
-			continue
+// toFront returns the claims with those of one account, the failed one's, in front.
+func toFront(claims []claim, failed claim) []claim {
+	order := slices.Clone(claims)
+	slices.SortStableFunc(order, func(a, b claim) int {
+		switch first := a.account == failed.account; {
+		case first == (b.account == failed.account):
+			return 0
+		case first:
+			return -1
+		default:
+			return 1
 		}
-		order = append(order, c)
-	}
+	})
 	return order
 }
 
--- a/internal/placement/recheck.go
+++ b/internal/placement/recheck.go
@@ -8,7 +8,9 @@
 // Recheck reports why a placement of an earlier plan no longer holds in a newer
 // snapshot: its job no longer waits, a worker takes no tasks or lacks the free
 // accelerators, the gang would be partial, or a guarantee could no longer be
-// given. The error's kind is KindConflict or KindNoCapacity.
+// given. The placements of a plan are checked in its order, each against a
+// snapshot with the earlier ones. The error's kind is KindConflict or
+// KindNoCapacity.
 func Recheck(s Snapshot, p Placement) error {
 	d := newDecider(&s)
 	job := d.waiting(p.JobID)
@@ -31,7 +33,7 @@
 	if p.Borrowed && job.Stoppable() {
 		return nil
 	}
-	if e := (entry{job: job, account: account}); !d.keepsGuarantees(&e, parts, false) {
+	if e := (entry{job: job, account: account}); !d.fix(&e, parts, false) {
 		return api.NewError(api.KindConflict, "a guaranteed shape could no longer be given")
 	}
 	return nil
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -98,10 +98,10 @@
 }
 
 // TaskSucceeded records that a task of a job ended well on a worker: neither is
-// sick.
+// sick. The job's failures elsewhere stay as evidence against those workers.
 func (t *Tracker) TaskSucceeded(worker, job string, _ time.Time) {
 	delete(t.byWorker, worker)
-	t.forgetJob(job)
+	delete(t.byJob, job)
 }
 
 // JobEnded drops what is kept about a job that has ended for another reason.
@@ -154,7 +154,7 @@
 	return healthy
 }
 
-// forgetJob drops a job and its failures on every worker.
+// forgetJob drops a sick job and its failures on every worker.
 func (t *Tracker) forgetJob(job string) {
 	for _, r := range t.byJob[job] {
 		t.byWorker[r.other] = slices.DeleteFunc(t.byWorker[r.other], func(r record) bool { return r.other == job })
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,155 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/corianderbank/corianderbank/internal/chart"
+)
+
+var start = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+func TestVerdicts(t *testing.T) {
+	type failure struct {
+		worker, job string
+		after       time.Duration
+		succeeded   bool
+	}
+	cases := map[string]struct {
+		failures                []failure
+		wantWorkers, wantedJobs []string
+	}{
+		"a worker that fails three jobs is sick": {
+			[]failure{{worker: "w", job: "a"}, {worker: "w", job: "b"}, {worker: "w", job: "c"}},
+			[]string{"w"},
+			nil,
+		},
+		"a job that fails on three workers is sick": {
+			[]failure{{worker: "u", job: "a"}, {worker: "v", job: "a"}, {worker: "w", job: "a"}},
+			nil,
+			[]string{"a"},
+		},
+		"one job that fails thrice on one worker proves nothing": {
+			[]failure{{worker: "w", job: "a"}, {worker: "w", job: "a"}, {worker: "w", job: "a"}},
+			nil, nil,
+		},
+		"failures long ago do not count": {
+			[]failure{{worker: "w", job: "a"}, {worker: "w", job: "b"}, {worker: "w", job: "c", after: 2 * window}},
+			nil, nil,
+		},
+		"a success clears the worker": {
+			[]failure{{worker: "w", job: "a"}, {worker: "w", job: "b"}, {worker: "w", job: "d", succeeded: true}, {worker: "w", job: "c"}},
+			nil, nil,
+		},
+		"failures on sick workers are no evidence against a job": {
+			[]failure{
+				{worker: "u", job: "a"},
+				{worker: "u", job: "b"},
+				{worker: "u", job: "x"},
+				{worker: "v", job: "a"},
+				{worker: "v", job: "b"},
+				{worker: "v", job: "x"},
+				{worker: "w", job: "x"},
+			},
+			[]string{"u", "v"},
+			nil,
+		},
+		"sick jobs do not make their workers sick": {
+			[]failure{
+				{worker: "u", job: "a"},
+				{worker: "v", job: "a"},
+				{worker: "w", job: "a"},
+				{worker: "u", job: "b"},
+				{worker: "v", job: "b"},
+				{worker: "w", job: "b"},
+				{worker: "u", job: "c"},
+				{worker: "v", job: "c"},
+				{worker: "w", job: "c"},
+			},
+			nil,
+			[]string{"a", "b", "c"},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tracker := NewTracker()
+			now := start
+			var workers, jobs []string
+			for _, f := range c.failures {
+				now = now.Add(f.after)
+				if f.succeeded {
+					tracker.TaskSucceeded(f.worker, f.job, now)
+					continue
+				}
+				verdict := tracker.TaskFailed(f.worker, f.job, now)
+				if verdict.SickWorker != "" {
+					workers = append(workers, verdict.SickWorker)
+				}
+				if verdict.SickJob != "" {
+					jobs = append(jobs, verdict.SickJob)
+				}
+			}
+			assert.DeepEqual(t, workers, c.wantWorkers)
+			assert.DeepEqual(t, jobs, c.wantedJobs)
+		})
+	}
+}
+
+// TestRandomFaults plays sick workers and sick jobs together: in the end every
+// sick one is found, and no healthy one is blamed.
+func TestRandomFaults(t *testing.T) {
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		tracker := NewTracker()
+		sickWorkers, sickJobs := map[string]bool{"w0": true, "w1": true}, map[string]bool{}
+		found := make(map[string]bool)
+		for i := range 200 {
+			job := fmt.Sprintf("j%d", i)
+			sickJobs[job] = random.IntN(10) == 0
+			for attempt := 0; attempt < 6 && !found[job]; attempt++ {
+				worker := fmt.Sprintf("w%d", random.IntN(12))
+				if found[worker] {
+					continue
+				}
+				if !sickWorkers[worker] && !sickJobs[job] {
+					tracker.TaskSucceeded(worker, job, start)
+					break
+				}
+				verdict := tracker.TaskFailed(worker, job, start)
+				assert.Assert(t, verdict.SickWorker == "" || sickWorkers[verdict.SickWorker], "seed %d: %s", seed, verdict.Evidence)
+				assert.Assert(t, verdict.SickJob == "" || sickJobs[verdict.SickJob], "seed %d: %s", seed, verdict.Evidence)
+				found[verdict.SickWorker], found[verdict.SickJob] = true, true
+			}
+		}
+		assert.Assert(t, found["w0"] && found["w1"], "seed %d", seed)
+	}
+}
+
+func TestQuarantineEndsByProbe(t *testing.T) {
+	tracker := NewTracker()
+	for _, job := range []string{"a", "b", "c"} {
+		tracker.TaskFailed("w", job, start)
+	}
+	now := start.Add(firstCooling)
+	assert.Equal(t, len(tracker.Cooled(now.Add(-time.Second))), 0)
+	assert.DeepEqual(t, tracker.Cooled(now), []string{"w"})
+	assert.Equal(t, len(tracker.Cooled(now)), 0, "a worker is probed once")
+	assert.Equal(t, tracker.Probed("w", false, now), EventProbeFailed)
+	assert.Equal(t, len(tracker.Cooled(now.Add(firstCooling))), 0, "a relapse cools longer")
+	now = now.Add(2 * firstCooling)
+	assert.DeepEqual(t, tracker.Cooled(now), []string{"w"})
+	assert.Equal(t, tracker.Probed("w", true, now), EventProbeOK)
+	assert.Equal(t, tracker.TaskFailed("w", "d", now), Verdict{}, "the worker starts afresh")
+}
+
+func TestEventsAreInTheChart(t *testing.T) {
+	worker := chart.MustLoad("worker")
+	for _, event := range []chart.Event{EventSick, EventCooled, EventProbeOK, EventProbeFailed} {
+		_, err := worker.Next("probing", event)
+		assert.NilError(t, err)
+	}
+}
