Bounded exchanges between peers

Cause: one exchange each way for each pair every 500 ms cost 485 B/s for each peer: 15.2 KB/s at 32 instances, 30.6 KB/s at 64 (BenchmarkControl), against 4 KB/s a node. Ruled out: yamux keepalive as the sign of life, which costs as much again. Change: of each pair the lower id begins and the answer serves the other; six exchanges a second at most with the own zone and with all others; the interval and the silence that counts grow with the fleet; news still goes out at once; connections are probed only where a call went unanswered.

--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -41,8 +41,8 @@
 	// is called from several goroutines.
 	Local  func() Local
 	Logger *zap.Logger
-	// PeerInterval is the time between state messages to a peer of the same
-	// availability zone; ListInterval that between reads of the list.
+	// PeerInterval is the shortest time between exchanges with a peer of the
+	// same availability zone; ListInterval is that between reads of the list.
 	PeerInterval time.Duration
 	ListInterval time.Duration
 	// Thresholds may be left zero for the defaults.
@@ -77,7 +77,7 @@
 	f := &Fleet{
 		options: options,
 		logger:  options.Logger.Named("membership"),
-		state:   newState(options.Self.ID, options.Thresholds),
+		state:   newState(options.Self, options.PeerInterval, options.Thresholds),
 		self:    options.Self,
 	}
 	now := time.Now()
@@ -183,6 +183,10 @@
 	}
 }
 
+// Announce tells every peer of this instance's present state at once, for
+// example after a change of the configuration or of the placer role.
+func (f *Fleet) Announce() { f.gossip.urge() }
+
 // SetLeaving says that this instance starts to leave; peers are told at once.
 func (f *Fleet) SetLeaving() {
 	f.mu.Lock()
@@ -269,8 +273,9 @@
 	return entry.PeerAddr, true
 }
 
-// targets returns every known peer, those of this zone first.
-func (f *Fleet) targets() []model.Instance {
+// peersAndIntervals returns every known peer, those of this zone first, and the
+// times between exchanges with them.
+func (f *Fleet) peersAndIntervals() ([]model.Instance, intervals) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	peers := make([]model.Instance, 0, len(f.state.instances))
@@ -280,7 +285,7 @@
 	slices.SortStableFunc(peers, func(a, b model.Instance) int {
 		return cmp.Compare(zoneRank(a, f.self), zoneRank(b, f.self))
 	})
-	return peers
+	return peers, f.state.intervals()
 }
 
 func zoneRank(instance, self model.Instance) int {
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -18,25 +19,34 @@
 	gossipCalls = 64
 	// gossipTimeout bounds one of them; a peer that takes longer is asked again.
 	gossipTimeout = time.Second
+	// roundsPerInterval is how often in an interval the duty looks who is due.
+	roundsPerInterval = 5
 )
 
-// gossip sends this instance's state to every peer at an interval, and at once
-// when there is news.
+// gossip exchanges states with the peers that are due, and with every peer at
+// once when there is news.
 type gossip struct {
-	fleet *Fleet
+	fleet    *Fleet
+	schedule *schedule
 	// urgent wakes the duty; one waiting entry stands for all later ones.
 	urgent *ring.Dropping[struct{}]
 
-	// mu guards talking: the peers with a message under way.
+	// mu guards talking: the peers with a message under way, with whether news
+	// came meanwhile.
 	mu      sync.Mutex
 	talking map[string]bool
 }
 
 func newGossip(fleet *Fleet) *gossip {
-	return &gossip{fleet: fleet, urgent: ring.NewDropping[struct{}](1), talking: make(map[string]bool)}
+	return &gossip{
+		fleet:    fleet,
+		schedule: newSchedule(fleet.options.Self),
+		urgent:   ring.NewDropping[struct{}](1),
+		talking:  make(map[string]bool),
+	}
 }
 
-// urge makes the next round start now.
+// urge makes the next round start now and go to every peer.
 func (g *gossip) urge() { g.urgent.Push(struct{}{}) }
 
 func (g *gossip) run(ctx context.Context) {
@@ -45,50 +55,68 @@
 	}
 	pool := pond.NewPool(gossipCalls, pond.WithQueueSize(gossipCalls), pond.WithNonBlocking(true))
 	defer pool.StopAndWait()
-	ticker := time.NewTicker(g.fleet.options.PeerInterval)
+	ticker := time.NewTicker(g.fleet.options.PeerInterval / roundsPerInterval)
 	defer ticker.Stop()
+	news := true
 	for {
-		g.round(ctx, pool)
+		g.round(ctx, pool, news)
 		select {
 		case <-ticker.C:
+			news = false
 		case <-g.urgent.C():
+			news = true
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// round starts one message to every peer that none is under way to. A full
-// pool leaves a peer to the next round.
-func (g *gossip) round(ctx context.Context, pool pond.Pool) {
-	for _, target := range g.fleet.targets() {
-		if !g.begin(target.ID) {
+// round starts an exchange with every peer that is due. A full pool leaves a
+// peer to its next time.
+func (g *gossip) round(ctx context.Context, pool pond.Pool, news bool) {
+	peers, every := g.fleet.peersAndIntervals()
+	for _, target := range g.schedule.due(time.Now(), peers, every, news, rand.Float64) {
+		if !g.begin(target.ID, news) {
 			continue
 		}
-		err := pool.Go(func() {
-			defer g.end(target.ID)
-			g.talk(ctx, target)
-		})
-		if err != nil {
+		if pool.Go(func() { g.talkOut(ctx, target) }) != nil {
 			g.end(target.ID)
 		}
 	}
 }
 
-func (g *gossip) begin(id string) bool {
+// begin reserves the talk with a peer; false if one is under way, which then
+// repeats itself if there is news.
+func (g *gossip) begin(id string, news bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.talking[id] {
+	again, talking := g.talking[id]
+	if talking {
+		g.talking[id] = again || news
 		return false
 	}
-	g.talking[id] = true
+	g.talking[id] = false
 	return true
 }
 
-func (g *gossip) end(id string) {
+// end ends the talk with a peer; true if it must be repeated.
+func (g *gossip) end(id string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.talking[id] {
+		g.talking[id] = false
+		return true
+	}
 	delete(g.talking, id)
+	return false
+}
+
+// talkOut talks to a peer until no news came meanwhile.
+func (g *gossip) talkOut(ctx context.Context, target model.Instance) {
+	g.talk(ctx, target)
+	for g.end(target.ID) && ctx.Err() == nil {
+		g.talk(ctx, target)
+	}
 }
 
 // talk exchanges states with one peer.
--- a/internal/membership/instance.go
+++ b/internal/membership/instance.go
@@ -31,7 +31,7 @@
 
 // seeded takes in an instance that the settings name.
 func (s *state) seeded(instance model.Instance, now time.Time) {
-	if instance.ID == s.self {
+	if instance.ID == s.self.ID {
 		return
 	}
 	s.instances[instance.ID] = &instanceEntry{Instance: instance, named: now, seed: true}
@@ -40,7 +40,7 @@
 // instanceListed takes in an entry of the instance list. The list says where a
 // peer is and that it leaves; only the peer itself says that it lives.
 func (s *state) instanceListed(listed api.ListedInstance, now time.Time) {
-	if listed.ID == s.self {
+	if listed.ID == s.self.ID {
 		return
 	}
 	entry := s.instanceSeen(listed.ID, listed.Incarnation, now)
@@ -57,7 +57,7 @@
 // instanceSaid takes in a peer's own message.
 func (s *state) instanceSaid(message *peerpb.State, now time.Time) {
 	id := message.GetInstance()
-	if id == "" || id == s.self {
+	if id == "" || id == s.self.ID {
 		return
 	}
 	entry := s.instanceSeen(id, message.GetIncarnation(), now)
@@ -98,7 +98,7 @@
 
 // instanceLive reports whether a peer was heard of lately, or was named so
 // lately that it could not have been heard yet.
-func (s *state) instanceLive(entry *instanceEntry, now time.Time) bool {
+func (s *state) instanceLive(entry *instanceEntry, every intervals, now time.Time) bool {
 	if entry.lost {
 		return false
 	}
@@ -106,13 +106,14 @@
 	if entry.named.After(latest) {
 		latest = entry.named
 	}
-	return now.Sub(latest) <= s.thresholds.InstanceSilence
+	return now.Sub(latest) <= every.silence(entry.Zone == s.self.Zone)
 }
 
 // instancesTick notes losses and forgets peers that nothing names any more.
 func (s *state) instancesTick(now time.Time) {
+	every := s.intervals()
 	for id, entry := range s.instances {
-		if !entry.lost && !s.instanceLive(entry, now) {
+		if !entry.lost && !s.instanceLive(entry, every, now) {
 			entry.lost = true
 			entry.flaps.lost(now)
 		}
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -18,10 +18,6 @@
 
 // Thresholds are the times after which silence counts.
 type Thresholds struct {
-	// InstanceSilence is how long a peer may be silent and still be live. Six
-	// beats of the default interval: one lost beat or a long pause of the
-	// garbage collector is no death, and an owner is replaced within seconds.
-	InstanceSilence time.Duration
 	// BackendSilence is how long a backend server that the list no longer names
 	// counts as there without an answer of its own. Longer than a list read
 	// that skips a beat, shorter than a caller's patience.
@@ -39,12 +35,11 @@
 // DefaultThresholds returns the thresholds for the default timing.
 func DefaultThresholds() Thresholds {
 	return Thresholds{
-		InstanceSilence: 3 * time.Second,
-		BackendSilence:  5 * time.Second,
-		BackendRamp:     10 * time.Second,
-		WorkerSilence:   3 * time.Second,
-		WorkerLoss:      20 * time.Second,
-		Forget:          time.Hour,
+		BackendSilence: 5 * time.Second,
+		BackendRamp:    10 * time.Second,
+		WorkerSilence:  3 * time.Second,
+		WorkerLoss:     20 * time.Second,
+		Forget:         time.Hour,
 	}
 }
 
@@ -57,7 +52,8 @@
 // state is everything known of the fleet. It is pure: events and the local time
 // go in, and the views read it. It is not safe for concurrent use.
 type state struct {
-	self       string
+	self       model.Instance
+	interval   time.Duration
 	thresholds Thresholds
 	backendSM  *chart.Chart
 	workerSM   *chart.Chart
@@ -75,9 +71,10 @@
 	leftBackends map[string]leftMark
 }
 
-func newState(self string, thresholds Thresholds) *state {
+func newState(self model.Instance, interval time.Duration, thresholds Thresholds) *state {
 	return &state{
 		self:         self,
+		interval:     interval,
 		thresholds:   thresholds,
 		backendSM:    chart.MustLoad("backend_server"),
 		workerSM:     chart.MustLoad("worker"),
@@ -173,10 +170,22 @@
 
 func (s *state) liveInstances(now time.Time) []model.Instance {
 	var live []model.Instance
+	every := s.intervals()
 	for _, id := range sortedKeys(s.instances) {
-		if entry := s.instances[id]; s.instanceLive(entry, now) {
+		if entry := s.instances[id]; s.instanceLive(entry, every, now) {
 			live = append(live, entry.Instance)
 		}
 	}
 	return live
 }
+
+// intervals returns the times between exchanges for the present fleet.
+func (s *state) intervals() intervals {
+	own := 0
+	for _, entry := range s.instances {
+		if entry.Zone == s.self.Zone {
+			own++
+		}
+	}
+	return planIntervals(s.interval, own, len(s.instances)-own)
+}
--- a/internal/membership/state_test.go
+++ b/internal/membership/state_test.go
@@ -80,7 +80,7 @@
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			s := newState("self", DefaultThresholds())
+			s := newState(model.Instance{ID: "self", Zone: "z1"}, 500*time.Millisecond, DefaultThresholds())
 			for _, step := range test.steps {
 				step.do(s, epoch.Add(step.after))
 			}
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -27,12 +27,16 @@
 	if size := proto.Size(message); size > n.limits.MaxMessageBytes {
 		return nil, api.NewError(api.KindBodyTooLarge, "peer %s: request of %d bytes", instance, size)
 	}
-	stream, err := n.open(ctx, l)
+	stream, c, err := n.open(ctx, l)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = stream.Close() }()
-	return n.exchange(ctx, instance, stream, message)
+	response, err := n.exchange(ctx, instance, stream, message)
+	if errors.Is(err, yamux.ErrTimeout) {
+		n.suspect(c)
+	}
+	return response, err
 }
 
 func (n *Node) callContext(ctx context.Context) (context.Context, context.CancelFunc) {
@@ -52,21 +56,21 @@
 const openAttempts = 2
 
 // open opens a stream for one call. Nothing of the call has left on an error.
-func (n *Node) open(ctx context.Context, l *link) (*yamux.Stream, error) {
+func (n *Node) open(ctx context.Context, l *link) (*yamux.Stream, *connection, error) {
 	var last error
 	for range openAttempts {
 		c, err := n.connection(ctx, l)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		stream, err := c.OpenStream()
 		if err == nil {
-			return stream, nil
+			return stream, c, nil
 		}
 		last = err
 		l.drop(c)
 	}
-	return nil, errNotReady(l.instance, "no stream: %v", last)
+	return nil, nil, errNotReady(l.instance, "no stream: %v", last)
 }
 
 // exchange sends the request and waits for the response. From the first byte
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
 	"go.uber.org/zap"
+
+	"github.com/corianderbank/corianderbank/internal/backoff"
 )
 
 // connection is one established session with a peer.
@@ -18,6 +22,8 @@
 	// dialedBy is the id of the instance that dialed.
 	dialedBy string
 	since    time.Time
+	// probing says that a probe is under way.
+	probing atomic.Bool
 }
 
 // link is what a node knows of the way to one peer.
@@ -32,7 +38,7 @@
 	// dialing is closed when the dial under way ends; nil without one.
 	dialing  chan struct{}
 	dialErr  error
-	failures int
+	failures backoff.Backoff
 	// notBefore is the earliest time of the next dial.
 	notBefore time.Time
 }
@@ -49,7 +55,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.since = now
-	l.failures = 0
+	l.failures.Succeeded()
 	l.notBefore = time.Time{}
 	old := l.current
 	if old == nil || old.IsClosed() {
@@ -125,7 +131,7 @@
 		return l.dialing, nil
 	}
 	if wait := time.Until(l.notBefore); wait > 0 {
-		return nil, errNotReady(l.instance, "backing off after %d failures: %v", l.failures, l.dialErr)
+		return nil, errNotReady(l.instance, "backing off after %d failures: %v", l.failures.Failures(), l.dialErr)
 	}
 	if !n.addDuty() {
 		return nil, errNotReady(l.instance, "node is closed")
@@ -156,27 +162,37 @@
 	defer l.mu.Unlock()
 	l.dialErr = err
 	if err != nil {
-		l.failures++
-		l.notBefore = time.Now().Add(jitter(dialBackoff(l.failures)))
-		n.logger.Debug("dial", zap.String("peer", l.instance), zap.Int("failures", l.failures), zap.Error(err))
+		l.notBefore = time.Now().Add(l.failures.Failed(rand.Float64()))
+		n.logger.Debug("dial", zap.String("peer", l.instance), zap.Int("failures", l.failures.Failures()), zap.Error(err))
 	}
 	close(l.dialing)
 	l.dialing = nil
 }
 
+// The wait after failed dials stays well under the time in which a healed cut
+// must be noticed.
 const (
 	backoffBase = 100 * time.Millisecond
 	backoffMax  = 5 * time.Second
 )
 
-// dialBackoff returns the longest wait after the given number of failures in a
-// row. It stays well under the time in which a healed cut must be noticed.
-func dialBackoff(failures int) time.Duration {
-	wait := backoffBase
-	for i := 1; i < failures && wait < backoffMax; i++ {
-		wait *= 2
+// suspect probes a connection on which a call went unanswered, and closes it if
+// the probe goes unanswered too. A peer that is merely slow answers the probe,
+// so that its other calls live on.
+func (n *Node) suspect(c *connection) {
+	if !c.probing.CompareAndSwap(false, true) {
+		return
 	}
-	return min(wait, backoffMax)
+	if !n.addDuty() {
+		return
+	}
+	go func() {
+		defer n.duties.Done()
+		defer c.probing.Store(false)
+		if _, err := c.Ping(); err != nil {
+			_ = c.Close()
+		}
+	}()
 }
 
 // connect dials the instance, shakes hands and opens the session.
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -12,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/backoff"
 )
 
 // Limits bounds what peers may make an instance use. A zero field takes its
@@ -32,8 +32,6 @@
 	CallTimeout time.Duration
 	// IOTimeout bounds reading one request and writing one message; default 5 s.
 	IOTimeout time.Duration
-	// KeepAlive is the time between probes of an idle connection; default 5 s.
-	KeepAlive time.Duration
 }
 
 const (
@@ -44,7 +42,6 @@
 	defaultDialTimeout     = 2 * time.Second
 	defaultCallTimeout     = 30 * time.Second
 	defaultIOTimeout       = 5 * time.Second
-	defaultKeepAlive       = 5 * time.Second
 )
 
 func (l Limits) withDefaults() Limits {
@@ -55,7 +52,6 @@
 	setDuration(&l.DialTimeout, defaultDialTimeout)
 	setDuration(&l.CallTimeout, defaultCallTimeout)
 	setDuration(&l.IOTimeout, defaultIOTimeout)
-	setDuration(&l.KeepAlive, defaultKeepAlive)
 	return l
 }
 
@@ -238,7 +234,9 @@
 	config := yamux.DefaultConfig()
 	config.LogOutput = nil
 	config.Logger = yamuxLogger{n.logger}
-	config.KeepAliveInterval = n.limits.KeepAlive
+	// Probing every idle connection would cost more than the state messages,
+	// which are probes too; suspect probes where a call went unanswered.
+	config.EnableKeepAlive = false
 	config.ConnectionWriteTimeout = n.limits.IOTimeout
 	config.StreamOpenTimeout = 2 * n.limits.IOTimeout
 	config.StreamCloseTimeout = 2 * n.limits.IOTimeout
@@ -252,6 +250,7 @@
 	l, ok := n.links[instance]
 	if !ok {
 		l = &link{instance: instance, calls: make(chan struct{}, n.limits.MaxCalls)}
+		l.failures = backoff.Backoff{Base: backoffBase, Max: backoffMax}
 		n.links[instance] = l
 	}
 	return l
@@ -313,9 +312,3 @@
 func errNotReady(instance string, format string, args ...any) error {
 	return api.NewError(api.KindNotReady, "peer "+instance+": "+format, args...)
 }
-
-// jitter returns a random duration in [d/2, d].
-func jitter(d time.Duration) time.Duration {
-	half := int64(d / 2)
-	return time.Duration(half + rand.Int64N(half+1))
-}
