Backend servers are probed by one instance of their zone

Cause: an idle backend server that starts to leave while the list lags was known only after its next answer to work.

--- a/internal/membership/backend.go
+++ b/internal/membership/backend.go
@@ -14,7 +14,9 @@
 	since time.Time
 	// lastSeen is when the list named it or it answered.
 	lastSeen time.Time
-	flaps    flapping
+	// lastAnswer is when it last answered, lastProbe when it was last asked.
+	lastAnswer, lastProbe time.Time
+	flaps                 flapping
 }
 
 // backendListed takes in an entry of the instance list.
@@ -38,8 +40,11 @@
 	if leaving {
 		return s.backendLeft(id, incarnation, now)
 	}
-	if _, ok := s.backends[id]; ok {
-		s.backendSeen(id, incarnation, now)
+	if _, known := s.backends[id]; !known {
+		return false
+	}
+	if entry := s.backendSeen(id, incarnation, now); entry != nil {
+		entry.lastAnswer = now
 	}
 	return false
 }
--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -3,14 +3,17 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/corianderbank/corianderbank/api"
 	peerpb "github.com/corianderbank/corianderbank/api/peer"
+	"github.com/corianderbank/corianderbank/internal/backoff"
 	"github.com/corianderbank/corianderbank/internal/model"
 	"github.com/corianderbank/corianderbank/internal/peer"
 	"github.com/corianderbank/corianderbank/internal/platform"
@@ -37,6 +40,8 @@
 	Lister platform.InstanceLister
 	// Caller reaches peers; nil for none.
 	Caller peer.Caller
+	// Prober asks backend servers of this zone for their health; nil for none.
+	Prober Prober
 	// Local returns the present figures for state messages; nil for none. It
 	// is called from several goroutines.
 	Local  func() Local
@@ -55,8 +60,6 @@
 	options Options
 	logger  *zap.Logger
 	gossip  *gossip
-	// listFailed is used by the list duty alone.
-	listFailed bool
 
 	// mu guards state and self.
 	mu    sync.Mutex
@@ -90,48 +93,57 @@
 	return f
 }
 
-// Run polls the instance list, talks to peers and judges silence until ctx ends.
+// Run polls the instance list, talks to peers, asks backend servers and judges
+// silence until ctx ends.
 func (f *Fleet) Run(ctx context.Context) {
 	var duties sync.WaitGroup
-	for _, duty := range []func(context.Context){f.pollList, f.gossip.run, f.judge} {
+	for _, duty := range []func(context.Context){f.pollList, f.gossip.run, f.judge, f.probe} {
 		duties.Go(func() { duty(ctx) })
 	}
 	duties.Wait()
 }
 
-// pollList reads the instance list at its interval.
+// pollList reads the instance list at its interval, and less often while it
+// cannot be read.
 func (f *Fleet) pollList(ctx context.Context) {
 	if f.options.Lister == nil {
 		return
 	}
-	ticker := time.NewTicker(f.options.ListInterval)
-	defer ticker.Stop()
-	for {
-		f.readList(ctx)
+	failing := backoff.Backoff{Base: 2 * f.options.ListInterval, Max: listBackoffFactor * f.options.ListInterval}
+	for ctx.Err() == nil {
+		wait := backoff.Spread(f.options.ListInterval, rand.Float64())
+		if err := f.readList(ctx); err == nil {
+			failing.Succeeded()
+		} else {
+			wait = failing.Failed(rand.Float64())
+			f.logger.Warn("instance list unavailable", zap.Int("failures", failing.Failures()), zap.Error(err))
+		}
 		select {
-		case <-ticker.C:
+		case <-time.After(wait):
 		case <-ctx.Done():
-			return
 		}
 	}
 }
 
+// listBackoffFactor bounds the wait between reads during an outage, in
+// intervals: the list is back in force soon after the platform is.
+const listBackoffFactor = 5
+
 // readList reads the list once. A failure leaves everything as it is.
-func (f *Fleet) readList(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, f.options.ListInterval)
+func (f *Fleet) readList(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	list, err := f.options.Lister.List(ctx)
 	if err != nil {
-		if !f.listFailed {
-			f.logger.Warn("instance list unavailable", zap.Error(err))
-		}
-		f.listFailed = true
-		return
+		return err
 	}
-	f.listFailed = false
 	f.ObserveList(list)
+	return nil
 }
 
+// listTimeout bounds one read; a slow list is better than none.
+const listTimeout = 3 * time.Second
+
 // judge judges silence once in a while.
 func (f *Fleet) judge(ctx context.Context) {
 	ticker := time.NewTicker(f.options.PeerInterval)
@@ -187,10 +199,36 @@
 // example after a change of the configuration or of the placer role.
 func (f *Fleet) Announce() { f.gossip.urge() }
 
-// SetLeaving says that this instance starts to leave; peers are told at once.
+// AnnounceLeaving says that this instance leaves, and waits until every live
+// peer was told or ctx ends. The error then counts those that were not reached.
+func (f *Fleet) AnnounceLeaving(ctx context.Context) error {
+	f.SetLeaving()
+	if f.options.Caller == nil {
+		return nil
+	}
+	peers := f.Instances()
+	var told sync.WaitGroup
+	var missed atomic.Int64
+	for _, target := range peers {
+		told.Go(func() {
+			if f.gossip.talk(ctx, target) != nil {
+				missed.Add(1)
+			}
+		})
+	}
+	told.Wait()
+	if missed.Load() > 0 {
+		return api.NewError(api.KindNotReady, "%d of %d peers were not told", missed.Load(), len(peers))
+	}
+	return nil
+}
+
+// SetLeaving says that this instance starts to leave; the gossip duty tells
+// the peers at once.
 func (f *Fleet) SetLeaving() {
 	f.mu.Lock()
 	f.self.Leaving = true
+	f.state.leaving = true
 	f.mu.Unlock()
 	f.gossip.urge()
 }
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -113,23 +113,24 @@
 
 // talkOut talks to a peer until no news came meanwhile.
 func (g *gossip) talkOut(ctx context.Context, target model.Instance) {
-	g.talk(ctx, target)
+	_ = g.talk(ctx, target)
 	for g.end(target.ID) && ctx.Err() == nil {
-		g.talk(ctx, target)
+		_ = g.talk(ctx, target)
 	}
 }
 
 // talk exchanges states with one peer.
-func (g *gossip) talk(ctx context.Context, target model.Instance) {
+func (g *gossip) talk(ctx context.Context, target model.Instance) error {
 	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
 	defer cancel()
 	request := &peerpb.Request{Body: &peerpb.Request_State{State: g.fleet.OwnState()}}
 	response, err := g.fleet.options.Caller.Call(ctx, target.ID, request)
 	if err != nil {
 		g.fleet.logger.Debug("peer silent", zap.String("peer", target.ID), zap.Error(err))
-		return
+		return err
 	}
 	if state := response.GetState(); state != nil {
 		g.fleet.observe(func(now time.Time) bool { return g.fleet.state.peerSaid(state, now) })
 	}
+	return nil
 }
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -55,8 +55,10 @@
 	self       model.Instance
 	interval   time.Duration
 	thresholds Thresholds
-	backendSM  *chart.Chart
-	workerSM   *chart.Chart
+	// leaving says that this instance leaves.
+	leaving   bool
+	backendSM *chart.Chart
+	workerSM  *chart.Chart
 
 	// listAt is the local time of the last list that was taken in, listAsOf the
 	// platform's time of the newest one.
