--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -26,7 +26,7 @@
 			continue
 		}
 		named := entry.listedAt.Equal(s.listAt)
-		if named || !listFresh || s.instanceLive(entry, now) {
+		if named || !listFresh || s.instanceLive(entry, s.intervals(), now) {
 			members[id] = true
 		}
 	}
--- a/test/invariants/gang_check_test.go
+++ b/test/invariants/gang_check_test.go
@@ -61,6 +61,8 @@
 }
 
 func (m *gangMonitor) samplePartial(running, present map[gangAttempt]int, now time.Time) {
+	m.world.mu.Lock()
+	defer m.world.mu.Unlock()
 	for key := range m.partialSince {
 		if running[key] == 0 || present[key] >= m.shapes[key.gang].Tasks {
 			delete(m.partialSince, key)
--- a/test/invariants/gang_network_test.go
+++ b/test/invariants/gang_network_test.go
@@ -40,7 +40,10 @@
 
 func (n gangNetwork) pass(addr string) passage {
 	n.world.awaitThaw(n.instance)
-	time.Sleep(time.Millisecond)
+	n.world.mu.Lock()
+	delay := time.Millisecond + n.world.slow[addr]
+	n.world.mu.Unlock()
+	time.Sleep(delay)
 	n.world.mu.Lock()
 	defer n.world.mu.Unlock()
 	if n.world.cut[[2]string{n.instance, addr}] {
@@ -95,6 +98,9 @@
 }
 
 func (n gangNetwork) Stop(_ context.Context, addr string, call api.Stop) (api.StopAnswer, error) {
+	if n.world.planted == plantedGenerous {
+		return api.StopAnswer{}, api.NewError(api.KindConflict, "not stopped")
+	}
 	var answer api.StopAnswer
 	err := n.carry(addr, func() error {
 		var err error
--- a/test/invariants/gang_test.go
+++ b/test/invariants/gang_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,6 +62,7 @@
 func TestGangRunsWholeOrNotAtAll(t *testing.T) {
 	for name, faults := range gangCases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range soakSeeds(3) {
 				broken := playGangs(t, seed, faults, plantedNone)
 				assert.Assert(t, len(broken) == 0, "seed %d: %s\nagain: SOAK_FIRST=%d SOAK_SEEDS=1 go test ./test/invariants -run '%s'", seed, strings.Join(broken, "\n"), seed, t.Name())
@@ -81,6 +83,7 @@
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			caught := 0
 			for seed := range uint64(10) {
 				if len(playGangs(t, seed, test.faults, test.planted)) > 0 {
@@ -117,6 +120,7 @@
 type gangHistory struct {
 	world   *gangWorld
 	monitor *gangMonitor
+	draws   sync.Mutex // guards random
 	random  *rand.Rand
 	ids     []string
 	plan    []gangEvent
@@ -127,13 +131,20 @@
 	do func()
 }
 
+// intN draws a number; events run side by side.
+func (h *gangHistory) intN(n int) int {
+	h.draws.Lock()
+	defer h.draws.Unlock()
+	return h.random.IntN(n)
+}
+
 func (h *gangHistory) schedule(faults gangCase) {
 	for i := range gangJobs {
 		h.at(func() { h.submit(i) })
 	}
 	h.repeat(faults.workerDies, func() { h.world.replaceWorker(h.anyWorker()) })
 	h.repeat(faults.placerDies, h.restartPlacer)
-	h.repeat(faults.placerFreeze, func() { h.freeze(5*time.Second + time.Duration(h.random.IntN(20))*time.Second) })
+	h.repeat(faults.placerFreeze, func() { h.freeze(5*time.Second + time.Duration(h.intN(20))*time.Second) })
 	h.repeat(faults.workerCut, h.cutWorker)
 	h.repeat(faults.storeOut, h.storeOut)
 	h.repeat(faults.cancels, h.cancel)
@@ -143,7 +154,7 @@
 }
 
 func (h *gangHistory) at(do func()) {
-	h.plan = append(h.plan, gangEvent{time.Duration(h.random.Int64N(int64(gangFaultTime))), do})
+	h.plan = append(h.plan, gangEvent{time.Duration(h.intN(int(gangFaultTime))), do})
 }
 
 func (h *gangHistory) repeat(times int, do func()) {
@@ -152,9 +163,9 @@
 	}
 }
 
-func (h *gangHistory) anyWorker() string { return h.world.order[h.random.IntN(len(h.world.order))] }
+func (h *gangHistory) anyWorker() string { return h.world.order[h.intN(len(h.world.order))] }
 
-func (h *gangHistory) anyInstance() string { return fmt.Sprintf("i-%d", 1+h.random.IntN(2)) }
+func (h *gangHistory) anyInstance() string { return fmt.Sprintf("i-%d", 1+h.intN(2)) }
 
 // run lets the virtual time pass, plays what is due and samples the workers.
 func (h *gangHistory) run(length time.Duration) {
@@ -178,12 +189,12 @@
 
 func (h *gangHistory) submit(i int) {
 	h.world.mu.Lock()
-	shape := api.Shape{Tasks: 1 + h.random.IntN(4), AcceleratorsPerTask: 1 << h.random.IntN(4), SameRack: h.random.IntN(2) == 0}
+	shape := api.Shape{Tasks: 1 + h.intN(4), AcceleratorsPerTask: 1 << h.intN(4), SameRack: h.intN(2) == 0}
 	job := api.JobSubmission{
-		Account: []string{"acme", "orbit"}[h.random.IntN(2)], Kind: "train", Shape: shape,
-		Idempotent: h.random.IntN(2) == 0, Checkpointable: h.random.IntN(3) == 0, DeclaredRunS: 20,
+		Account: []string{"acme", "orbit"}[h.intN(2)], Kind: "train", Shape: shape,
+		Idempotent: h.intN(2) == 0, Checkpointable: h.intN(3) == 0, DeclaredRunS: 20,
 		IdempotencyKey: fmt.Sprintf("job-%d", i),
-		Payload:        gangPayload(time.Duration(1+h.random.IntN(40))*time.Second, h.random.IntN(8) == 0),
+		Payload:        gangPayload(time.Duration(1+h.intN(40))*time.Second, h.intN(8) == 0),
 	}
 	h.world.mu.Unlock()
 	for range 40 {
@@ -231,7 +242,7 @@
 
 // losing loses one answer in ten after the write, and one in ten before it.
 func (h *gangHistory) losing(fake.Call) fake.Fault {
-	switch h.random.IntN(10) {
+	switch h.intN(10) {
 	case 0:
 		return fake.Fault{LostAfter: true}
 	case 1:
@@ -246,7 +257,7 @@
 	if len(h.ids) == 0 {
 		return
 	}
-	id := h.ids[h.random.IntN(len(h.ids))]
+	id := h.ids[h.intN(len(h.ids))]
 	for _, running := range h.world.placers {
 		if running.placer.Epoch() > 0 && running.thaw == nil {
 			go func() { _, _ = running.placer.Cancel(context.Background(), id) }()
--- a/test/invariants/gang_world_test.go
+++ b/test/invariants/gang_world_test.go
@@ -53,6 +53,8 @@
 	random  *rand.Rand
 	// cut says whether calls between an instance and a worker are lost.
 	cut map[[2]string]bool
+	// slow delays every call to a worker.
+	slow map[string]time.Duration
 	// lossPercent of calls to workers lose the call, or their answer.
 	lossPercent int
 	planted     plantedFault
@@ -67,6 +69,8 @@
 	plantedNone plantedFault = iota
 	// plantedBlind hides that a worker lost its part of a gang.
 	plantedBlind
+	// plantedGenerous lets every job borrow and none be reclaimed.
+	plantedGenerous
 	// plantedForgetful says that a start which took effect was refused.
 	plantedForgetful
 )
@@ -84,7 +88,7 @@
 	w := &gangWorld{
 		platform: fake.New(), workers: make(map[string]*standin.Worker), racks: make(map[string]string),
 		placers: make(map[string]*gangPlacer), saved: make(map[string]standin.Progress),
-		random: rand.New(rand.NewPCG(seed, 1)), cut: make(map[[2]string]bool),
+		random: rand.New(rand.NewPCG(seed, 1)), cut: make(map[[2]string]bool), slow: make(map[string]time.Duration),
 	}
 	w.store = jobstore.New(w.platform)
 	for r := range racks {
