--- a/internal/membership/backend.go
+++ b/internal/membership/backend.go
@@ -16,7 +16,11 @@
 	lastSeen time.Time
 	// lastAnswer is when it last answered, lastProbe when it was last asked.
 	lastAnswer, lastProbe time.Time
-	flaps                 flapping
+	// confirmed says that this incarnation answered since it became known. The
+	// list may name an incarnation that has started to leave meanwhile, so
+	// until then it is left out of the view.
+	confirmed bool
+	flaps     flapping
 }
 
 // backendListed takes in an entry of the instance list.
@@ -45,6 +49,7 @@
 	}
 	if entry := s.backendSeen(id, incarnation, now); entry != nil {
 		entry.lastAnswer = now
+		entry.confirmed = true
 	}
 	return false
 }
@@ -62,7 +67,7 @@
 	}
 	if incarnation > entry.Incarnation {
 		entry.Incarnation = incarnation
-		entry.since = now
+		entry.begin(now)
 		entry.State = next(s.backendSM, entry.State, eventNewIncarnation)
 		s.applyLeft(entry)
 	}
@@ -88,10 +93,24 @@
 	if s.hasLeft(entry.ID, entry.Incarnation) || entry.flaps.held(now) {
 		return
 	}
-	entry.since = now
+	entry.begin(now)
 	entry.State = model.BackendState(s.backendSM.Initial)
 }
 
+// begin starts the time of an incarnation, or of one that came back.
+func (e *backendEntry) begin(now time.Time) {
+	e.since = now
+	e.confirmed = false
+	e.lastProbe = time.Time{}
+}
+
+// usable reports whether the view names a server: it is not gone, and it
+// answered, or could not be made to for so long that the list has to do.
+func (s *state) usable(entry *backendEntry, now time.Time) bool {
+	known := entry.confirmed || !s.probing || now.Sub(entry.since) >= s.thresholds.BackendConfirm
+	return known && entry.State != model.BackendGone
+}
+
 // backendLeft notes that an incarnation leaves. It returns whether that is new.
 func (s *state) backendLeft(id string, incarnation int64, now time.Time) bool {
 	mark, known := s.leftBackends[id]
@@ -134,12 +153,13 @@
 	}
 }
 
-// backendServers returns the backend servers of a zone that are not gone.
-func (s *state) backendServers(zone string) []model.BackendServer {
+// backendServers returns the usable backend servers of a zone, and the leaving
+// ones.
+func (s *state) backendServers(zone string, now time.Time) []model.BackendServer {
 	var servers []model.BackendServer
 	for _, id := range sortedKeys(s.backends) {
 		entry := s.backends[id]
-		if entry.Zone == zone && entry.State != model.BackendGone {
+		if entry.Zone == zone && s.usable(entry, now) {
 			servers = append(servers, entry.BackendServer)
 		}
 	}
--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -83,6 +83,7 @@
 		state:   newState(options.Self, options.PeerInterval, options.Thresholds),
 		self:    options.Self,
 	}
+	f.state.probing = options.Prober != nil
 	now := time.Now()
 	for _, seed := range options.Seeds {
 		f.state.seeded(model.Instance{
@@ -273,11 +274,12 @@
 	return f.state.liveInstances(time.Now())
 }
 
-// BackendServers implements View. Those that are gone are left out.
+// BackendServers implements View. Those that are gone, or have
+// not answered a first probe yet, are left out.
 func (f *Fleet) BackendServers(zone string) []model.BackendServer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.backendServers(zone)
+	return f.state.backendServers(zone, time.Now())
 }
 
 // Workers implements View.
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/alitto/pond/v2"
 	"go.uber.org/zap"
 
 	peerpb "github.com/corianderbank/corianderbank/api/peer"
@@ -53,13 +52,13 @@
 	if g.fleet.options.Caller == nil {
 		return
 	}
-	pool := pond.NewPool(gossipCalls, pond.WithQueueSize(gossipCalls), pond.WithNonBlocking(true))
-	defer pool.StopAndWait()
+	exchanges := newCalls(gossipCalls)
+	defer exchanges.wait()
 	ticker := time.NewTicker(g.fleet.options.PeerInterval / roundsPerInterval)
 	defer ticker.Stop()
 	news := true
 	for {
-		g.round(ctx, pool, news)
+		g.round(ctx, exchanges, news)
 		select {
 		case <-ticker.C:
 			news = false
@@ -73,13 +72,13 @@
 
 // round starts an exchange with every peer that is due. A full pool leaves a
 // peer to its next time.
-func (g *gossip) round(ctx context.Context, pool pond.Pool, news bool) {
+func (g *gossip) round(ctx context.Context, exchanges *calls, news bool) {
 	peers, every := g.fleet.peersAndIntervals()
 	for _, target := range g.schedule.due(time.Now(), peers, every, news, rand.Float64) {
 		if !g.begin(target.ID, news) {
 			continue
 		}
-		if pool.Go(func() { g.talkOut(ctx, target) }) != nil {
+		if !exchanges.start(func() { g.talkOut(ctx, target) }) {
 			g.end(target.ID)
 		}
 	}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/alitto/pond/v2"
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-resty/resty/v2"
 	"go.uber.org/zap"
@@ -17,7 +16,9 @@
 // This file answers the pattern of a backend server that is idle when it starts
 // to leave, while the instance list lags or cannot be read. Without it nobody
 // knows until the list catches up, and the first request after that long would
-// still go there. Each server is asked by one instance of its zone, chosen by
+// still go there. A list that lags may also name an incarnation for the first
+// time after that has started to leave, so every instance asks a server that is
+// new to it before it sends work there. From then on each server is asked by one instance of its zone, chosen by
 // rendezvous hashing, and the others hear the answer as news; a server that
 // answered work within the interval is not asked. The interval is below the two
 // seconds in which the whole fleet must know, with room for the answer and for
@@ -30,6 +31,8 @@
 	probeRound = 250 * time.Millisecond
 	// probeTimeout bounds one question.
 	probeTimeout = time.Second
+	// confirmRetry is the time between the first questions to a new server.
+	confirmRetry = 500 * time.Millisecond
 	// probeCalls bounds the questions under way.
 	probeCalls = 32
 )
@@ -72,11 +75,7 @@
 	var targets []model.BackendServer
 	for _, id := range sortedKeys(s.backends) {
 		entry := s.backends[id]
-		usable := entry.Zone == s.self.Zone && entry.State != model.BackendGone && entry.State != model.BackendLeaving
-		if !usable || now.Sub(entry.lastAnswer) < probeInterval-probeRound || now.Sub(entry.lastProbe) < probeInterval-probeRound {
-			continue
-		}
-		if rendezvous(id, members) == s.self.ID {
+		if s.probeDue(entry, now) && (!entry.confirmed || rendezvous(id, members) == s.self.ID) {
 			entry.lastProbe = now
 			targets = append(targets, entry.BackendServer)
 		}
@@ -84,6 +83,19 @@
 	return targets
 }
 
+// probeDue reports whether a server of this zone is to be asked by someone.
+func (s *state) probeDue(entry *backendEntry, now time.Time) bool {
+	stays := entry.State != model.BackendGone && entry.State != model.BackendLeaving
+	if entry.Zone != s.self.Zone || !stays {
+		return false
+	}
+	if !entry.confirmed {
+		return now.Sub(entry.lastProbe) >= confirmRetry
+	}
+	const quiet = probeInterval - probeRound
+	return now.Sub(entry.lastAnswer) >= quiet && now.Sub(entry.lastProbe) >= quiet
+}
+
 // zoneMembers returns the ids of the live instances of this zone that stay,
 // this one among them.
 func (s *state) zoneMembers(now time.Time) []string {
@@ -113,14 +125,14 @@
 	if f.options.Prober == nil {
 		return
 	}
-	pool := pond.NewPool(probeCalls, pond.WithQueueSize(probeCalls), pond.WithNonBlocking(true))
-	defer pool.StopAndWait()
+	questions := newCalls(probeCalls)
+	defer questions.wait()
 	ticker := time.NewTicker(probeRound)
 	defer ticker.Stop()
 	for {
 		select {
 		case now := <-ticker.C:
-			f.probeRound(ctx, pool, now)
+			f.probeRound(ctx, questions, now)
 		case <-ctx.Done():
 			return
 		}
@@ -128,13 +140,13 @@
 }
 
 // probeRound asks who is due. A full pool leaves a server to its next time.
-func (f *Fleet) probeRound(ctx context.Context, pool pond.Pool, now time.Time) {
+func (f *Fleet) probeRound(ctx context.Context, questions *calls, now time.Time) {
 	f.mu.Lock()
 	targets := f.state.probeTargets(now)
 	f.mu.Unlock()
 	for _, server := range targets {
-		if err := pool.Go(func() { f.ask(ctx, server) }); err != nil {
-			f.logger.Warn("probe not sent", zap.String("backend_server", server.ID), zap.Error(err))
+		if !questions.start(func() { f.ask(ctx, server) }) {
+			f.logger.Warn("probe not sent", zap.String("backend_server", server.ID))
 		}
 	}
 }
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -22,6 +22,10 @@
 	// counts as there without an answer of its own. Longer than a list read
 	// that skips a beat, shorter than a caller's patience.
 	BackendSilence time.Duration
+	// BackendConfirm is how long a backend server that the list names may leave
+	// a probe unanswered before it is used all the same. Several probes, so that
+	// a slow answer is waited for.
+	BackendConfirm time.Duration
 	// BackendRamp is how long a backend server counts as ramping.
 	BackendRamp time.Duration
 	// WorkerSilence and WorkerLoss are the silences after which a worker is
@@ -36,6 +40,7 @@
 func DefaultThresholds() Thresholds {
 	return Thresholds{
 		BackendSilence: 5 * time.Second,
+		BackendConfirm: 5 * time.Second,
 		BackendRamp:    10 * time.Second,
 		WorkerSilence:  3 * time.Second,
 		WorkerLoss:     20 * time.Second,
@@ -55,10 +60,11 @@
 	self       model.Instance
 	interval   time.Duration
 	thresholds Thresholds
-	// leaving says that this instance leaves.
-	leaving   bool
-	backendSM *chart.Chart
-	workerSM  *chart.Chart
+	// leaving says that this instance leaves, probing that it asks backend
+	// servers for their health.
+	leaving, probing bool
+	backendSM        *chart.Chart
+	workerSM         *chart.Chart
 
 	// listAt is the local time of the last list that was taken in, listAsOf the
 	// platform's time of the newest one.
--- a/internal/membership/state_test.go
+++ b/internal/membership/state_test.go
@@ -84,7 +84,7 @@
 			for _, step := range test.steps {
 				step.do(s, epoch.Add(step.after))
 			}
-			servers := s.backendServers("z1")
+			servers := s.backendServers("z1", epoch.Add(time.Minute))
 			if test.want == "" {
 				assert.Equal(t, len(servers), 0)
 				return
