Membership tells configuration and placer epoch; shutdown announces, lingers and retires connections

Cause: beats to other zones may be seconds apart, so a new configuration or a new placer must not wait for one; load levels of other zones were judged by a fixed age that slower beats exceed; a graceful shutdown told nobody before it closed idle connections. Change: peers that lack the configuration in force are told at once, a change of the epoch goes to everyone; HeardState.Fresh follows the interval and the spill decision uses it; serve announces the leaving and waits for it, answers 2 s longer as not run, and closes connections after their answers; the placer's right to start work past its lease comes from package zone; slot demands no longer stop their pool (that goes through one that the whole process shares, which breaks tests in virtual time).

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -72,7 +72,7 @@
 func New(opts Options) *Server {
 	s := &Server{opts: opts, answers: metrics.NewSet()}
 	s.answers.NewGauge("corianderbank_requests_in_flight", func() float64 { return float64(s.inFlight.Load()) })
-	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	s.http = &http.Server{Handler: s.retiring(s.routes()), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	return s
 }
 
@@ -96,6 +96,18 @@
 	return mux
 }
 
+// retiring closes a connection after its answer while the instance shuts down,
+// so that the caller opens its next one elsewhere and none is idle, with a
+// request perhaps on its way, when Shutdown closes the idle ones.
+func (s *Server) retiring(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if api.IsKind(s.opts.Ready(), api.KindStopping) {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Serve answers calls on listener until Shutdown.
 func (s *Server) Serve(listener net.Listener) error {
 	limited := netutil.LimitListener(listener, s.opts.Settings.Limits.MaxConnections)
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -41,7 +41,7 @@
 	StopWithin time.Duration
 	// Linger is how long the instance, not ready any more, still answers new
 	// calls before it drains, so that the platform's balancer can notice. It
-	// refuses them as not run.
+	// refuses them as not run. Zero takes DefaultLinger, a negative one none.
 	Linger time.Duration
 	// Announce tells the peers that this instance leaves.
 	Announce Step
@@ -67,6 +67,9 @@
 	result error
 }
 
+// DefaultLinger covers a balancer that looks once a second.
+const DefaultLinger = 2 * time.Second
+
 const (
 	// announceShare and handOverShare bound the first two steps to a part of
 	// the whole, because the peers or the store may not answer and the requests
@@ -81,6 +84,9 @@
 // New returns a life in its initial state.
 func New(options Options) *Life {
 	machine := chart.MustLoad("instance")
+	if options.Linger == 0 {
+		options.Linger = DefaultLinger
+	}
 	logger := options.Logger
 	if logger == nil {
 		logger = zap.NewNop()
--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -293,15 +293,40 @@
 func (f *Fleet) PeerStates() map[string]HeardState {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now, every := time.Now(), f.state.intervals()
 	heard := make(map[string]HeardState, len(f.state.instances))
 	for id, entry := range f.state.instances {
 		if entry.heard.State != nil {
-			heard[id] = entry.heard
+			latest := entry.heard
+			latest.Fresh = f.state.heardLately(entry, every, now)
+			heard[id] = latest
 		}
 	}
 	return heard
 }
 
+// Reach returns how many instances of this zone and of the others were heard of
+// lately, and the highest placer epoch heard of in this zone.
+func (f *Fleet) Reach() (zonePeers, otherPeers int, epoch int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, every := time.Now(), f.state.intervals()
+	for _, entry := range f.state.instances {
+		sameZone := entry.Zone == f.self.Zone
+		if sameZone {
+			epoch = max(epoch, entry.heard.State.GetEpoch())
+		}
+		switch {
+		case !f.state.heardLately(entry, every, now):
+		case sameZone:
+			zonePeers++
+		default:
+			otherPeers++
+		}
+	}
+	return zonePeers, otherPeers, epoch
+}
+
 // Resolve returns the peer address of an instance, for peer.Options.
 func (f *Fleet) Resolve(instance string) (string, bool) {
 	f.mu.Lock()
@@ -313,19 +338,22 @@
 	return entry.PeerAddr, true
 }
 
-// peersAndIntervals returns every known peer, those of this zone first, and the
-// times between exchanges with them.
-func (f *Fleet) peersAndIntervals() ([]model.Instance, intervals) {
+// peersAndIntervals returns every known peer, those of this zone first, the
+// configuration versions heard of them, and the times between exchanges.
+func (f *Fleet) peersAndIntervals() ([]model.Instance, map[string]int64, intervals) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	peers := make([]model.Instance, 0, len(f.state.instances))
+	versions := make(map[string]int64, len(f.state.instances))
 	for _, id := range sortedKeys(f.state.instances) {
-		peers = append(peers, f.state.instances[id].Instance)
+		entry := f.state.instances[id]
+		peers = append(peers, entry.Instance)
+		versions[id] = entry.heard.State.GetConfigVersion()
 	}
 	slices.SortStableFunc(peers, func(a, b model.Instance) int {
 		return cmp.Compare(zoneRank(a, f.self), zoneRank(b, f.self))
 	})
-	return peers, f.state.intervals()
+	return peers, versions, f.state.intervals()
 }
 
 func zoneRank(instance, self model.Instance) int {
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -22,13 +22,18 @@
 	roundsPerInterval = 5
 )
 
-// gossip exchanges states with the peers that are due, and with every peer at
-// once when there is news.
+// gossip exchanges states with the peers that are due; with every peer at once
+// when there is news of leaving or of the placer role; and with those that lack
+// it when a new configuration is in force here.
 type gossip struct {
 	fleet    *Fleet
 	schedule *schedule
 	// urgent wakes the duty; one waiting entry stands for all later ones.
 	urgent *ring.Dropping[struct{}]
+	// epoch is the placer epoch last told, and told the configuration version
+	// last told to each peer. They belong to the duty.
+	epoch int64
+	told  map[string]int64
 
 	// mu guards talking: the peers with a message under way, with whether news
 	// came meanwhile.
@@ -41,6 +46,7 @@
 		fleet:    fleet,
 		schedule: newSchedule(fleet.options.Self),
 		urgent:   ring.NewDropping[struct{}](1),
+		told:     make(map[string]int64),
 		talking:  make(map[string]bool),
 	}
 }
@@ -73,17 +79,28 @@
 // round starts an exchange with every peer that is due. A full pool leaves a
 // peer to its next time.
 func (g *gossip) round(ctx context.Context, exchanges *calls, news bool) {
-	peers, every := g.fleet.peersAndIntervals()
-	for _, target := range g.schedule.due(time.Now(), peers, every, news, rand.Float64) {
-		if !g.begin(target.ID, news) {
+	own := g.fleet.OwnState()
+	news = news || own.GetEpoch() != g.epoch
+	g.epoch = own.GetEpoch()
+	peers, versions, every := g.fleet.peersAndIntervals()
+	urgent := func(id string) bool { return news || g.lacks(id, versions[id], own.GetConfigVersion()) }
+	for _, target := range g.schedule.due(time.Now(), peers, every, urgent, rand.Float64) {
+		if !g.begin(target.ID, urgent(target.ID)) {
 			continue
 		}
+		g.told[target.ID] = own.GetConfigVersion()
 		if !exchanges.start(func() { g.talkOut(ctx, target) }) {
 			g.end(target.ID)
 		}
 	}
 }
 
+// lacks reports whether a peer that was heard has an older configuration than
+// this instance and was not told of the present one.
+func (g *gossip) lacks(id string, theirs, own int64) bool {
+	return theirs > 0 && theirs < own && g.told[id] < own
+}
+
 // begin reserves the talk with a peer; false if one is under way, which then
 // repeats itself if there is news.
 func (g *gossip) begin(id string, news bool) bool {
--- a/internal/membership/instance.go
+++ b/internal/membership/instance.go
@@ -13,6 +13,8 @@
 	State *peerpb.State
 	// HeardAt is the local time of its arrival.
 	HeardAt time.Time
+	// Fresh says that it is no older than silence is allowed to be.
+	Fresh bool
 }
 
 // instanceEntry is what is known of one peer.
@@ -69,7 +71,7 @@
 	entry.Zone = message.GetAvailabilityZone()
 	entry.Leaving = entry.Leaving || message.GetLeaving()
 	entry.LastSeen = now
-	entry.heard = HeardState{State: message, HeardAt: now}
+	entry.heard = HeardState{State: message, HeardAt: now, Fresh: true}
 	if entry.lost && !entry.flaps.held(now) {
 		entry.lost = false
 	}
@@ -109,6 +111,12 @@
 	return now.Sub(latest) <= every.silence(entry.Zone == s.self.Zone)
 }
 
+// heardLately reports whether the peer itself was heard within the silence that
+// is allowed.
+func (s *state) heardLately(entry *instanceEntry, every intervals, now time.Time) bool {
+	return !entry.LastSeen.IsZero() && now.Sub(entry.LastSeen) <= every.silence(entry.Zone == s.self.Zone)
+}
+
 // instancesTick notes losses and forgets peers that nothing names any more.
 func (s *state) instancesTick(now time.Time) {
 	every := s.intervals()
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -21,12 +21,13 @@
 		members[self] = true
 	}
 	listFresh := !s.listAt.IsZero() && now.Sub(s.listAt) <= listFreshFor
+	every := s.intervals()
 	for id, entry := range s.instances {
 		if entry.Zone != zone {
 			continue
 		}
 		named := entry.listedAt.Equal(s.listAt)
-		if named || !listFresh || s.instanceLive(entry, now) {
+		if named || !listFresh || s.instanceLive(entry, every, now) {
 			members[id] = true
 		}
 	}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -71,7 +71,7 @@
 	if s.leaving {
 		return nil
 	}
-	members := s.zoneMembers(now)
+	members := s.probeMembers(now)
 	var targets []model.BackendServer
 	for _, id := range sortedKeys(s.backends) {
 		entry := s.backends[id]
@@ -96,9 +96,9 @@
 	return now.Sub(entry.lastAnswer) >= quiet && now.Sub(entry.lastProbe) >= quiet
 }
 
-// zoneMembers returns the ids of the live instances of this zone that stay,
+// probeMembers returns the ids of the live instances of this zone that stay,
 // this one among them.
-func (s *state) zoneMembers(now time.Time) []string {
+func (s *state) probeMembers(now time.Time) []string {
 	members := []string{s.self.ID}
 	for _, instance := range s.liveInstances(now) {
 		if instance.Zone == s.self.Zone && !instance.Leaving {
--- a/internal/membership/schedule.go
+++ b/internal/membership/schedule.go
@@ -23,7 +23,7 @@
 	exchangesPerSecond = 6
 	// otherZoneFactor is how much longer the interval to other zones is at
 	// least.
-	otherZoneFactor = 6
+	otherZoneFactor = 2
 	// ownSilentBeats and otherSilentBeats are the intervals without a word
 	// after which a peer is not live. Fewer for other zones, whose interval is
 	// long already.
@@ -73,14 +73,15 @@
 // due returns the peers to talk to now. Of each pair the instance with the
 // lower id begins, and the answer serves the other; the other one begins only
 // if it has heard nothing for two intervals, for example because it is new and
-// the first does not know it yet. With news every peer is due. The fraction,
+// the first does not know it yet. An urgent peer is due at any time. The fraction,
 // from 0 to 1, spreads the exchanges of instances that started together.
-func (s *schedule) due(now time.Time, peers []model.Instance, every intervals, news bool, fraction func() float64) []model.Instance {
+func (s *schedule) due(now time.Time, peers []model.Instance, every intervals, urgent func(id string) bool, fraction func() float64) []model.Instance {
 	var due []model.Instance
 	next := make(map[string]time.Time, len(peers))
 	for _, peer := range peers {
 		interval := every.of(peer.Zone == s.self.Zone)
 		at, known := s.next[peer.ID]
+		news := urgent(peer.ID)
 		if known && now.Before(at) && !news {
 			next[peer.ID] = at
 			continue
--- a/internal/request/sharing.go
+++ b/internal/request/sharing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -26,6 +27,9 @@
 type sharing struct {
 	dispatcher *Dispatcher
 	pool       pond.Pool
+	// running counts the calls in the pool. They are waited for here, because
+	// stopping a pool goes through one that the whole process shares.
+	running    sync.WaitGroup
 	ctx        context.Context
 	cancel     context.CancelFunc
 	lookedAt   time.Time
@@ -46,7 +50,7 @@
 
 func (s *sharing) close() {
 	s.cancel()
-	s.pool.StopAndWait()
+	s.running.Wait()
 }
 
 // look refreshes the members and the backend servers, and demands slots.
@@ -112,10 +116,22 @@
 			d.holder.Granted(demand.Owner, serial, grants, now)
 			continue
 		}
-		s.underWay++
-		if s.pool.Go(func() { s.call(demand, now) }) != nil {
-			s.underWay--
-		}
+		s.start(demand, now)
+	}
+}
+
+// start asks another instance in the pool. A full pool leaves the demand to its
+// next time.
+func (s *sharing) start(demand slots.Demand, now time.Time) {
+	s.underWay++
+	s.running.Add(1)
+	err := s.pool.Go(func() {
+		defer s.running.Done()
+		s.call(demand, now)
+	})
+	if err != nil {
+		s.running.Done()
+		s.underWay--
 	}
 }
 
--- a/internal/request/spill.go
+++ b/internal/request/spill.go
@@ -13,9 +13,6 @@
 	"github.com/corianderbank/corianderbank/internal/routing"
 )
 
-// peerStateFreshFor is how old a peer's load level may be.
-const peerStateFreshFor = 3 * time.Second
-
 // updateSpill takes in the load levels of the zones.
 func (d *Dispatcher) updateSpill(now time.Time) {
 	local := d.queue.Load()
@@ -23,7 +20,7 @@
 		local = math.Inf(1)
 	}
 	before, _ := d.spill.Active()
-	d.spill.Update(local, d.zoneLoads(now), now)
+	d.spill.Update(local, d.zoneLoads(), now)
 	after, share := d.spill.Active()
 	if before != after {
 		d.options.Recorder.Record(api.Decision{
@@ -34,11 +31,11 @@
 }
 
 // zoneLoads returns the mean load level of each other zone, in order of names.
-func (d *Dispatcher) zoneLoads(now time.Time) []routing.ZoneLoad {
+func (d *Dispatcher) zoneLoads() []routing.ZoneLoad {
 	sums, counts := map[string]float64{}, map[string]int{}
 	for _, heard := range d.options.Fleet.PeerStates() {
 		zone := heard.State.GetAvailabilityZone()
-		if zone == d.options.Zone || heard.State.GetLeaving() || now.Sub(heard.HeardAt) > peerStateFreshFor {
+		if zone == d.options.Zone || heard.State.GetLeaving() || !heard.Fresh {
 			continue
 		}
 		sums[zone] += float64(heard.State.GetLoadPermille()) / 1000
@@ -63,12 +60,12 @@
 // spillQuestion asks whether the next request goes to another zone.
 type spillQuestion struct{ reply chan target }
 
-func (q spillQuestion) apply(d *Dispatcher, now time.Time) {
+func (q spillQuestion) apply(d *Dispatcher, _ time.Time) {
 	zone := d.spill.Next()
 	best, least := "", int64(0)
 	for id, heard := range d.options.Fleet.PeerStates() {
 		state := heard.State
-		if state.GetAvailabilityZone() != zone || state.GetLeaving() || now.Sub(heard.HeardAt) > peerStateFreshFor {
+		if state.GetAvailabilityZone() != zone || state.GetLeaving() || !heard.Fresh {
 			continue
 		}
 		load := state.GetLoadPermille()
--- a/internal/serve/fleet.go
+++ b/internal/serve/fleet.go
@@ -10,6 +10,7 @@
 	peerpb "github.com/corianderbank/corianderbank/api/peer"
 	"github.com/corianderbank/corianderbank/internal/membership"
 	"github.com/corianderbank/corianderbank/internal/rules"
+	"github.com/corianderbank/corianderbank/internal/zone"
 )
 
 // peerCallTimeout bounds a call to one peer for status and explanations.
@@ -25,15 +26,16 @@
 	}
 }
 
-// reachesZonePeer reports whether another instance of the zone was heard of
-// within the time that state messages take.
-func (i *instance) reachesZonePeer() bool {
-	for _, other := range i.fleet.Instances() {
-		if other.Zone == i.settings.AvailabilityZone && !other.Leaving {
-			return true
-		}
-	}
-	return false
+// mayPlace reports whether the placer, whose lease is past its time, may start
+// waiting jobs; package zone decides.
+func (i *instance) mayPlace() bool {
+	zonePeers, otherPeers, epoch := i.fleet.Reach()
+	permission := zone.Decide(zone.Situation{
+		Reach:      zone.Reach{Store: i.platform.Reachable(), ZonePeers: zonePeers, OtherPeers: otherPeers},
+		Configured: i.config.Current() != nil, Leaving: i.fleet.Self().Leaving,
+		Placer: true, Epoch: i.placer.Epoch(), HighestEpoch: max(epoch, i.placer.Epoch()),
+	})
+	return permission.Starts != zone.StartsNone
 }
 
 // evaluateJob applies the rules in force to a job for a zone.
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -90,6 +90,7 @@
 	i.fleet = membership.New(membership.Options{
 		Self:  model.Instance{ID: s.Instance, Addr: s.Listen, PeerAddr: s.PeerListen, Zone: s.AvailabilityZone, Incarnation: incarnation},
 		Seeds: s.Peers, Lister: client, Caller: i.node, Local: i.local, Logger: logger,
+		Prober:       membership.NewHTTPProber(),
 		PeerInterval: settings.Duration(s.Timing.PeerIntervalMS), ListInterval: settings.Duration(s.Timing.ListPollMS),
 	})
 	i.buildWork(incarnation)
@@ -110,7 +111,7 @@
 		Workers: worker.NewHTTP(), Runs: estimate.NewHistory(), Health: quarantine.NewTracker(),
 		Recorder: i.recorder, Logger: i.logger,
 		PlacerLease: settings.Duration(s.Timing.PlacerLeaseMS), WorkerLease: settings.Duration(s.Timing.WorkerLeaseMS),
-		Interval: settings.Duration(s.Timing.PlaceIntervalMS), MaxJobs: s.Limits.MaxJobs, MayPlace: i.reachesZonePeer,
+		Interval: settings.Duration(s.Timing.PlaceIntervalMS), MaxJobs: s.Limits.MaxJobs, MayPlace: i.mayPlace,
 	})
 	i.jobs = &jobs.Router{
 		Zone: s.AvailabilityZone, Placer: i.placer, Peers: zonePeers{i}, Caller: i.node, Store: store, Evaluate: i.evaluateJob,
@@ -168,10 +169,7 @@
 	return lifecycle.New(lifecycle.Options{
 		Logger:     i.logger,
 		StopWithin: settings.Duration(i.settings.Timing.StopWithinMS),
-		Announce: func(context.Context) error {
-			i.fleet.SetLeaving()
-			return nil
-		},
+		Announce:   i.fleet.AnnounceLeaving,
 		HandOver: func(ctx context.Context) error {
 			i.placer.Leave(ctx)
 			return nil
