--- a/test/invariants/gang_world_test.go
+++ b/test/invariants/gang_world_test.go
@@ -53,6 +53,8 @@
 	random  *rand.Rand
 	// cut says whether calls between an instance and a worker are lost.
 	cut map[[2]string]bool
+	// checkpointTime is how long a checkpoint takes.
+	checkpointTime time.Duration
 	// slow delays every call to a worker.
 	slow map[string]time.Duration
 	// lossPercent of calls to workers lose the call, or their answer.
@@ -116,7 +118,12 @@
 // gangCheckpoints keeps checkpoints in memory.
 type gangCheckpoints struct{ *gangWorld }
 
-func (c gangCheckpoints) Save(_ context.Context, name string, progress standin.Progress) error {
+func (c gangCheckpoints) Save(ctx context.Context, name string, progress standin.Progress) error {
+	select {
+	case <-time.After(c.checkpointTime):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.saved[name] = progress
