Store budget, breaker, grouped writes and the platform's contract tests

The client now stands on a stack: grouped writes, read-back of lost answers, the budget by purpose and a breaker that refuses claims at once in an outage, so that they end as not_run and not as unknown. A claim whose insertion is unknown is abandoned and fenced by a released row; ends that the store missed are recorded by claim.Store.Run. pond's Stop submits to its global pool, which a synctest bubble cannot do; the group's slots are taken instead. Contract tests run against the fake and the HTTP adapter alike.

--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -42,16 +42,26 @@
 	Answer *api.RequestAnswer `json:"answer,omitempty"`
 }
 
+// maxUnsettled bounds the claims of this process whose end is not recorded.
+const maxUnsettled = 10000
+
 // Store is the implementation of Claims. It is safe for concurrent use.
 type Store struct {
 	tables platform.Tables
+
+	mu sync.Mutex // guards unsettled and the fields of its entries
+	// unsettled has the claims of this process, from the attempt to insert
+	// them until their end is recorded.
+	unsettled map[api.Ref]*held
 }
 
 var _ Claims = (*Store)(nil)
 
 // New returns claims kept in tables, whose Commit must settle lost answers
-// (see platform.Resolving).
-func New(tables platform.Tables) *Store { return &Store{tables: tables} }
+// (see platform.Resolving). Run records the ends that the store missed.
+func New(tables platform.Tables) *Store {
+	return &Store{tables: tables, unsettled: make(map[api.Ref]*held)}
+}
 
 // Claim implements Claims.
 func (s *Store) Claim(ctx context.Context, request Request) (Held, *api.RequestAnswer, error) {
@@ -114,11 +124,22 @@
 
 // insert tries to take the claim over the version last seen.
 func (s *Store) insert(ctx context.Context, request Request, present api.Row) (stepped, *api.RequestAnswer, error) {
-	mine := row{State: stateClaimed, RequestID: request.RequestID, Holder: request.Holder, BodyDigest: request.BodyDigest}
-	result := write(ctx, s.tables, platform.PurposeClaim, present, mine)
-	if result.State == platform.CommitDone {
-		return stepped{held: &held{tables: s.tables, ref: present.Ref, row: mine}}, nil, nil
+	mine := &held{store: s, ref: present.Ref, row: row{
+		State: stateClaimed, RequestID: request.RequestID, Holder: request.Holder, BodyDigest: request.BodyDigest,
+	}}
+	begun, answer, err := s.begin(mine, request)
+	if !begun {
+		return stepped{present: present}, answer, err
 	}
+	result := write(ctx, s.tables, platform.PurposeClaim, present, mine.row)
+	switch {
+	case result.State == platform.CommitDone:
+		return stepped{held: mine}, nil, nil
+	case result.State == platform.CommitUnknown:
+		s.abandon(mine)
+		return stepped{}, nil, platform.ErrorOf(result)
+	}
+	s.forget(mine)
 	if len(result.Conflicts) == 1 {
 		return stepped{present: result.Conflicts[0], retry: true}, nil, nil
 	}
@@ -141,59 +162,6 @@
 	}
 }
 
-// held is a claim of this process. mu guards ended.
-type held struct {
-	tables platform.Tables
-	ref    api.Ref
-	row    row
-
-	mu    sync.Mutex
-	ended bool
-}
-
-// Settle implements Held.
-func (h *held) Settle(ctx context.Context, answer api.RequestAnswer) error {
-	next := h.row
-	next.State = stateSettled
-	next.Answer = &answer
-	return h.end(ctx, next)
-}
-
-// GiveUp implements Held.
-func (h *held) GiveUp(ctx context.Context) error {
-	next := h.row
-	next.State = stateReleased
-	return h.end(ctx, next)
-}
-
-// end moves the row on from stateClaimed, once.
-func (h *held) end(ctx context.Context, next row) error {
-	h.mu.Lock()
-	already := h.ended
-	h.ended = true
-	h.mu.Unlock()
-	if already {
-		return api.NewError(api.KindConflict, "the claim on %s has ended before", h.ref.Key)
-	}
-	return moveOn(ctx, h.tables, h.ref, next)
-}
-
-// moveOn writes next over the claim that the same request holds.
-func moveOn(ctx context.Context, tables platform.Tables, ref api.Ref, next row) error {
-	rows, err := tables.Read(ctx, platform.PurposeOutcome, ref)
-	if err != nil {
-		return err
-	}
-	var seen row
-	if err := json.Unmarshal(rows.Rows[0].Value, &seen); err != nil {
-		return api.NewError(api.KindInternal, "claim row %s: %w", ref.Key, err)
-	}
-	if seen.State != stateClaimed || seen.RequestID != next.RequestID {
-		return api.NewError(api.KindConflict, "the claim on %s is not held by %s", ref.Key, next.RequestID)
-	}
-	return platform.ErrorOf(write(ctx, tables, platform.PurposeOutcome, rows.Rows[0], next))
-}
-
 // pause waits for d and reports whether ctx is still live.
 func pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- /dev/null
+++ b/internal/platform/fake/random.go
@@ -0,0 +1,28 @@
+package fake
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// RandomFault draws a fault with the given probability, else none. All faults
+// of a store are among them: refusal, delay, answers lost before and after the
+// write, and writes that take effect long after their answer was lost.
+func RandomFault(random *rand.Rand, probability float64) Fault {
+	if random.Float64() >= probability {
+		return Fault{}
+	}
+	delay := time.Duration(1+random.IntN(3000)) * time.Millisecond
+	switch random.IntN(5) {
+	case 0:
+		return Fault{Down: true}
+	case 1:
+		return Fault{Delay: delay}
+	case 2:
+		return Fault{LostBefore: true}
+	case 3:
+		return Fault{LostAfter: true}
+	default:
+		return Fault{AppliesAfter: delay}
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -2,37 +2,91 @@
 
 import (
 	"crypto/rand"
+	"fmt"
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/corianderbank/corianderbank/api"
 )
 
-// Client is an instance's way to the platform: the HTTP adapter, behind the
-// read-back of lost answers. It is safe for concurrent use.
-type Client struct {
+// Stack is Tables with everything between a caller and one attempt at the
+// store: grouped writes, read-back of lost answers, the store budget and the
+// breaker, in this order from the caller.
+type Stack struct {
 	Tables
-	*objectsAndList
+	grouping *Grouping
+	budget   *Budgeted
+	breaker  *Breaker
+	metrics  *metrics.Set
+}
+
+// NewStack returns a stack over tables, whose Commit makes one attempt. Close
+// ends its duties.
+func NewStack(tables Tables) *Stack {
+	s := &Stack{breaker: NewBreaker(tables), metrics: metrics.NewSet()}
+	s.budget = NewBudgeted(s.breaker)
+	s.grouping = NewGrouping(NewResolving(s.budget))
+	s.Tables = s.grouping
+	s.register()
+	return s
+}
+
+// Reachable reports whether the store answers, as far as this instance knows.
+func (s *Stack) Reachable() bool { return s.breaker.Reachable() }
+
+// SetInstances says how many instances share the store.
+func (s *Stack) SetInstances(instances int) { s.budget.SetInstances(instances) }
+
+// WriteMetrics writes the metrics of the store's use in Prometheus' format.
+func (s *Stack) WriteMetrics(w io.Writer) { s.metrics.WritePrometheus(w) }
+
+// Close refuses what is queued and ends the duties.
+func (s *Stack) Close() {
+	s.grouping.Close()
+	s.breaker.Close()
 }
 
-// objectsAndList promotes the methods of HTTP that Tables does not declare.
-type objectsAndList struct {
+func (s *Stack) register() {
+	gauge := func(name string, value func() int64) {
+		s.metrics.NewGauge(name, func() float64 { return float64(value()) })
+	}
+	for kind, share := range map[string]*bucket{"write": s.budget.writes, "read": s.budget.reads} {
+		gauge(fmt.Sprintf(`corianderbank_store_calls_total{kind=%q}`, kind), share.taken.Load)
+		gauge(fmt.Sprintf(`corianderbank_store_budget_refused_total{kind=%q}`, kind), share.refused.Load)
+		gauge(fmt.Sprintf(`corianderbank_store_budget_waiting{kind=%q}`, kind), share.waiting.Load)
+	}
+	gauge("corianderbank_store_groups_total", s.grouping.groups.Load)
+	gauge("corianderbank_store_grouped_transactions_total", s.grouping.grouped.Load)
+	gauge("corianderbank_store_queue_refused_total", s.grouping.queue.Refused)
+	gauge("corianderbank_store_breaker_refused_total", s.breaker.refusedCount)
+	s.metrics.NewGauge("corianderbank_store_reachable", func() float64 {
+		if s.Reachable() {
+			return 1
+		}
+		return 0
+	})
+}
+
+// Client is an instance's way to the platform. It is safe for concurrent use.
+type Client struct {
+	*Stack
 	Objects
 	InstanceLister
 	http *HTTP
 }
 
-// Reachable reports whether the last call was answered by the platform.
-func (o *objectsAndList) Reachable() bool { return o.http.Reachable() }
-
-// Close closes the connections to the platform.
-func (o *objectsAndList) Close() { o.http.Close() }
-
 // NewClient returns a client of the platform at addr, an IP number and port.
+// Close ends its duties and connections.
 func NewClient(addr string) *Client {
 	adapter := NewHTTP(addr)
-	return &Client{
-		Tables:         NewResolving(adapter),
-		objectsAndList: &objectsAndList{Objects: adapter, InstanceLister: adapter, http: adapter},
-	}
+	return &Client{Stack: NewStack(adapter), Objects: adapter, InstanceLister: adapter, http: adapter}
+}
+
+// Close ends the duties and closes the connections to the platform.
+func (c *Client) Close() {
+	c.Stack.Close()
+	c.http.Close()
 }
 
 // NewWriteID returns an id for one transaction.
