--- /dev/null
+++ b/internal/placer/reports.go
@@ -0,0 +1,283 @@
+package placer
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/chart"
+	"github.com/corianderbank/corianderbank/internal/model"
+	"github.com/corianderbank/corianderbank/internal/quarantine"
+)
+
+// The events of charts/worker.json that the placer raises.
+const (
+	wkReport      chart.Event = "report"
+	wkSilence     chart.Event = "silence"
+	wkLongSilence chart.Event = "long_silence"
+	wkLeave       chart.Event = "leave"
+	wkNew         chart.Event = "new_incarnation"
+)
+
+// silenceFactor is the part of a worker lease after which a silent worker takes
+// no new work: two missed renewals at a fifth of the lease each.
+const silenceFactor = 0.4
+
+// setWorkers takes the zone's workers from the membership.
+func (c *core) setWorkers(list []model.Worker, now time.Time) {
+	listed := make(map[string]bool, len(list))
+	for _, w := range list {
+		listed[w.ID] = true
+		known, ok := c.workers[w.ID]
+		if !ok {
+			c.workers[w.ID] = &workerState{Worker: w, chartState: c.workerChart.Initial, lastReport: now}
+			continue
+		}
+		known.Addr = w.Addr
+		if w.Health == model.WorkerLeaving && w.Incarnation >= known.Incarnation {
+			c.stepWorker(known, wkLeave)
+		}
+	}
+	for id, w := range c.workers {
+		if !listed[id] && w.chartState == chart.State(model.WorkerLost) && !c.holdsGang(id) {
+			delete(c.workers, id)
+		}
+	}
+}
+
+// unreported counts the listed workers whose accelerators are not known yet. A
+// refusal that rests on too few accelerators would not be true meanwhile.
+func (c *core) unreported() int {
+	count := 0
+	for _, w := range c.workers {
+		if w.Accelerators == 0 && w.Takes() {
+			count++
+		}
+	}
+	return count
+}
+
+func (c *core) holdsGang(worker string) bool {
+	for _, e := range c.jobs {
+		for _, p := range e.parts {
+			if p.worker == worker && !c.chart.Final(e.state) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (c *core) stepWorker(w *workerState, ev chart.Event) {
+	next, err := c.workerChart.Next(w.chartState, ev)
+	if err != nil {
+		return
+	}
+	w.chartState = next
+	w.Health = model.WorkerHealth(next)
+}
+
+func (ev reportEvent) apply(c *core, now time.Time) {
+	w, ok := c.workers[ev.worker]
+	if !ok {
+		return
+	}
+	if ev.err != nil {
+		return
+	}
+	c.noteWorker(w, ev, now)
+	if ev.report.HighestEpoch > c.epoch && c.held {
+		c.stepDown()
+		return
+	}
+	c.noteReservations(ev, now)
+}
+
+// noteWorker updates what is known of the worker itself.
+func (c *core) noteWorker(w *workerState, ev reportEvent, now time.Time) {
+	report := ev.report
+	if w.Incarnation != 0 && report.Incarnation > w.Incarnation {
+		c.stepWorker(w, wkNew)
+	}
+	w.Incarnation = report.Incarnation
+	w.Rack, w.Accelerators = report.Rack, report.Accelerators
+	w.lastReport, w.LastReport = now, now
+	c.stepWorker(w, wkReport)
+	if report.Leaving {
+		c.stepWorker(w, wkLeave)
+	}
+}
+
+// noteReservations compares a report with what the gangs expect of the worker.
+func (c *core) noteReservations(ev reportEvent, now time.Time) {
+	seen := make(map[string]bool)
+	for _, r := range ev.report.Reservations {
+		e, ok := c.jobs[r.Gang]
+		if !ok || e.ref.Attempt != r.Attempt || !e.holds(ev.worker) {
+			c.orphan(ev.worker, r)
+			continue
+		}
+		seen[r.Gang] = true
+		renewedAt := e.reports[ev.worker].renewedAt
+		if ev.sentAt.After(renewedAt) {
+			renewedAt = ev.sentAt
+		}
+		e.reports[ev.worker] = seenReport{state: r.State, ranS: r.RanS, msg: r.Message, renewedAt: renewedAt}
+	}
+	for _, e := range c.live() {
+		if e.state == stRunning && e.holds(ev.worker) {
+			if !seen[e.record.ID] && ev.sentAt.After(e.reports[ev.worker].renewedAt) {
+				c.stop(e, evWorkerLost, "worker "+ev.worker+" no longer has its part", now)
+				continue
+			}
+			c.judge(e, now)
+		}
+	}
+}
+
+func (e *entry) holds(worker string) bool {
+	for _, p := range e.parts {
+		if p.worker == worker {
+			return true
+		}
+	}
+	return false
+}
+
+// orphan gives up a reservation that belongs to no present attempt.
+func (c *core) orphan(worker string, r api.ReservationReport) {
+	if !c.recovered {
+		return
+	}
+	w := c.workers[worker]
+	parts := []part{{worker: worker, addr: w.Addr}}
+	ref := api.GangRef{Epoch: c.epoch, Gang: r.Gang, Attempt: r.Attempt}
+	if r.State == api.TaskRunning {
+		c.do(stopAction{ref: ref, parts: parts, within: stopWithin})
+		return
+	}
+	c.do(releaseAction{ref: ref, parts: parts})
+}
+
+// judge draws the conclusion of a running gang's reports.
+func (c *core) judge(e *entry, now time.Time) {
+	done := 0
+	for _, p := range e.parts {
+		report := e.reports[p.worker]
+		switch report.state {
+		case api.TaskDone:
+			done++
+		case api.TaskFailed:
+			c.taskFailed(e, p.worker, report, now)
+			return
+		case api.TaskLapsed, api.TaskStopped:
+			c.stop(e, evWorkerLost, fmt.Sprintf("worker %s: tasks %s", p.worker, report.state), now)
+			return
+		}
+	}
+	if done == len(e.parts) {
+		c.finished(e, now)
+	}
+}
+
+func (c *core) finished(e *entry, now time.Time) {
+	for _, p := range e.parts {
+		c.health.TaskSucceeded(p.worker, e.record.ID, now)
+		c.probePassed(p.worker, now)
+	}
+	c.observe(e)
+	c.step(e, evFinish, "every part finished", now)
+}
+
+// observer learns real run times; estimate.History is one.
+type observer interface {
+	Observe(account, kind string, declared, actual time.Duration)
+}
+
+func (c *core) observe(e *entry) {
+	if learner, ok := c.runs.(observer); ok {
+		submission := e.record.Submission
+		declared := seconds(submission.DeclaredRunS)
+		learner.Observe(submission.Account, submission.Kind, declared, seconds(e.record.ProgressS+e.ranS()))
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// taskFailed tells a sick job from a sick worker: the job ends with its
+// evidence, or it is tried again elsewhere if it may be.
+func (c *core) taskFailed(e *entry, worker string, report seenReport, now time.Time) {
+	e.failures++
+	verdict := c.health.TaskFailed(worker, e.record.ID, now)
+	c.judgeWorker(e, worker, verdict, now)
+	reason := fmt.Sprintf("task failed on %s: %s", worker, report.msg)
+	if e.record.Submission.Idempotent && verdict.SickJob == "" && e.failures < maxFailures {
+		c.stop(e, evWorkerLost, reason, now)
+		return
+	}
+	if verdict.SickJob != "" {
+		reason += "; " + verdict.Evidence
+	}
+	c.do(stopAction{ref: e.ref, parts: e.parts, within: stopWithin})
+	c.step(e, evFail, reason, now)
+}
+
+// judgeWorker quarantines a worker that the tracker finds sick, and sends a
+// probed one back.
+func (c *core) judgeWorker(e *entry, worker string, verdict quarantine.Verdict, now time.Time) {
+	w := c.workers[worker]
+	if w == nil {
+		return
+	}
+	if w.chartState == chart.State(model.WorkerProbing) {
+		c.stepWorker(w, c.health.Probed(worker, false, now))
+		return
+	}
+	if verdict.SickWorker == worker {
+		c.stepWorker(w, quarantine.EventSick)
+		c.decide(now, e, "quarantine", worker, verdict.Evidence, "")
+	}
+}
+
+// probePassed returns a probed worker to work after a task ended well there.
+func (c *core) probePassed(worker string, now time.Time) {
+	if w := c.workers[worker]; w != nil && w.chartState == chart.State(model.WorkerProbing) {
+		c.stepWorker(w, c.health.Probed(worker, true, now))
+	}
+}
+
+// checkSilence raises what follows from time alone.
+func (c *core) checkSilence(now time.Time) {
+	for _, w := range c.workers {
+		silent := now.Sub(w.lastReport)
+		if silent > c.workerLease {
+			c.stepWorker(w, wkLongSilence)
+		} else if silent > time.Duration(silenceFactor*float64(c.workerLease)) {
+			c.stepWorker(w, wkSilence)
+		}
+	}
+	for _, worker := range c.health.Cooled(now) {
+		if w := c.workers[worker]; w != nil {
+			c.stepWorker(w, quarantine.EventCooled)
+		}
+	}
+	for _, e := range c.live() {
+		c.checkGangSilence(e, now)
+	}
+}
+
+func (c *core) checkGangSilence(e *entry, now time.Time) {
+	switch e.state {
+	case stRunning:
+		for _, p := range e.parts {
+			if now.Sub(e.reports[p.worker].renewedAt) > c.workerLease {
+				c.stop(e, evWorkerLost, "worker "+p.worker+" is silent longer than its lease", now)
+				return
+			}
+		}
+	case stStopping, stCancelling:
+		if !e.lapseAt.IsZero() && now.After(e.lapseAt) && !e.stopSent {
+			c.stopped(e, now)
+		}
+	}
+}
