--- a/internal/platform/breaker.go
+++ b/internal/platform/breaker.go
@@ -1,3 +1,13 @@
+package platform
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/corianderbank/corianderbank/api"
+)
+
 // The breaker in front of the store.
 //
 // Load pattern: an outage of the store while keyed requests keep arriving.
@@ -11,15 +21,6 @@
 // first and at most 2 s, jittered so that instances that lost the store
 // together do not return together; one answer closes it. Leases and the
 // configuration always pass: they are few, and they are how a zone recovers.
-package platform
-
-import (
-	"context"
-	"sync"
-	"time"
-
-	"github.com/corianderbank/corianderbank/api"
-)
 
 const (
 	failuresToOpen = 2
--- a/internal/platform/budget.go
+++ b/internal/platform/budget.go
@@ -1,3 +1,16 @@
+package platform
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/corianderbank/corianderbank/api"
+)
+
 // The store budget of one instance.
 //
 // Load pattern: several hundred writes and about 2,000 reads a second are all
@@ -14,18 +27,6 @@
 // once. Each purpose leaves a part of the bucket to the ones before it: a
 // purpose of lower precedence stops at 10% more of the bucket than the one
 // above, so that claims are still served when submissions already wait.
-package platform
-
-import (
-	"context"
-	"sync"
-	"sync/atomic"
-	"time"
-
-	"golang.org/x/time/rate"
-
-	"github.com/corianderbank/corianderbank/api"
-)
 
 // What the store gives to all instances together, a second.
 const (
--- a/internal/platform/stack_test.go
+++ b/internal/platform/stack_test.go
@@ -206,8 +206,9 @@
 	for seed := range uint64(30) {
 		synctest.Test(t, func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 1))
+			faults := rand.New(rand.NewPCG(seed, 2))
 			service := fake.New()
-			service.SetFault(func(fake.Call) fake.Fault { return fake.RandomFault(random, 0.4) })
+			service.SetFault(func(fake.Call) fake.Fault { return fake.RandomFault(faults, 0.4) })
 			stack := platform.NewStack(service)
 			states := make([]platform.CommitState, 60)
 			var calls sync.WaitGroup
