--- /dev/null
+++ b/internal/claim/claim_test.go
@@ -0,0 +1,141 @@
+package claim_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/claim"
+	"github.com/corianderbank/corianderbank/internal/platform"
+	"github.com/corianderbank/corianderbank/internal/platform/fake"
+)
+
+func request(id, digest string) claim.Request {
+	return claim.Request{Account: "acme", Key: "k", RequestID: id, BodyDigest: digest, Holder: "i1"}
+}
+
+// instance is one process's claims over a shared platform.
+type instance struct {
+	*claim.Store
+	stack *platform.Stack
+}
+
+// start returns a process whose missed ends are recorded until the test ends.
+func start(t *testing.T, service *fake.Platform) instance {
+	t.Helper()
+	stack := platform.NewStack(service)
+	store := claim.New(stack)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		store.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		stack.Close()
+	})
+	return instance{store, stack}
+}
+
+func mustClaim(t *testing.T, store claim.Claims, id string) claim.Held {
+	t.Helper()
+	held, answer, err := store.Claim(t.Context(), request(id, "d"))
+	assert.NilError(t, err)
+	assert.Assert(t, answer == nil && held != nil)
+	return held
+}
+
+var done = api.RequestAnswer{ID: "r1", Outcome: api.OutcomeDone, Payload: []byte(`1`)}
+
+func TestClaim(t *testing.T) {
+	cases := map[string]func(t *testing.T, service *fake.Platform, a, b instance){
+		"a settled claim gives its answer to a later arrival elsewhere": func(t *testing.T, _ *fake.Platform, a, b instance) {
+			assert.NilError(t, mustClaim(t, a, "r1").Settle(t.Context(), done))
+			held, answer, err := b.Claim(t.Context(), request("r2", "d"))
+			assert.NilError(t, err)
+			assert.Assert(t, held == nil && answer.Replayed)
+			assert.Equal(t, answer.ID, "r1")
+		},
+		"another body under the key is refused": func(t *testing.T, _ *fake.Platform, a, b instance) {
+			mustClaim(t, a, "r1")
+			_, _, err := b.Claim(t.Context(), request("r2", "other"))
+			assert.Assert(t, api.IsKind(err, api.KindKeyReused))
+		},
+		"an arrival waits for the earlier one to settle": func(t *testing.T, _ *fake.Platform, a, b instance) {
+			held := mustClaim(t, a, "r1")
+			time.AfterFunc(3*time.Second, func() { _ = held.Settle(t.Context(), done) })
+			_, answer, err := b.Claim(t.Context(), request("r2", "d"))
+			assert.NilError(t, err)
+			assert.Equal(t, answer.Outcome, api.OutcomeDone)
+		},
+		"a claim whose holder died is unknown, and is never run": func(t *testing.T, _ *fake.Platform, a, b instance) {
+			mustClaim(t, a, "r1")
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			held, answer, err := b.Claim(ctx, request("r2", "d"))
+			assert.NilError(t, err)
+			assert.Assert(t, held == nil)
+			assert.Equal(t, answer.Outcome, api.OutcomeUnknown)
+		},
+		"a claim given up can be taken by another": func(t *testing.T, _ *fake.Platform, a, b instance) {
+			assert.NilError(t, mustClaim(t, a, "r1").GiveUp(t.Context()))
+			mustClaim(t, b, "r2")
+		},
+		"a claim ends once": func(t *testing.T, _ *fake.Platform, a, b instance) {
+			held := mustClaim(t, a, "r1")
+			assert.NilError(t, held.Settle(t.Context(), done))
+			assert.Assert(t, api.IsKind(held.GiveUp(t.Context()), api.KindConflict))
+			_, answer, err := b.Claim(t.Context(), request("r2", "d"))
+			assert.NilError(t, err)
+			assert.Equal(t, answer.Outcome, api.OutcomeDone)
+		},
+		"while the store is down nothing is claimed": func(t *testing.T, service *fake.Platform, a, _ instance) {
+			service.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Down: true} })
+			_, _, err := a.Claim(t.Context(), request("r1", "d"))
+			assert.Assert(t, api.IsKind(err, api.KindStoreUnavailable))
+		},
+		"an end that the store missed is recorded when it returns": func(t *testing.T, service *fake.Platform, a, b instance) {
+			held := mustClaim(t, a, "r1")
+			service.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Down: true} })
+			assert.Assert(t, api.IsKind(held.Settle(t.Context(), done), api.KindStoreUnavailable))
+			_, answer, err := a.Claim(t.Context(), request("r2", "d"))
+			assert.NilError(t, err)
+			assert.Equal(t, answer.Outcome, api.OutcomeDone)
+			service.SetFault(nil)
+			time.Sleep(10 * time.Second)
+			assert.Equal(t, a.Unsettled(), 0)
+			_, answer, err = b.Claim(t.Context(), request("r3", "d"))
+			assert.NilError(t, err)
+			assert.Equal(t, answer.Outcome, api.OutcomeDone)
+		},
+		"an insertion that may arrive late is fenced, and the key is free again": func(t *testing.T, service *fake.Platform, a, b instance) {
+			service.SetFault(func(call fake.Call) fake.Fault {
+				if call.Op == "commit" {
+					return fake.Fault{AppliesAfter: time.Minute}
+				}
+				return fake.Fault{Down: true}
+			})
+			_, _, err := a.Claim(t.Context(), request("r1", "d"))
+			assert.Assert(t, api.IsKind(err, api.KindResultUnknown), "%v", err)
+			service.SetFault(nil)
+			time.Sleep(10 * time.Second)
+			assert.Equal(t, a.Unsettled(), 0)
+			time.Sleep(2 * time.Minute)
+			mustClaim(t, b, "r2")
+		},
+	}
+	for name, check := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				service := fake.New()
+				check(t, service, start(t, service), start(t, service))
+			})
+		})
+	}
+}
