Pages for callers and operators, kept true by a test

docs/API.md and docs/OPERATING.md; tables of error kinds, messages, commands, flags, settings and rule fields are written from the code, endpoints, metrics and links are compared.

--- a/api/caller.go
+++ b/api/caller.go
@@ -49,7 +49,7 @@
 
 // Shape is the accelerators that a gang needs at the same time.
 type Shape struct {
-	// Tasks is the number of tasks in the gang, 1 to MaxGangTasks.
+	// Tasks is the number of tasks in the gang, 1 to 512 (MaxGangTasks).
 	Tasks int `json:"tasks"`
 	// AcceleratorsPerTask is needed on one worker for each task.
 	AcceleratorsPerTask int `json:"accelerators_per_task"`
@@ -94,15 +94,19 @@
 
 // JobAnswer is the body of every answer about one job.
 type JobAnswer struct {
-	ID        string  `json:"id"`
-	Outcome   Outcome `json:"outcome"`
-	ErrorKind Kind    `json:"error_kind,omitempty"`
-	Message   string  `json:"message,omitempty"`
+	// ID is the job's id, assigned at submission.
+	ID string `json:"id"`
+	// Outcome is accepted while the job is under way, then done, not_run or unknown.
+	Outcome Outcome `json:"outcome"`
+	// ErrorKind is set unless the outcome is done or accepted.
+	ErrorKind Kind `json:"error_kind,omitempty"`
+	// Message is for people.
+	Message string `json:"message,omitempty"`
 	// RetryAfterS is the time to come back, in seconds, on each refusal.
 	RetryAfterS float64 `json:"retry_after_s,omitempty"`
 	// Rule is the name of the rule that decided at submission.
 	Rule string `json:"rule,omitempty"`
-	// State is the job's state in charts/job.json.
+	// State is the job's state in charts/gang.json.
 	State string `json:"state,omitempty"`
 	// AvailabilityZone is the zone whose placer has the job.
 	AvailabilityZone string `json:"availability_zone,omitempty"`
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -56,9 +56,12 @@
 func Run(args []string, stdout, stderr io.Writer, serve func(settingsFile string) error) int {
 	s := newShell(stdout, stderr, serve)
 	name, err := s.app.Parse(args)
-	if s.helped {
+	if s.helped && len(args) > 0 {
 		return ExitDone
 	}
+	if s.helped {
+		return ExitUsage // without a command, the usage is printed unasked
+	}
 	if err != nil {
 		_, _ = fmt.Fprintf(stderr, "corianderbank: %v; try --help\n", err)
 		return ExitUsage
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -102,6 +102,7 @@
 
 // ClientAccount is a customer with guarantees and limits.
 type ClientAccount struct {
+	// Name is the account's id, unique in the configuration.
 	Name string `json:"name"`
 	// Guarantees lists the guaranteed shapes by availability zone.
 	Guarantees map[string][]GuaranteedShape `json:"guarantees,omitempty"`
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -29,9 +29,12 @@
 	SlackBelowS *float64 `json:"slack_below_s,omitempty"`
 	// SlackAtLeastS matches work with at least this slack, or no deadline.
 	SlackAtLeastS *float64 `json:"slack_at_least_s,omitempty"`
-	Idempotent    *bool    `json:"idempotent,omitempty"`
-	Keyed         *bool    `json:"keyed,omitempty"`
-	Urgent        *bool    `json:"urgent,omitempty"`
+	// Idempotent is what the work says of itself.
+	Idempotent *bool `json:"idempotent,omitempty"`
+	// Keyed is whether the work carries an idempotency key.
+	Keyed *bool `json:"keyed,omitempty"`
+	// Urgent is what a job says of itself; a request is never urgent.
+	Urgent *bool `json:"urgent,omitempty"`
 	// PlatformReachable is whether the zone reaches the platform's store.
 	PlatformReachable *bool `json:"platform_reachable,omitempty"`
 	// LoadAtLeast and LoadBelow compare the load level: work in progress and
@@ -42,7 +45,7 @@
 
 // Then is what a rule decides. An absent field takes the default of Verdict.
 type Then struct {
-	// Refuse turns the work away, to come back after RetryAfterS seconds.
+	// Refuse turns the work away, to come back after RetryAfterS, in seconds.
 	Refuse      bool    `json:"refuse,omitempty"`
 	RetryAfterS float64 `json:"retry_after_s,omitempty"`
 	// Priority orders work within a client account; higher goes first.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,18 +25,25 @@
 	// Platform is the IP number and port of the platform's services.
 	Platform string `json:"platform"`
 	// Peers are instances to begin with; the instance list adds the others.
-	Peers    []Peer `json:"peers"`
+	Peers []Peer `json:"peers"`
+	// LogLevel is the lowest level that is logged: debug, info, warn or error.
 	LogLevel string `json:"log_level"`
-	Limits   Limits `json:"limits"`
-	Timing   Timing `json:"timing"`
+	// Limits bounds what the process uses.
+	Limits Limits `json:"limits"`
+	// Timing holds the durations that a deployment may tune.
+	Timing Timing `json:"timing"`
 }
 
 // Peer is another entry instance.
 type Peer struct {
-	Instance         string `json:"instance"`
+	// Instance is the id of the other instance.
+	Instance string `json:"instance"`
+	// AvailabilityZone is where the other instance runs.
 	AvailabilityZone string `json:"availability_zone"`
-	Addr             string `json:"addr"`
-	PeerAddr         string `json:"peer_addr"`
+	// Addr is its IP number and port for callers and operators.
+	Addr string `json:"addr"`
+	// PeerAddr is its IP number and port for other instances.
+	PeerAddr string `json:"peer_addr"`
 }
 
 // Limits bounds what the process uses.
--- /dev/null
+++ b/test/docs/docs_test.go
@@ -0,0 +1,218 @@
+package docs
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"sort"
+	"strings"
+	"testing"
+
+	"github.com/alecthomas/kingpin/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/cli"
+	"github.com/corianderbank/corianderbank/internal/config"
+	"github.com/corianderbank/corianderbank/internal/rules"
+	"github.com/corianderbank/corianderbank/internal/settings"
+	"github.com/corianderbank/corianderbank/internal/strictjson"
+)
+
+const (
+	apiPage       = "docs/API.md"
+	operatingPage = "docs/OPERATING.md"
+)
+
+func TestErrorKindsOfThePageAreThoseOfTheTable(t *testing.T) {
+	var rows [][]string
+	for _, answer := range api.Answers {
+		after := "–"
+		if answer.RetryAfterS > 0 {
+			after = fmt.Sprintf("%g", answer.RetryAfterS)
+		}
+		status := fmt.Sprintf("%d %s", answer.Status, http.StatusText(answer.Status))
+		rows = append(rows, []string{"`" + string(answer.Kind) + "`", status, after, answer.Doc})
+	}
+	block(t, apiPage, "kinds", table("error kind | HTTP status | default `retry_after_s` | what happened", rows))
+}
+
+func TestEndpointsOfThePageAreThoseOfTheServer(t *testing.T) {
+	var served []string
+	goFiles(t, func(path, text string) {
+		if strings.Contains(filepath.ToSlash(path), "internal/entry/") {
+			served = append(served, matches(`HandleFunc\("([A-Z]+ /[^"]*)"`, text)...)
+		}
+	})
+	sort.Strings(served)
+	assert.DeepEqual(t, matches("(?m)^\\| `([A-Z]+ /[^`?]*)", page(t, apiPage)), served)
+}
+
+func TestMessagesOfThePageAreThoseOfTheCode(t *testing.T) {
+	for mark, source := range map[string]struct{ file, name string }{
+		"request":        {"api/caller.go", "RequestSubmission"},
+		"request-answer": {"api/caller.go", "RequestAnswer"},
+		"job":            {"api/caller.go", "JobSubmission"},
+		"job-answer":     {"api/caller.go", "JobAnswer"},
+		"shape":          {"api/caller.go", "Shape"},
+		"decision":       {"api/caller.go", "Decision"},
+	} {
+		block(t, apiPage, mark, fieldTable(structFields(t, source.file, source.name)))
+	}
+}
+
+func fieldTable(fields []field) string {
+	var rows [][]string
+	for _, f := range fields {
+		rows = append(rows, []string{"`" + f.name + "`", f.kind, f.doc})
+	}
+	return table("field | type | meaning", rows)
+}
+
+func TestCommandsOfThePageAreThoseOfTheCode(t *testing.T) {
+	var out strings.Builder
+	model := cli.App().Model()
+	out.WriteString("Flags of every command:\n\n" + flagTable(model.Flags))
+	var walk func(prefix string, commands []*kingpin.CmdModel)
+	walk = func(prefix string, commands []*kingpin.CmdModel) {
+		for _, command := range commands {
+			name := prefix + command.Name
+			if len(command.Commands) > 0 {
+				walk(name+" ", command.Commands)
+				continue
+			}
+			if name != "help" {
+				describeCommand(&out, name, command)
+			}
+		}
+	}
+	walk("", model.Commands)
+	block(t, operatingPage, "commands", out.String())
+}
+
+func describeCommand(out *strings.Builder, name string, command *kingpin.CmdModel) {
+	usage := "corianderbank " + name
+	for _, argument := range command.Args {
+		usage += " <" + argument.Name + ">"
+	}
+	fmt.Fprintf(out, "\n#### `%s`\n\n%s\n", usage, command.Help)
+	for _, argument := range command.Args {
+		fmt.Fprintf(out, "\n- `<%s>`: %s\n", argument.Name, argument.Help)
+	}
+	if len(command.Flags) > 0 {
+		out.WriteString("\n" + flagTable(command.Flags))
+	}
+}
+
+func flagTable(flags []*kingpin.FlagModel) string {
+	var rows [][]string
+	for _, flag := range flags {
+		if flag.Hidden || strings.HasPrefix(flag.Name, "help") {
+			continue
+		}
+		value := "–"
+		if flag.Required {
+			value = "needed"
+		}
+		if len(flag.Default) > 0 {
+			value = "`" + flag.Default[0] + "`"
+		}
+		rows = append(rows, []string{"`--" + flag.Name + "`", value, flag.Help})
+	}
+	return table("flag | default | meaning", rows)
+}
+
+func TestSettingsOfThePageAreThoseOfTheCode(t *testing.T) {
+	var defaults map[string]any
+	data, err := json.Marshal(settings.Default())
+	assert.NilError(t, err)
+	assert.NilError(t, json.Unmarshal(data, &defaults))
+	var rows [][]string
+	add := func(prefix, name string, values map[string]any) {
+		for _, f := range structFields(t, "internal/settings/settings.go", name) {
+			if f.kind == "limits" || f.kind == "timing" {
+				continue
+			}
+			value := "needed"
+			if present, ok := values[f.name]; ok && present != "" && present != nil {
+				value = fmt.Sprintf("`%v`", present)
+			}
+			if number, ok := values[f.name].(float64); ok {
+				value = fmt.Sprintf("`%.0f`", number)
+			}
+			if f.name == "peers" {
+				value = "none"
+			}
+			rows = append(rows, []string{"`" + prefix + f.name + "`", f.kind, value, f.doc})
+		}
+	}
+	add("", "Settings", defaults)
+	add("peers[].", "Peer", nil)
+	add("limits.", "Limits", defaults["limits"].(map[string]any))
+	add("timing.", "Timing", defaults["timing"].(map[string]any))
+	block(t, operatingPage, "settings", table("field | type | default | meaning", rows))
+}
+
+func TestConfigurationFieldsOfThePageAreThoseOfTheCode(t *testing.T) {
+	for mark, source := range map[string]struct{ file, name string }{
+		"when":       {"internal/rules/rules.go", "When"},
+		"then":       {"internal/rules/rules.go", "Then"},
+		"account":    {"internal/model/model.go", "ClientAccount"},
+		"objectives": {"internal/model/model.go", "Objectives"},
+	} {
+		block(t, operatingPage, mark, fieldTable(structFields(t, source.file, source.name)))
+	}
+}
+
+// metricPattern finds the product's own metrics in code and pages.
+const metricPattern = `(corianderbank_[a-z0-9_]+)`
+
+func TestMetricsOfThePageAreThoseOfTheCode(t *testing.T) {
+	var inCode []string
+	goFiles(t, func(_, text string) { inCode = append(inCode, matches("[\"`]"+metricPattern, text)...) })
+	sort.Strings(inCode)
+	assert.DeepEqual(t, matches("(?m)^\\| `"+metricPattern, page(t, operatingPage)), slices.Compact(inCode))
+}
+
+func TestLinksLeadSomewhere(t *testing.T) {
+	link := regexp.MustCompile(`\]\(([^)#\s]+)(#[^)]*)?\)`)
+	err := filepath.WalkDir(root, func(path string, entry os.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() && strings.HasPrefix(entry.Name(), ".") && len(entry.Name()) > 2 {
+			return filepath.SkipDir
+		}
+		if filepath.Ext(path) != ".md" {
+			return nil
+		}
+		data, err := os.ReadFile(path)
+		for _, match := range link.FindAllStringSubmatch(string(data), -1) {
+			if strings.Contains(match[1], "://") {
+				continue
+			}
+			_, statErr := os.Stat(filepath.Join(filepath.Dir(path), match[1]))
+			assert.Check(t, statErr, "%s links to %s", path, match[1])
+		}
+		return err
+	})
+	assert.NilError(t, err)
+}
+
+func TestExamplesAreAccepted(t *testing.T) {
+	_, err := settings.Load(filepath.Join(root, "examples/settings.json"))
+	assert.NilError(t, err)
+	text := page(t, "examples/configuration.json")
+	document, err := config.Parse("configuration.json", []byte(text))
+	assert.NilError(t, err)
+	assert.Equal(t, len(config.Check(document, strictjson.Index("configuration.json", []byte(text)))), 0)
+	_, err = rules.ParseSituation("situation.json", []byte(page(t, "examples/situation.json")))
+	assert.NilError(t, err)
+	var job api.JobSubmission
+	assert.NilError(t, json.Unmarshal([]byte(page(t, "examples/job.json")), &job))
+	assert.Assert(t, job.Shape.Accelerators() > 0)
+}
