--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"io"
 	"io/fs"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -56,7 +58,7 @@
 func Run(args []string, stdout, stderr io.Writer, serve func(settingsFile string) error) int {
 	s := newShell(stdout, stderr, serve)
 	name, err := s.app.Parse(args)
-	if s.helped && len(args) > 0 {
+	if s.helped && slices.ContainsFunc(args, asksForHelp) {
 		return ExitDone
 	}
 	if s.helped {
@@ -69,6 +71,10 @@
 	return s.report(s.commands[name]())
 }
 
+func asksForHelp(arg string) bool {
+	return strings.HasPrefix(arg, "--help") || strings.HasPrefix(arg, "--completion") || arg == "-h" || arg == "help"
+}
+
 // App returns the command line without running it, for tests that compare it
 // with the pages.
 func App() *kingpin.Application {
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -20,13 +20,14 @@
 	if selfZone == zone {
 		members[self] = true
 	}
+	every := s.intervals()
 	listFresh := !s.listAt.IsZero() && now.Sub(s.listAt) <= listFreshFor
 	for id, entry := range s.instances {
 		if entry.Zone != zone {
 			continue
 		}
 		named := entry.listedAt.Equal(s.listAt)
-		if named || !listFresh || s.instanceLive(entry, now) {
+		if named || !listFresh || s.instanceLive(entry, every, now) {
 			members[id] = true
 		}
 	}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -68,7 +68,7 @@
 	if s.leaving {
 		return nil
 	}
-	members := s.zoneMembers(now)
+	members := s.liveZoneMembers(now)
 	var targets []model.BackendServer
 	for _, id := range sortedKeys(s.backends) {
 		entry := s.backends[id]
@@ -84,9 +84,9 @@
 	return targets
 }
 
-// zoneMembers returns the ids of the live instances of this zone that stay,
+// liveZoneMembers returns the ids of the live instances of this zone that stay,
 // this one among them.
-func (s *state) zoneMembers(now time.Time) []string {
+func (s *state) liveZoneMembers(now time.Time) []string {
 	members := []string{s.self.ID}
 	for _, instance := range s.liveInstances(now) {
 		if instance.Zone == s.self.Zone && !instance.Leaving {
