--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -26,7 +26,7 @@
 	SlowMS int64 `json:"slow_ms"`
 	// Truncate is how many answers break off in the middle.
 	Truncate int `json:"truncate"`
-	// SwapAnswers is how many answers carry the id of another request.
+	// SwapAnswers is how many callers get the answer to another request.
 	SwapAnswers int `json:"swap_answers"`
 	// Fail is how many executions fail.
 	Fail int `json:"fail"`
@@ -86,7 +86,8 @@
 	faults     BackendFaults
 	leavingAt  time.Time
 	executions []Execution
-	lastID     string
+	// last is the answer to the request before, for SwapAnswers.
+	last *api.ExecuteAnswer
 }
 
 // NewBackend returns a backend server with the given number of slots. onLeave
@@ -195,7 +196,6 @@
 type answerPlan struct {
 	slowMS         int64
 	fail, truncate bool
-	id             string
 }
 
 func (b *Backend) begin(request api.Execute, work WorkPayload) (int, answerPlan) {
@@ -206,11 +206,7 @@
 		execution.LeavingForMS = max(time.Since(b.leavingAt).Milliseconds(), 1)
 	}
 	b.executions = append(b.executions, execution)
-	plan := answerPlan{slowMS: b.faults.SlowMS, fail: work.Fail || use(&b.faults.Fail), truncate: use(&b.faults.Truncate), id: request.ID}
-	if b.lastID != "" && use(&b.faults.SwapAnswers) {
-		plan.id = b.lastID
-	}
-	b.lastID = request.ID
+	plan := answerPlan{slowMS: b.faults.SlowMS, fail: work.Fail || use(&b.faults.Fail), truncate: use(&b.faults.Truncate)}
 	return len(b.executions) - 1, plan
 }
 
@@ -230,15 +226,16 @@
 }
 
 func (b *Backend) answer(w http.ResponseWriter, request api.Execute, work WorkPayload, plan answerPlan) {
-	answer := api.ExecuteAnswer{ID: plan.id, Failed: plan.fail}
+	answer := api.ExecuteAnswer{ID: request.ID, Failed: plan.fail}
 	if plan.fail {
 		answer.Message = "the work failed"
 	} else {
 		answer.Payload = mustJSON(WorkResult{Key: work.Key, Digest: PayloadDigest(request.Payload), BackendServer: b.id})
 	}
+	answer = b.swapped(answer)
 	data := mustJSON(answer)
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(api.HeaderRequestID, plan.id)
+	w.Header().Set(api.HeaderRequestID, answer.ID)
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	if !plan.truncate {
 		_, _ = w.Write(data)
@@ -249,6 +246,19 @@
 	dropConnection()
 }
 
+// swapped remembers the answer, and returns the one before it in its place if
+// the faults say so.
+func (b *Backend) swapped(answer api.ExecuteAnswer) api.ExecuteAnswer {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	before := b.last
+	b.last = &answer
+	if before != nil && use(&b.faults.SwapAnswers) {
+		return *before
+	}
+	return answer
+}
+
 // mustJSON encodes a value of this package, which cannot fail.
 func mustJSON(value any) []byte {
 	data, err := json.Marshal(value)
--- /dev/null
+++ b/internal/standin/checkpoint.go
@@ -0,0 +1,53 @@
+package standin
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-resty/resty/v2"
+
+	"github.com/corianderbank/corianderbank/api"
+)
+
+// checkpointTimeout bounds a call to the platform's object store.
+const checkpointTimeout = 2 * time.Second
+
+// Progress is the content of a checkpoint.
+type Progress struct {
+	ProgressMS int64 `json:"progress_ms"`
+}
+
+// Checkpoints keeps progress under immutable names.
+type Checkpoints interface {
+	Save(ctx context.Context, name string, progress Progress) error
+	Load(ctx context.Context, name string) (Progress, error)
+}
+
+// ObjectCheckpoints keeps checkpoints in the platform's object store.
+type ObjectCheckpoints struct {
+	client *resty.Client
+}
+
+// NewObjectCheckpoints returns checkpoints in the object store at addr.
+func NewObjectCheckpoints(addr string) *ObjectCheckpoints {
+	return &ObjectCheckpoints{client: resty.New().SetBaseURL("http://" + addr).SetTimeout(checkpointTimeout)}
+}
+
+// Save implements Checkpoints.
+func (c *ObjectCheckpoints) Save(ctx context.Context, name string, progress Progress) error {
+	response, err := c.client.R().SetContext(ctx).SetBody(progress).Put("/v1/objects/" + name)
+	if err != nil || response.IsError() {
+		return api.NewError(api.KindStoreUnavailable, "checkpoint %s not written", name)
+	}
+	return nil
+}
+
+// Load implements Checkpoints.
+func (c *ObjectCheckpoints) Load(ctx context.Context, name string) (Progress, error) {
+	var progress Progress
+	response, err := c.client.R().SetContext(ctx).SetResult(&progress).ForceContentType("application/json").Get("/v1/objects/" + name)
+	if err != nil || response.IsError() {
+		return Progress{}, api.NewError(api.KindStoreUnavailable, "checkpoint %s not read", name)
+	}
+	return progress, nil
+}
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -97,11 +97,14 @@
 		"whole": {BackendFaults{}, func(t *testing.T, answer api.ExecuteAnswer, _ http.Header) {
 			var result WorkResult
 			assert.NilError(t, json.Unmarshal(answer.Payload, &result))
-			assert.Equal(t, result.Key, "k")
+			assert.Equal(t, result.Key, "key-of-second")
 			assert.Equal(t, answer.ID, "second")
 		}},
 		"swapped": {BackendFaults{SwapAnswers: -1}, func(t *testing.T, answer api.ExecuteAnswer, _ http.Header) {
+			var result WorkResult
+			assert.NilError(t, json.Unmarshal(answer.Payload, &result))
 			assert.Equal(t, answer.ID, "first")
+			assert.Equal(t, result.Key, "key-of-first", "the whole answer is another's")
 		}},
 		"failed": {BackendFaults{Fail: 2}, func(t *testing.T, answer api.ExecuteAnswer, _ http.Header) {
 			assert.Assert(t, answer.Failed && !answer.NotRun)
@@ -119,7 +122,7 @@
 			var answer api.ExecuteAnswer
 			header := http.Header{}
 			for _, id := range []string{"first", "second"} {
-				body := mustJSON(api.Execute{ID: id, Account: "a", Payload: json.RawMessage(`{"key":"k"}`)})
+				body := mustJSON(api.Execute{ID: id, Account: "a", Payload: json.RawMessage(`{"key":"key-of-` + id + `"}`)})
 				response, err := http.Post(server.URL+"/v1/execute", "application/json", bytes.NewReader(body))
 				assert.NilError(t, err)
 				assert.NilError(t, json.NewDecoder(response.Body).Decode(&answer))
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-resty/resty/v2"
-
 	"github.com/corianderbank/corianderbank/api"
 )
 
@@ -23,9 +21,6 @@
 // throttledSpeed is the speed of throttled tasks, as a share of the full one.
 const throttledSpeed = 0.5
 
-// checkpointTimeout bounds a call to the platform's object store.
-const checkpointTimeout = 2 * time.Second
-
 // WorkerFaults is the body of POST /v1/faults on a worker. The whole set is
 // replaced.
 type WorkerFaults struct {
@@ -53,17 +48,6 @@
 	Checkpoint string `json:"checkpoint,omitempty"`
 }
 
-// Progress is the content of a checkpoint.
-type Progress struct {
-	ProgressMS int64 `json:"progress_ms"`
-}
-
-// Checkpoints keeps progress under immutable names.
-type Checkpoints interface {
-	Save(ctx context.Context, name string, progress Progress) error
-	Load(ctx context.Context, name string) (Progress, error)
-}
-
 // WorkerConfig describes one worker.
 type WorkerConfig struct {
 	ID           string
@@ -496,32 +480,3 @@
 	defer k.mu.Unlock()
 	return milliseconds(k.faults.SlowMS)
 }
-
-// ObjectCheckpoints keeps checkpoints in the platform's object store.
-type ObjectCheckpoints struct {
-	client *resty.Client
-}
-
-// NewObjectCheckpoints returns checkpoints in the object store at addr.
-func NewObjectCheckpoints(addr string) *ObjectCheckpoints {
-	return &ObjectCheckpoints{client: resty.New().SetBaseURL("http://" + addr).SetTimeout(checkpointTimeout)}
-}
-
-// Save implements Checkpoints.
-func (c *ObjectCheckpoints) Save(ctx context.Context, name string, progress Progress) error {
-	response, err := c.client.R().SetContext(ctx).SetBody(progress).Put("/v1/objects/" + name)
-	if err != nil || response.IsError() {
-		return api.NewError(api.KindStoreUnavailable, "checkpoint %s not written", name)
-	}
-	return nil
-}
-
-// Load implements Checkpoints.
-func (c *ObjectCheckpoints) Load(ctx context.Context, name string) (Progress, error) {
-	var progress Progress
-	response, err := c.client.R().SetContext(ctx).SetResult(&progress).ForceContentType("application/json").Get("/v1/objects/" + name)
-	if err != nil || response.IsError() {
-		return Progress{}, api.NewError(api.KindStoreUnavailable, "checkpoint %s not read", name)
-	}
-	return progress, nil
-}
