Protect borrowers inside their account's unused guarantee; borrow before reclaiming

Guarantees that pack only as long as nothing runs are refused, because soaking the properties found zones of zero slack in which a single accelerator in use broke the packing.

--- a/internal/measure/gangload/figures.go
+++ b/internal/measure/gangload/figures.go
@@ -84,7 +84,7 @@
 func (pl *player) tally() tally {
 	var t tally
 	for _, job := range pl.order {
-		if job.ending == cancelled || job.doomed {
+		if job.cancelAt > 0 || job.doomed {
 			continue
 		}
 		t.addStart(job)
@@ -166,6 +166,7 @@
 		{Name: "claim start p99", Value: quantile(t.claims, 0.99), Unit: "s"},
 		{Name: "urgent start p99", Value: quantile(t.urgent, 0.99), Unit: "s"},
 		{Name: "fragmentation", Value: 100 * in.fragmented / max(1, in.free), Unit: "%"},
+		{Name: "fragmented", Value: in.fragmented / 3600, Unit: "accelerator-hours"},
 		{Name: "stranded", Value: in.stranded / 3600, Unit: "accelerator-hours"},
 		{Name: "worst share", Value: 100 * worst, Unit: "%"},
 		{Name: "goodput", Value: 100 * t.useful / offered, Unit: "%"},
--- a/internal/placement/admit.go
+++ b/internal/placement/admit.go
@@ -17,7 +17,7 @@
 // Admit judges a job at its submission: it returns the estimated finish, or
 // the refusal.
 func Admit(s Snapshot, job model.Job) (finish time.Time, refusal *Refusal) {
-	d := newDecider(&s)
+	d := newDecider(&s, Off{})
 	if reason := d.neverFits(&job); reason != "" {
 		return time.Time{}, newRefusal(&job, api.KindShapeNeverFits, reason)
 	}
@@ -74,7 +74,7 @@
 // earliestStart returns the time from which the job fits if nothing else is
 // placed before it.
 func (d *decider) earliestStart(job *model.Job) (time.Time, bool) {
-	if account, known := d.accounts[job.Account]; known && d.entitled(&entry{job: job, account: account}) {
+	if account, known := d.accounts[job.Account]; known && d.entitled(account, job) {
 		return d.s.Now, true
 	}
 	usable := slices.Clone(d.free)
--- a/internal/placement/claim.go
+++ b/internal/placement/claim.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/model"
 	"github.com/corianderbank/corianderbank/internal/reclaim"
 )
 
@@ -31,19 +32,33 @@
 // left for placeBeyondGuarantee.
 func (d *decider) claimGuarantee(e *entry) {
 	attempt := failure{account: e.account, shape: e.job.Shape, claims: true}
-	if d.failed[attempt] || !d.entitled(e) || d.overLimit(e) {
+	if d.failed[attempt] || !d.entitled(e.account, e.job) || d.overLimit(e) {
 		return
 	}
-	if !d.claimFree(e) && (d.off.Reclaim || !d.claimBorrowed(e)) {
+	if !d.claimFree(e) && !d.borrowInstead(e) && (d.off.Reclaim || !d.claimBorrowed(e)) {
 		d.failed[attempt] = true
 	}
 }
 
+// borrowInstead starts a job that its guarantee covers as a borrower, if
+// accelerators outside the guarantee are free: nobody has to be stopped.
+func (d *decider) borrowInstead(e *entry) bool {
+	if !e.job.Stoppable() || !e.job.MayBorrow {
+		return false
+	}
+	parts := d.z.fit(d.free, nil, e.job.Shape)
+	if parts == nil {
+		return false
+	}
+	d.place(e, parts, true, "borrows free accelerators in place of a reclaim")
+	return true
+}
+
 // entitled reports whether the job stays within its account's guarantee by
 // the count of accelerators. Gangs outside the account's shapes do not count.
-func (d *decider) entitled(e *entry) bool {
-	inside := d.fixedUse[e.account] - d.packed.outside[e.account]
-	return inside+e.job.Shape.Accelerators() <= d.guaranteed[e.account]
+func (d *decider) entitled(account int, job *model.Job) bool {
+	inside := d.fixedUse[account] - d.packed.outside[account]
+	return inside+job.Shape.Accelerators() <= d.guaranteed[account]
 }
 
 // claimFree places a job on free accelerators: those of its account's shapes as
@@ -51,7 +66,7 @@
 func (d *decider) claimFree(e *entry) bool {
 	for _, usable := range [][]int{minimum(d.free, d.packed.cells[e.account]), d.free} {
 		parts := d.z.fit(usable, nil, e.job.Shape)
-		if parts != nil && d.fix(e, parts, true) {
+		if parts != nil && d.fix(e.account, e.job, parts, true) {
 			d.place(e, parts, false, "lies within the account's guarantee")
 			return true
 		}
@@ -64,7 +79,7 @@
 func (d *decider) claimBorrowed(e *entry) bool {
 	regions := d.regions(e)
 	for _, r := range regions[:min(len(regions), maxRegions)] {
-		if !d.fix(e, r.parts, true) {
+		if !d.fix(e.account, e.job, r.parts, true) {
 			continue
 		}
 		if d.isFree(e, r.parts) {
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -64,7 +64,7 @@
 // Decide returns what is to be done now: gangs to place, borrowers to stop,
 // jobs to refuse, each with its reason.
 func Decide(s Snapshot) Plan {
-	return newDecider(&s).decide()
+	return newDecider(&s, Off{}).decide()
 }
 
 func (d *decider) decide() Plan {
@@ -76,10 +76,11 @@
 	return d.plan
 }
 
-func newDecider(s *Snapshot) *decider {
+func newDecider(s *Snapshot, off Off) *decider {
 	z := newZone(s.Workers, false)
+	z.firstFit = off.BestFit
 	d := &decider{
-		s: s, z: z,
+		s: s, off: off, z: z,
 		accounts:   make(map[string]int, len(s.Accounts)),
 		claims:     claimsOf(s.Zone, s.Accounts),
 		held:       newHoldings(z, len(s.Accounts)),
@@ -102,6 +103,8 @@
 		d.free[w] = max(0, d.free[w])
 	}
 	d.packed = z.pack(d.held, d.claims)
+	d.protectBorrowers()
+	d.listBorrowers()
 	return d
 }
 
@@ -131,12 +134,20 @@
 	if known && h.fixed {
 		d.fixedUse[account] += gang.Job.Shape.Accelerators()
 	}
-	if !h.ending && !h.fixed {
+	d.holders = append(d.holders, h)
+}
+
+// listBorrowers enters the gangs that may be stopped by worker.
+func (d *decider) listBorrowers() {
+	for i := range d.holders {
+		h := &d.holders[i]
+		if h.fixed || h.ending {
+			continue
+		}
 		for _, p := range h.parts {
-			d.onWorker[p.worker] = append(d.onWorker[p.worker], len(d.holders))
+			d.onWorker[p.worker] = append(d.onWorker[p.worker], i)
 		}
 	}
-	d.holders = append(d.holders, h)
 }
 
 // placeBeyondGuarantee places a job that its account's guarantee does not
@@ -158,7 +169,7 @@
 	switch {
 	case parts != nil && stoppable:
 		d.place(e, parts, true, "borrows free accelerators")
-	case parts != nil && d.fix(e, parts, false):
+	case parts != nil && d.fix(e.account, e.job, parts, false):
 		d.place(e, parts, false, "fits beside every guarantee")
 	default:
 		d.failed[attempt] = true
@@ -194,33 +205,36 @@
 // fix enters the parts of a job as fixed holdings of its account, if then every
 // guarantee still packs as far as it did before. With inside, the job must lie
 // in its own account's shapes too. It reports whether it did.
-func (d *decider) fix(e *entry, parts []part, inside bool) bool {
-	perTask := e.job.Shape.AcceleratorsPerTask
-	if d.fixInside(e, parts) {
-		return true
+func (d *decider) fix(account int, job *model.Job, parts []part, inside bool) bool {
+	perTask := job.Shape.AcceleratorsPerTask
+	if !d.fixInside(account, parts, perTask) && !d.fixRepacked(account, parts, perTask, inside) {
+		return false
 	}
-	d.held.add(e.account, parts, perTask)
+	d.fixedUse[account] += job.Shape.Accelerators()
+	return true
+}
+
+// fixRepacked packs the guarantees anew around the parts.
+func (d *decider) fixRepacked(account int, parts []part, perTask int, inside bool) bool {
+	d.held.add(account, parts, perTask)
 	after := d.z.pack(d.held, d.claims)
-	if !after.keeps(&d.packed) || (inside && after.outside[e.account] > d.packed.outside[e.account]) {
-		d.held.add(e.account, parts, -perTask)
+	if !after.keeps(&d.packed) || (inside && after.outside[account] > d.packed.outside[account]) {
+		d.held.add(account, parts, -perTask)
 		return false
 	}
 	d.packed = after
-	d.fixedUse[e.account] += e.job.Shape.Accelerators()
 	return true
 }
 
-// fixInside enters the parts of a job that lie in its account's shapes as they
-// are packed now: then the packing stands as it is.
-func (d *decider) fixInside(e *entry, parts []part) bool {
-	perTask := e.job.Shape.AcceleratorsPerTask
-	cells := d.packed.cells[e.account]
+// fixInside enters parts that lie in the account's shapes as they are packed
+// now: then the packing stands as it is.
+func (d *decider) fixInside(account int, parts []part, perTask int) bool {
+	cells := d.packed.cells[account]
 	if slices.ContainsFunc(parts, func(p part) bool { return cells[p.worker] < p.tasks*perTask }) {
 		return false
 	}
 	add(cells, parts, -perTask)
-	d.held.add(e.account, parts, perTask)
-	d.fixedUse[e.account] += e.job.Shape.Accelerators()
+	d.held.add(account, parts, perTask)
 	return true
 }
 
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -37,6 +37,9 @@
 		if slots < shape.Tasks {
 			continue
 		}
+		if z.firstFit {
+			return i
+		}
 		gain, opened := sum(bonus, r), max(0, shape.Tasks-begun)
 		if best < 0 || gain > bestBonus ||
 			(gain == bestBonus && (opened < bestOpened || (opened == bestOpened && slots < bestSlots))) {
@@ -134,7 +137,7 @@
 	for tasks > 0 {
 		best := -1
 		for w := r.first; w < r.end; w++ {
-			if filled.room(w) > 0 && (best < 0 || filled.left(w) < filled.left(best)) {
+			if filled.room(w) > 0 && (best < 0 || (!z.firstFit && filled.left(w) < filled.left(best))) {
 				best = w
 			}
 		}
--- a/internal/placement/guarantee.go
+++ b/internal/placement/guarantee.go
@@ -250,16 +250,42 @@
 
 // CheckGuarantees reports, by account and shape, the first guarantee of a zone
 // that does not pack with the others into the given workers when they are
-// empty. The health of the workers is not looked at.
+// empty. It also refuses guarantees that pack only as long as nothing runs: they
+// must still pack when an account uses one accelerator of a shape. The health of
+// the workers is not looked at.
 func CheckGuarantees(zone string, workers []model.Worker, accounts []model.ClientAccount) error {
 	z := newZone(workers, true)
-	p := z.pack(newHoldings(z, len(accounts)), claimsOf(zone, accounts))
-	if p.failed == nil {
-		return nil
+	claims := claimsOf(zone, accounts)
+	p := z.pack(newHoldings(z, len(accounts)), claims)
+	if p.failed != nil {
+		return api.NewError(api.KindConfigInvalid,
+			"the guarantees of zone %s do not pack into its %d workers: no room for %s of account %s",
+			zone, len(workers), describe(p.failed.shape), accounts[p.failed.account].Name)
 	}
-	return api.NewError(api.KindConfigInvalid,
-		"the guarantees of zone %s do not pack into its %d workers: no room for %s of account %s",
-		zone, len(workers), describe(p.failed.shape), accounts[p.failed.account].Name)
+	for user := range accounts {
+		if failed := z.failsBeside(user, len(accounts), p.cells[user], claims); failed != nil {
+			return api.NewError(api.KindConfigInvalid,
+				"the guarantees of zone %s leave too little room: with one accelerator used by account %s there is none for %s of account %s",
+				zone, accounts[user].Name, describe(failed.shape), accounts[failed.account].Name)
+		}
+	}
+	return nil
+}
+
+// failsBeside returns a claim that no longer packs when an account uses one
+// accelerator on one of the workers of its cells, or nil.
+func (z *zone) failsBeside(user, accounts int, cells []int, claims []claim) *claim {
+	for w, n := range cells {
+		if n == 0 || (w > 0 && cells[w-1] == n && z.workers[w-1].Rack == z.workers[w].Rack) {
+			continue
+		}
+		h := newHoldings(z, accounts)
+		h.add(user, []part{{worker: w, tasks: 1}}, 1)
+		if p := z.pack(h, claims); p.failed != nil {
+			return p.failed
+		}
+	}
+	return nil
 }
 
 // describe names a shape for people.
--- a/internal/placement/invariant_test.go
+++ b/internal/placement/invariant_test.go
@@ -54,7 +54,7 @@
 // The cells that pack found are checked against the capacity one by one.
 func notReclaimable(s Snapshot) []string {
 	var found []string
-	d := newDecider(&s)
+	d := newDecider(&s, Off{})
 	for account, missing := range d.packed.missing {
 		if missing > 0 {
 			found = append(found, fmt.Sprintf("%d shapes of account %s cannot be reclaimed", missing, s.Accounts[account].Name))
--- a/internal/placement/off.go
+++ b/internal/placement/off.go
@@ -12,6 +12,8 @@
 	FairOrder bool
 	// DueTimes orders jobs without a deadline by submission.
 	DueTimes bool
+	// Protect leaves borrowers outside their account's unused guarantee.
+	Protect bool
 	// BestFit takes the first rack and the first workers that fit.
 	BestFit bool
 	// Reclaim never stops a borrower.
@@ -25,7 +27,5 @@
 // DecideWithout is Decide with some decisions left out. It is for measurements
 // only: the invariants hold, the figures are worse.
 func DecideWithout(s Snapshot, off Off) Plan {
-	d := newDecider(&s)
-	d.off = off
-	return d.decide()
+	return newDecider(&s, off).decide()
 }
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -11,9 +11,9 @@
 // This file answers one account with most of the load, long work among short,
 // and saturation. Without it the largest submitter starves the others, and a
 // short job waits for hours behind long ones. Accounts are served by falling
-// distance to their guarantee; inside one, priority goes first, then the
-// earliest deadline. A job without a deadline gets one in proportion to its run
-// time, which bounds the stretch of short jobs (Bender, Chakrabarti and
+// distance to their guarantee; inside one, priority goes first, then the latest
+// start that still meets the deadline. A job without a deadline gets one in
+// proportion to its run time, which bounds the stretch of short jobs (Bender, Chakrabarti and
 // Muthukrishnan, SODA 1998).
 const (
 	// stretch is the multiple of its run time that a job may take without
@@ -29,8 +29,9 @@
 	account  int
 	run      time.Duration
 	priority int
-	due      time.Time
-	done     bool
+	// due is the latest time to start.
+	due  time.Time
+	done bool
 }
 
 // queue holds the waiting jobs by account, each list in order.
@@ -68,12 +69,12 @@
 func newEntry(d *decider, job *model.Job, account int) entry {
 	s := d.s
 	run := remaining(s, job)
-	due := job.SubmittedAt.Add(stretch * run)
+	due := job.SubmittedAt.Add((stretch - 1) * run)
 	if d.off.DueTimes {
 		due = job.SubmittedAt
 	}
-	if !job.Deadline.IsZero() && job.Deadline.Before(due) {
-		due = job.Deadline
+	if latest := job.Deadline.Add(-run); !job.Deadline.IsZero() && latest.Before(due) {
+		due = latest
 	}
 	aged := int(max(0, s.Now.Sub(job.SubmittedAt)) / agingStep)
 	return entry{job: job, account: account, run: run, priority: job.Priority + aged, due: due}
--- a/internal/placement/recheck.go
+++ b/internal/placement/recheck.go
@@ -12,7 +12,7 @@
 // snapshot with the earlier ones. The error's kind is KindConflict or
 // KindNoCapacity.
 func Recheck(s Snapshot, p Placement) error {
-	d := newDecider(&s)
+	d := newDecider(&s, Off{})
 	job := d.waiting(p.JobID)
 	if job == nil {
 		return api.NewError(api.KindConflict, "job %s is not waiting", p.JobID)
@@ -33,7 +33,7 @@
 	if p.Borrowed && job.Stoppable() {
 		return nil
 	}
-	if e := (entry{job: job, account: account}); !d.fix(&e, parts, false) {
+	if !d.fix(account, job, parts, false) {
 		return api.NewError(api.KindConflict, "a guaranteed shape could no longer be given")
 	}
 	return nil
--- a/internal/placement/report.go
+++ b/internal/placement/report.go
@@ -7,7 +7,7 @@
 // Accounts returns what each client account is guaranteed, uses, borrows and
 // lends in the zone, in accelerators, in the order of the configuration.
 func Accounts(s Snapshot) []api.AccountStatus {
-	d := newDecider(&s)
+	d := newDecider(&s, Off{})
 	risks := d.atRisk()
 	lent := d.lent()
 	statuses := make([]api.AccountStatus, len(s.Accounts))
@@ -55,7 +55,7 @@
 // Fragmentation returns the share of the zone's free accelerators that can
 // take part in no waiting or guaranteed shape: 0 if all can, or none is free.
 func Fragmentation(s Snapshot) float64 {
-	d := newDecider(&s)
+	d := newDecider(&s, Off{})
 	free := totalOf(d.free)
 	if free == 0 {
 		return 0
--- a/internal/placement/zone.go
+++ b/internal/placement/zone.go
@@ -15,6 +15,8 @@
 	racks   []rack
 	// capacity is zero for a worker that takes no new tasks.
 	capacity []int
+	// firstFit takes the first rack and workers that fit. See Off.
+	firstFit bool
 }
 
 // rack is a run of workers: those with first <= index < end.
--- a/internal/reclaim/reclaim.go
+++ b/internal/reclaim/reclaim.go
@@ -48,8 +48,10 @@
 }
 
 // Cost returns what stopping a gang at a time loses, in accelerator-seconds.
+// Gangs that were stopped before cost more, so that the same is not stopped
+// over and over.
 func Cost(gang *model.Gang, now time.Time) float64 {
-	size := float64(gang.Job.Shape.Accelerators())
+	size := float64(gang.Job.Shape.Accelerators() * (1 + gang.Job.Attempt))
 	if gang.Job.Checkpointable {
 		return size * startCost
 	}
