Guarantees are checked where the workers are known; rules see a zone's load

Cause: a configuration whose guarantees cannot be given was accepted, the rule of a job was decided at the entry instance without its zone's load, and the placement lines named no rule.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/jobs"
 	"github.com/corianderbank/corianderbank/internal/request"
 	"github.com/corianderbank/corianderbank/internal/settings"
 )
@@ -92,12 +93,12 @@
 func (s *Server) postJob(w http.ResponseWriter, r *http.Request) {
 	var job api.JobSubmission
 	if err := s.admitJob(w, r, &job); err != nil {
-		s.writeJob(w, refusedJob(api.JobAnswer{}, err))
+		s.writeJob(w, jobs.Refused(api.JobAnswer{}, err))
 		return
 	}
 	answer, err := s.opts.Jobs.Submit(r.Context(), job)
 	if err != nil {
-		answer = refusedJob(answer, err)
+		answer = jobs.Refused(answer, err)
 	}
 	s.writeJob(w, answer)
 }
@@ -130,16 +131,6 @@
 	return nil
 }
 
-// refusedJob is the answer to a job call that failed.
-func refusedJob(answer api.JobAnswer, err error) api.JobAnswer {
-	answer.Outcome = api.OutcomeNotRun
-	if api.IsKind(err, api.KindResultUnknown) {
-		answer.Outcome = api.OutcomeUnknown
-	}
-	answer.ErrorKind, answer.Message, answer.RetryAfterS = api.KindOf(err), err.Error(), api.RetryAfterS(err)
-	return answer
-}
-
 func (s *Server) writeJob(w http.ResponseWriter, answer api.JobAnswer) {
 	s.count("job", answer.Outcome, answer.ErrorKind)
 	setRetryAfter(w, answer.RetryAfterS)
--- a/internal/jobs/router.go
+++ b/internal/jobs/router.go
@@ -13,6 +13,7 @@
 	"github.com/corianderbank/corianderbank/api"
 	peerpb "github.com/corianderbank/corianderbank/api/peer"
 	"github.com/corianderbank/corianderbank/internal/jobstore"
+	"github.com/corianderbank/corianderbank/internal/model"
 	"github.com/corianderbank/corianderbank/internal/peer"
 	"github.com/corianderbank/corianderbank/internal/placer"
 	"github.com/corianderbank/corianderbank/internal/rules"
@@ -24,6 +25,7 @@
 	opGet    = "get"
 	opCancel = "cancel"
 	opStatus = "status"
+	opCheck  = "check"
 )
 
 // zoneSeparator ends the random part of a job's id; the zone follows.
@@ -36,6 +38,7 @@
 	Get(ctx context.Context, id string, wait time.Duration) (api.JobAnswer, error)
 	Cancel(ctx context.Context, id string) (api.JobAnswer, error)
 	Status(ctx context.Context) api.Status
+	CheckGuarantees(ctx context.Context, accounts []model.ClientAccount) error
 }
 
 // Peers tells which instance holds which zone's placer lease.
@@ -53,8 +56,7 @@
 	Peers  Peers
 	Caller peer.Caller
 	Store  jobstore.Store
-	// Evaluate applies the rules in force to a submission for a zone. Each
-	// zone judges with its own load.
+	// Evaluate applies the rules in force to a submission for a zone.
 	Evaluate func(job api.JobSubmission, zone string) rules.Verdict
 }
 
@@ -69,25 +71,24 @@
 // Submit offers the job to its zone, or to each zone in turn: its own first.
 // The refusal of the first zone is the one that is returned.
 func (r *Router) Submit(ctx context.Context, job api.JobSubmission) (api.JobAnswer, error) {
+	var refusal api.JobAnswer
 	var first error
-	var rule string
 	for i, zone := range r.candidates(job) {
-		verdict := r.Evaluate(job, zone)
-		answer, err := r.submitTo(ctx, zone, job, verdict)
+		answer, err := r.submitTo(ctx, zone, job)
 		if err == nil {
 			return answer, nil
 		}
 		if first == nil {
-			first, rule = err, verdict.Rule
+			refusal, first = answer, err
 		}
-		if !movable(err) || (i == 0 && !verdict.Spill) {
+		if !movable(err) || (i == 0 && !r.Evaluate(job, zone).Spill) {
 			break
 		}
 	}
 	if first == nil {
 		first = api.NewError(api.KindNoPlacer, "no availability zone is known")
 	}
-	return api.JobAnswer{Rule: rule}, first
+	return api.JobAnswer{Rule: refusal.Rule}, first
 }
 
 // movable reports whether another zone may be asked: the job was surely not
@@ -114,23 +115,46 @@
 	return zones
 }
 
-func (r *Router) submitTo(ctx context.Context, zone string, job api.JobSubmission, verdict rules.Verdict) (api.JobAnswer, error) {
-	if verdict.Refuse {
-		err := api.NewError(api.KindRefusedByRule, "rule %q refuses", verdict.Rule)
-		return api.JobAnswer{}, api.WithRetryAfter(err, time.Duration(verdict.RetryAfterS*float64(time.Second)))
-	}
+// submitTo submits to the zone's placer, where the rules are applied: the load
+// of the zone is known there.
+func (r *Router) submitTo(ctx context.Context, zone string, job api.JobSubmission) (api.JobAnswer, error) {
 	if zone == r.Zone && r.Placer.Epoch() > 0 {
-		return r.submitHere(ctx, job, verdict)
+		return r.submitHere(ctx, job)
 	}
 	body, err := json.Marshal(job)
 	if err != nil {
 		return api.JobAnswer{}, api.NewError(api.KindInternal, "%v", err)
 	}
-	return r.forward(ctx, zone, &peerpb.JobCall{Op: opSubmit, Submission: body, Rule: verdict.Rule})
+	answer, err := r.forward(ctx, zone, &peerpb.JobCall{Op: opSubmit, Submission: body})
+	if err != nil || answer.ID != "" {
+		return answer, err
+	}
+	refusal := api.NewError(answer.ErrorKind, "%s", answer.Message)
+	return answer, api.WithRetryAfter(refusal, time.Duration(answer.RetryAfterS*float64(time.Second)))
+}
+
+func (r *Router) submitHere(ctx context.Context, job api.JobSubmission) (api.JobAnswer, error) {
+	verdict := r.Evaluate(job, r.Zone)
+	refusal := api.JobAnswer{Rule: verdict.Rule}
+	if verdict.Refuse {
+		err := api.NewError(api.KindRefusedByRule, "rule %q refuses", verdict.Rule)
+		return refusal, api.WithRetryAfter(err, time.Duration(verdict.RetryAfterS*float64(time.Second)))
+	}
+	answer, err := r.Placer.Submit(ctx, placer.Submission{ID: NewID(r.Zone), Job: job, Verdict: verdict})
+	if err != nil {
+		return refusal, err
+	}
+	return answer, nil
 }
 
-func (r *Router) submitHere(ctx context.Context, job api.JobSubmission, verdict rules.Verdict) (api.JobAnswer, error) {
-	return r.Placer.Submit(ctx, placer.Submission{ID: NewID(r.Zone), Job: job, Verdict: verdict})
+// Refused is the answer to a job call that failed with err.
+func Refused(answer api.JobAnswer, err error) api.JobAnswer {
+	answer.Outcome = api.OutcomeNotRun
+	if api.IsKind(err, api.KindResultUnknown) {
+		answer.Outcome = api.OutcomeUnknown
+	}
+	answer.ErrorKind, answer.Message, answer.RetryAfterS = api.KindOf(err), err.Error(), api.RetryAfterS(err)
+	return answer
 }
 
 // Get returns a job's answer, from its placer or from the table.
@@ -197,6 +221,21 @@
 	return answers, nil
 }
 
+// CheckGuarantees asks the placer of a zone whether the guarantees of all
+// accounts pack into its workers. An error of KindShapeNeverFits says that they
+// do not; any other, that the zone could not be asked.
+func (r *Router) CheckGuarantees(ctx context.Context, zone string, accounts []model.ClientAccount) error {
+	if zone == r.Zone && r.Placer.Epoch() > 0 {
+		return r.Placer.CheckGuarantees(ctx, accounts)
+	}
+	body, err := json.Marshal(accounts)
+	if err != nil {
+		return api.NewError(api.KindInternal, "%v", err)
+	}
+	_, err = r.callPlacer(ctx, zone, &peerpb.JobCall{Op: opCheck, Submission: body})
+	return err
+}
+
 // Status collects the status of every zone whose placer answers.
 func (r *Router) Status(ctx context.Context) api.Status {
 	var total api.Status
@@ -270,11 +309,17 @@
 		if err := json.Unmarshal(call.GetSubmission(), &job); err != nil {
 			return nil, api.NewError(api.KindMalformedBody, "%v", err)
 		}
-		verdict := r.Evaluate(job, r.Zone)
-		if verdict.Refuse {
-			return nil, api.NewError(api.KindRefusedByRule, "rule %q refuses", verdict.Rule)
+		answer, err := r.submitHere(ctx, job)
+		if err != nil {
+			return Refused(answer, err), nil
+		}
+		return answer, nil
+	case opCheck:
+		var accounts []model.ClientAccount
+		if err := json.Unmarshal(call.GetSubmission(), &accounts); err != nil {
+			return nil, api.NewError(api.KindMalformedBody, "%v", err)
 		}
-		return r.submitHere(ctx, job, verdict)
+		return api.JobAnswer{}, r.Placer.CheckGuarantees(ctx, accounts)
 	case opGet:
 		return r.Placer.Get(ctx, call.GetJobId(), time.Duration(call.GetWaitMs())*time.Millisecond)
 	case opCancel:
--- a/internal/placer/calls.go
+++ b/internal/placer/calls.go
@@ -6,6 +6,7 @@
 
 	"github.com/corianderbank/corianderbank/api"
 	"github.com/corianderbank/corianderbank/internal/jobstore"
+	"github.com/corianderbank/corianderbank/internal/model"
 	"github.com/corianderbank/corianderbank/internal/placement"
 	"github.com/corianderbank/corianderbank/internal/rules"
 )
@@ -48,6 +49,12 @@
 	reply chan reply
 }
 
+// checkCall asks whether guarantees pack into the zone's workers.
+type checkCall struct {
+	accounts []model.ClientAccount
+	reply    chan reply
+}
+
 // statusCall asks for the zone's status.
 type statusCall struct {
 	reply chan api.Status
@@ -184,6 +191,18 @@
 	}
 }
 
+func (call checkCall) apply(c *core, _ time.Time) {
+	if err := c.ready(); err != nil {
+		call.reply <- reply{err: err}
+		return
+	}
+	err := placement.CheckGuarantees(c.zone, c.workerList(false), call.accounts)
+	if err != nil {
+		err = api.NewError(api.KindShapeNeverFits, "%v", err)
+	}
+	call.reply <- reply{err: err}
+}
+
 func (call statusCall) apply(c *core, now time.Time) {
 	if c.ready() != nil {
 		call.reply <- api.Status{Instance: c.instance}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -16,6 +18,7 @@
 	"github.com/corianderbank/corianderbank/internal/jobstore"
 	"github.com/corianderbank/corianderbank/internal/lease"
 	"github.com/corianderbank/corianderbank/internal/membership"
+	"github.com/corianderbank/corianderbank/internal/model"
 	"github.com/corianderbank/corianderbank/internal/quarantine"
 	"github.com/corianderbank/corianderbank/internal/worker"
 )
@@ -71,6 +74,8 @@
 
 	mu    sync.Mutex
 	epoch int64 // epoch while ready; read by other goroutines
+	// load holds the bits of the last round's load level.
+	load atomic.Uint64
 
 	// underWay counts the actions in the pool.
 	underWay sync.WaitGroup
@@ -166,6 +171,7 @@
 	p.core.config = p.opts.Config.Current()
 	p.core.setWorkers(p.opts.Fleet.Workers(p.opts.Zone), now)
 	p.core.round(now)
+	p.load.Store(math.Float64bits(p.core.load()))
 }
 
 func (p *Placer) publish() {
@@ -283,6 +289,17 @@
 	return p.call(ctx, func(r chan reply) event { return cancelCall{id, r} })
 }
 
+// CheckGuarantees returns an error of KindShapeNeverFits if the guarantees of
+// all accounts do not pack into the zone's workers.
+func (p *Placer) CheckGuarantees(ctx context.Context, accounts []model.ClientAccount) error {
+	_, err := p.call(ctx, func(r chan reply) event { return checkCall{accounts, r} })
+	return err
+}
+
+// Load returns the accelerators that are held or asked for over those that take
+// work, as of the last round; 0 while this instance is not the placer.
+func (p *Placer) Load() float64 { return math.Float64frombits(p.load.Load()) }
+
 // Status returns the zone as this placer sees it; without zones if it is not
 // the placer.
 func (p *Placer) Status(ctx context.Context) api.Status {
--- a/internal/placer/round.go
+++ b/internal/placer/round.go
@@ -74,6 +74,10 @@
 	if submission.Deadline != nil {
 		job.Deadline = *submission.Deadline
 	}
+	if e.ranEver {
+		// The limit is on the wait for the first start.
+		job.MaxWait = 0
+	}
 	return job
 }
 
@@ -101,6 +105,9 @@
 	}
 	plan := placement.Decide(c.snapshot(now))
 	for _, d := range plan.Decisions {
+		if e, ok := c.jobs[d.Subject]; ok && d.Rule == "" {
+			d.Rule = e.record.Rule
+		}
 		c.recorder.Record(d)
 	}
 	for _, refusal := range plan.Refusals {
@@ -176,6 +183,26 @@
 	return &t
 }
 
+// load is the accelerators that are held or asked for, over those that take
+// work.
+func (c *core) load() float64 {
+	if c.ready() != nil {
+		return 0
+	}
+	capacity, wanted := 0, 0
+	for _, w := range c.workers {
+		if w.Takes() {
+			capacity += w.Accelerators
+		}
+	}
+	for _, e := range c.jobs {
+		if !c.chart.Final(e.state) {
+			wanted += e.record.Submission.Shape.Accelerators()
+		}
+	}
+	return float64(wanted) / float64(max(capacity, 1))
+}
+
 // status is the zone as this placer sees it.
 func (c *core) status(now time.Time) api.Status {
 	s := c.snapshot(now)
--- a/internal/serve/fleet.go
+++ b/internal/serve/fleet.go
@@ -49,6 +49,9 @@
 		Idempotent: job.Idempotent, Keyed: job.IdempotencyKey != "", Urgent: job.Urgent,
 		PlatformReachable: i.platform.Reachable(),
 	}
+	if zone == i.settings.AvailabilityZone {
+		situation.Load = i.placer.Load()
+	}
 	if job.Deadline != nil {
 		situation.HasDeadline = true
 		situation.SlackS = time.Until(*job.Deadline).Seconds() - job.DeclaredRunS
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -80,8 +80,8 @@
 	i := &instance{
 		settings: s, logger: logger, platform: client,
 		recorder: decision.NewRecorder(logger, s.Instance, rememberedSubjects),
-		config:   config.NewManager(config.Options{Tables: client, Objects: client, Check: config.Check, Logger: logger}),
 	}
+	i.config = config.NewManager(config.Options{Tables: client, Objects: client, Check: i.checkConfig, Logger: logger})
 	incarnation := time.Now().UnixMilli()
 	i.node = peer.New(peer.Options{
 		Instance: s.Instance, Incarnation: incarnation, Listen: s.PeerListen,
