--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/corianderbank/corianderbank/api"
 	"github.com/corianderbank/corianderbank/internal/chart"
 )
 
@@ -111,6 +112,19 @@
 // Ready reports whether the instance takes callers' requests.
 func (l *Life) Ready() bool { return l.State() == Ready }
 
+// Refusal returns why callers' work is not taken in the present state: KindStopping
+// during a shutdown, KindNotReady before the configuration, else nil.
+func (l *Life) Refusal() error {
+	switch l.State() {
+	case Ready:
+		return nil
+	case Starting:
+		return api.NewError(api.KindNotReady, "this instance has no configuration yet")
+	default:
+		return api.NewError(api.KindStopping, "this instance is shutting down")
+	}
+}
+
 // Stopping is closed when a shutdown begins.
 func (l *Life) Stopping() <-chan struct{} { return l.stopping }
 
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -96,6 +97,8 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	duties   sync.WaitGroup
+	// underWay counts the calls of peers that a shutdown waits for.
+	underWay atomic.Int64
 
 	// mu guards links, sessions and closed.
 	mu       sync.Mutex
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -211,3 +211,29 @@
 		assert.Equal(t, api.KindOf(<-results), api.KindResultUnknown)
 	}
 }
+
+func TestDrainWaitsForForwardedWork(t *testing.T) {
+	addresses := book{}
+	entered, release := make(chan struct{}), make(chan struct{})
+	handler := func(context.Context, *peerpb.Request) (*peerpb.Response, error) {
+		close(entered)
+		<-release
+		return &peerpb.Response{Body: &peerpb.Response_Execute{Execute: &peerpb.ExecuteReply{}}}, nil
+	}
+	a := startNode(t, addresses, peer.Options{Instance: "a"})
+	b := startNode(t, addresses, peer.Options{Instance: "b", Handler: handlerFunc(handler)})
+	called := make(chan error, 1)
+	go func() {
+		_, err := a.Call(t.Context(), "b", &peerpb.Request{Body: &peerpb.Request_Execute{Execute: &peerpb.ExecuteCall{}}})
+		called <- err
+	}()
+	<-entered
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.ErrorContains(t, b.Drain(ended), "1 calls of peers under way")
+	drained := make(chan error, 1)
+	go func() { drained <- b.Drain(t.Context()) }()
+	close(release)
+	assert.NilError(t, <-drained)
+	assert.NilError(t, <-called)
+}
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -65,6 +66,10 @@
 // handle runs the handler. Its context ends when the node closes or the caller
 // gives up, which closes the stream.
 func (n *Node) handle(stream *yamux.Stream, request *peerpb.Request) {
+	if finishes(request) {
+		n.underWay.Add(1)
+		defer n.underWay.Add(-1)
+	}
 	ctx, cancel := context.WithCancel(n.ctx)
 	defer cancel()
 	watched := make(chan struct{})
@@ -81,6 +86,37 @@
 	<-watched
 }
 
+// finishes reports whether a shutdown has to wait for the call: it is work, and
+// not a question that may wait long for news.
+func finishes(request *peerpb.Request) bool {
+	switch body := request.GetBody().(type) {
+	case *peerpb.Request_Execute:
+		return true
+	case *peerpb.Request_Job:
+		return body.Job.GetOp() == "submit" || body.Job.GetOp() == "cancel"
+	default:
+		return false
+	}
+}
+
+// drainPoll is how often Drain looks.
+const drainPoll = 10 * time.Millisecond
+
+// Drain waits until no work that peers forwarded is being handled, or ctx ends.
+// The handler must refuse new work by then.
+func (n *Node) Drain(ctx context.Context) error {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for n.underWay.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fmt.Errorf("%d calls of peers under way: %w", n.underWay.Load(), ctx.Err())
+		}
+	}
+	return nil
+}
+
 // respond turns the handler's result, or its panic, into a response.
 func (n *Node) respond(ctx context.Context, request *peerpb.Request) (response *peerpb.Response) {
 	defer func() {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -175,17 +175,14 @@
 			return nil
 		},
 		Drain: func(ctx context.Context) error {
-			return errors.Join(i.server.Shutdown(ctx), i.executor.Drain(ctx))
+			return errors.Join(i.server.Shutdown(ctx), i.node.Drain(ctx), i.executor.Drain(ctx))
 		},
 	})
 }
 
 func (i *instance) ready() error {
-	switch i.life.State() {
-	case lifecycle.Draining, lifecycle.Stopped:
-		return api.NewError(api.KindStopping, "instance %s is shutting down", i.settings.Instance)
-	case lifecycle.Ready:
-		return nil
+	if refusal := i.life.Refusal(); !api.IsKind(refusal, api.KindNotReady) {
+		return refusal
 	}
 	if i.config.Current() == nil {
 		return api.NewError(api.KindNotReady, "instance %s has no configuration yet", i.settings.Instance)
