--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -20,8 +20,8 @@
 	if selfZone == zone {
 		members[self] = true
 	}
-	listFresh := !s.listAt.IsZero() && now.Sub(s.listAt) <= listFreshFor
 	every := s.intervals()
+	listFresh := !s.listAt.IsZero() && now.Sub(s.listAt) <= listFreshFor
 	for id, entry := range s.instances {
 		if entry.Zone != zone {
 			continue
--- a/test/invariants/gang_world_test.go
+++ b/test/invariants/gang_world_test.go
@@ -53,6 +53,10 @@
 	random  *rand.Rand
 	// cut says whether calls between an instance and a worker are lost.
 	cut map[[2]string]bool
+	// checkpointTime is how long a checkpoint takes.
+	checkpointTime time.Duration
+	// slow delays every call to a worker.
+	slow map[string]time.Duration
 	// lossPercent of calls to workers lose the call, or their answer.
 	lossPercent int
 	planted     plantedFault
@@ -67,6 +71,8 @@
 	plantedNone plantedFault = iota
 	// plantedBlind hides that a worker lost its part of a gang.
 	plantedBlind
+	// plantedGenerous lets every job borrow and none be reclaimed.
+	plantedGenerous
 	// plantedForgetful says that a start which took effect was refused.
 	plantedForgetful
 )
@@ -84,7 +90,7 @@
 	w := &gangWorld{
 		platform: fake.New(), workers: make(map[string]*standin.Worker), racks: make(map[string]string),
 		placers: make(map[string]*gangPlacer), saved: make(map[string]standin.Progress),
-		random: rand.New(rand.NewPCG(seed, 1)), cut: make(map[[2]string]bool),
+		random: rand.New(rand.NewPCG(seed, 1)), cut: make(map[[2]string]bool), slow: make(map[string]time.Duration),
 	}
 	w.store = jobstore.New(w.platform)
 	for r := range racks {
@@ -112,7 +118,12 @@
 // gangCheckpoints keeps checkpoints in memory.
 type gangCheckpoints struct{ *gangWorld }
 
-func (c gangCheckpoints) Save(_ context.Context, name string, progress standin.Progress) error {
+func (c gangCheckpoints) Save(ctx context.Context, name string, progress standin.Progress) error {
+	select {
+	case <-time.After(c.checkpointTime):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.saved[name] = progress
