--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -196,5 +196,5 @@
 		writeError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, answers)
+	writeJSON(w, http.StatusOK, api.JobList{Jobs: answers})
 }
