--- a/test/docs/docs_test.go
+++ b/test/docs/docs_test.go
@@ -216,3 +216,18 @@
 	assert.NilError(t, json.Unmarshal([]byte(page(t, "examples/job.json")), &job))
 	assert.Assert(t, job.Shape.Accelerators() > 0)
 }
+
+func TestDecisionStepsOfThePageAreThoseOfTheCode(t *testing.T) {
+	var inCode []string
+	goFiles(t, func(path, text string) {
+		if strings.Contains(filepath.ToSlash(path), "internal/") {
+			inCode = append(inCode, matches(`(?:decide|decided)\([a-z, .&]*"([a-z_]+)",`, text)...)
+			inCode = append(inCode, matches(`Step: "([a-z_]+)"`, text)...)
+		}
+	})
+	sort.Strings(inCode)
+	_, steps, found := strings.Cut(page(t, operatingPage), "| step | of |")
+	assert.Assert(t, found)
+	steps, _, _ = strings.Cut(steps, "\n\n")
+	assert.DeepEqual(t, matches("(?m)^\\| `([a-z_]+)`", steps), slices.Compact(inCode))
+}
