--- a/test/process/cut_test.go
+++ b/test/process/cut_test.go
@@ -1,11 +1,13 @@
 package process
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/settings"
 	"github.com/corianderbank/corianderbank/internal/standin"
 	"github.com/corianderbank/corianderbank/internal/standin/drive"
 )
@@ -72,3 +74,32 @@
 	})
 	noFaults(t, drive.Check(answers, c.records(), drive.Tolerance{})) // what was refused has not run since
 }
+
+func TestInstanceIsReplacedByOneThatNoSettingsName(t *testing.T) {
+	c := startCluster(t, size{entries: 2, backends: 1, configuration: oneAccount})
+	ports, err := standin.FreePorts(2)
+	assert.NilError(t, err)
+	old, other := c.entries[0], c.entries[1]
+	assert.NilError(t, old.stop())
+	c.addEntry(
+		settings.Peer{Instance: "entry-new", Addr: fmt.Sprintf("127.0.0.1:%d", ports[0]), PeerAddr: fmt.Sprintf("127.0.0.1:%d", ports[1])},
+		[]settings.Peer{{Instance: other.id, AvailabilityZone: testZone, Addr: other.addr, PeerAddr: other.peerAddr}},
+	)
+	added := c.entries[2]
+	c.waitOK(added.addr, "/readyz")
+	c.wait("the other instance knows the new one, and no longer the old one", func() bool {
+		var status api.Status
+		if get(other.addr, "/v1/status", &status) != nil {
+			return false
+		}
+		ready := map[string]bool{}
+		for _, instance := range status.Instances {
+			ready[instance.ID] = instance.State == "ready"
+		}
+		return ready[other.id] && ready[added.id] && !ready[old.id]
+	})
+	c.wait("the new instance serves requests", func() bool {
+		answers := run(c, drive.Input{Items: []drive.Item{request("check", drive.Item{}, true)}}, added)()
+		return len(drive.Check(answers, c.records(), drive.Tolerance{})) == 0
+	})
+}
--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -128,6 +128,8 @@
 	id string
 	// addr is where the process itself listens.
 	addr string
+	// peerAddr is where an entry instance listens for others.
+	peerAddr string
 	// relay carries, for an entry instance, its calls to the platform; for a
 	// backend server or worker, the calls that it gets.
 	relay *relay
@@ -194,26 +196,33 @@
 		all[i] = settings.Peer{Instance: fmt.Sprintf("entry-%d", i), AvailabilityZone: testZone, Addr: next(), PeerAddr: next()}
 	}
 	for i, self := range all {
-		n := &node{id: self.Instance, addr: self.Addr, relay: newRelay(c.t, c.platform)}
-		s := settings.Default()
-		s.Instance, s.AvailabilityZone, s.Listen, s.PeerListen, s.Platform = self.Instance, testZone, self.Addr, self.PeerAddr, n.relay.addr
-		s.Timing.PlacerLeaseMS, s.Timing.WorkerLeaseMS, s.Timing.ListPollMS = 1500, 3000, 200
-		s.Timing.ConfigPollMS, s.Timing.PeerIntervalMS, s.Timing.PlaceIntervalMS = 200, 200, 100
+		var peers []settings.Peer
 		for k, peer := range all {
 			if k != i {
-				s.Peers = append(s.Peers, peer)
+				peers = append(peers, peer)
 			}
 		}
-		file := filepath.Join(c.t.TempDir(), "settings.json")
-		data, err := json.Marshal(s)
-		assert.NilError(c.t, err)
-		assert.NilError(c.t, os.WriteFile(file, data, 0o600))
-		c.settings = append(c.settings, file)
-		c.entries = append(c.entries, n)
-		c.startEntry(i)
+		c.addEntry(self, peers)
 	}
 }
 
+// addEntry starts an entry instance whose settings name the peers.
+func (c *cluster) addEntry(self settings.Peer, peers []settings.Peer) {
+	n := &node{id: self.Instance, addr: self.Addr, peerAddr: self.PeerAddr, relay: newRelay(c.t, c.platform)}
+	s := settings.Default()
+	s.Instance, s.AvailabilityZone, s.Listen, s.PeerListen, s.Platform = self.Instance, testZone, self.Addr, self.PeerAddr, n.relay.addr
+	s.Timing.PlacerLeaseMS, s.Timing.WorkerLeaseMS, s.Timing.ListPollMS = 1500, 3000, 200
+	s.Timing.ConfigPollMS, s.Timing.PeerIntervalMS, s.Timing.PlaceIntervalMS = 200, 200, 100
+	s.Peers = peers
+	data, err := json.Marshal(s)
+	assert.NilError(c.t, err)
+	file := filepath.Join(c.t.TempDir(), "settings.json")
+	assert.NilError(c.t, os.WriteFile(file, data, 0o600))
+	c.settings = append(c.settings, file)
+	c.entries = append(c.entries, n)
+	c.startEntry(len(c.entries) - 1)
+}
+
 // startEntry starts an entry instance, or starts it again after its end.
 func (c *cluster) startEntry(i int) {
 	n := c.entries[i]
