Heads of accounts, urgent claims over own gangs, reservations before claims

The traces showed two causes: claims of guarantees took the region that the reservation kept, and an account's small jobs kept its own guarantee busy. An urgent job within its guarantee waited 20 minutes because its own account's small gangs lay scattered over both of its shapes: small gangs now go to shapes in use, and an urgent claim may stop its own account's other gangs.

--- a/internal/measure/gangload/policy.go
+++ b/internal/measure/gangload/policy.go
@@ -46,6 +46,7 @@
 		{"without backfill", func() Policy { return &product{off: placement.Off{Backfill: true}} }},
 		{"without fair order of accounts", func() Policy { return &product{off: placement.Off{FairOrder: true}} }},
 		{"without due times by run time", func() Policy { return &product{off: placement.Off{DueTimes: true}} }},
+		{"without heads of accounts", func() Policy { return &product{off: placement.Off{Heads: true}} }},
 		{"without protection of borrowers", func() Policy { return &product{off: placement.Off{Protect: true}} }},
 		{"without best fit", func() Policy { return &product{off: placement.Off{BestFit: true}} }},
 		{"without reclaim", func() Policy { return &product{off: placement.Off{Reclaim: true}} }},
--- a/internal/placement/backfill.go
+++ b/internal/placement/backfill.go
@@ -21,20 +21,43 @@
 // backfill that does not end in time.
 const overdueShare = 4
 
+// maxReservations bounds the regions that are reserved at the same time.
+var maxReservations = 2
+
 // reservation keeps a region for one job from a time on.
 type reservation struct {
 	start time.Time
 	// spare is what a job that runs past start may use, by worker.
 	spare []int
+	// parts are the region.
+	parts   []part
+	perTask int
 }
 
-// reserveFirst makes the reservation for the first job that does not fit now.
-// Without a time at which it would fit, nothing is reserved.
-func (d *decider) reserveFirst(e *entry) {
-	if d.reserved != nil || d.off.Reservation {
+// reserve makes reservations for the jobs that do not fit now and are the
+// latest to start, as far as maxReservations allows.
+func (d *decider) reserve(q *queue) {
+	if d.off.Reservation {
 		return
 	}
+	for _, e := range q.byDue() {
+		if len(d.reserved) == maxReservations {
+			return
+		}
+		if e.done || d.barred(e) || d.heads[e.account].entry == e || d.entitled(e.account, e.job) || d.z.fit(d.free, nil, e.job.Shape) != nil {
+			continue
+		}
+		d.reserveFor(e)
+	}
+}
+
+// reserveFor reserves the region that comes free first. Without a time at which
+// the job would fit, nothing is reserved.
+func (d *decider) reserveFor(e *entry) {
 	usable := slices.Clone(d.free)
+	for _, r := range d.reserved {
+		add(usable, r.parts, -r.perTask)
+	}
 	for _, end := range d.ends() {
 		add(usable, end.parts, end.perTask)
 		parts := d.z.fit(d.z.withinCapacity(usable), nil, e.job.Shape)
@@ -43,22 +66,37 @@
 		}
 		spare := d.z.withinCapacity(usable)
 		add(spare, parts, -e.job.Shape.AcceleratorsPerTask)
-		d.reserved = &reservation{start: end.at, spare: spare}
+		d.reserved = append(d.reserved, reservation{start: end.at, spare: spare, parts: parts, perTask: e.job.Shape.AcceleratorsPerTask})
 		return
 	}
 }
 
-// available is what a job may use beside the reservation.
+// available is what a job may use beside the reservations that it would outlast.
 func (d *decider) available(e *entry) []int {
-	if !d.outlasts(e) {
-		return d.free
+	usable := d.free
+	for i := range d.reserved {
+		if d.outlasts(e, i) {
+			usable = minimum(usable, d.reserved[i].spare)
+		}
 	}
-	return minimum(d.free, d.reserved.spare)
+	return usable
 }
 
-// outlasts reports whether a job placed now would run past the reservation.
-func (d *decider) outlasts(e *entry) bool {
-	return d.reserved != nil && d.s.Now.Add(e.run).After(d.reserved.start)
+// outlasts reports whether a job placed now would run past the start of a
+// reservation.
+func (d *decider) outlasts(e *entry, i int) bool {
+	return d.s.Now.Add(e.run).After(d.reserved[i].start)
+}
+
+// outlasted counts the reservations that the job would outlast.
+func (d *decider) outlasted(e *entry) int {
+	count := 0
+	for i := range d.reserved {
+		if d.outlasts(e, i) {
+			count++
+		}
+	}
+	return count
 }
 
 // end is the release of a gang's accelerators.
--- a/internal/placement/claim.go
+++ b/internal/placement/claim.go
@@ -32,21 +32,36 @@
 // left for placeBeyondGuarantee.
 func (d *decider) claimGuarantee(e *entry) {
 	attempt := failure{account: e.account, shape: e.job.Shape, claims: true}
-	if d.failed[attempt] || !d.entitled(e.account, e.job) || d.overLimit(e) {
+	if d.failed[attempt] || d.yields(e) || !d.entitled(e.account, e.job) || d.overLimit(e) {
 		return
 	}
-	if !d.claimFree(e) && !d.borrowInstead(e) && (d.off.Reclaim || !d.claimBorrowed(e)) {
+	if !d.claimFree(e) && !d.borrowInstead(e) && (d.off.Reclaim || !d.claimHeld(e)) {
 		d.failed[attempt] = true
 	}
 }
 
+// claimHeld stops others for a claim: borrowers, and for urgent jobs the gangs
+// of their own account that are not urgent, where these lie scattered over the
+// account's shapes.
+func (d *decider) claimHeld(e *entry) bool {
+	if d.claimRegion(e) {
+		return true
+	}
+	if !e.job.Urgent {
+		return false
+	}
+	d.overOwn = true
+	defer func() { d.overOwn = false }()
+	return d.claimRegion(e)
+}
+
 // borrowInstead starts a job that its guarantee covers as a borrower, if
 // accelerators outside the guarantee are free: nobody has to be stopped.
 func (d *decider) borrowInstead(e *entry) bool {
 	if !e.job.Stoppable() || !e.job.MayBorrow {
 		return false
 	}
-	parts := d.z.fit(d.free, nil, e.job.Shape)
+	parts := d.z.fit(d.available(e), nil, e.job.Shape)
 	if parts == nil {
 		return false
 	}
@@ -61,10 +76,13 @@
 	return inside+job.Shape.Accelerators() <= d.guaranteed[account]
 }
 
-// claimFree places a job on free accelerators: those of its account's shapes as
-// they are packed now, else any others around which everything packs again.
+// claimFree places a job on free accelerators: first those of shapes that its
+// account uses in part already, so that whole shapes stay whole, then those of
+// its other shapes, then any others around which everything packs again.
 func (d *decider) claimFree(e *entry) bool {
-	for _, usable := range [][]int{minimum(d.free, d.packed.cells[e.account]), d.free} {
+	available := d.available(e)
+	begun, cells := d.packed.begun[e.account], d.packed.cells[e.account]
+	for _, usable := range [][]int{minimum(available, begun), minimum(available, cells), available, d.free} {
 		parts := d.z.fit(usable, nil, e.job.Shape)
 		if parts != nil && d.fix(e.account, e.job, parts, true) {
 			d.place(e, parts, false, "lies within the account's guarantee")
@@ -74,12 +92,14 @@
 	return false
 }
 
-// claimBorrowed takes the cheapest region that is held by nothing but
-// borrowers, and stops these.
-func (d *decider) claimBorrowed(e *entry) bool {
+// claimRegion takes the cheapest region that holds nothing but gangs that may
+// be stopped, and stops these.
+func (d *decider) claimRegion(e *entry) bool {
 	regions := d.regions(e)
 	for _, r := range regions[:min(len(regions), maxRegions)] {
+		d.release(r.victims, 1)
 		if !d.fix(e.account, e.job, r.parts, true) {
+			d.release(r.victims, -1)
 			continue
 		}
 		if d.isFree(e, r.parts) {
@@ -92,6 +112,28 @@
 	return false
 }
 
+// release takes the fixed gangs among victims off the holdings, or puts them
+// back with sign -1.
+func (d *decider) release(victims []reclaim.Victim, sign int) {
+	for _, v := range victims {
+		h := &d.holders[v.Index]
+		if !h.fixed {
+			continue
+		}
+		d.held.add(h.account, h.parts, -sign*h.gang.Job.Shape.AcceleratorsPerTask)
+		d.fixedUse[h.account] -= sign * h.gang.Job.Shape.Accelerators()
+	}
+}
+
+// mayStop reports whether a holder may be stopped for a claim.
+func (d *decider) mayStop(h *holder, e *entry) bool {
+	if h.ending {
+		return false
+	}
+	own := d.overOwn && h.account == e.account && h.gang.Job.Stoppable() && !h.gang.Job.Urgent
+	return !h.fixed || own
+}
+
 // isFree reports whether the job can start on the parts now.
 func (d *decider) isFree(e *entry, parts []part) bool {
 	return !slices.ContainsFunc(parts, func(p part) bool {
@@ -104,7 +146,7 @@
 // that fit finds.
 func (d *decider) regions(e *entry) []region {
 	idle := sumOf(d.free, d.coming)
-	unfixed := d.unfixed()
+	unfixed := d.unfixed(e)
 	var regions []region
 	for _, r := range d.z.racks {
 		if d.z.slots(r, unfixed, e.job.Shape.AcceleratorsPerTask) >= e.job.Shape.Tasks {
@@ -124,13 +166,19 @@
 	return regions
 }
 
-// unfixed is what no fixed gang holds and no earlier claim waits for.
-func (d *decider) unfixed() []int {
+// unfixed is what no gang holds that may not be stopped, and no earlier claim
+// waits for.
+func (d *decider) unfixed(e *entry) []int {
 	usable := d.z.vector()
 	for w := range usable {
 		usable[w] = max(0, d.z.capacity[w]-d.held.total[w])
 	}
-	return usable
+	for i := range d.holders {
+		if h := &d.holders[i]; h.fixed && d.mayStop(h, e) {
+			add(usable, h.parts, h.gang.Job.Shape.AcceleratorsPerTask)
+		}
+	}
+	return d.z.withinCapacity(usable)
 }
 
 // price finds the borrowers to stop on a region, and what that loses. A gang
@@ -144,7 +192,7 @@
 		for _, index := range d.onWorker[p.worker] {
 			victim := d.victim(index, p.worker)
 			switch {
-			case d.holders[index].ending:
+			case !d.mayStop(&d.holders[index], e):
 			case chosen[index]:
 				want -= victim.Here
 			default:
@@ -193,7 +241,7 @@
 // stop enters a reclaim into the plan; the whole gang ends.
 func (d *decider) stop(victim reclaim.Victim, claimant *entry) {
 	h := &d.holders[victim.Index]
-	h.ending = true
+	h.ending, h.fixed = true, false
 	add(d.coming, h.parts, h.gang.Job.Shape.AcceleratorsPerTask)
 	if h.account >= 0 {
 		d.use[h.account] -= h.gang.Job.Shape.Accelerators()
@@ -206,7 +254,7 @@
 	d.plan.Reclaims = append(d.plan.Reclaims, order)
 	d.plan.Decisions = append(d.plan.Decisions, api.Decision{
 		At: d.s.Now, Step: "stop", Subject: h.gang.Job.ID, Account: h.gang.Job.Account, Choice: string(order.Method),
-		Reason: fmt.Sprintf("borrows what job %s of account %s claims", claimant.job.ID, claimant.job.Account),
+		Reason: fmt.Sprintf("holds what job %s of account %s claims", claimant.job.ID, claimant.job.Account),
 	})
 }
 
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -39,11 +39,17 @@
 	// use counts the accelerators of each account, fixedUse those of its fixed
 	// gangs, guaranteed its guarantee.
 	use, fixedUse, guaranteed []int
-	// onWorker lists the holders that may be stopped, by worker.
+	// onWorker lists the holders that can be stopped, by worker.
 	onWorker [][]int
 	// placed are the releases of the gangs that this decision places.
 	placed   []end
-	reserved *reservation
+	reserved []reservation
+	// heads are, by account, the jobs that wait for their account's own gangs.
+	heads []head
+	// overOwn is set while an urgent claim may stop its own account's gangs.
+	overOwn bool
+	// blocked is set once a job did not fit.
+	blocked bool
 	// failed remembers what did not fit: free accelerators only get fewer
 	// during a decision, so the same does not fit later either.
 	failed map[failure]bool
@@ -57,8 +63,9 @@
 	// stoppable jobs beyond a guarantee fail for every account alike.
 	stoppable bool
 	claims    bool
-	// outlasts is said of jobs that run past the reservation.
-	outlasts bool
+	// outlasted counts the reservations that the job runs past: those with the
+	// earliest starts.
+	outlasted int
 }
 
 // Decide returns what is to be done now: gangs to place, borrowers to stop,
@@ -70,6 +77,10 @@
 func (d *decider) decide() Plan {
 	q := newQueue(d)
 	q.each(d.use, d.refuseIfLost)
+	d.findHeads(q)
+	d.protectBorrowers()
+	d.listStoppable()
+	d.reserve(q)
 	q.each(d.use, d.claimGuarantee)
 	q.each(d.use, d.placeBeyondGuarantee)
 	d.plan.AtRisk = d.atRisk()
@@ -90,6 +101,7 @@
 		fixedUse:   make([]int, len(s.Accounts)),
 		guaranteed: make([]int, len(s.Accounts)),
 		onWorker:   make([][]int, len(z.workers)),
+		heads:      make([]head, len(s.Accounts)),
 		failed:     make(map[failure]bool),
 	}
 	for i := range s.Accounts {
@@ -103,8 +115,6 @@
 		d.free[w] = max(0, d.free[w])
 	}
 	d.packed = z.pack(d.held, d.claims)
-	d.protectBorrowers()
-	d.listBorrowers()
 	return d
 }
 
@@ -137,11 +147,11 @@
 	d.holders = append(d.holders, h)
 }
 
-// listBorrowers enters the gangs that may be stopped by worker.
-func (d *decider) listBorrowers() {
+// listStoppable enters the gangs that can be stopped by worker.
+func (d *decider) listStoppable() {
 	for i := range d.holders {
 		h := &d.holders[i]
-		if h.fixed || h.ending {
+		if h.ending || !h.gang.Job.Stoppable() {
 			continue
 		}
 		for _, p := range h.parts {
@@ -151,18 +161,17 @@
 }
 
 // placeBeyondGuarantee places a job that its account's guarantee does not
-// cover: as a borrower if it can be stopped, else where it breaks no shape. The
-// first that does not fit gets the reservation.
+// cover: as a borrower if it can be stopped, else where it breaks no shape.
 func (d *decider) placeBeyondGuarantee(e *entry) {
-	stoppable := e.job.Stoppable()
-	if d.overLimit(e) || (stoppable && !e.job.MayBorrow) {
+	if d.barred(e) {
 		return
 	}
-	attempt := failure{account: e.account, shape: e.job.Shape, stoppable: stoppable, outlasts: d.outlasts(e)}
+	stoppable := e.job.Stoppable()
+	attempt := failure{account: e.account, shape: e.job.Shape, stoppable: stoppable, outlasted: d.outlasted(e)}
 	if stoppable {
 		attempt.account = -1
 	}
-	if d.failed[attempt] || (d.off.Backfill && d.reserved != nil) {
+	if d.failed[attempt] || (d.off.Backfill && d.blocked) {
 		return
 	}
 	parts := d.z.fit(d.available(e), nil, e.job.Shape)
@@ -173,10 +182,15 @@
 		d.place(e, parts, false, "fits beside every guarantee")
 	default:
 		d.failed[attempt] = true
-		d.reserveFirst(e)
+		d.blocked = true
 	}
 }
 
+// barred reports whether a job may not go beyond its account's guarantee.
+func (d *decider) barred(e *entry) bool {
+	return d.overLimit(e) || (e.job.Stoppable() && !e.job.MayBorrow)
+}
+
 // overLimit reports whether the job would take its account over its bound.
 func (d *decider) overLimit(e *entry) bool {
 	limit := d.s.Accounts[e.account].MaxAccelerators
@@ -187,8 +201,10 @@
 func (d *decider) place(e *entry, parts []part, borrowed bool, reason string) {
 	perTask := e.job.Shape.AcceleratorsPerTask
 	add(d.free, parts, -perTask)
-	if d.outlasts(e) {
-		add(d.reserved.spare, parts, -perTask)
+	for i := range d.reserved {
+		if d.outlasts(e, i) {
+			add(d.reserved[i].spare, parts, -perTask)
+		}
 	}
 	d.placed = append(d.placed, end{at: d.s.Now.Add(e.run), parts: parts, perTask: perTask})
 	d.use[e.account] += e.job.Shape.Accelerators()
@@ -234,6 +250,9 @@
 		return false
 	}
 	add(cells, parts, -perTask)
+	for _, p := range parts {
+		takeFrom(d.packed.begun[account], p.worker, p.tasks*perTask)
+	}
 	d.held.add(account, parts, perTask)
 	return true
 }
--- a/internal/placement/guarantee.go
+++ b/internal/placement/guarantee.go
@@ -44,6 +44,9 @@
 	// cells are the accelerators, by account and worker, that belong to the
 	// account's shapes and are not held by its own fixed gangs.
 	cells [][]int
+	// begun is the part of cells that belongs to shapes of which the account's
+	// own fixed gangs hold something.
+	begun [][]int
 	// failed is the first shape that found no room.
 	failed *claim
 }
@@ -150,14 +153,14 @@
 	accounts := len(h.own)
 	k := &packer{z: z, open: z.vector(), own: make([][]int, accounts), left: make([]int, accounts)}
 	k.missing = make([]int, accounts)
-	k.cells = make([][]int, accounts)
+	k.cells, k.begun = make([][]int, accounts), make([][]int, accounts)
 	for w := range k.open {
 		k.open[w] = max(0, z.capacity[w]-h.total[w])
 	}
 	for i := range h.own {
 		k.own[i] = append([]int(nil), h.own[i]...)
 		k.left[i] = totalOf(h.own[i])
-		k.cells[i] = z.vector()
+		k.cells[i], k.begun[i] = z.vector(), z.vector()
 	}
 	return k
 }
@@ -222,6 +225,7 @@
 // what is open.
 func (k *packer) take(c claim, parts []part) {
 	own, cells := k.own[c.account], k.cells[c.account]
+	begun := touches(parts, own)
 	for _, p := range parts {
 		need := p.tasks * c.shape.AcceleratorsPerTask
 		covered := min(need, own[p.worker])
@@ -229,6 +233,9 @@
 		k.left[c.account] -= covered
 		k.open[p.worker] -= need - covered
 		cells[p.worker] += need - covered
+		if begun {
+			k.begun[c.account][p.worker] += need - covered
+		}
 	}
 }
 
@@ -250,41 +257,34 @@
 
 // CheckGuarantees reports, by account and shape, the first guarantee of a zone
 // that does not pack with the others into the given workers when they are
-// empty. It also refuses guarantees that pack only as long as nothing runs: they
-// must still pack when an account uses one accelerator of a shape. The health of
-// the workers is not looked at.
+// empty. Guarantees that use workers in part must also leave one worker's
+// accelerators to nobody: without slack, whether they still pack around running
+// gangs is a search that a decision has no time for. The health of the workers
+// is not looked at.
 func CheckGuarantees(zone string, workers []model.Worker, accounts []model.ClientAccount) error {
 	z := newZone(workers, true)
 	claims := claimsOf(zone, accounts)
-	p := z.pack(newHoldings(z, len(accounts)), claims)
-	if p.failed != nil {
+	if p := z.pack(newHoldings(z, len(accounts)), claims); p.failed != nil {
 		return api.NewError(api.KindConfigInvalid,
 			"the guarantees of zone %s do not pack into its %d workers: no room for %s of account %s",
 			zone, len(workers), describe(p.failed.shape), accounts[p.failed.account].Name)
 	}
-	for user := range accounts {
-		if failed := z.failsBeside(user, len(accounts), p.cells[user], claims); failed != nil {
-			return api.NewError(api.KindConfigInvalid,
-				"the guarantees of zone %s leave too little room: with one accelerator used by account %s there is none for %s of account %s",
-				zone, accounts[user].Name, describe(failed.shape), accounts[failed.account].Name)
-		}
+	slack, largest := totalOf(z.capacity), 0
+	for _, n := range z.capacity {
+		largest = max(largest, n)
 	}
-	return nil
-}
-
-// failsBeside returns a claim that no longer packs when an account uses one
-// accelerator on one of the workers of its cells, or nil.
-func (z *zone) failsBeside(user, accounts int, cells []int, claims []claim) *claim {
-	for w, n := range cells {
-		if n == 0 || (w > 0 && cells[w-1] == n && z.workers[w-1].Rack == z.workers[w].Rack) {
-			continue
-		}
-		h := newHoldings(z, accounts)
-		h.add(user, []part{{worker: w, tasks: 1}}, 1)
-		if p := z.pack(h, claims); p.failed != nil {
-			return p.failed
+	var partial *claim
+	for i := range claims {
+		slack -= claims[i].shape.Accelerators()
+		if claims[i].shape.AcceleratorsPerTask < largest {
+			partial = &claims[i]
 		}
 	}
+	if partial != nil && slack < largest {
+		return api.NewError(api.KindConfigInvalid,
+			"the guarantees of zone %s leave %d accelerators to nobody; because %s of account %s use workers in part, %d must be left",
+			zone, slack, describe(partial.shape), accounts[partial.account].Name, largest)
+	}
 	return nil
 }
 
--- a/internal/placement/off.go
+++ b/internal/placement/off.go
@@ -12,6 +12,8 @@
 	FairOrder bool
 	// DueTimes orders jobs without a deadline by submission.
 	DueTimes bool
+	// Heads lets any job of an account into its guarantee.
+	Heads bool
 	// Protect leaves borrowers outside their account's unused guarantee.
 	Protect bool
 	// BestFit takes the first rack and the first workers that fit.
--- a/internal/placement/protect.go
+++ b/internal/placement/protect.go
@@ -24,7 +24,7 @@
 	attempts := make([]int, len(d.s.Accounts))
 	for _, h := range d.borrowersByAge() {
 		job := &h.gang.Job
-		if !d.entitled(h.account, job) {
+		if d.heads[h.account].entry != nil || !d.entitled(h.account, job) {
 			continue
 		}
 		if attempts[h.account] == protectAttempts {
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -118,6 +118,16 @@
 	}
 }
 
+// byDue lists the jobs of all accounts by their latest start.
+func (q *queue) byDue() []*entry {
+	var all []*entry
+	for _, list := range q.lists {
+		all = append(all, list...)
+	}
+	slices.SortStableFunc(all, func(a, b *entry) int { return a.due.Compare(b.due) })
+	return all
+}
+
 // mostEntitled returns the account to serve next, or -1.
 func (q *queue) mostEntitled(use, next []int) int {
 	best := -1
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -21,7 +21,8 @@
 		return true
 	}
 	c := claims[0]
-	open, own, cells, left := slices.Clone(k.open), slices.Clone(k.own[c.account]), slices.Clone(k.cells[c.account]), k.left[c.account]
+	open, left := slices.Clone(k.open), k.left[c.account]
+	own, cells, begun := slices.Clone(k.own[c.account]), slices.Clone(k.cells[c.account]), slices.Clone(k.begun[c.account])
 	for _, parts := range k.options(c) {
 		if *budget == 0 {
 			return false
@@ -34,6 +35,7 @@
 		copy(k.open, open)
 		copy(k.own[c.account], own)
 		copy(k.cells[c.account], cells)
+		copy(k.begun[c.account], begun)
 		k.left[c.account] = left
 	}
 	return false
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -34,7 +34,7 @@
 	// Placements are to be reserved and started now.
 	Placements []Placement
 	// Reclaims are gangs to be stopped so that another account gets its
-	// guarantee. The freed accelerators are placed by a later plan.
+	// guarantee, or an urgent job of their own account. The freed accelerators are placed by a later plan.
 	Reclaims []Reclaim
 	// Refusals are jobs to be ended with not_run.
 	Refusals []Refusal
