--- a/internal/placement/claim.go
+++ b/internal/placement/claim.go
@@ -35,11 +35,25 @@
 	if d.failed[attempt] || d.yields(e) || !d.entitled(e.account, e.job) || d.overLimit(e) {
 		return
 	}
-	if !d.claimFree(e) && !d.borrowInstead(e) && (d.off.Reclaim || !d.claimHeld(e)) {
+	if !d.claimFree(e) && !d.borrowInstead(e) && (d.off.Reclaim || !d.mayReclaim(e) || !d.claimHeld(e)) {
 		d.failed[attempt] = true
 	}
 }
 
+// mayReclaim reports whether others are stopped for a claim. An account that
+// already uses its guarantee, as a borrower elsewhere, has others stopped only
+// for urgent jobs and whole shapes: small jobs would stop large gangs for
+// nothing but a change of place.
+func (d *decider) mayReclaim(e *entry) bool {
+	size := e.job.Shape.Accelerators()
+	if e.job.Urgent || d.use[e.account]+size <= d.guaranteed[e.account] {
+		return true
+	}
+	return slices.ContainsFunc(d.s.Accounts[e.account].Guarantees[d.s.Zone], func(g model.GuaranteedShape) bool {
+		return size >= g.Accelerators()
+	})
+}
+
 // claimHeld stops others for a claim: borrowers, and for urgent jobs the gangs
 // of their own account that are not urgent, where these lie scattered over the
 // account's shapes.
@@ -141,19 +155,19 @@
 	})
 }
 
-// regions lists where a job could go if borrowers were stopped, the cheapest
-// first: each rack that would hold it whole, and over several racks the one way
-// that fit finds.
+// regions lists where a job could go if others were stopped, the cheapest
+// first: the cheapest workers of each rack that would hold it whole, and the
+// ways that fit finds in the account's shapes and anywhere.
 func (d *decider) regions(e *entry) []region {
-	idle := sumOf(d.free, d.coming)
 	unfixed := d.unfixed(e)
+	prices := d.taskPrices(e, unfixed)
 	var regions []region
 	for _, r := range d.z.racks {
 		if d.z.slots(r, unfixed, e.job.Shape.AcceleratorsPerTask) >= e.job.Shape.Tasks {
-			parts := d.z.fill(nil, r, unfixed, idle, e.job.Shape, e.job.Shape.Tasks)
-			regions = append(regions, d.price(e, parts))
+			regions = append(regions, d.price(e, fillCheapest(r, unfixed, prices, e.job.Shape)))
 		}
 	}
+	idle := sumOf(d.free, d.coming)
 	for _, usable := range [][]int{d.packed.cells[e.account], unfixed} {
 		if parts := d.z.fit(usable, idle, e.job.Shape); parts != nil {
 			regions = append(regions, d.price(e, parts))
@@ -166,6 +180,40 @@
 	return regions
 }
 
+// taskPrices is, by worker, what it costs to make room for one task.
+func (d *decider) taskPrices(e *entry, unfixed []int) []float64 {
+	prices := make([]float64, len(unfixed))
+	for w := range prices {
+		if unfixed[w] >= e.job.Shape.AcceleratorsPerTask {
+			prices[w] = d.price(e, []part{{worker: w, tasks: 1}}).cost
+		}
+	}
+	return prices
+}
+
+// fillCheapest fills a rack's workers by rising price, then the tightest.
+func fillCheapest(r rack, usable []int, prices []float64, shape api.Shape) []part {
+	workers := make([]int, 0, r.end-r.first)
+	for w := r.first; w < r.end; w++ {
+		workers = append(workers, w)
+	}
+	slices.SortStableFunc(workers, func(a, b int) int {
+		if prices[a] != prices[b] {
+			return cmp.Compare(prices[a], prices[b])
+		}
+		return cmp.Compare(usable[a], usable[b])
+	})
+	var parts []part
+	left := shape.Tasks
+	for _, w := range workers {
+		if tasks := min(left, usable[w]/shape.AcceleratorsPerTask); tasks > 0 {
+			parts = append(parts, part{worker: w, tasks: tasks})
+			left -= tasks
+		}
+	}
+	return parts
+}
+
 // unfixed is what no gang holds that may not be stopped, and no earlier claim
 // waits for.
 func (d *decider) unfixed(e *entry) []int {
