--- a/internal/placement/backfill.go
+++ b/internal/placement/backfill.go
@@ -7,13 +7,12 @@
 
 // This file answers large gangs among a stream of small ones. Without it small
 // gangs take each accelerator that comes free, and a large gang never finds its
-// whole shape. The first job in the fair order that does not fit gets a
+// whole shape. The jobs that are due first among those that do not fit get a
 // reservation in time: the region that comes free first by the corrected run
-// times. Later jobs may go ahead of it only if they end before the reservation
-// starts, or use accelerators that it does not need (EASY backfill, Lifka 1995).
-//
-// One reservation is enough, because the fair order moves the next job to the
-// front as soon as the first has started.
+// times. Other jobs may take the region only if they end before the reservation
+// starts (EASY backfill, Lifka 1995). A claim of a guarantee uses the region
+// last. Jobs that wait for their own account's guarantee need no reservation:
+// see head.go.
 
 // overdueShare is how much longer a gang that has outlived its estimate is
 // taken to run, as a share of its run so far. A quarter: an estimate that was
@@ -21,8 +20,11 @@
 // backfill that does not end in time.
 const overdueShare = 4
 
-// maxReservations bounds the regions that are reserved at the same time.
-var maxReservations = 2
+// maxReservations bounds the regions that are reserved at the same time. In a
+// zone of two whole racks a third region of half a rack would leave hardly
+// anything to backfill; in the measured patterns two did better than one, and
+// four no better than two.
+const maxReservations = 2
 
 // reservation keeps a region for one job from a time on.
 type reservation struct {
@@ -34,8 +36,8 @@
 	perTask int
 }
 
-// reserve makes reservations for the jobs that do not fit now and are the
-// latest to start, as far as maxReservations allows.
+// reserve makes reservations for the jobs that do not fit now and are due
+// first, as far as maxReservations allows.
 func (d *decider) reserve(q *queue) {
 	if d.off.Reservation {
 		return
@@ -44,13 +46,21 @@
 		if len(d.reserved) == maxReservations {
 			return
 		}
-		if e.done || d.barred(e) || d.heads[e.account].entry == e || d.entitled(e.account, e.job) || d.z.fit(d.free, nil, e.job.Shape) != nil {
-			continue
+		if d.needsReservation(e) {
+			d.reserveFor(e)
 		}
-		d.reserveFor(e)
 	}
 }
 
+// needsReservation reports whether a job waits for accelerators beyond its
+// account's guarantee.
+func (d *decider) needsReservation(e *entry) bool {
+	if e.done || d.barred(e) || d.heads[e.account].entry == e || d.entitled(e.account, e.job) {
+		return false
+	}
+	return d.z.fit(d.free, nil, e.job.Shape) == nil
+}
+
 // reserveFor reserves the region that comes free first. Without a time at which
 // the job would fit, nothing is reserved.
 func (d *decider) reserveFor(e *entry) {
@@ -66,7 +76,9 @@
 		}
 		spare := d.z.withinCapacity(usable)
 		add(spare, parts, -e.job.Shape.AcceleratorsPerTask)
-		d.reserved = append(d.reserved, reservation{start: end.at, spare: spare, parts: parts, perTask: e.job.Shape.AcceleratorsPerTask})
+		d.reserved = append(d.reserved, reservation{
+			start: end.at, spare: spare, parts: parts, perTask: e.job.Shape.AcceleratorsPerTask,
+		})
 		return
 	}
 }
--- a/internal/placement/claim.go
+++ b/internal/placement/claim.go
@@ -31,7 +31,10 @@
 // borrowers that stand in its way. A job that the guarantee does not cover is
 // left for placeBeyondGuarantee.
 func (d *decider) claimGuarantee(e *entry) {
-	attempt := failure{account: e.account, shape: e.job.Shape, claims: true}
+	attempt := failure{
+		account: e.account, shape: e.job.Shape, claims: true, urgent: e.job.Urgent,
+		stoppable: e.job.Stoppable() && e.job.MayBorrow,
+	}
 	if d.failed[attempt] || d.yields(e) || !d.entitled(e.account, e.job) || d.overLimit(e) {
 		return
 	}
@@ -40,6 +43,13 @@
 	}
 }
 
+// entitled reports whether the job stays within its account's guarantee by
+// the count of accelerators. Gangs outside the account's shapes do not count.
+func (d *decider) entitled(account int, job *model.Job) bool {
+	inside := d.fixedUse[account] - d.packed.outside[account]
+	return inside+job.Shape.Accelerators() <= d.guaranteed[account]
+}
+
 // mayReclaim reports whether others are stopped for a claim. An account that
 // already uses its guarantee, as a borrower elsewhere, has others stopped only
 // for urgent jobs and whole shapes: small jobs would stop large gangs for
@@ -69,43 +79,64 @@
 	return d.claimRegion(e)
 }
 
+// claimFree places a job on free accelerators: first those of shapes that its
+// account uses in part already, so that whole shapes stay whole, then those of
+// its other shapes, then any others around which everything packs again.
+func (d *decider) claimFree(e *entry) bool {
+	available := d.available(e)
+	begun, cells := d.packed.begun[e.account], d.packed.cells[e.account]
+	if d.claimOn(e, minimum(available, begun)) || d.borrowUsedWorkers(e, available) {
+		return true
+	}
+	return d.claimOn(e, minimum(available, cells)) || d.claimOn(e, available) || d.claimOn(e, d.free)
+}
+
+// claimOn places a job inside its guarantee on the given accelerators.
+func (d *decider) claimOn(e *entry, usable []int) bool {
+	parts := d.z.fit(usable, nil, e.job.Shape)
+	if parts == nil || !d.fix(e.account, e.job, parts, true) {
+		return false
+	}
+	d.place(e, parts, false, "lies within the account's guarantee")
+	return true
+}
+
+// borrowUsedWorkers starts a job as a borrower on workers that are used in part,
+// before it would take an unused worker of its guarantee. It keeps workers whole
+// at the cost of more reclaims, so it is left to deployments that weigh
+// fragmentation above completion time.
+func (d *decider) borrowUsedWorkers(e *entry, available []int) bool {
+	if d.off.Objectives || d.s.Objectives.Fragmentation <= d.s.Objectives.CompletionTime || e.job.Urgent {
+		return false
+	}
+	used := d.z.vector()
+	for w := range used {
+		if d.free[w] < d.z.capacity[w] {
+			used[w] = available[w]
+		}
+	}
+	return d.borrowOn(e, used, "borrows the rest of workers in use")
+}
+
 // borrowInstead starts a job that its guarantee covers as a borrower, if
 // accelerators outside the guarantee are free: nobody has to be stopped.
 func (d *decider) borrowInstead(e *entry) bool {
+	return d.borrowOn(e, d.available(e), "borrows free accelerators in place of a reclaim")
+}
+
+// borrowOn places a job as a borrower on the given accelerators.
+func (d *decider) borrowOn(e *entry, usable []int, reason string) bool {
 	if !e.job.Stoppable() || !e.job.MayBorrow {
 		return false
 	}
-	parts := d.z.fit(d.available(e), nil, e.job.Shape)
+	parts := d.z.fit(usable, nil, e.job.Shape)
 	if parts == nil {
 		return false
 	}
-	d.place(e, parts, true, "borrows free accelerators in place of a reclaim")
+	d.place(e, parts, true, reason)
 	return true
 }
 
-// entitled reports whether the job stays within its account's guarantee by
-// the count of accelerators. Gangs outside the account's shapes do not count.
-func (d *decider) entitled(account int, job *model.Job) bool {
-	inside := d.fixedUse[account] - d.packed.outside[account]
-	return inside+job.Shape.Accelerators() <= d.guaranteed[account]
-}
-
-// claimFree places a job on free accelerators: first those of shapes that its
-// account uses in part already, so that whole shapes stay whole, then those of
-// its other shapes, then any others around which everything packs again.
-func (d *decider) claimFree(e *entry) bool {
-	available := d.available(e)
-	begun, cells := d.packed.begun[e.account], d.packed.cells[e.account]
-	for _, usable := range [][]int{minimum(available, begun), minimum(available, cells), available, d.free} {
-		parts := d.z.fit(usable, nil, e.job.Shape)
-		if parts != nil && d.fix(e.account, e.job, parts, true) {
-			d.place(e, parts, false, "lies within the account's guarantee")
-			return true
-		}
-	}
-	return false
-}
-
 // claimRegion takes the cheapest region that holds nothing but gangs that may
 // be stopped, and stops these.
 func (d *decider) claimRegion(e *entry) bool {
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -63,6 +63,7 @@
 	// stoppable jobs beyond a guarantee fail for every account alike.
 	stoppable bool
 	claims    bool
+	urgent    bool
 	// outlasted counts the reservations that the job runs past: those with the
 	// earliest starts.
 	outlasted int
--- a/internal/placement/report.go
+++ b/internal/placement/report.go
@@ -65,7 +65,7 @@
 	for shape := range d.wantedShapes() {
 		d.z.markUsable(usable, d.free, shape)
 	}
-	return 1 - float64(totalOf(usable))/float64(free)
+	return float64(free-totalOf(usable)) / float64(free)
 }
 
 // wantedShapes is the set of the waiting and guaranteed shapes.
