--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -115,7 +115,11 @@
 	for w := range d.free {
 		d.free[w] = max(0, d.free[w])
 	}
-	d.packed = z.pack(d.held, d.claims)
+	if off.Repack {
+		d.packed = z.packFixed(d.held, d.claims)
+	} else {
+		d.packed = z.pack(d.held, d.claims)
+	}
 	return d
 }
 
@@ -233,6 +237,9 @@
 
 // fixRepacked packs the guarantees anew around the parts.
 func (d *decider) fixRepacked(account int, parts []part, perTask int, inside bool) bool {
+	if d.off.Repack {
+		return !inside && d.fixBeside(account, parts, perTask)
+	}
 	d.held.add(account, parts, perTask)
 	after := d.z.pack(d.held, d.claims)
 	if !after.keeps(&d.packed) || (inside && after.outside[account] > d.packed.outside[account]) {
--- a/internal/placement/off.go
+++ b/internal/placement/off.go
@@ -16,6 +16,9 @@
 	Heads bool
 	// Protect leaves borrowers outside their account's unused guarantee.
 	Protect bool
+	// Repack binds every guaranteed shape to fixed accelerators, in place of
+	// packing the shapes around what runs.
+	Repack bool
 	// BestFit takes the first rack and the first workers that fit.
 	BestFit bool
 	// Reclaim never stops a borrower.
