--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -79,7 +79,6 @@
 	q := newQueue(d)
 	q.each(d.use, d.refuseIfLost)
 	d.findHeads(q)
-	d.protectBorrowers()
 	d.listStoppable()
 	d.reserve(q)
 	q.each(d.use, d.claimGuarantee)
--- a/internal/placement/off.go
+++ b/internal/placement/off.go
@@ -14,8 +14,6 @@
 	DueTimes bool
 	// Heads lets any job of an account into its guarantee.
 	Heads bool
-	// Protect leaves borrowers outside their account's unused guarantee.
-	Protect bool
 	// Repack binds every guaranteed shape to fixed accelerators, in place of
 	// packing the shapes around what runs.
 	Repack bool
--- a/internal/placement/report.go
+++ b/internal/placement/report.go
@@ -8,7 +8,6 @@
 // lends in the zone, in accelerators, in the order of the configuration.
 func Accounts(s Snapshot) []api.AccountStatus {
 	d := newDecider(&s, Off{})
-	d.protectBorrowers()
 	risks := d.atRisk()
 	lent := d.lent()
 	statuses := make([]api.AccountStatus, len(s.Accounts))
