A submission's id is made where it enters; untouched reservations are not unknown

Cause: with the placer killed, two of the callers got the outcome unknown without an id to follow (test/process, the placer is killed); and a job that is not idempotent ended as unknown though every worker still held it reserved. Ruled out: a lost job; both rows were written and their jobs ended. Change: the entry instance makes the id for the zone it asks, and every answer carries it; a taken-over gang of which every part is reserved under the recorded attempt goes back to the queue. Conclusion: an unknown submission can be followed.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -93,7 +93,7 @@
 func (s *Server) postJob(w http.ResponseWriter, r *http.Request) {
 	var job api.JobSubmission
 	if err := s.admitJob(w, r, &job); err != nil {
-		s.writeJob(w, jobs.Refused(api.JobAnswer{}, err))
+		s.writeJob(w, jobs.Refused(api.JobAnswer{ID: request.NewID()}, err))
 		return
 	}
 	answer, err := s.opts.Jobs.Submit(r.Context(), job)
--- a/internal/jobs/router.go
+++ b/internal/jobs/router.go
@@ -88,7 +88,7 @@
 	if first == nil {
 		first = api.NewError(api.KindNoPlacer, "no availability zone is known")
 	}
-	return api.JobAnswer{Rule: refusal.Rule}, first
+	return api.JobAnswer{ID: refusal.ID, Rule: refusal.Rule}, first
 }
 
 // movable reports whether another zone may be asked: the job was surely not
@@ -116,31 +116,36 @@
 }
 
 // submitTo submits to the zone's placer, where the rules are applied: the load
-// of the zone is known there.
+// of the zone is known there. The id is made here, so that the caller can
+// follow a job of which the answer was lost.
 func (r *Router) submitTo(ctx context.Context, zone string, job api.JobSubmission) (api.JobAnswer, error) {
+	id := NewID(zone)
 	if zone == r.Zone && r.Placer.Epoch() > 0 {
-		return r.submitHere(ctx, job)
+		return r.submitHere(ctx, id, job)
 	}
 	body, err := json.Marshal(job)
 	if err != nil {
-		return api.JobAnswer{}, api.NewError(api.KindInternal, "%v", err)
+		return api.JobAnswer{ID: id}, api.NewError(api.KindInternal, "%v", err)
 	}
-	answer, err := r.forward(ctx, zone, &peerpb.JobCall{Op: opSubmit, Submission: body})
-	if err != nil || answer.ID != "" {
-		return answer, err
+	answer, err := r.forward(ctx, zone, &peerpb.JobCall{Op: opSubmit, JobId: id, Submission: body})
+	if err != nil {
+		return api.JobAnswer{ID: id}, err
+	}
+	if answer.State != "" || answer.Outcome == api.OutcomeAccepted {
+		return answer, nil
 	}
 	refusal := api.NewError(answer.ErrorKind, "%s", answer.Message)
 	return answer, api.WithRetryAfter(refusal, time.Duration(answer.RetryAfterS*float64(time.Second)))
 }
 
-func (r *Router) submitHere(ctx context.Context, job api.JobSubmission) (api.JobAnswer, error) {
+func (r *Router) submitHere(ctx context.Context, id string, job api.JobSubmission) (api.JobAnswer, error) {
 	verdict := r.Evaluate(job, r.Zone)
-	refusal := api.JobAnswer{Rule: verdict.Rule}
+	refusal := api.JobAnswer{ID: id, Rule: verdict.Rule}
 	if verdict.Refuse {
 		err := api.NewError(api.KindRefusedByRule, "rule %q refuses", verdict.Rule)
 		return refusal, api.WithRetryAfter(err, time.Duration(verdict.RetryAfterS*float64(time.Second)))
 	}
-	answer, err := r.Placer.Submit(ctx, placer.Submission{ID: NewID(r.Zone), Job: job, Verdict: verdict})
+	answer, err := r.Placer.Submit(ctx, placer.Submission{ID: id, Job: job, Verdict: verdict})
 	if err != nil {
 		return refusal, err
 	}
@@ -309,7 +314,7 @@
 		if err := json.Unmarshal(call.GetSubmission(), &job); err != nil {
 			return nil, api.NewError(api.KindMalformedBody, "%v", err)
 		}
-		answer, err := r.submitHere(ctx, job)
+		answer, err := r.submitHere(ctx, call.GetJobId(), job)
 		if err != nil {
 			return Refused(answer, err), nil
 		}
--- a/internal/placer/recover.go
+++ b/internal/placer/recover.go
@@ -102,38 +102,40 @@
 			e.mayRun = true
 		}
 	}
-	e.record.Attempt = attempt
 	c.resume(e, tasks == record.Submission.Shape.Tasks, now)
 }
 
-// resume decides what becomes of an adopted gang: whole ones run on, others are
-// stopped first, those that hold nothing wait or have an unknown result.
+// resume decides what becomes of an adopted gang. Whole gangs that run go on.
+// Gangs of which every part is still only reserved surely never started: every
+// worker refuses the epoch before this one. Others are stopped first; those
+// that hold nothing wait, unless they may have run.
 func (c *core) resume(e *entry, whole bool, now time.Time) {
 	started := e.record.Phase == jobstore.PhaseStarted
+	untouched := whole && !e.mayRun && e.ref.Attempt == e.record.Attempt
+	e.record.Attempt = e.ref.Attempt
 	switch {
 	case whole && e.mayRun && !e.anyReserved():
 		e.state = stRunning
 		c.decide(now, e, "recover", "running", "every part is held by its worker", "")
 		c.judge(e, now)
+	case untouched:
+		c.stopAdopted(e, "every part is reserved and none has started", now)
 	case len(e.parts) > 0 || started:
-		e.state = stStopping
 		e.mayRun = e.mayRun || started
-		e.stopReason = "taken over with " + describeHeld(len(e.parts))
 		e.lapseAt = now.Add(c.workerLease)
-		c.decide(now, e, "recover", "stopping", e.stopReason, "")
-		if len(e.parts) > 0 {
-			c.sendStop(e, false, stopWithin)
-		}
+		c.stopAdopted(e, fmt.Sprintf("%d parts held by workers that answer, not the whole gang", len(e.parts)), now)
 	default:
 		c.decide(now, e, "recover", "waiting", "holds nothing", "")
 	}
 }
 
-func describeHeld(parts int) string {
-	if parts == 0 {
-		return "no part held by a worker that answers"
+func (c *core) stopAdopted(e *entry, reason string, now time.Time) {
+	e.state = stStopping
+	e.stopReason = "taken over: " + reason
+	c.decide(now, e, "recover", "stopping", e.stopReason, "")
+	if len(e.parts) > 0 {
+		c.sendStop(e, false, stopWithin)
 	}
-	return fmt.Sprintf("%d parts held, not the whole gang", parts)
 }
 
 func (e *entry) anyReserved() bool {
