Peers write in few segments; an ended handler leaves its result unknown

Cause: yamux writes a header and a body apart, so an exchange cost about four segments on each side, whose headers outweigh the state. While measuring, a test showed that a handler ended by Close answered with an internal error, which says less than the truth.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -215,7 +215,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	session, err := yamux.Client(conn, n.sessionConfig())
+	session, err := yamux.Client(newCoalescing(conn), n.sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -218,7 +218,7 @@
 		_ = conn.Close()
 		return
 	}
-	session, err := yamux.Server(conn, n.sessionConfig())
+	session, err := yamux.Server(newCoalescing(conn), n.sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -117,7 +117,8 @@
 	return nil
 }
 
-// respond turns the handler's result, or its panic, into a response.
+// respond turns the handler's result, or its panic, into a response. What a
+// handler that was ended in the middle has done is not known.
 func (n *Node) respond(ctx context.Context, request *peerpb.Request) (response *peerpb.Response) {
 	defer func() {
 		if cause := recover(); cause != nil {
@@ -126,6 +127,9 @@
 		}
 	}()
 	response, err := n.options.Handler.Handle(ctx, request)
+	if err != nil && ctx.Err() != nil && api.KindOf(err) == api.KindInternal {
+		err = api.NewError(api.KindResultUnknown, "the handler was ended: %w", err)
+	}
 	if err != nil {
 		return errorResponse(err)
 	}
