--- a/internal/platform/breaker.go
+++ b/internal/platform/breaker.go
@@ -36,8 +36,9 @@
 type Breaker struct {
 	tables  Tables
 	running context.Context
-	stop    context.CancelFunc
-	probes  sync.WaitGroup
+	// stop is called with mu held, so that no probe starts after it.
+	stop   context.CancelFunc
+	probes sync.WaitGroup
 
 	mu       sync.Mutex // guards what follows
 	failures int
@@ -55,7 +56,9 @@
 
 // Close ends the probe, if one is running, and waits for it.
 func (b *Breaker) Close() {
+	b.mu.Lock()
 	b.stop()
+	b.mu.Unlock()
 	b.probes.Wait()
 }
 
