--- a/test/invariants/configuration_test.go
+++ b/test/invariants/configuration_test.go
@@ -68,7 +68,7 @@
 // is never in force, that no instance ever goes back, and that all of them have
 // the highest version in the end.
 func TestAcceptedConfigurationHolds(t *testing.T) {
-	forEachSeed(t, configCases, 3, func(t *testing.T, test configCase, seed uint64) []string {
+	everyCase(t, configCases, 3, func(t *testing.T, test configCase, seed uint64) []string {
 		return playConfiguration(t, test, seed)
 	})
 }
--- a/test/invariants/state_node_test.go
+++ b/test/invariants/state_node_test.go
@@ -65,6 +65,8 @@
 	trustLostAnswers stateFault = "a lost answer is taken for done"
 	// ignoreVersions overwrites whatever version is present.
 	ignoreVersions stateFault = "writes ignore the version"
+	// lieNotRun reports that a backend server did not run what it ran.
+	lieNotRun stateFault = "a lost answer of a backend server is taken for not run"
 )
 
 // nodeLink is a node's connection to the platform.
--- a/test/invariants/state_seeds_test.go
+++ b/test/invariants/state_seeds_test.go
@@ -6,9 +6,9 @@
 	"testing"
 )
 
-// forEachSeed plays every row of a fault table under every seed. A broken
+// everyCase plays every row of a fault table under every seed. A broken
 // promise fails the test with the command that plays its seed again.
-func forEachSeed[T any](t *testing.T, cases map[string]T, seeds uint64, play func(t *testing.T, test T, seed uint64) []string) {
+func everyCase[T any](t *testing.T, cases map[string]T, seeds uint64, play func(t *testing.T, test T, seed uint64) []string) {
 	t.Helper()
 	names := make([]string, 0, len(cases))
 	for name := range cases {
