--- a/internal/claim/budget_test.go
+++ b/internal/claim/budget_test.go
@@ -58,7 +58,7 @@
 			defer stack.Close()
 			stores[i] = claim.New(stack)
 		}
-		for n := range offered*loadSeconds {
+		for n := range offered * loadSeconds {
 			arrivals.Go(func() {
 				time.Sleep(time.Duration(n) * time.Second / time.Duration(offered))
 				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -124,6 +124,18 @@
 			assert.NilError(t, err)
 			assert.Equal(t, answer.Outcome, api.OutcomeDone)
 		},
+		"a stop records what the store missed, if it can": func(t *testing.T, service *fake.Platform, a, b instance) {
+			held := mustClaim(t, a, "r1")
+			service.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Down: true} })
+			assert.Assert(t, api.IsKind(held.Settle(t.Context(), done), api.KindStoreUnavailable))
+			assert.Assert(t, api.IsKind(a.Drain(t.Context()), api.KindStoreUnavailable))
+			service.SetFault(nil)
+			time.Sleep(300 * time.Millisecond)
+			assert.NilError(t, a.Drain(t.Context()))
+			_, answer, err := b.Claim(t.Context(), request("r2", "d"))
+			assert.NilError(t, err)
+			assert.Equal(t, answer.Outcome, api.OutcomeDone)
+		},
 		"an insertion that may arrive late is fenced, and the key is free again": func(t *testing.T, service *fake.Platform, a, b instance) {
 			service.SetFault(func(call fake.Call) fake.Fault {
 				if call.Op == "commit" {
--- a/internal/claim/unsettled.go
+++ b/internal/claim/unsettled.go
@@ -12,6 +12,8 @@
 const (
 	sweepInterval = time.Second
 	sweepTimeout  = 10 * time.Second
+	// drainWithin bounds Drain: a store that is out must not hold up a stop.
+	drainWithin = 3 * time.Second
 )
 
 // held is a claim of this process. Its store's mu guards end and missed.
@@ -134,6 +136,21 @@
 	}
 }
 
+// Drain records the ends that the store missed, for a process that stops. What
+// is left after drainWithin is reported as KindStoreUnavailable: later arrivals
+// of those keys get the outcome unknown.
+func (s *Store) Drain(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, drainWithin)
+	defer cancel()
+	for len(s.missed()) > 0 {
+		s.sweep(limited)
+		if len(s.missed()) > 0 && !pause(limited, drainWithin/10) {
+			return api.NewError(api.KindStoreUnavailable, "%d claims have no recorded end", len(s.missed()))
+		}
+	}
+	return nil
+}
+
 // sweep tries to record each missed end once, and stops at the first one that
 // the store does not answer.
 func (s *Store) sweep(ctx context.Context) {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -77,14 +77,18 @@
 }
 
 // NewClient returns a client of the platform at addr, an IP number and port.
-// Close ends its duties and connections.
+// Its metrics are among those of the process. Close ends its duties and
+// connections.
 func NewClient(addr string) *Client {
 	adapter := NewHTTP(addr)
-	return &Client{Stack: NewStack(adapter), Objects: adapter, InstanceLister: adapter, http: adapter}
+	client := &Client{Stack: NewStack(adapter), Objects: adapter, InstanceLister: adapter, http: adapter}
+	metrics.RegisterSet(client.metrics)
+	return client
 }
 
 // Close ends the duties and closes the connections to the platform.
 func (c *Client) Close() {
+	metrics.UnregisterSet(c.metrics, true)
 	c.Stack.Close()
 	c.http.Close()
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -52,6 +52,7 @@
 	node     *peer.Node
 	placer   *placer.Placer
 	jobs     *jobs.Router
+	claims   *claim.Store
 	executor *request.Executor
 	dispatch *request.Dispatcher
 	server   *entry.Server
@@ -121,9 +122,10 @@
 		Config: i.config, Recorder: i.recorder, Logger: i.logger, MaxRequests: s.Limits.MaxRequests,
 		Seed: uint64(incarnation),
 	})
+	i.claims = claim.New(i.platform)
 	i.executor = &request.Executor{
 		Zone: s.AvailabilityZone, Instance: s.Instance, Config: i.config, Fleet: i.fleet,
-		Claims: claim.New(i.platform), Backend: backend.NewClient(s.Limits.MaxBackendConnections, i.fleet.ObserveBackend),
+		Claims: i.claims, Backend: backend.NewClient(s.Limits.MaxBackendConnections, i.fleet.ObserveBackend),
 		Recorder: i.recorder, PlatformReachable: i.platform.Reachable,
 		Dispatcher: i.dispatch, Caller: i.node, MaxAttempts: s.Limits.MaxRequests,
 	}
@@ -147,6 +149,8 @@
 	duties.Go(func() { i.configFromPeers(ctx) })
 	duties.Go(func() { i.placer.Run(ctx) })
 	duties.Go(func() { i.dispatch.Run(ctx) })
+	duties.Go(func() { i.claims.Run(ctx) })
+	duties.Go(func() { i.shareStore(ctx) })
 	served := make(chan error, 1)
 	go func() { served <- i.server.Serve(listener) }()
 	i.logger.Info("started", zap.String("listen", i.settings.Listen), zap.String("peer_listen", i.settings.PeerListen))
@@ -160,6 +164,7 @@
 	cancel()
 	duties.Wait()
 	i.node.Close()
+	i.platform.Close()
 	i.logger.Info("stopped", zap.Error(err))
 	return err
 }
@@ -175,7 +180,9 @@
 			return nil
 		},
 		Drain: func(ctx context.Context) error {
-			return errors.Join(i.server.Shutdown(ctx), i.node.Drain(ctx), i.executor.Drain(ctx))
+			err := errors.Join(i.server.Shutdown(ctx), i.node.Drain(ctx), i.executor.Drain(ctx))
+			i.recordClaims(ctx)
+			return err
 		},
 	})
 }
