Failures of a job are durable; a restarted placer sees its workers and gets a new epoch

A restarted process kept its old epoch. Ruled out: lost reports; the workers answered. Change: the job's row lists the workers it failed on; recovery brings the worker list with it; the lease is held by process, not by instance name.

--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -35,8 +35,10 @@
 	Attempt int   `json:"attempt"`
 	Epoch   int64 `json:"epoch"`
 	// Checkpoint names the last known checkpoint.
-	Checkpoint  string    `json:"checkpoint,omitempty"`
-	ProgressS   float64   `json:"progress_s,omitempty"`
+	Checkpoint string  `json:"checkpoint,omitempty"`
+	ProgressS  float64 `json:"progress_s,omitempty"`
+	// FailedOn lists the workers on which its tasks failed, once for each time.
+	FailedOn    []string  `json:"failed_on,omitempty"`
 	SubmittedAt time.Time `json:"submitted_at"`
 	// StartedAt is the time of the last start.
 	StartedAt time.Time `json:"started_at,omitzero"`
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -75,6 +75,9 @@
 	MaxWait time.Duration
 	// Attempt counts the starts so far.
 	Attempt int
+	// Avoid lists workers on which the job failed: it goes elsewhere as long as
+	// the zone has other workers that could hold it.
+	Avoid []string
 }
 
 // Stoppable reports whether the scheduler may stop the job to reclaim its
--- a/internal/placer/action.go
+++ b/internal/placer/action.go
@@ -5,6 +5,7 @@
 
 	"github.com/corianderbank/corianderbank/api"
 	"github.com/corianderbank/corianderbank/internal/jobstore"
+	"github.com/corianderbank/corianderbank/internal/model"
 )
 
 // part is a gang's share on one worker.
@@ -147,7 +148,9 @@
 
 // recoveredEvent is the result of a recoverAction.
 type recoveredEvent struct {
-	epoch   int64
+	epoch int64
+	// workers are those that were asked, whether they answered or not.
+	workers []model.Worker
 	records []jobstore.Record
 	reports []reportEvent
 	err     error
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -69,7 +69,7 @@
 	stopWithin = 2 * time.Second
 	// maxFailures bounds the failed attempts of one job whatever they are put
 	// down to, so that a job cannot restart for ever.
-	maxFailures = 6
+	maxFailures = 4
 	// keepEnded is how many ended jobs stay in memory for late readers.
 	keepEnded = 4096
 )
@@ -97,8 +97,7 @@
 	lapseAt    time.Time
 	stopReason string
 	// refusal is the kind of a refusal, set before evRefuse.
-	refusal  api.Kind
-	failures int
+	refusal api.Kind
 	// dirty records are written when nothing is in flight for the row.
 	dirty     bool
 	writing   bool
--- a/internal/placer/execute.go
+++ b/internal/placer/execute.go
@@ -166,11 +166,12 @@
 		return recoveredEvent{epoch: a.epoch, err: err}
 	}
 	var parts []part
-	for _, w := range p.opts.Fleet.Workers(p.opts.Zone) {
+	workers := p.opts.Fleet.Workers(p.opts.Zone)
+	for _, w := range workers {
 		parts = append(parts, part{worker: w.ID, addr: w.Addr})
 	}
 	reports := each(parts, func(one part) reportEvent { return p.renewOne(ctx, one, a.epoch, nil) })
-	event := recoveredEvent{epoch: a.epoch, records: records}
+	event := recoveredEvent{epoch: a.epoch, workers: workers, records: records}
 	for _, report := range reports {
 		if report.err == nil {
 			event.reports = append(event.reports, report)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -40,10 +40,13 @@
 	waitPoll = 50 * time.Millisecond
 )
 
-// Options are what a placer works with. All fields are needed.
+// Options are what a placer works with. Holder and OnEpoch may be left out.
 type Options struct {
-	Zone        string
-	Instance    string
+	Zone     string
+	Instance string
+	// Holder takes the lease. It is unique to the process, so that a process
+	// that comes back under its old name gets a new epoch. Instance by default.
+	Holder      string
 	Config      config.Source
 	Fleet       membership.View
 	Jobs        jobstore.Store
@@ -87,6 +90,9 @@
 
 // New returns a placer; Run makes it work.
 func New(opts Options) *Placer {
+	if opts.Holder == "" {
+		opts.Holder = opts.Instance
+	}
 	return &Placer{
 		opts:    opts,
 		events:  make(chan event, eventCapacity),
@@ -213,7 +219,7 @@
 		case <-p.leaving:
 			p.post(ctx, termEvent{})
 			if held.Epoch > 0 {
-				if err := p.opts.Leases.Release(ctx, held, p.opts.Instance); err != nil {
+				if err := p.opts.Leases.Release(ctx, held, p.opts.Holder); err != nil {
 					p.opts.Logger.Warn("placer lease not released; it lapses", zap.Error(err))
 				}
 			}
@@ -229,7 +235,7 @@
 func (p *Placer) renewLease(ctx context.Context, held lease.Held) lease.Held {
 	callCtx, cancel := context.WithTimeout(ctx, p.opts.PlacerLease/leasePart)
 	defer cancel()
-	fresh, err := p.opts.Leases.Acquire(callCtx, p.opts.Zone, p.opts.Instance)
+	fresh, err := p.opts.Leases.Acquire(callCtx, p.opts.Zone, p.opts.Holder)
 	switch {
 	case err == nil:
 		p.post(ctx, termEvent{epoch: fresh.Epoch, held: true, mayPlace: true, platform: true})
--- a/internal/placer/recover.go
+++ b/internal/placer/recover.go
@@ -47,6 +47,7 @@
 		return
 	}
 	c.recovered = true
+	c.setWorkers(ev.workers, now)
 	c.reconcileAt = now.Add(reconcileInterval)
 	held := make(map[string]map[string]api.ReservationReport)
 	for _, report := range ev.reports {
--- a/internal/placer/reports.go
+++ b/internal/placer/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/corianderbank/corianderbank/api"
@@ -207,17 +208,20 @@
 // taskFailed tells a sick job from a sick worker: the job ends with its
 // evidence, or it is tried again elsewhere if it may be.
 func (c *core) taskFailed(e *entry, worker string, report seenReport, now time.Time) {
-	e.failures++
+	e.record.FailedOn = append(e.record.FailedOn, worker)
 	verdict := c.health.TaskFailed(worker, e.record.ID, now)
 	c.judgeWorker(e, worker, verdict, now)
 	reason := fmt.Sprintf("task failed on %s: %s", worker, report.msg)
-	if e.record.Submission.Idempotent && verdict.SickJob == "" && e.failures < maxFailures {
+	if e.record.Submission.Idempotent && verdict.SickJob == "" && len(e.record.FailedOn) < maxFailures {
 		c.stop(e, evWorkerLost, reason, now)
 		return
 	}
 	if verdict.SickJob != "" {
 		reason += "; " + verdict.Evidence
 	}
+	if len(e.record.FailedOn) > 1 {
+		reason += "; failed on " + strings.Join(e.record.FailedOn, ", ")
+	}
 	c.do(stopAction{ref: e.ref, parts: e.parts, within: stopWithin})
 	c.step(e, evFail, reason, now)
 }
--- a/internal/placer/round.go
+++ b/internal/placer/round.go
@@ -70,6 +70,7 @@
 		SubmittedAt: e.record.SubmittedAt, DeclaredRun: seconds(submission.DeclaredRunS),
 		Progress: seconds(e.record.ProgressS), Priority: e.record.Priority, MayBorrow: e.record.Borrow,
 		MaxWait: time.Duration(e.record.MaxWaitMS) * time.Millisecond, Attempt: e.record.Attempt,
+		Avoid: e.record.FailedOn,
 	}
 	if submission.Deadline != nil {
 		job.Deadline = *submission.Deadline
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"os"
 	"os/signal"
@@ -108,6 +109,7 @@
 	store := jobstore.New(i.platform)
 	i.placer = placer.New(placer.Options{
 		Zone: s.AvailabilityZone, Instance: s.Instance, Config: i.config, Fleet: i.fleet, Jobs: store,
+		Holder:  fmt.Sprintf("%s/%d", s.Instance, i.fleet.Self().Incarnation),
 		Leases:  lease.New(i.platform, settings.Duration(s.Timing.PlacerLeaseMS)),
 		Workers: worker.NewHTTP(), Runs: estimate.NewHistory(), Health: quarantine.NewTracker(),
 		Recorder: i.recorder, Logger: i.logger,
--- a/test/invariants/gang_world_test.go
+++ b/test/invariants/gang_world_test.go
@@ -62,6 +62,7 @@
 	planted     plantedFault
 	recorders   []*decision.Recorder
 	submitted   int
+	started     int
 }
 
 // plantedFault is a fault of the product that a check must catch.
@@ -172,7 +173,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	running := &gangPlacer{cancel: cancel, done: make(chan struct{})}
 	running.placer = placer.New(placer.Options{
-		Zone: gangZone, Instance: instance, Config: w, Fleet: w, Jobs: jobstore.New(tables),
+		Zone: gangZone, Instance: instance, Holder: w.nextHolder(instance), Config: w, Fleet: w, Jobs: jobstore.New(tables),
 		Leases: lease.New(tables, gangPlacerLease), Workers: gangNetwork{w, instance},
 		Runs: estimate.NewHistory(), Health: quarantine.NewTracker(),
 		Recorder: w.newRecorder(instance), Logger: zap.NewNop(),
@@ -298,6 +299,13 @@
 	return answer.ID
 }
 
+func (w *gangWorld) nextHolder(instance string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.started++
+	return fmt.Sprintf("%s/%d", instance, w.started)
+}
+
 func (w *gangWorld) nextID() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
