--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -87,6 +87,16 @@
 			assert.NilError(t, mustClaim(t, a, "r1").GiveUp(t.Context()))
 			mustClaim(t, b, "r2")
 		},
+		"an arrival that gave up and claims again holds a new claim": func(t *testing.T, _ *fake.Platform, a, b instance) {
+			assert.NilError(t, mustClaim(t, a, "r1").GiveUp(t.Context()))
+			mustClaim(t, a, "r1")
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			held, answer, err := b.Claim(ctx, request("r2", "d"))
+			assert.NilError(t, err)
+			assert.Assert(t, held == nil)
+			assert.Equal(t, answer.Outcome, api.OutcomeUnknown)
+		},
 		"a claim ends once": func(t *testing.T, _ *fake.Platform, a, b instance) {
 			held := mustClaim(t, a, "r1")
 			assert.NilError(t, held.Settle(t.Context(), done))
@@ -114,6 +124,18 @@
 			assert.NilError(t, err)
 			assert.Equal(t, answer.Outcome, api.OutcomeDone)
 		},
+		"a stop records what the store missed, if it can": func(t *testing.T, service *fake.Platform, a, b instance) {
+			held := mustClaim(t, a, "r1")
+			service.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Down: true} })
+			assert.Assert(t, api.IsKind(held.Settle(t.Context(), done), api.KindStoreUnavailable))
+			assert.Assert(t, api.IsKind(a.Drain(t.Context()), api.KindStoreUnavailable))
+			service.SetFault(nil)
+			time.Sleep(300 * time.Millisecond)
+			assert.NilError(t, a.Drain(t.Context()))
+			_, answer, err := b.Claim(t.Context(), request("r2", "d"))
+			assert.NilError(t, err)
+			assert.Equal(t, answer.Outcome, api.OutcomeDone)
+		},
 		"an insertion that may arrive late is fenced, and the key is free again": func(t *testing.T, service *fake.Platform, a, b instance) {
 			service.SetFault(func(call fake.Call) fake.Fault {
 				if call.Op == "commit" {
