--- a/internal/measure/gangload/figures.go
+++ b/internal/measure/gangload/figures.go
@@ -77,6 +77,7 @@
 	completion, slowdown, claims, urgent []float64
 	deadlines, met, late                 int
 	refusals, falseRefusals              int
+	refusedAfter                         []float64
 	unfinished                           int
 	useful                               float64
 }
@@ -133,6 +134,7 @@
 	switch {
 	case job.ending == refused:
 		t.refusals++
+		t.refusedAfter = append(t.refusedAfter, (job.endAt - job.at).Seconds())
 		if job.feasible {
 			t.falseRefusals++
 		}
@@ -163,6 +165,7 @@
 		{Name: "deadlines missed", Value: 100 * float64(t.late) / deadlines, Unit: "%"},
 		{Name: "refused", Value: 100 * float64(t.refusals) / deadlines, Unit: "%"},
 		{Name: "refused needlessly", Value: 100 * float64(t.falseRefusals) / deadlines, Unit: "%"},
+		{Name: "refused after p50", Value: quantile(t.refusedAfter, 0.5), Unit: "s"},
 		{Name: "claim start p99", Value: quantile(t.claims, 0.99), Unit: "s"},
 		{Name: "urgent start p99", Value: quantile(t.urgent, 0.99), Unit: "s"},
 		{Name: "fragmentation", Value: 100 * in.fragmented / max(1, in.free), Unit: "%"},
--- /dev/null
+++ b/internal/measure/plot.go
@@ -0,0 +1,97 @@
+package measure
+
+import (
+	"image/color"
+	"os"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+// The size of a plot.
+const (
+	plotWidth  = 28 * vg.Centimeter
+	plotHeight = 11 * vg.Centimeter
+	// groupWidth is the part of a category that its bars fill.
+	groupWidth = 2 * vg.Centimeter
+)
+
+// barColors are told apart in grey as well.
+var barColors = []color.Color{
+	color.RGBA{R: 31, G: 119, B: 180, A: 255},
+	color.RGBA{R: 255, G: 187, B: 120, A: 255},
+	color.RGBA{R: 150, G: 150, B: 150, A: 255},
+}
+
+// Bars is a bar chart: for each category one bar of each policy.
+type Bars struct {
+	Title, Unit string
+	Categories  []string
+	Policies    []string
+	// Values are by policy, then by category.
+	Values [][]float64
+}
+
+// BarsOf collects one figure of the rows of a part and a deployment for the
+// given policies. The categories are the patterns, in the order of the rows.
+func BarsOf(rows []Row, part, deployment, figure string, policies []string) Bars {
+	bars := Bars{Title: part + ", " + deployment + ": " + figure, Policies: policies, Values: make([][]float64, len(policies))}
+	for i, policy := range policies {
+		for r := range rows {
+			row := &rows[r]
+			if row.Part != part || row.Deployment != deployment || row.Policy != policy {
+				continue
+			}
+			value, ok := row.Find(figure)
+			if !ok {
+				continue
+			}
+			if i == 0 {
+				bars.Categories = append(bars.Categories, row.Pattern)
+			}
+			bars.Values[i] = append(bars.Values[i], value)
+		}
+	}
+	return bars
+}
+
+// WriteSVG draws the chart into a file.
+func (b Bars) WriteSVG(path string) error {
+	p := plot.New()
+	p.Title.Text = b.Title
+	p.Y.Label.Text = b.Unit
+	p.Legend.Top = true
+	width := groupWidth / vg.Length(len(b.Policies)+1)
+	for i, values := range b.Values {
+		bars, err := plotter.NewBarChart(plotter.Values(values), width)
+		if err != nil {
+			return err
+		}
+		bars.Color = barColors[i%len(barColors)]
+		bars.LineStyle.Width = 0
+		bars.Offset = width * vg.Length(2*i-len(b.Policies)+1) / 2
+		p.Add(bars)
+		p.Legend.Add(b.Policies[i], bars)
+	}
+	p.NominalX(b.Categories...)
+	p.X.Tick.Label.Rotation = 0.35
+	p.X.Tick.Label.XAlign = draw.XRight
+	return writeSVG(p, path)
+}
+
+func writeSVG(p *plot.Plot, path string) error {
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if _, err := canvas.WriteTo(file); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return file.Close()
+}
