--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -38,8 +38,7 @@
 	Reclaims []Reclaim
 	// Refusals are jobs to be ended with not_run.
 	Refusals []Refusal
-	// Decisions has one entry for each of the above, and one for each waiting
-	// job whose reason to wait is worth a line.
+	// Decisions has one entry for each of the above.
 	Decisions []api.Decision
 	// AtRisk says, by client account, why a guaranteed shape cannot be given
 	// even by stopping every borrower (for example lost workers).
