--- a/internal/peer/coalesce.go
+++ b/internal/peer/coalesce.go
@@ -2,15 +2,16 @@
 
 import (
 	"net"
+	"runtime"
 	"sync"
 	"time"
 )
 
 const (
-	// coalesceDelay is how long a write waits for others to go with it. It is
-	// small against the 1.4 ms between availability zones, and longer than the
-	// steps of one yamux exchange within a process.
-	coalesceDelay = 200 * time.Microsecond
+	// coalesceYields is how often the duty lets other goroutines run before it
+	// writes, so that the next steps of an exchange go with the first. A timer
+	// would do the same for a millisecond or more at each step.
+	coalesceYields = 8
 	// coalesceBytes is what a connection holds back at most; a full one makes
 	// the writer wait.
 	coalesceBytes = 64 << 10
@@ -20,7 +21,7 @@
 
 // coalescing puts the small writes of a yamux session (a header, a body, a
 // window update) into few segments, each of which costs its own TCP and IP
-// headers. Its duty writes what gathered during coalesceDelay.
+// headers. Its duty writes what gathered while it let others run.
 type coalescing struct {
 	net.Conn
 	// wake has an entry while there is something to write; room has one when
@@ -97,7 +98,9 @@
 			_ = c.flush()
 			return
 		}
-		time.Sleep(coalesceDelay)
+		for range coalesceYields {
+			runtime.Gosched()
+		}
 		if err := c.flush(); err != nil {
 			_ = c.Conn.Close()
 			return
