Membership logs changes, takes slots from probes; peer calls are counted

Cause: an operator could not see when an instance took a backend server for leaving, or a peer for silent; the number of slots came from nowhere. Change: one line for each change, Slots from the health answer, a counter of peer calls by kind; an undeclared kind of a remote becomes internal. Conclusion: package tests pass under -race.

--- a/internal/membership/backend.go
+++ b/internal/membership/backend.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/chart"
 	"github.com/corianderbank/corianderbank/internal/model"
 )
 
@@ -68,7 +69,7 @@
 	if incarnation > entry.Incarnation {
 		entry.Incarnation = incarnation
 		entry.begin(now)
-		entry.State = next(s.backendSM, entry.State, eventNewIncarnation)
+		s.moveBackend(entry, eventNewIncarnation)
 		s.applyLeft(entry)
 	}
 	entry.lastSeen = now
@@ -94,9 +95,26 @@
 		return
 	}
 	entry.begin(now)
+	s.note(subjectBackend, entry.ID, entry.Incarnation, string(entry.State), string(s.backendSM.Initial))
 	entry.State = model.BackendState(s.backendSM.Initial)
 }
 
+// moveBackend sends an event to the chart of a backend server.
+func (s *state) moveBackend(entry *backendEntry, event chart.Event) {
+	from := entry.State
+	entry.State = next(s.backendSM, from, event)
+	s.note(subjectBackend, entry.ID, entry.Incarnation, string(from), string(entry.State))
+}
+
+// backendHealth takes in the answer to a probe.
+func (s *state) backendHealth(health api.BackendHealth, now time.Time) bool {
+	news := s.backendSaid(health.ID, health.Incarnation, health.Leaving, now)
+	if entry, ok := s.backends[health.ID]; ok && entry.Incarnation == health.Incarnation {
+		entry.Slots = health.Slots
+	}
+	return news
+}
+
 // begin starts the time of an incarnation, or of one that came back.
 func (e *backendEntry) begin(now time.Time) {
 	e.since = now
@@ -131,7 +149,7 @@
 
 func (s *state) applyLeft(entry *backendEntry) {
 	if s.hasLeft(entry.ID, entry.Incarnation) {
-		entry.State = next(s.backendSM, entry.State, eventLeave)
+		s.moveBackend(entry, eventLeave)
 	}
 }
 
@@ -144,12 +162,12 @@
 		return
 	}
 	if listFresh && silent > s.thresholds.BackendSilence && entry.State != model.BackendGone {
-		entry.State = next(s.backendSM, entry.State, eventSilence)
+		s.moveBackend(entry, eventSilence)
 		entry.flaps.lost(now)
 		return
 	}
 	if entry.State == model.BackendRamping && now.Sub(entry.since) >= s.thresholds.BackendRamp {
-		entry.State = next(s.backendSM, entry.State, eventRamped)
+		s.moveBackend(entry, eventRamped)
 	}
 }
 
--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -154,7 +154,9 @@
 		case now := <-ticker.C:
 			f.mu.Lock()
 			f.state.tick(now)
+			changes := f.state.drainChanges()
 			f.mu.Unlock()
+			f.logChanges(changes)
 		case <-ctx.Done():
 			return
 		}
@@ -190,12 +192,22 @@
 func (f *Fleet) observe(apply func(now time.Time) bool) {
 	f.mu.Lock()
 	news := apply(time.Now())
+	changes := f.state.drainChanges()
 	f.mu.Unlock()
+	f.logChanges(changes)
 	if news {
 		f.gossip.urge()
 	}
 }
 
+// logChanges writes one line for each change of what is known.
+func (f *Fleet) logChanges(changes []change) {
+	for _, c := range changes {
+		f.logger.Info("member", zap.String("subject", c.subject), zap.String("id", c.id),
+			zap.Int64("incarnation", c.incarnation), zap.String("from", c.from), zap.String("to", c.to))
+	}
+}
+
 // Announce tells every peer of this instance's present state at once, for
 // example after a change of the configuration or of the placer role.
 func (f *Fleet) Announce() { f.gossip.urge() }
--- a/internal/membership/instance.go
+++ b/internal/membership/instance.go
@@ -17,6 +17,13 @@
 	Fresh bool
 }
 
+// names of what is known of a peer, for the log.
+const (
+	instanceLive    = "live"
+	instanceSilent  = "silent"
+	instanceLeaving = "leaving"
+)
+
 // instanceEntry is what is known of one peer.
 type instanceEntry struct {
 	model.Instance
@@ -69,11 +76,15 @@
 	entry.Addr = message.GetAddr()
 	entry.PeerAddr = message.GetPeerAddr()
 	entry.Zone = message.GetAvailabilityZone()
+	if message.GetLeaving() && !entry.Leaving {
+		s.note(subjectInstance, id, entry.Incarnation, instanceLive, instanceLeaving)
+	}
 	entry.Leaving = entry.Leaving || message.GetLeaving()
 	entry.LastSeen = now
 	entry.heard = HeardState{State: message, HeardAt: now, Fresh: true}
 	if entry.lost && !entry.flaps.held(now) {
 		entry.lost = false
+		s.note(subjectInstance, id, entry.Incarnation, instanceSilent, instanceLive)
 	}
 }
 
@@ -123,6 +134,7 @@
 	for id, entry := range s.instances {
 		if !entry.lost && !s.instanceLive(entry, every, now) {
 			entry.lost = true
+			s.note(subjectInstance, id, entry.Incarnation, instanceLive, instanceSilent)
 			entry.flaps.lost(now)
 		}
 		quiet := now.Sub(entry.LastSeen) > s.thresholds.Forget && now.Sub(entry.listedAt) > s.thresholds.Forget
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -161,5 +161,5 @@
 		f.logger.Debug("probe", zap.String("backend_server", server.ID), zap.Error(err))
 		return
 	}
-	f.ObserveBackend(health.ID, health.Incarnation, health.Leaving)
+	f.observe(func(now time.Time) bool { return f.state.backendHealth(health, now) })
 }
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -77,6 +77,35 @@
 	// leftBackends holds the signs of leaving of backend servers, also of those
 	// that nothing else is known of yet.
 	leftBackends map[string]leftMark
+	// changes are those since the last drain, for the log.
+	changes []change
+}
+
+// change is one change of what is known of a server or an instance.
+type change struct {
+	subject, id string
+	incarnation int64
+	from, to    string
+}
+
+// subjects of changes.
+const (
+	subjectBackend  = "backend_server"
+	subjectInstance = "instance"
+)
+
+// note records a change for the log.
+func (s *state) note(subject, id string, incarnation int64, from, to string) {
+	if from != to {
+		s.changes = append(s.changes, change{subject, id, incarnation, from, to})
+	}
+}
+
+// drainChanges returns the changes since the last call.
+func (s *state) drainChanges() []change {
+	changes := s.changes
+	s.changes = nil
+	return changes
 }
 
 func newState(self model.Instance, interval time.Duration, thresholds Thresholds) *state {
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
@@ -14,6 +15,21 @@
 
 // Call implements Caller.
 func (n *Node) Call(ctx context.Context, instance string, request *peerpb.Request) (*peerpb.Response, error) {
+	response, err := n.call(ctx, instance, request)
+	countCall(err)
+	return response, err
+}
+
+// countCall counts the calls by the kind of their error, empty for none.
+func countCall(err error) {
+	kind := api.Kind("")
+	if err != nil {
+		kind = api.KindOf(err)
+	}
+	metrics.GetOrCreateCounter(`corianderbank_peer_calls_total{error_kind="` + string(kind) + `"}`).Inc()
+}
+
+func (n *Node) call(ctx context.Context, instance string, request *peerpb.Request) (*peerpb.Response, error) {
 	ctx, cancel := n.callContext(ctx)
 	defer cancel()
 	l := n.link(instance)
@@ -102,7 +118,8 @@
 
 // remoteError rebuilds the error that the peer's handler returned.
 func remoteError(instance string, response *peerpb.Response) error {
-	err := api.NewError(api.Kind(response.GetErrorKind()), "peer %s: %w", instance, errors.New(response.GetMessage()))
+	kind := api.AnswerFor(api.Kind(response.GetErrorKind())).Kind
+	err := api.NewError(kind, "peer %s: %w", instance, errors.New(response.GetMessage()))
 	if after := response.GetRetryAfterMs(); after > 0 {
 		err = api.WithRetryAfter(err, time.Duration(after)*time.Millisecond)
 	}
