--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -55,19 +55,27 @@
 // handshakeBytes bounds a handshake message.
 const handshakeBytes = 1 << 10
 
-// handshake tells the other side who this instance is and learns who it is.
-// Both sides do the same: a Request without a body each way.
-func (n *Node) handshake(conn net.Conn) (string, int64, error) {
+// handshake tells the other side who this instance is and learns who it is, by
+// a Request without a body each way. The dialer speaks first and the other side
+// answers, so that a dialer knows that what it sends arrives.
+func (n *Node) handshake(conn net.Conn, dialer bool) (string, int64, error) {
 	if err := conn.SetDeadline(time.Now().Add(n.limits.DialTimeout)); err != nil {
 		return "", 0, err
 	}
-	own := &peerpb.Request{From: n.options.Instance, Incarnation: n.options.Incarnation}
-	if err := writeMessage(conn, own, handshakeBytes); err != nil {
-		return "", 0, err
-	}
 	var theirs peerpb.Request
-	if err := readMessage(conn, &theirs, handshakeBytes); err != nil {
-		return "", 0, err
+	hear := func() error { return readMessage(conn, &theirs, handshakeBytes) }
+	tell := func() error {
+		own := &peerpb.Request{From: n.options.Instance, Incarnation: n.options.Incarnation}
+		return writeMessage(conn, own, handshakeBytes)
+	}
+	steps := []func() error{hear, tell}
+	if dialer {
+		steps = []func() error{tell, hear}
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return "", 0, err
+		}
 	}
 	if theirs.GetFrom() == "" {
 		return "", 0, errors.New("the other side names no instance")
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -207,7 +207,7 @@
 		return nil, err
 	}
 	conn = n.wrap(conn)
-	from, incarnation, err := n.handshake(conn)
+	from, incarnation, err := n.handshake(conn, true)
 	if err == nil && from != instance {
 		err = errNotReady(instance, "%s answers at %s", from, addr)
 	}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -212,7 +212,7 @@
 func (n *Node) welcome(conn net.Conn) {
 	defer n.duties.Done()
 	conn = n.wrap(conn)
-	from, incarnation, err := n.handshake(conn)
+	from, incarnation, err := n.handshake(conn, false)
 	if err != nil {
 		n.logger.Warn("handshake", zap.String("remote", conn.RemoteAddr().String()), zap.Error(err))
 		_ = conn.Close()
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -167,6 +167,11 @@
 	callUntilAnswered(t, a, "b")
 }
 
+func contextWithin(t *testing.T, d time.Duration) (context.Context, context.CancelFunc) {
+	t.Helper()
+	return context.WithTimeout(t.Context(), d)
+}
+
 // callUntilAnswered calls until the backoff of a lost connection is over.
 func callUntilAnswered(t *testing.T, node *peer.Node, target string) {
 	t.Helper()
