--- /dev/null
+++ b/internal/measure/capacity/path.go
@@ -0,0 +1,101 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/corianderbank/corianderbank/api"
+)
+
+// Path is one way to a backend server: straight, or through an entry instance.
+type Path struct {
+	Name string
+	// URL is posted to, for example http://127.0.0.1:7001/v1/requests.
+	URL string
+	// Direct says that URL is a backend server's own.
+	Direct bool
+}
+
+// PathResult is what callers of a path saw.
+type PathResult struct {
+	Name        string
+	Concurrency int
+	PerSecond   float64
+	P50, P99    time.Duration
+	// NotDone counts the answers other than done.
+	NotDone int64
+}
+
+// maxLatency is the top of the histogram.
+const maxLatency = time.Minute
+
+// requestTimeout bounds one call.
+const requestTimeout = 30 * time.Second
+
+// MeasurePath keeps concurrency calls under way for a time.
+func MeasurePath(path Path, concurrency int, length, work time.Duration) PathResult {
+	client := &http.Client{Timeout: requestTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: concurrency, MaxConnsPerHost: concurrency}}
+	until := time.Now().Add(length)
+	var (
+		mu        sync.Mutex
+		histogram = hdrhistogram.New(1, maxLatency.Microseconds(), 3)
+		notDone   atomic.Int64
+		callers   sync.WaitGroup
+	)
+	started := time.Now()
+	for caller := range concurrency {
+		callers.Go(func() {
+			for i := 0; time.Now().Before(until); i++ {
+				begin := time.Now()
+				if !call(client, path, fmt.Sprintf("p-%d-%d", caller, i), work) {
+					notDone.Add(1)
+				}
+				mu.Lock()
+				_ = histogram.RecordValue(time.Since(begin).Microseconds())
+				mu.Unlock()
+			}
+		})
+	}
+	callers.Wait()
+	client.CloseIdleConnections()
+	return PathResult{
+		Name: path.Name, Concurrency: concurrency, NotDone: notDone.Load(),
+		PerSecond: float64(histogram.TotalCount()) / time.Since(started).Seconds(),
+		P50:       time.Duration(histogram.ValueAtQuantile(50)) * time.Microsecond,
+		P99:       time.Duration(histogram.ValueAtQuantile(99)) * time.Microsecond,
+	}
+}
+
+// call makes one call and reports whether its answer is done.
+func call(client *http.Client, path Path, id string, work time.Duration) bool {
+	payload := json.RawMessage(fmt.Sprintf(`{"work_ms":%d}`, work.Milliseconds()))
+	var body any = api.RequestSubmission{Account: "acme", Kind: "scan", Idempotent: true, Payload: payload}
+	if path.Direct {
+		body = api.Execute{ID: id, Account: "acme", Kind: "scan", Payload: payload}
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return false
+	}
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, path.URL, strings.NewReader(string(data)))
+	if err != nil {
+		return false
+	}
+	request.Header.Set(api.HeaderRequestID, id)
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err == nil && response.StatusCode == http.StatusOK
+}
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -118,6 +118,8 @@
 	model.Worker
 	lastReport time.Time
 	chartState chart.State
+	// nextRenewal is when the worker is due to be asked again.
+	nextRenewal time.Time
 }
 
 // core is owned by one goroutine; see the package comment.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -34,8 +34,13 @@
 	fanOut = 64
 	// leasePart is the part of a lease after which it is renewed.
 	leasePart = 3
-	// watchPart is the part of a worker lease after which workers are renewed.
-	watchPart = 10
+	// steadyPart is the part of a worker lease after which a worker is renewed;
+	// watchPart that while news is expected of it.
+	steadyPart = 5
+	watchPart  = 15
+	// overduePart is the part of a gang's run time by which it may be late and
+	// still be expected to end soon.
+	overduePart = 10
 	// waitPoll bounds how late a waiting reader sees a change.
 	waitPoll = 50 * time.Millisecond
 )
--- a/internal/placer/watch.go
+++ b/internal/placer/watch.go
@@ -21,30 +21,56 @@
 	reply chan []renewal
 }
 
-func (call renewalsCall) apply(c *core, _ time.Time) { call.reply <- c.renewals() }
+func (call renewalsCall) apply(c *core, now time.Time) { call.reply <- c.renewals(now) }
 
-// renewals lists every worker with the gangs that hold a part of it.
-func (c *core) renewals() []renewal {
+// renewals lists the workers that are due, with the gangs that hold a part of
+// them.
+func (c *core) renewals(now time.Time) []renewal {
 	if !c.held || !c.recovered {
 		return nil
 	}
 	held := make(map[string][]api.GangRef)
+	soon := make(map[string]bool)
 	for _, e := range c.live() {
 		if e.state != stReserving && e.state != stStarting && e.state != stRunning {
 			continue
 		}
+		ending := c.endsSoon(e, now)
 		for _, p := range e.parts {
 			held[p.worker] = append(held[p.worker], e.ref)
+			soon[p.worker] = soon[p.worker] || ending
 		}
 	}
 	var list []renewal
 	for _, id := range sortedKeys(c.workers) {
 		w := c.workers[id]
+		if now.Before(w.nextRenewal) {
+			continue
+		}
+		w.nextRenewal = now.Add(c.renewalInterval(w, soon[id]))
 		list = append(list, renewal{part{worker: id, addr: w.Addr}, c.epoch, held[id]})
 	}
 	return list
 }
 
+// renewalInterval is short while news is expected: of a worker that has not
+// reported lately, and of gangs that are about to end. A steady worker costs a
+// third of that.
+func (c *core) renewalInterval(w *workerState, soon bool) time.Duration {
+	if soon || !w.Takes() {
+		return c.workerLease / watchPart
+	}
+	return c.workerLease / steadyPart
+}
+
+// endsSoon reports whether a gang may end before its workers would be asked in
+// their steady turn. One that is overdue by more than a tenth is not expected
+// any more: its declaration was wrong.
+func (c *core) endsSoon(e *entry, now time.Time) bool {
+	overdue := e.expectedEnd.Sub(e.record.StartedAt) / overduePart
+	return now.After(e.expectedEnd.Add(-c.workerLease/steadyPart)) && now.Before(e.expectedEnd.Add(overdue+c.workerLease/steadyPart))
+}
+
 // watchDuty renews the leases of all gangs and takes in the workers' reports.
 func (p *Placer) watchDuty(ctx context.Context) {
 	ticker := time.NewTicker(p.opts.WorkerLease / watchPart)
