--- a/internal/platform/contract_test.go
+++ b/internal/platform/contract_test.go
@@ -13,6 +13,7 @@
 	"github.com/corianderbank/corianderbank/api"
 	"github.com/corianderbank/corianderbank/internal/platform"
 	"github.com/corianderbank/corianderbank/internal/platform/fake"
+	"github.com/corianderbank/corianderbank/internal/standin"
 )
 
 // ports are the three interfaces of the platform under one contract.
@@ -40,6 +41,20 @@
 	})
 }
 
+// plainContracts is contracts without faults, and runs check against the HTTP
+// adapter that speaks to the stand-in platform too.
+func plainContracts(t *testing.T, check func(t *testing.T, service *fake.Platform, port ports)) {
+	t.Helper()
+	contracts(t, check)
+	t.Run("stand-in", func(t *testing.T) {
+		server := httptest.NewServer(standin.NewPlatform(standin.DefaultListTTL).Handler())
+		defer server.Close()
+		client := platform.NewHTTP(server.Listener.Addr().String())
+		defer client.Close()
+		check(t, nil, client)
+	})
+}
+
 func ref(key string) api.Ref { return api.Ref{Table: "t", Key: key} }
 
 func put(id, key string, version int64, value string) api.Tx {
@@ -126,6 +141,14 @@
 			assert.Assert(t, !page.More)
 			assert.Equal(t, page.Rows[0].Key, "p/3")
 		},
+	}
+	for name, check := range cases {
+		t.Run(name, func(t *testing.T) { plainContracts(t, check) })
+	}
+}
+
+func TestTablesContractUnderFaults(t *testing.T) {
+	cases := map[string]func(t *testing.T, service *fake.Platform, port ports){
 		"an answer lost after the write is unknown, and the write holds": func(t *testing.T, service *fake.Platform, port ports) {
 			service.SetFault(func(fake.Call) fake.Fault { return fake.Fault{LostAfter: true} })
 			assert.Equal(t, commit(t, port, put("w1", "a", 0, `1`)).State, platform.CommitUnknown)
@@ -161,7 +184,7 @@
 }
 
 func TestObjectsContract(t *testing.T) {
-	contracts(t, func(t *testing.T, service *fake.Platform, port ports) {
+	plainContracts(t, func(t *testing.T, _ *fake.Platform, port ports) {
 		_, err := port.Get(t.Context(), "a")
 		assert.Assert(t, api.IsKind(err, api.KindNotFound), "%v", err)
 		data := bytes.Repeat([]byte{0, 1, 255}, 1000)
@@ -172,10 +195,12 @@
 		got, err := port.Get(t.Context(), "a")
 		assert.NilError(t, err)
 		assert.Assert(t, bytes.Equal(got, data))
+	})
+	contracts(t, func(t *testing.T, service *fake.Platform, port ports) {
 		service.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Down: true} })
-		_, err = port.Get(t.Context(), "a")
+		_, err := port.Get(t.Context(), "a")
 		assert.Assert(t, api.IsKind(err, api.KindStoreUnavailable), "%v", err)
-		assert.Assert(t, api.IsKind(port.Put(t.Context(), "b", data), api.KindStoreUnavailable))
+		assert.Assert(t, api.IsKind(port.Put(t.Context(), "b", []byte("x")), api.KindStoreUnavailable))
 	})
 }
 
--- a/internal/platform/fake/fake.go
+++ b/internal/platform/fake/fake.go
@@ -46,6 +46,7 @@
 	objects   map[string][]byte
 	instances api.InstanceList
 	skew      time.Duration
+	forgetful bool
 	fault     func(Call) Fault
 	calls     map[string]int
 }
@@ -81,6 +82,13 @@
 	p.skew = skew
 }
 
+// SetForgetful makes the tables forget the write ids that they applied.
+func (p *Platform) SetForgetful(forgetful bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forgetful = forgetful
+}
+
 // SetInstances sets the instance list.
 func (p *Platform) SetInstances(list api.InstanceList) {
 	p.mu.Lock()
@@ -149,7 +157,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	answer := api.TxAnswer{Now: p.now()}
-	if p.applied[tx.WriteID] {
+	if p.applied[tx.WriteID] && !p.forgetful {
 		answer.Done = true
 		return answer
 	}
--- a/internal/platform/stack_test.go
+++ b/internal/platform/stack_test.go
@@ -79,6 +79,34 @@
 	}
 }
 
+// TestReadBackFromAStoreThatForgets has a store that keeps no write ids: the
+// row itself tells who wrote it, for single and for grouped transactions.
+func TestReadBackFromAStoreThatForgets(t *testing.T) {
+	for name, transactions := range map[string]int{"alone": 1, "in a group": 5} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				service := fake.New()
+				service.SetForgetful(true)
+				service.SetFault(first(1, fake.Fault{LostAfter: true}))
+				stack := platform.NewStack(service)
+				defer stack.Close()
+				states := make([]platform.CommitState, transactions)
+				var calls sync.WaitGroup
+				for i := range states {
+					calls.Go(func() {
+						tx := put(fmt.Sprintf("w%d", i), fmt.Sprintf("k%d", i), 0, `1`)
+						states[i] = stack.Commit(t.Context(), platform.PurposeClaim, tx).State
+					})
+				}
+				calls.Wait()
+				for i, state := range states {
+					assert.Equal(t, state, platform.CommitDone, "transaction %d", i)
+				}
+			})
+		})
+	}
+}
+
 func TestGroupedWritesSpareTheStoreAndStrangers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		service := fake.New()
