--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -176,11 +176,19 @@
 	}
 	s.forget(mine)
 	if len(result.Conflicts) == 0 {
-		return stepped{}, platform.ErrorOf(result)
+		return stepped{}, notClaimed(request, result.Err)
 	}
 	return stepped{present: conflicting(result.Conflicts[0]), again: true}, nil
 }
 
+// notClaimed says what a store that is out leaves known: this arrival did not
+// run, and nothing about earlier ones.
+func notClaimed(request Request, cause error) error {
+	return api.NewError(api.KindStoreUnavailable,
+		"this submission did not run; whether an earlier one with key %s did is known when the store returns: send the same key again: %w",
+		request.Key, cause)
+}
+
 // conflicting is what a conflict tells of the claim; its end is yet to be read.
 func conflicting(row api.Row) seen {
 	present := seen{row: row}
