--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/backoff"
 	"github.com/corianderbank/corianderbank/internal/platform"
 )
 
@@ -78,7 +79,8 @@
 // Claim implements Claims.
 func (s *Store) Claim(ctx context.Context, request Request) (Held, *api.RequestAnswer, error) {
 	present := seen{row: api.Row{Ref: claimRef(request)}}
-	for delay := waitFirst; ; delay = min(2*delay, waitMost) {
+	retry := backoff.Backoff{Base: waitFirst, Max: waitMost}
+	for {
 		next, err := s.step(ctx, request, present)
 		switch {
 		case err != nil:
@@ -88,7 +90,7 @@
 		case next.answer != nil:
 			return nil, next.answer, nil
 		}
-		if !next.again && !pause(ctx, delay/2+rand.N(delay/2)) {
+		if !next.again && !pause(ctx, retry.Failed(rand.Float64())) {
 			return nil, unknown(request, "an earlier arrival of the key has not ended"), nil
 		}
 		present = s.look(ctx, next.present)
--- a/internal/platform/breaker.go
+++ b/internal/platform/breaker.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/backoff"
 )
 
 // The breaker in front of the store.
@@ -105,15 +107,14 @@
 
 // probe reads a row until one answer comes, then ends.
 func (b *Breaker) probe() {
-	delay := probeFirst
-	for !b.Reachable() && pause(b.running, jittered(delay)) {
+	retry := backoff.Backoff{Base: probeFirst, Max: probeMost}
+	for !b.Reachable() && pause(b.running, retry.Failed(rand.Float64())) {
 		ctx, cancel := context.WithTimeout(b.running, callTimeout)
 		_, err := b.tables.Read(ctx, PurposeConfig, probeRef)
 		cancel()
 		if b.running.Err() == nil {
 			b.note(answered(err))
 		}
-		delay = min(2*delay, probeMost)
 	}
 }
 
--- a/internal/platform/resolve.go
+++ b/internal/platform/resolve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/backoff"
 )
 
 // The bounds of the attempts to learn what became of an unanswered commit.
@@ -34,12 +35,11 @@
 // Commit implements Tables.
 func (r *Resolving) Commit(ctx context.Context, purpose Purpose, tx api.Tx) CommitResult {
 	result := r.Tables.Commit(ctx, purpose, tx)
-	delay := resolveFirst
+	retry := backoff.Backoff{Base: resolveFirst, Max: resolveMost}
 	for attempt := 1; result.State == CommitUnknown && attempt < resolveAttempts; attempt++ {
-		if !pause(ctx, jittered(delay)) {
+		if !pause(ctx, retry.Failed(rand.Float64())) {
 			return result
 		}
-		delay = min(2*delay, resolveMost)
 		result = resolved(result, r.Tables.Commit(ctx, purpose, tx), tx.WriteID)
 	}
 	return result
@@ -68,12 +68,6 @@
 	return conflict
 }
 
-// jittered returns a random duration between half of d and d, so that
-// instances that failed together do not come back together.
-func jittered(d time.Duration) time.Duration {
-	return d/2 + rand.N(d/2+1)
-}
-
 // pause waits for d and reports whether ctx is still live.
 func pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
