--- a/test/invariants/at_most_once_test.go
+++ b/test/invariants/at_most_once_test.go
@@ -64,7 +64,11 @@
 	if replayed < 10 {
 		t.Errorf("only %d answers were replayed", replayed)
 	}
-	t.Logf("%v, %d replayed", outcomes, replayed)
+	spilled := playRequests(t, requestCases["answers of other zones are lost"], 0).spilled
+	if spilled < 10 {
+		t.Errorf("only %d requests went to another zone", spilled)
+	}
+	t.Logf("%v, %d replayed, %d in another zone", outcomes, replayed, spilled)
 }
 
 // doubled returns every breach of at-most-once.
--- a/test/invariants/request_world_test.go
+++ b/test/invariants/request_world_test.go
@@ -34,7 +34,12 @@
 	freezes                    int
 	// cuts cuts one instance off from the platform, outages all of them.
 	cuts, outages int
-	planted       stateFault
+	// spills takes the backend servers of two zones away, so that their
+	// requests go to the other zones; peerFaults is the share of these calls
+	// that meet a fault.
+	spills     bool
+	peerFaults float64
+	planted    stateFault
 }
 
 var requestCases = map[string]requestCase{
@@ -54,6 +59,9 @@
 	"everything at once":                            {storeFaults: 0.2, backendFaults: 0.2, kills: 2, freezes: 2, cuts: 2, outages: 1},
 	"everything at once, and twice":                 {storeFaults: 0.3, backendFaults: 0.3, kills: 5, freezes: 5, cuts: 4, outages: 2},
 	"lost on both sides and killed again and again": {storeFaults: 0.4, backendFaults: 0.4, kills: 6},
+	"zones without backend servers":                 {spills: true},
+	"answers of other zones are lost":               {spills: true, peerFaults: 0.5},
+	"other zones, killed, frozen and losing":        {spills: true, peerFaults: 0.3, storeFaults: 0.2, backendFaults: 0.2, kills: 4, freezes: 4},
 }
 
 // Lengths of one history.
@@ -82,6 +90,8 @@
 	// runs counts the runs by request id and by key.
 	runs, runsOfKey map[string]int
 	nonce           int
+	// spilled counts the requests that another zone answered.
+	spilled int
 }
 
 // requestNode is one process of an entry instance.
@@ -142,7 +152,7 @@
 	node.stack = platform.NewStack(link)
 	claims := claim.New(node.stack)
 	recorder := decision.NewRecorder(zap.NewNop(), node.zone, 10)
-	source := snapshotOf(t, `{"client_accounts": [{"name": "acme"}], "rules": [{"name": "all", "when": {}, "then": {"spill": false}}]}`)
+	source := snapshotOf(t, `{"client_accounts": [{"name": "acme"}], "rules": [{"name": "all", "when": {}, "then": {}}]}`)
 	dispatcher := request.NewDispatcher(request.DispatcherOptions{
 		Zone: node.zone, Instance: node.zone, Incarnation: 1, Fleet: node, Caller: node, Config: source,
 		Recorder: recorder, Logger: zap.NewNop(), MaxRequests: 1000, Seed: uint64(i),
@@ -174,7 +184,11 @@
 
 // BackendServers implements membership.View.
 func (n *requestNode) BackendServers(zone string) []model.BackendServer {
-	return []model.BackendServer{{ID: "b-" + zone, Addr: "127.0.0.1:1", Zone: zone, Incarnation: 1, Slots: 8, State: model.BackendReady}}
+	server := model.BackendServer{ID: "b-" + zone, Addr: "127.0.0.1:1", Zone: zone, Incarnation: 1, Slots: 8, State: model.BackendReady}
+	if n.world.test.spills && (zone == "z0" || zone == "z1") {
+		server.State = model.BackendLeaving
+	}
+	return []model.BackendServer{server}
 }
 
 // Workers implements membership.View.
@@ -184,11 +198,79 @@
 func (n *requestNode) ZoneMembers(string) []string { return []string{n.zone} }
 
 // PeerStates implements request.Fleet.
-func (n *requestNode) PeerStates() map[string]membership.HeardState { return nil }
+func (n *requestNode) PeerStates() map[string]membership.HeardState {
+	states := make(map[string]membership.HeardState)
+	for i := range requestInstances {
+		if zone := fmt.Sprintf("z%d", i); zone != n.zone {
+			load := int64(100)
+			if n.BackendServers(zone)[0].State != model.BackendReady {
+				load = 5000
+			}
+			state := &peerpb.State{Instance: zone, AvailabilityZone: zone, Incarnation: 1, LoadPermille: load}
+			states[zone] = membership.HeardState{State: state, HeardAt: time.Now(), Fresh: true}
+		}
+	}
+	return states
+}
+
+// Call implements peer.Caller for requests that another zone is to run.
+func (n *requestNode) Call(ctx context.Context, instance string, call *peerpb.Request) (*peerpb.Response, error) {
+	execute := call.GetExecute()
+	if execute == nil || !n.pass() {
+		return nil, api.NewError(api.KindNotReady, "no peer")
+	}
+	lostBefore, lostAfter := n.world.drawPeer()
+	lost := api.NewError(api.KindResultUnknown, "the response was lost")
+	if lostBefore {
+		return nil, lost
+	}
+	answer := n.world.forwarded(ctx, instance, execute)
+	switch {
+	case answer == nil || lostAfter || !n.pass() || ctx.Err() != nil:
+		return nil, lost
+	default:
+		return &peerpb.Response{Body: &peerpb.Response_Execute{Execute: &peerpb.ExecuteReply{Answer: answer}}}, nil
+	}
+}
+
+func (w *requestWorld) drawPeer() (lostBefore, lostAfter bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.network.Float64() >= w.test.peerFaults {
+		return false, false
+	}
+	before := w.network.IntN(2) == 0
+	return before, !before
+}
 
-// Call implements peer.Caller: there is nobody to call.
-func (n *requestNode) Call(context.Context, string, *peerpb.Request) (*peerpb.Response, error) {
-	return nil, api.NewError(api.KindNotReady, "no peer")
+// forwarded runs a request at the instance; nil means that it died meanwhile.
+func (w *requestWorld) forwarded(ctx context.Context, instance string, call *peerpb.ExecuteCall) []byte {
+	w.mu.Lock()
+	var peer *requestNode
+	for _, node := range w.nodes {
+		if node.zone == instance {
+			peer = node
+		}
+	}
+	w.mu.Unlock()
+	if !peer.pass() {
+		return nil
+	}
+	var submission api.RequestSubmission
+	if err := json.Unmarshal(call.GetSubmission(), &submission); err != nil {
+		panic(err)
+	}
+	body, err := json.Marshal(peer.executor.ExecuteForwarded(ctx, call.GetId(), submission))
+	if err != nil {
+		panic(err)
+	}
+	w.mu.Lock()
+	w.spilled++
+	w.mu.Unlock()
+	if !peer.pass() {
+		return nil
+	}
+	return body
 }
 
 // backendFault is what happens to one call of a backend server.
