--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -309,3 +309,15 @@
 		assert.Assert(t, api.IsKind(err, api.KindConflict))
 	})
 }
+
+func TestFreePortsAreNotGivenTwice(t *testing.T) {
+	seen := make(map[int]bool)
+	for range 100 {
+		ports, err := FreePorts(5)
+		assert.NilError(t, err)
+		for _, port := range ports {
+			assert.Assert(t, !seen[port] && port >= firstPort && port < lastPort)
+			seen[port] = true
+		}
+	}
+}
--- a/test/process/commands_test.go
+++ b/test/process/commands_test.go
@@ -31,6 +31,7 @@
 }
 
 func TestOperatorCommands(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, size{entries: 2, backends: 1, workers: 2, configuration: oneAccount})
 	write := func(name, text string) string {
 		file := filepath.Join(t.TempDir(), name)
--- a/test/process/configuration_test.go
+++ b/test/process/configuration_test.go
@@ -49,6 +49,7 @@
 }
 
 func TestAcceptedConfigurationHolds(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, size{entries: 3, backends: 1, configuration: oneAccount})
 	for version := int64(1); version <= 3; version++ {
 		assert.Equal(t, race(c, version), 1, "racing operators over version %d", version)
@@ -77,6 +78,7 @@
 }
 
 func TestLostAnswerOfAnAcceptedConfiguration(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, size{entries: 2, configuration: oneAccount})
 	c.fault(c.platform, standin.PlatformFaults{LoseAnswers: 2})
 	err := c.apply(0, 1, oneAccount)
--- a/test/process/cut_test.go
+++ b/test/process/cut_test.go
@@ -27,6 +27,7 @@
 }
 
 func TestZoneWithoutThePlatformGoesOn(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, size{entries: 2, backends: 2, workers: 2, configuration: oneAccount})
 	shape := api.Shape{Tasks: 2, AcceleratorsPerTask: 8, SameRack: true}
 	// The gang outlasts several of the workers' leases: it ends only if they are
@@ -76,6 +77,7 @@
 }
 
 func TestInstanceIsReplacedByOneThatNoSettingsName(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, size{entries: 2, backends: 1, configuration: oneAccount})
 	ports, err := standin.FreePorts(2)
 	assert.NilError(t, err)
--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -137,7 +137,9 @@
 
 // cluster is one platform and its surroundings, in one availability zone.
 type cluster struct {
-	t        *testing.T
+	// t is the test or subtest that fails, owner the test whose end ends the
+	// processes.
+	t, owner *testing.T
 	platform string
 	entries  []*node
 	backends []*node
@@ -157,7 +159,7 @@
 // startCluster starts everything and waits until it is ready for work.
 func startCluster(t *testing.T, size size) *cluster {
 	t.Helper()
-	c := &cluster{t: t}
+	c := &cluster{t: t, owner: t}
 	ports, err := standin.FreePorts(1 + 2*size.entries + size.backends + size.workers)
 	assert.NilError(t, err)
 	next := func() string {
@@ -182,11 +184,19 @@
 	return c
 }
 
+// in returns the cluster for a subtest: what fails, fails the subtest.
+// Processes that it starts still end with the test that made the cluster.
+func (c *cluster) in(t *testing.T) *cluster {
+	sub := *c
+	sub.t = t
+	return &sub
+}
+
 // member starts a backend server or worker behind a relay.
 func (c *cluster) member(role string, i int, addr string, more ...string) *node {
-	n := &node{id: fmt.Sprintf("%s-%d", role, i), addr: addr, relay: newRelay(c.t, addr)}
+	n := &node{id: fmt.Sprintf("%s-%d", role, i), addr: addr, relay: newRelay(c.owner, addr)}
 	args := []string{role, "--listen", addr, "--advertise", n.relay.addr, "--id", n.id, "--zone", testZone, "--platform", c.platform}
-	n.process = start(c.t, n.id, "standin", append(args, more...)...)
+	n.process = start(c.owner, n.id, "standin", append(args, more...)...)
 	return n
 }
 
@@ -208,7 +218,7 @@
 
 // addEntry starts an entry instance whose settings name the peers.
 func (c *cluster) addEntry(self settings.Peer, peers []settings.Peer) {
-	n := &node{id: self.Instance, addr: self.Addr, peerAddr: self.PeerAddr, relay: newRelay(c.t, c.platform)}
+	n := &node{id: self.Instance, addr: self.Addr, peerAddr: self.PeerAddr, relay: newRelay(c.owner, c.platform)}
 	s := settings.Default()
 	s.Instance, s.AvailabilityZone, s.Listen, s.PeerListen, s.Platform = self.Instance, testZone, self.Addr, self.PeerAddr, n.relay.addr
 	s.Timing.PlacerLeaseMS, s.Timing.WorkerLeaseMS, s.Timing.ListPollMS = 1500, 3000, 200
@@ -216,7 +226,7 @@
 	s.Peers = peers
 	data, err := json.Marshal(s)
 	assert.NilError(c.t, err)
-	file := filepath.Join(c.t.TempDir(), "settings.json")
+	file := filepath.Join(c.owner.TempDir(), "settings.json")
 	assert.NilError(c.t, os.WriteFile(file, data, 0o600))
 	c.settings = append(c.settings, file)
 	c.entries = append(c.entries, n)
@@ -226,7 +236,7 @@
 // startEntry starts an entry instance, or starts it again after its end.
 func (c *cluster) startEntry(i int) {
 	n := c.entries[i]
-	n.process = start(c.t, n.id, "corianderbank", "serve", "--settings", c.settings[i])
+	n.process = start(c.owner, n.id, "corianderbank", "serve", "--settings", c.settings[i])
 	c.waitOK(n.addr, "/healthz")
 }
 
--- a/test/process/promises_test.go
+++ b/test/process/promises_test.go
@@ -44,6 +44,7 @@
 }
 
 func TestKeyedRequestRunsAtMostOnce(t *testing.T) {
+	t.Parallel()
 	cases := map[string]struct {
 		disturb, heal func(c *cluster)
 		missing       bool
@@ -73,34 +74,43 @@
 			func(c *cluster) { c.fault(c.backends[0].addr, standin.BackendFaults{}) }, false,
 		},
 	}
-	input := drive.Input{Items: []drive.Item{{
-		Name: "award", Count: 20, SpacingMS: 20, Deliveries: 2, Keyed: true, Expect: anyOutcome, Work: standin.WorkPayload{WorkMS: 100},
-		Request: &api.RequestSubmission{Account: "acme", Kind: "award", DeadlineMS: 3000},
-	}, {
-		Name: "check", Count: 10, SpacingMS: 40, Expect: anyOutcome, Work: standin.WorkPayload{WorkMS: 50},
-		Request: &api.RequestSubmission{Account: "acme", Kind: "check", Idempotent: true, DeadlineMS: 3000},
-	}}}
+	dimensions := size{entries: 2, backends: 2, configuration: oneAccount}
+	c := startCluster(t, dimensions)
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			c := startCluster(t, size{entries: 2, backends: 2, configuration: oneAccount})
+			c := c.in(t)
+			before := len(c.records().Executions)
+			input := requestsOf(name)
 			first := run(c, input, c.entries...)
-			c.wait("work has begun", func() bool { return len(c.records().Executions) >= 3 })
+			c.wait("work has begun", func() bool { return len(c.records().Executions) >= before+3 })
 			tc.disturb(c)
 			time.Sleep(500 * time.Millisecond) // the disturbance lasts; nothing depends on how long
 			tc.heal(c)
 			answers := first()
 			noFaults(t, drive.Check(answers, c.records(), drive.Tolerance{MissingAnswers: tc.missing}))
-			for _, entry := range c.entries {
-				c.waitOK(entry.addr, "/readyz")
-			}
+			c.settle(dimensions)
 			again := run(c, input, c.entries...)()
+			noFaults(t, drive.Check(again, c.records(), drive.Tolerance{}))
 			noFaults(t, drive.Check(append(answers, again...), c.records(), drive.Tolerance{MissingAnswers: tc.missing}))
-			noFaults(t, drive.Check(again, drive.Records{Executions: c.records().Executions}, drive.Tolerance{}))
 		})
 	}
 }
 
+// requestsOf is the work of one case: keyed requests that come to both
+// instances, and idempotent ones among them.
+func requestsOf(name string) drive.Input {
+	name = strings.ReplaceAll(name, " ", "-")
+	return drive.Input{Items: []drive.Item{{
+		Name: name + "-award", Count: 20, SpacingMS: 20, Deliveries: 2, Keyed: true, Expect: anyOutcome, Work: standin.WorkPayload{WorkMS: 100},
+		Request: &api.RequestSubmission{Account: "acme", Kind: "award", DeadlineMS: 3000},
+	}, {
+		Name: name + "-check", Count: 10, SpacingMS: 40, Expect: anyOutcome, Work: standin.WorkPayload{WorkMS: 50},
+		Request: &api.RequestSubmission{Account: "acme", Kind: "check", Idempotent: true, DeadlineMS: 3000},
+	}}}
+}
+
 func TestGangRunsWholeOrNotAtAll(t *testing.T) {
+	t.Parallel()
 	cases := map[string]struct {
 		disturb, heal func(c *cluster, placer int)
 	}{
@@ -135,30 +145,40 @@
 			},
 		},
 	}
-	shape := api.Shape{Tasks: 2, AcceleratorsPerTask: 8, SameRack: true}
-	input := drive.Input{Items: []drive.Item{{
-		Name: "suite", Count: 4, SpacingMS: 10, Keyed: true, Expect: anyOutcome, Work: standin.WorkPayload{RunMS: 400},
-		Job: &api.JobSubmission{Account: "acme", Kind: "suite", Shape: shape, Idempotent: true, DeclaredRunS: 1},
-	}, {
-		Name: "award", Count: 3, SpacingMS: 10, Keyed: true, Expect: anyOutcome, Work: standin.WorkPayload{RunMS: 400},
-		Job: &api.JobSubmission{Account: "acme", Kind: "award", Shape: shape, DeclaredRunS: 1},
-	}}}
+	dimensions := size{entries: 2, workers: 4, configuration: strings.Replace(oneAccount, `"acme"`,
+		`"acme", "guarantees": {"zone-1": [{"tasks": 2, "accelerators_per_task": 8, "same_rack": true, "count": 2}]}`, 1)}
+	c := startCluster(t, dimensions)
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			c := startCluster(t, size{entries: 2, workers: 4, configuration: strings.Replace(oneAccount, `"acme"`,
-				`"acme", "guarantees": {"zone-1": [{"tasks": 2, "accelerators_per_task": 8, "same_rack": true, "count": 2}]}`, 1)})
+			c := c.in(t)
+			c.wait("the zone has a placer", func() bool { return c.placer() >= 0 })
 			placer := c.placer()
-			assert.Assert(t, placer >= 0)
-			jobs := run(c, input, c.entries[1-placer])
-			c.wait("a gang has started", func() bool { return len(c.records().Starts) >= 2 })
+			before := len(c.records().Starts)
+			jobs := run(c, gangsOf(name), c.entries[1-placer])
+			c.wait("a gang has started", func() bool { return len(c.records().Starts) >= before+2 })
 			tc.disturb(c, placer)
 			tc.heal(c, placer)
 			answers := jobs()
 			noFaults(t, drive.Check(answers, c.records(), drive.Tolerance{StoppedParts: true}))
+			c.settle(dimensions)
 		})
 	}
 }
 
+// gangsOf is the work of one case: gangs that may be started again, and gangs
+// that may not.
+func gangsOf(name string) drive.Input {
+	name = strings.ReplaceAll(name, " ", "-")
+	shape := api.Shape{Tasks: 2, AcceleratorsPerTask: 8, SameRack: true}
+	return drive.Input{Items: []drive.Item{{
+		Name: name + "-suite", Count: 4, SpacingMS: 10, Keyed: true, Expect: anyOutcome, Work: standin.WorkPayload{RunMS: 400},
+		Job: &api.JobSubmission{Account: "acme", Kind: "suite", Shape: shape, Idempotent: true, DeclaredRunS: 1},
+	}, {
+		Name: name + "-award", Count: 3, SpacingMS: 10, Keyed: true, Expect: anyOutcome, Work: standin.WorkPayload{RunMS: 400},
+		Job: &api.JobSubmission{Account: "acme", Kind: "award", Shape: shape, DeclaredRunS: 1},
+	}}}
+}
+
 func runs(report api.WorkerReport) bool {
 	for _, reservation := range report.Reservations {
 		if reservation.State == api.TaskRunning {
@@ -169,6 +189,7 @@
 }
 
 func TestPlannedStopCutsNoRequest(t *testing.T) {
+	t.Parallel()
 	cases := map[string]func(c *cluster) []*node{
 		"one instance": func(c *cluster) []*node { return c.entries[:1] },
 		"one instance that is told twice": func(c *cluster) []*node {
@@ -200,6 +221,7 @@
 }
 
 func TestLeavingBackendServerGetsNoNewWork(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, size{entries: 2, backends: 2, configuration: oneAccount})
 	burst := drive.Input{Items: []drive.Item{{
 		Name: "check", Count: 20, SpacingMS: 5, Work: standin.WorkPayload{WorkMS: 5},
--- a/test/process/relay_test.go
+++ b/test/process/relay_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -43,8 +44,7 @@
 	defer r.mu.Unlock()
 	switch {
 	case !cut && r.listener == nil:
-		listener, err := net.Listen("tcp", r.addr)
-		assert.NilError(r.t, err)
+		listener := r.listen()
 		r.listener = listener
 		r.passing.Go(func() { r.accept(listener) })
 	case cut && r.listener != nil:
@@ -56,6 +56,20 @@
 	}
 }
 
+// listen tries again for a while: the socket of the time before may live on for
+// a moment in a child process that is being forked.
+func (r *relay) listen() net.Listener {
+	var listener net.Listener
+	var err error
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(pollInterval) {
+		if listener, err = net.Listen("tcp", r.addr); err == nil {
+			break
+		}
+	}
+	assert.NilError(r.t, err)
+	return listener
+}
+
 func (r *relay) accept(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
