--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -96,6 +97,8 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	duties   sync.WaitGroup
+	// underWay counts the calls of peers that a shutdown waits for.
+	underWay atomic.Int64
 
 	// mu guards links, sessions and closed.
 	mu       sync.Mutex
@@ -215,7 +218,7 @@
 		_ = conn.Close()
 		return
 	}
-	session, err := yamux.Server(conn, n.sessionConfig())
+	session, err := yamux.Server(newCoalescing(conn), n.sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -16,6 +18,7 @@
 	"github.com/corianderbank/corianderbank/internal/jobstore"
 	"github.com/corianderbank/corianderbank/internal/lease"
 	"github.com/corianderbank/corianderbank/internal/membership"
+	"github.com/corianderbank/corianderbank/internal/model"
 	"github.com/corianderbank/corianderbank/internal/quarantine"
 	"github.com/corianderbank/corianderbank/internal/worker"
 )
@@ -37,10 +40,13 @@
 	waitPoll = 50 * time.Millisecond
 )
 
-// Options are what a placer works with. All fields are needed.
+// Options are what a placer works with. Holder and OnEpoch may be left out.
 type Options struct {
-	Zone        string
-	Instance    string
+	Zone     string
+	Instance string
+	// Holder takes the lease. It is unique to the process, so that a process
+	// that comes back under its old name gets a new epoch. Instance by default.
+	Holder      string
 	Config      config.Source
 	Fleet       membership.View
 	Jobs        jobstore.Store
@@ -71,6 +77,8 @@
 
 	mu    sync.Mutex
 	epoch int64 // epoch while ready; read by other goroutines
+	// load holds the bits of the last round's load level.
+	load atomic.Uint64
 
 	// underWay counts the actions in the pool.
 	underWay sync.WaitGroup
@@ -82,6 +90,9 @@
 
 // New returns a placer; Run makes it work.
 func New(opts Options) *Placer {
+	if opts.Holder == "" {
+		opts.Holder = opts.Instance
+	}
 	return &Placer{
 		opts:    opts,
 		events:  make(chan event, eventCapacity),
@@ -166,6 +177,7 @@
 	p.core.config = p.opts.Config.Current()
 	p.core.setWorkers(p.opts.Fleet.Workers(p.opts.Zone), now)
 	p.core.round(now)
+	p.load.Store(math.Float64bits(p.core.load()))
 }
 
 func (p *Placer) publish() {
@@ -207,7 +219,7 @@
 		case <-p.leaving:
 			p.post(ctx, termEvent{})
 			if held.Epoch > 0 {
-				if err := p.opts.Leases.Release(ctx, held, p.opts.Instance); err != nil {
+				if err := p.opts.Leases.Release(ctx, held, p.opts.Holder); err != nil {
 					p.opts.Logger.Warn("placer lease not released; it lapses", zap.Error(err))
 				}
 			}
@@ -223,7 +235,7 @@
 func (p *Placer) renewLease(ctx context.Context, held lease.Held) lease.Held {
 	callCtx, cancel := context.WithTimeout(ctx, p.opts.PlacerLease/leasePart)
 	defer cancel()
-	fresh, err := p.opts.Leases.Acquire(callCtx, p.opts.Zone, p.opts.Instance)
+	fresh, err := p.opts.Leases.Acquire(callCtx, p.opts.Zone, p.opts.Holder)
 	switch {
 	case err == nil:
 		p.post(ctx, termEvent{epoch: fresh.Epoch, held: true, mayPlace: true, platform: true})
@@ -283,6 +295,17 @@
 	return p.call(ctx, func(r chan reply) event { return cancelCall{id, r} })
 }
 
+// CheckGuarantees returns an error of KindShapeNeverFits if the guarantees of
+// all accounts do not pack into the zone's workers.
+func (p *Placer) CheckGuarantees(ctx context.Context, accounts []model.ClientAccount) error {
+	_, err := p.call(ctx, func(r chan reply) event { return checkCall{accounts, r} })
+	return err
+}
+
+// Load returns the accelerators that are held or asked for over those that take
+// work, as of the last round; 0 while this instance is not the placer.
+func (p *Placer) Load() float64 { return math.Float64frombits(p.load.Load()) }
+
 // Status returns the zone as this placer sees it; without zones if it is not
 // the placer.
 func (p *Placer) Status(ctx context.Context) api.Status {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"os"
 	"os/signal"
@@ -52,6 +53,7 @@
 	node     *peer.Node
 	placer   *placer.Placer
 	jobs     *jobs.Router
+	claims   *claim.Store
 	executor *request.Executor
 	dispatch *request.Dispatcher
 	server   *entry.Server
@@ -80,8 +82,8 @@
 	i := &instance{
 		settings: s, logger: logger, platform: client,
 		recorder: decision.NewRecorder(logger, s.Instance, rememberedSubjects),
-		config:   config.NewManager(config.Options{Tables: client, Objects: client, Check: config.Check, Logger: logger}),
 	}
+	i.config = config.NewManager(config.Options{Tables: client, Objects: client, Check: i.checkConfig, Logger: logger})
 	incarnation := time.Now().UnixMilli()
 	i.node = peer.New(peer.Options{
 		Instance: s.Instance, Incarnation: incarnation, Listen: s.PeerListen,
@@ -107,6 +109,7 @@
 	store := jobstore.New(i.platform)
 	i.placer = placer.New(placer.Options{
 		Zone: s.AvailabilityZone, Instance: s.Instance, Config: i.config, Fleet: i.fleet, Jobs: store,
+		Holder:  fmt.Sprintf("%s/%d", s.Instance, i.fleet.Self().Incarnation),
 		Leases:  lease.New(i.platform, settings.Duration(s.Timing.PlacerLeaseMS)),
 		Workers: worker.NewHTTP(), Runs: estimate.NewHistory(), Health: quarantine.NewTracker(),
 		Recorder: i.recorder, Logger: i.logger,
@@ -121,9 +124,10 @@
 		Config: i.config, Recorder: i.recorder, Logger: i.logger, MaxRequests: s.Limits.MaxRequests,
 		Seed: uint64(incarnation),
 	})
+	i.claims = claim.New(i.platform)
 	i.executor = &request.Executor{
 		Zone: s.AvailabilityZone, Instance: s.Instance, Config: i.config, Fleet: i.fleet,
-		Claims: claim.New(i.platform), Backend: backend.NewClient(s.Limits.MaxBackendConnections, i.fleet.ObserveBackend),
+		Claims: i.claims, Backend: backend.NewClient(s.Limits.MaxBackendConnections, i.fleet.ObserveBackend),
 		Recorder: i.recorder, PlatformReachable: i.platform.Reachable,
 		Dispatcher: i.dispatch, Caller: i.node, MaxAttempts: s.Limits.MaxRequests,
 	}
@@ -147,6 +151,8 @@
 	duties.Go(func() { i.configFromPeers(ctx) })
 	duties.Go(func() { i.placer.Run(ctx) })
 	duties.Go(func() { i.dispatch.Run(ctx) })
+	duties.Go(func() { i.claims.Run(ctx) })
+	duties.Go(func() { i.shareStore(ctx) })
 	served := make(chan error, 1)
 	go func() { served <- i.server.Serve(listener) }()
 	i.logger.Info("started", zap.String("listen", i.settings.Listen), zap.String("peer_listen", i.settings.PeerListen))
@@ -160,6 +166,7 @@
 	cancel()
 	duties.Wait()
 	i.node.Close()
+	i.platform.Close()
 	i.logger.Info("stopped", zap.Error(err))
 	return err
 }
@@ -175,17 +182,16 @@
 			return nil
 		},
 		Drain: func(ctx context.Context) error {
-			return errors.Join(i.server.Shutdown(ctx), i.executor.Drain(ctx))
+			err := errors.Join(i.server.Shutdown(ctx), i.node.Drain(ctx), i.executor.Drain(ctx))
+			i.recordClaims(ctx)
+			return err
 		},
 	})
 }
 
 func (i *instance) ready() error {
-	switch i.life.State() {
-	case lifecycle.Draining, lifecycle.Stopped:
-		return api.NewError(api.KindStopping, "instance %s is shutting down", i.settings.Instance)
-	case lifecycle.Ready:
-		return nil
+	if refusal := i.life.Refusal(); !api.IsKind(refusal, api.KindNotReady) {
+		return refusal
 	}
 	if i.config.Current() == nil {
 		return api.NewError(api.KindNotReady, "instance %s has no configuration yet", i.settings.Instance)
