Demo with six workers a zone, so that its guarantees pack

Configurations whose guarantees do not pack are refused now, and the example's left four accelerators to nobody on four workers.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -142,7 +142,11 @@
 	for _, problem := range body.Problems {
 		_, _ = fmt.Fprintln(w, strictjson.Format(problem))
 	}
-	_, _ = fmt.Fprintf(w, "%s: %s\n", body.Kind, body.Message)
+	message := body.Message
+	if count := len(body.Problems); count > 0 {
+		message = fmt.Sprintf("%d problems", count)
+	}
+	_, _ = fmt.Fprintf(w, "%s: %s\n", body.Kind, message)
 	if body.Version > 0 {
 		_, _ = fmt.Fprintf(w, "version in force: %d\n", body.Version)
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Starts a platform, and in each of two availability zones two entry instances,
-# two backend servers and four workers, all as separate processes on loopback;
+# two backend servers and six workers, all as separate processes on loopback;
 # loads accounts and rules; sends examples/demo.json; checks the answers; stops
 # everything. Exits non-zero on any fault. Needs bin/ from "make build".
 set -euo pipefail
@@ -11,7 +11,7 @@
 zones=(zone-1 zone-2)
 entries_per_zone=2
 backends_per_zone=2
-workers_per_zone=4
+workers_per_zone=6
 workers_per_rack=2
 accelerators_per_worker=8
 
