--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/corianderbank/corianderbank/api"
 	"github.com/corianderbank/corianderbank/internal/chart"
 )
 
@@ -41,7 +42,7 @@
 	StopWithin time.Duration
 	// Linger is how long the instance, not ready any more, still answers new
 	// calls before it drains, so that the platform's balancer can notice. It
-	// refuses them as not run.
+	// refuses them as not run. Zero takes DefaultLinger, a negative one none.
 	Linger time.Duration
 	// Announce tells the peers that this instance leaves.
 	Announce Step
@@ -67,6 +68,9 @@
 	result error
 }
 
+// DefaultLinger covers a balancer that looks once a second.
+const DefaultLinger = 2 * time.Second
+
 const (
 	// announceShare and handOverShare bound the first two steps to a part of
 	// the whole, because the peers or the store may not answer and the requests
@@ -81,6 +85,9 @@
 // New returns a life in its initial state.
 func New(options Options) *Life {
 	machine := chart.MustLoad("instance")
+	if options.Linger == 0 {
+		options.Linger = DefaultLinger
+	}
 	logger := options.Logger
 	if logger == nil {
 		logger = zap.NewNop()
@@ -105,6 +112,19 @@
 // Ready reports whether the instance takes callers' requests.
 func (l *Life) Ready() bool { return l.State() == Ready }
 
+// Refusal returns why callers' work is not taken in the present state: KindStopping
+// during a shutdown, KindNotReady before the configuration, else nil.
+func (l *Life) Refusal() error {
+	switch l.State() {
+	case Ready:
+		return nil
+	case Starting:
+		return api.NewError(api.KindNotReady, "this instance has no configuration yet")
+	default:
+		return api.NewError(api.KindStopping, "this instance is shutting down")
+	}
+}
+
 // Stopping is closed when a shutdown begins.
 func (l *Life) Stopping() <-chan struct{} { return l.stopping }
 
--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -3,14 +3,17 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/corianderbank/corianderbank/api"
 	peerpb "github.com/corianderbank/corianderbank/api/peer"
+	"github.com/corianderbank/corianderbank/internal/backoff"
 	"github.com/corianderbank/corianderbank/internal/model"
 	"github.com/corianderbank/corianderbank/internal/peer"
 	"github.com/corianderbank/corianderbank/internal/platform"
@@ -37,12 +40,14 @@
 	Lister platform.InstanceLister
 	// Caller reaches peers; nil for none.
 	Caller peer.Caller
+	// Prober asks backend servers of this zone for their health; nil for none.
+	Prober Prober
 	// Local returns the present figures for state messages; nil for none. It
 	// is called from several goroutines.
 	Local  func() Local
 	Logger *zap.Logger
-	// PeerInterval is the time between state messages to a peer of the same
-	// availability zone; ListInterval that between reads of the list.
+	// PeerInterval is the shortest time between exchanges with a peer of the
+	// same availability zone; ListInterval is that between reads of the list.
 	PeerInterval time.Duration
 	ListInterval time.Duration
 	// Thresholds may be left zero for the defaults.
@@ -55,8 +60,6 @@
 	options Options
 	logger  *zap.Logger
 	gossip  *gossip
-	// listFailed is used by the list duty alone.
-	listFailed bool
 
 	// mu guards state and self.
 	mu    sync.Mutex
@@ -77,9 +80,10 @@
 	f := &Fleet{
 		options: options,
 		logger:  options.Logger.Named("membership"),
-		state:   newState(options.Self.ID, options.Thresholds),
+		state:   newState(options.Self, options.PeerInterval, options.Thresholds),
 		self:    options.Self,
 	}
+	f.state.probing = options.Prober != nil
 	now := time.Now()
 	for _, seed := range options.Seeds {
 		f.state.seeded(model.Instance{
@@ -90,48 +94,57 @@
 	return f
 }
 
-// Run polls the instance list, talks to peers and judges silence until ctx ends.
+// Run polls the instance list, talks to peers, asks backend servers and judges
+// silence until ctx ends.
 func (f *Fleet) Run(ctx context.Context) {
 	var duties sync.WaitGroup
-	for _, duty := range []func(context.Context){f.pollList, f.gossip.run, f.judge} {
+	for _, duty := range []func(context.Context){f.pollList, f.gossip.run, f.judge, f.probe} {
 		duties.Go(func() { duty(ctx) })
 	}
 	duties.Wait()
 }
 
-// pollList reads the instance list at its interval.
+// pollList reads the instance list at its interval, and less often while it
+// cannot be read.
 func (f *Fleet) pollList(ctx context.Context) {
 	if f.options.Lister == nil {
 		return
 	}
-	ticker := time.NewTicker(f.options.ListInterval)
-	defer ticker.Stop()
-	for {
-		f.readList(ctx)
+	failing := backoff.Backoff{Base: 2 * f.options.ListInterval, Max: listBackoffFactor * f.options.ListInterval}
+	for ctx.Err() == nil {
+		wait := backoff.Spread(f.options.ListInterval, rand.Float64())
+		if err := f.readList(ctx); err == nil {
+			failing.Succeeded()
+		} else {
+			wait = failing.Failed(rand.Float64())
+			f.logger.Warn("instance list unavailable", zap.Int("failures", failing.Failures()), zap.Error(err))
+		}
 		select {
-		case <-ticker.C:
+		case <-time.After(wait):
 		case <-ctx.Done():
-			return
 		}
 	}
 }
 
+// listBackoffFactor bounds the wait between reads during an outage, in
+// intervals: the list is back in force soon after the platform is.
+const listBackoffFactor = 5
+
 // readList reads the list once. A failure leaves everything as it is.
-func (f *Fleet) readList(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, f.options.ListInterval)
+func (f *Fleet) readList(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	list, err := f.options.Lister.List(ctx)
 	if err != nil {
-		if !f.listFailed {
-			f.logger.Warn("instance list unavailable", zap.Error(err))
-		}
-		f.listFailed = true
-		return
+		return err
 	}
-	f.listFailed = false
 	f.ObserveList(list)
+	return nil
 }
 
+// listTimeout bounds one read; a slow list is better than none.
+const listTimeout = 3 * time.Second
+
 // judge judges silence once in a while.
 func (f *Fleet) judge(ctx context.Context) {
 	ticker := time.NewTicker(f.options.PeerInterval)
@@ -183,10 +196,40 @@
 	}
 }
 
-// SetLeaving says that this instance starts to leave; peers are told at once.
+// Announce tells every peer of this instance's present state at once, for
+// example after a change of the configuration or of the placer role.
+func (f *Fleet) Announce() { f.gossip.urge() }
+
+// AnnounceLeaving says that this instance leaves, and waits until every live
+// peer was told or ctx ends. The error then counts those that were not reached.
+func (f *Fleet) AnnounceLeaving(ctx context.Context) error {
+	f.SetLeaving()
+	if f.options.Caller == nil {
+		return nil
+	}
+	peers := f.Instances()
+	var told sync.WaitGroup
+	var missed atomic.Int64
+	for _, target := range peers {
+		told.Go(func() {
+			if f.gossip.talk(ctx, target) != nil {
+				missed.Add(1)
+			}
+		})
+	}
+	told.Wait()
+	if missed.Load() > 0 {
+		return api.NewError(api.KindNotReady, "%d of %d peers were not told", missed.Load(), len(peers))
+	}
+	return nil
+}
+
+// SetLeaving says that this instance starts to leave; the gossip duty tells
+// the peers at once.
 func (f *Fleet) SetLeaving() {
 	f.mu.Lock()
 	f.self.Leaving = true
+	f.state.leaving = true
 	f.mu.Unlock()
 	f.gossip.urge()
 }
@@ -231,11 +274,12 @@
 	return f.state.liveInstances(time.Now())
 }
 
-// BackendServers implements View. Those that are gone are left out.
+// BackendServers implements View. Those that are gone, or have
+// not answered a first probe yet, are left out.
 func (f *Fleet) BackendServers(zone string) []model.BackendServer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.backendServers(zone)
+	return f.state.backendServers(zone, time.Now())
 }
 
 // Workers implements View.
@@ -249,15 +293,40 @@
 func (f *Fleet) PeerStates() map[string]HeardState {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now, every := time.Now(), f.state.intervals()
 	heard := make(map[string]HeardState, len(f.state.instances))
 	for id, entry := range f.state.instances {
 		if entry.heard.State != nil {
-			heard[id] = entry.heard
+			latest := entry.heard
+			latest.Fresh = f.state.heardLately(entry, every, now)
+			heard[id] = latest
 		}
 	}
 	return heard
 }
 
+// Reach returns how many instances of this zone and of the others were heard of
+// lately, and the highest placer epoch heard of in this zone.
+func (f *Fleet) Reach() (zonePeers, otherPeers int, epoch int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, every := time.Now(), f.state.intervals()
+	for _, entry := range f.state.instances {
+		sameZone := entry.Zone == f.self.Zone
+		if sameZone {
+			epoch = max(epoch, entry.heard.State.GetEpoch())
+		}
+		switch {
+		case !f.state.heardLately(entry, every, now):
+		case sameZone:
+			zonePeers++
+		default:
+			otherPeers++
+		}
+	}
+	return zonePeers, otherPeers, epoch
+}
+
 // Resolve returns the peer address of an instance, for peer.Options.
 func (f *Fleet) Resolve(instance string) (string, bool) {
 	f.mu.Lock()
@@ -269,18 +338,22 @@
 	return entry.PeerAddr, true
 }
 
-// targets returns every known peer, those of this zone first.
-func (f *Fleet) targets() []model.Instance {
+// peersAndIntervals returns every known peer, those of this zone first, the
+// configuration versions heard of them, and the times between exchanges.
+func (f *Fleet) peersAndIntervals() ([]model.Instance, map[string]int64, intervals) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	peers := make([]model.Instance, 0, len(f.state.instances))
+	versions := make(map[string]int64, len(f.state.instances))
 	for _, id := range sortedKeys(f.state.instances) {
-		peers = append(peers, f.state.instances[id].Instance)
+		entry := f.state.instances[id]
+		peers = append(peers, entry.Instance)
+		versions[id] = entry.heard.State.GetConfigVersion()
 	}
 	slices.SortStableFunc(peers, func(a, b model.Instance) int {
 		return cmp.Compare(zoneRank(a, f.self), zoneRank(b, f.self))
 	})
-	return peers
+	return peers, versions, f.state.intervals()
 }
 
 func zoneRank(instance, self model.Instance) int {
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -11,9 +11,9 @@
 // This file answers one account with most of the load, long work among short,
 // and saturation. Without it the largest submitter starves the others, and a
 // short job waits for hours behind long ones. Accounts are served by falling
-// distance to their guarantee; inside one, priority goes first, then the
-// earliest deadline. A job without a deadline gets one in proportion to its run
-// time, which bounds the stretch of short jobs (Bender, Chakrabarti and
+// distance to their guarantee; inside one, priority goes first, then the latest
+// start that still meets the deadline. A job without a deadline gets one in
+// proportion to its run time, which bounds the stretch of short jobs (Bender, Chakrabarti and
 // Muthukrishnan, SODA 1998).
 const (
 	// stretch is the multiple of its run time that a job may take without
@@ -29,8 +29,9 @@
 	account  int
 	run      time.Duration
 	priority int
-	due      time.Time
-	done     bool
+	// due is the latest time to start.
+	due  time.Time
+	done bool
 }
 
 // queue holds the waiting jobs by account, each list in order.
@@ -38,22 +39,25 @@
 	lists [][]*entry
 	// share is what an account's use is measured against.
 	share []int
+	// inOrder serves the accounts in their order, whatever they use.
+	inOrder bool
 }
 
 // newQueue sorts the waiting jobs. Jobs of unknown accounts are left out.
-func newQueue(s *Snapshot, accounts map[string]int) *queue {
-	q := &queue{lists: make([][]*entry, len(s.Accounts)), share: make([]int, len(s.Accounts))}
+func newQueue(d *decider) *queue {
+	s := d.s
+	q := &queue{lists: make([][]*entry, len(s.Accounts)), share: make([]int, len(s.Accounts)), inOrder: d.off.FairOrder}
 	for i := range s.Accounts {
 		q.share[i] = max(1, s.Accounts[i].GuaranteedAccelerators(s.Zone), s.Accounts[i].Weight)
 	}
 	entries := make([]entry, 0, len(s.Waiting))
 	for i := range s.Waiting {
 		job := &s.Waiting[i]
-		account, known := accounts[job.Account]
+		account, known := d.accounts[job.Account]
 		if !known {
 			continue
 		}
-		entries = append(entries, newEntry(s, job, account))
+		entries = append(entries, newEntry(d, job, account))
 		q.lists[account] = append(q.lists[account], &entries[len(entries)-1])
 	}
 	for _, list := range q.lists {
@@ -62,11 +66,15 @@
 	return q
 }
 
-func newEntry(s *Snapshot, job *model.Job, account int) entry {
+func newEntry(d *decider, job *model.Job, account int) entry {
+	s := d.s
 	run := remaining(s, job)
-	due := job.SubmittedAt.Add(stretch * run)
-	if !job.Deadline.IsZero() && job.Deadline.Before(due) {
-		due = job.Deadline
+	due := job.SubmittedAt.Add((stretch - 1) * run)
+	if d.off.DueTimes {
+		due = job.SubmittedAt
+	}
+	if latest := job.Deadline.Add(-run); !job.Deadline.IsZero() && latest.Before(due) {
+		due = latest
 	}
 	aged := int(max(0, s.Now.Sub(job.SubmittedAt)) / agingStep)
 	return entry{job: job, account: account, run: run, priority: job.Priority + aged, due: due}
@@ -117,7 +125,7 @@
 		if next[i] == len(list) {
 			continue
 		}
-		if best < 0 || use[i]*q.share[best] < use[best]*q.share[i] {
+		if best < 0 || (!q.inOrder && use[i]*q.share[best] < use[best]*q.share[i]) {
 			best = i
 		}
 	}
