--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -222,8 +222,8 @@
 	return nil
 }
 
-// Restore queues a request that had been let in before: one whose claim is now
-// held, or one that is to be retried. Queue limits do not apply again.
+// Restore queues a request that had been let in before and is to be tried again.
+// Queue limits do not apply again.
 func (q *Queue) Restore(request Request) { q.push(request) }
 
 func (q *Queue) push(request Request) {
--- a/internal/measure/requestload/path.go
+++ b/internal/measure/requestload/path.go
@@ -109,10 +109,6 @@
 	case known:
 		w.offer(e, r)
 	default:
-		if refusal := e.queue.Check(w.admitted(r), w.time()); refusal != nil {
-			w.answer(r, outcomeNotRun)
-			return
-		}
 		w.keys[r.key] = &keyed{}
 		w.after(claimTime, func() { w.offer(e, r) })
 	}
--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -38,7 +38,7 @@
 // idempotent is sent again only if no backend server can have run it.
 func (x *Executor) dispatch(ctx context.Context, j *job) (api.RequestAnswer, error) {
 	var tried []string
-	again := j.state() == stateClaimed
+	again := false
 	// mayRun is the error of an attempt that may have run; after it the request
 	// can no longer end as not run.
 	mayRun := j.mayRun
--- a/internal/request/claimed.go
+++ b/internal/request/claimed.go
@@ -24,24 +24,22 @@
 		select {
 		case <-flight.landed:
 			if answer, ok := flight.shared(); ok {
+				j.steps(eventQueue, eventClaim, eventReplay)
 				countReplay(j.submission.Account)
 				return answer, nil
 			}
 		case <-ctx.Done():
+			j.steps(eventQueue, eventClaim, eventLose)
 			return j.answer, api.NewError(api.KindResultUnknown, "an earlier arrival of the key has not ended")
 		}
 	}
 }
 
 // claimAndRun takes the claim, without holding a slot meanwhile, and dispatches
-// if it is held. A request that admission would refuse costs no claim.
+// if it is held. The claim comes before admission: a key that has its answer gets
+// it under any load, and is never refused as not run.
 func (x *Executor) claimAndRun(ctx context.Context, j *job, digest string) (api.RequestAnswer, error) {
-	if refusal := x.Dispatcher.check(j.admitted); refusal != nil {
-		j.step(eventRefuse)
-		return j.answer, x.refused(j, refusal)
-	}
-	j.step(eventQueue)
-	j.step(eventClaim)
+	j.steps(eventQueue, eventClaim)
 	held, recorded, err := x.Claims.Claim(ctx, claim.Request{
 		Account: j.submission.Account, Key: j.submission.IdempotencyKey, RequestID: j.answer.ID,
 		BodyDigest: digest, Holder: x.Instance,
--- a/internal/request/dispatcher.go
+++ b/internal/request/dispatcher.go
@@ -107,9 +107,7 @@
 	tried []string
 	// again says that the request had been let in before.
 	again bool
-	// checkOnly asks whether the request would be let in.
-	checkOnly bool
-	reply     chan turn
+	reply chan turn
 }
 
 // turn answers a submission: the choice of a backend server, or a refusal.
@@ -177,10 +175,6 @@
 }
 
 func (d *Dispatcher) submit(asked submission, now time.Time) {
-	if asked.checkOnly {
-		asked.reply <- turn{refusal: d.queue.Check(asked.request, now)}
-		return
-	}
 	if asked.again {
 		d.queue.Restore(asked.request)
 	} else if refusal := d.queue.Offer(asked.request, now); refusal != nil {
--- a/internal/request/progress.go
+++ b/internal/request/progress.go
@@ -18,8 +18,6 @@
 	eventLose     chart.Event = "lose"
 )
 
-const stateClaimed chart.State = "claimed"
-
 var requestChart = chart.MustLoad("request")
 
 // progress is where a request is in its chart.
@@ -27,8 +25,6 @@
 
 func newProgress() progress { return progress{at: requestChart.Initial} }
 
-func (p *progress) state() chart.State { return p.at }
-
 // step moves along the chart. An undeclared transition is counted; the chart's
 // own test rules it out for declared events.
 func (p *progress) step(event chart.Event) {
@@ -40,6 +36,12 @@
 	p.at = next
 }
 
+func (p *progress) steps(events ...chart.Event) {
+	for _, event := range events {
+		p.step(event)
+	}
+}
+
 // endEvent is the event that ends a request with err.
 func endEvent(err error) chart.Event {
 	switch {
--- a/internal/request/turns.go
+++ b/internal/request/turns.go
@@ -10,15 +10,6 @@
 	"github.com/corianderbank/corianderbank/internal/routing"
 )
 
-// check says whether the request would be let in now.
-func (d *Dispatcher) check(request admission.Request) *admission.Refusal {
-	reply := make(chan turn, 1)
-	if !d.submissions.Offer(submission{request: request, checkOnly: true, reply: reply}) {
-		return overfull(request)
-	}
-	return d.await(request, reply).refusal
-}
-
 // acquire waits for a turn. When ctx ends first, the request is withdrawn; it
 // was then not dispatched.
 func (d *Dispatcher) acquire(ctx context.Context, asked submission) turn {
