--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -172,6 +172,7 @@
 	}
 	c.decide(now, e, "gang", string(next), reason, "")
 	e.state = next
+	showTransition(e, next, now)
 	c.changed[e.record.ID] = true
 	if c.chart.Final(next) {
 		c.end(e, reason, now)
@@ -193,6 +194,7 @@
 	e.record.State = string(e.state)
 	e.record.Message = reason
 	e.record.Outcome, e.record.ErrorKind = finalOutcome(e)
+	showOutcome(e.record.Outcome, e.record.ErrorKind)
 	e.dirty = true
 	c.health.JobEnded(e.record.ID)
 	c.ended = append(c.ended, e.record.ID)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -182,6 +182,7 @@
 	p.core.config = p.opts.Config.Current()
 	p.core.setWorkers(p.opts.Fleet.Workers(p.opts.Zone), now)
 	p.core.round(now)
+	p.core.showRound(time.Since(now))
 	p.load.Store(math.Float64bits(p.core.load()))
 }
 
--- a/internal/placer/round.go
+++ b/internal/placer/round.go
@@ -105,6 +105,7 @@
 		return
 	}
 	plan := placement.Decide(c.snapshot(now))
+	showPlan(plan)
 	for _, d := range plan.Decisions {
 		if e, ok := c.jobs[d.Subject]; ok && d.Rule == "" {
 			d.Rule = e.record.Rule
