--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # make demo: builds, starts everything as separate processes, sends work, stops.
 # make test: everything CI runs.
-.PHONY: demo test build fmt generate measure soak bench
+.PHONY: demo up test build fmt generate measure soak bench
 
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
@@ -12,6 +12,10 @@
 demo: build
 	bash scripts/demo.sh
 
+# Starts the same processes and keeps them running until interrupted.
+up: build
+	bash scripts/demo.sh stay
+
 test:
 	bash .ci/run
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -2,7 +2,8 @@
 # Starts a platform, and in each of two availability zones two entry instances,
 # two backend servers and six workers, all as separate processes on loopback;
 # loads accounts and rules; sends examples/demo.json; checks the answers; stops
-# everything. Exits non-zero on any fault. Needs bin/ from "make build".
+# everything. Exits non-zero on any fault. Needs bin/ from "make build". With the
+# argument "stay" it sends nothing and keeps everything running until interrupted.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -123,6 +124,13 @@
 bin/standin wait --path /readyz "${addresses[@]}"
 bin/standin settle --limit 20s --accelerators $((${#zones[@]} * workers_per_zone * accelerators_per_worker)) "${flags[@]}"
 
+if [ "${1:-}" = stay ]; then
+  echo "entry instances: ${addresses[*]}"
+  echo "export CORIANDERBANK_ADDR=${addresses[0]}"
+  echo "running until interrupted"
+  wait
+fi
+
 echo "sending $work"
 bin/standin drive --input "$work" --limit 45s "${flags[@]}"
 echo
