A request that its zone refuses goes to a zone with room; larger reserve for run times

Cause: a zone that sheds keeps a short queue, so its load level did not show what it refused, and spilling stayed low while callers were refused. Change: routing.Rescue; a refused arrival without a claim is passed on once. The reserve for the run time may take two thirds of a request's time, not half.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -180,20 +180,21 @@
 		return nil
 	}
 	latest := q.latestStart(request)
-	if most := q.longestWait(acct, request, now); !now.Add(most).After(latest) && (request.MaxWait == 0 || most <= request.MaxWait) {
+	allowed := latest.Sub(now)
+	if request.MaxWait > 0 {
+		allowed = min(allowed, request.MaxWait)
+	}
+	wait := q.expectedWait(acct, request, allowed, now)
+	if wait <= allowed {
 		return nil
 	}
-	wait := q.expectedWait(acct, request, now)
 	if now.Add(wait).After(latest) {
 		return q.refuse(acct, request, api.KindDeadlineUnreachable,
-			fmt.Sprintf("expected wait %v and run time up to %v exceed the %v to the deadline", wait.Round(time.Millisecond),
+			fmt.Sprintf("a wait of %v or more and a run time up to %v exceed the %v to the deadline", wait.Round(time.Millisecond),
 				request.Deadline.Sub(latest).Round(time.Millisecond), request.Deadline.Sub(now).Round(time.Millisecond)))
 	}
-	if request.MaxWait > 0 && wait > request.MaxWait {
-		return q.refuse(acct, request, api.KindQueueTimeout,
-			fmt.Sprintf("expected wait %v exceeds the rule's %v", wait.Round(time.Millisecond), request.MaxWait))
-	}
-	return nil
+	return q.refuse(acct, request, api.KindQueueTimeout,
+		fmt.Sprintf("a wait of %v or more exceeds the rule's %v", wait.Round(time.Millisecond), request.MaxWait))
 }
 
 // full applies the queue limits.
@@ -258,11 +259,11 @@
 }
 
 // latestStart is when the request must have its turn to be answered in time, by
-// a high quantile of its kind's run time. The reserve takes at most half of the
+// a high quantile of its kind's run time. The reserve takes at most two thirds of the
 // time that the request came with, unless the mean itself is longer: a kind with
 // a few very long runs is not refused by an idle system.
 func (q *Queue) latestStart(request Request) time.Time {
-	reserve := min(q.times.High(request.Account, request.Kind), request.Deadline.Sub(request.Arrived)/2)
+	reserve := min(q.times.High(request.Account, request.Kind), request.Deadline.Sub(request.Arrived)*2/3)
 	return request.Deadline.Add(-max(reserve, q.times.Mean(request.Account, request.Kind)))
 }
 
@@ -376,24 +377,29 @@
 
 // expectedWait estimates the wait of a request that joins now: the expected
 // service ahead of it in its account, over what the account's share of the slots
-// leaves besides the requests that come later and go ahead.
-func (q *Queue) expectedWait(acct *account, request Request, now time.Time) time.Duration {
+// leaves besides the requests that come later and go ahead. It looks no further
+// once the answer is clear: the result is then a bound on the same side of
+// allowed.
+func (q *Queue) expectedWait(acct *account, request Request, allowed time.Duration, now time.Time) time.Duration {
 	if len(q.running) < q.capacity && len(q.entries) == 0 && !acct.atLimit() {
 		return 0
 	}
+	left := q.slotsLeft(acct, request, now)
+	if most := seconds(acct.backlog / left); most <= allowed {
+		return most
+	}
+	enough := allowed.Seconds() * left
 	probe := &entry{request: request, account: acct, sequence: q.sequence + 1}
 	ahead := 0.0
 	for _, item := range acct.waiting.items {
 		if acct.waiting.less(item, probe) {
 			ahead += item.cost
 		}
+		if ahead > enough {
+			break
+		}
 	}
-	return seconds(ahead / q.slotsLeft(acct, request, now))
-}
-
-// longestWait bounds expectedWait without a look at each waiting request.
-func (q *Queue) longestWait(acct *account, request Request, now time.Time) time.Duration {
-	return seconds(acct.backlog / q.slotsLeft(acct, request, now))
+	return seconds(ahead / left)
 }
 
 // slotsLeft is what the account's share of the slots leaves besides the requests
--- a/internal/measure/requestload/path.go
+++ b/internal/measure/requestload/path.go
@@ -119,6 +119,10 @@
 		return
 	}
 	if refusal := e.queue.Offer(w.admitted(r), w.time()); refusal != nil {
+		if to := w.rescue(r); to != "" {
+			w.forward(r, to)
+			return
+		}
 		w.refuse(e, r)
 		return
 	}
@@ -126,6 +130,14 @@
 	w.serve(e)
 }
 
+// rescue returns the zone that takes a request which is refused here.
+func (w *world) rescue(r *request) string {
+	if w.policy.noSpill || r.forwarded {
+		return ""
+	}
+	return routing.Rescue(w.otherLoads(r.home.zone))
+}
+
 // refuse answers not run, or unknown if an earlier attempt ran. Other arrivals of the key may try in its place.
 func (w *world) refuse(e *entry, r *request) {
 	if r.ran {
--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -45,7 +45,7 @@
 	for {
 		got := x.Dispatcher.acquire(ctx, submission{request: j.admitted, tried: tried, again: again})
 		if got.refusal != nil {
-			return j.answer, x.turnedAway(j, got.refusal, mayRun)
+			return x.turnedAway(ctx, j, got.refusal, mayRun)
 		}
 		j.step(eventDispatch)
 		j.answer.Attempts++
@@ -81,13 +81,23 @@
 	}
 }
 
-// turnedAway ends a request that gets no turn. If an earlier attempt may have
-// run, the refusal would not be true.
-func (x *Executor) turnedAway(j *job, refusal *admission.Refusal, mayRun error) error {
-	err := x.refused(j, refusal)
-	return x.ended(j, err, mayRun)
+// turnedAway ends a request that gets no turn here: in another zone if one has
+// room and no claim is held here, else with a refusal. If an earlier attempt may
+// have run, the refusal would not be true.
+func (x *Executor) turnedAway(ctx context.Context, j *job, refusal *admission.Refusal, mayRun error) (api.RequestAnswer, error) {
+	if mayRun == nil && !j.keyed() && refusal.Kind != api.KindStopping {
+		if answer, done := x.spill(ctx, j, true); done {
+			j.steps(eventDispatch, eventAnswer)
+			return answer, nil
+		}
+		mayRun = j.mayRun
+	}
+	return j.answer, x.ended(j, x.refused(j, refusal), mayRun)
 }
 
+// keyed says that the request needs the claim of its idempotency key.
+func (j *job) keyed() bool { return !j.submission.Idempotent && j.submission.IdempotencyKey != "" }
+
 func (x *Executor) ended(j *job, err, mayRun error) error {
 	if mayRun != nil && !mayHaveRun(err) {
 		err = mayRun
--- a/internal/request/executor.go
+++ b/internal/request/executor.go
@@ -68,7 +68,8 @@
 	verdict    rules.Verdict
 	// admitted is what admission knows of it.
 	admitted admission.Request
-	// forwarded says that another availability zone passed it on.
+	// forwarded says that it was passed on between availability zones; it is
+	// not passed on again.
 	forwarded bool
 	answer    api.RequestAnswer
 	// mayRun is the error of an attempt in another zone that may have run.
@@ -160,10 +161,10 @@
 		x.decide(j, "admit", "refuse", err.Error(), "")
 		return j.answer, api.WithRetryAfter(err, time.Duration(verdict.RetryAfterS*float64(time.Second)))
 	}
-	if spilled, done := x.spill(ctx, j); done {
+	if spilled, done := x.spill(ctx, j, false); done {
 		return spilled, nil
 	}
-	if submission.Idempotent || submission.IdempotencyKey == "" {
+	if !j.keyed() {
 		j.step(eventQueue)
 		return x.dispatch(ctx, j)
 	}
--- a/internal/request/spill.go
+++ b/internal/request/spill.go
@@ -57,11 +57,20 @@
 // target is an instance of another zone that takes a request.
 type target struct{ zone, instance string }
 
-// spillQuestion asks whether the next request goes to another zone.
-type spillQuestion struct{ reply chan target }
+// spillQuestion asks whether the next request goes to another zone; rescue is set
+// for a request that would be refused here.
+type spillQuestion struct {
+	rescue bool
+	reply  chan target
+}
 
 func (q spillQuestion) apply(d *Dispatcher, _ time.Time) {
-	zone := d.spill.Next()
+	zone := ""
+	if q.rescue {
+		zone = routing.Rescue(d.zoneLoads())
+	} else {
+		zone = d.spill.Next()
+	}
 	best, least := "", int64(0)
 	for id, heard := range d.options.Fleet.PeerStates() {
 		state := heard.State
@@ -76,8 +85,8 @@
 	q.reply <- target{zone: zone, instance: best}
 }
 
-func (d *Dispatcher) spillTarget() target {
-	question := spillQuestion{reply: make(chan target, 1)}
+func (d *Dispatcher) spillTarget(rescue bool) target {
+	question := spillQuestion{rescue: rescue, reply: make(chan target, 1)}
 	d.report(question)
 	select {
 	case answer := <-question.reply:
@@ -90,14 +99,15 @@
 // spill runs the request in another availability zone if the load here asks for
 // it. It reports false if the request is to be run here: it stays here, did not
 // reach the other zone, or did not run there.
-func (x *Executor) spill(ctx context.Context, j *job) (api.RequestAnswer, bool) {
+func (x *Executor) spill(ctx context.Context, j *job, rescue bool) (api.RequestAnswer, bool) {
 	if j.forwarded || !j.verdict.Spill || x.Caller == nil {
 		return api.RequestAnswer{}, false
 	}
-	to := x.Dispatcher.spillTarget()
+	to := x.Dispatcher.spillTarget(rescue)
 	if to.instance == "" {
 		return api.RequestAnswer{}, false
 	}
+	j.forwarded = true
 	x.decide(j, "spill", to.zone+"/"+to.instance, "this zone has more load than it carries", x.Zone)
 	countSpill(to.zone)
 	answer, err := x.forward(ctx, j, to.instance)
--- a/internal/routing/spill.go
+++ b/internal/routing/spill.go
@@ -98,6 +98,17 @@
 	return s.zone
 }
 
+// Rescue returns the zone that takes a request which would be refused here;
+// empty if none has room. A zone that sheds has a short queue, so that its load
+// level alone does not show what it refuses.
+func Rescue(remotes []ZoneLoad) string {
+	best, found := least(remotes)
+	if !found || best.Load >= remoteOnLoad {
+		return ""
+	}
+	return best.Zone
+}
+
 // Active returns the zone and the part of the requests that goes there.
 func (s *Spill) Active() (zone string, share float64) { return s.zone, s.share }
 
