--- a/internal/placement/claim.go
+++ b/internal/placement/claim.go
@@ -31,15 +31,39 @@
 // borrowers that stand in its way. A job that the guarantee does not cover is
 // left for placeBeyondGuarantee.
 func (d *decider) claimGuarantee(e *entry) {
-	attempt := failure{account: e.account, shape: e.job.Shape, claims: true}
+	attempt := failure{
+		account: e.account, shape: e.job.Shape, claims: true, urgent: e.job.Urgent,
+		stoppable: e.job.Stoppable() && e.job.MayBorrow,
+	}
 	if d.failed[attempt] || d.yields(e) || !d.entitled(e.account, e.job) || d.overLimit(e) {
 		return
 	}
-	if !d.claimFree(e) && !d.borrowInstead(e) && (d.off.Reclaim || !d.claimHeld(e)) {
+	if !d.claimFree(e) && !d.borrowInstead(e) && (d.off.Reclaim || !d.mayReclaim(e) || !d.claimHeld(e)) {
 		d.failed[attempt] = true
 	}
 }
 
+// entitled reports whether the job stays within its account's guarantee by
+// the count of accelerators. Gangs outside the account's shapes do not count.
+func (d *decider) entitled(account int, job *model.Job) bool {
+	inside := d.fixedUse[account] - d.packed.outside[account]
+	return inside+job.Shape.Accelerators() <= d.guaranteed[account]
+}
+
+// mayReclaim reports whether others are stopped for a claim. An account that
+// already uses its guarantee, as a borrower elsewhere, has others stopped only
+// for urgent jobs and whole shapes: small jobs would stop large gangs for
+// nothing but a change of place.
+func (d *decider) mayReclaim(e *entry) bool {
+	size := e.job.Shape.Accelerators()
+	if e.job.Urgent || d.use[e.account]+size <= d.guaranteed[e.account] {
+		return true
+	}
+	return slices.ContainsFunc(d.s.Accounts[e.account].Guarantees[d.s.Zone], func(g model.GuaranteedShape) bool {
+		return size >= g.Accelerators()
+	})
+}
+
 // claimHeld stops others for a claim: borrowers, and for urgent jobs the gangs
 // of their own account that are not urgent, where these lie scattered over the
 // account's shapes.
@@ -55,43 +79,64 @@
 	return d.claimRegion(e)
 }
 
+// claimFree places a job on free accelerators: first those of shapes that its
+// account uses in part already, so that whole shapes stay whole, then those of
+// its other shapes, then any others around which everything packs again.
+func (d *decider) claimFree(e *entry) bool {
+	available := d.available(e)
+	begun, cells := d.packed.begun[e.account], d.packed.cells[e.account]
+	if d.claimOn(e, minimum(available, begun)) || d.borrowUsedWorkers(e, available) {
+		return true
+	}
+	return d.claimOn(e, minimum(available, cells)) || d.claimOn(e, available) || d.claimOn(e, d.free)
+}
+
+// claimOn places a job inside its guarantee on the given accelerators.
+func (d *decider) claimOn(e *entry, usable []int) bool {
+	parts := d.z.fit(usable, nil, e.job.Shape)
+	if parts == nil || !d.fix(e.account, e.job, parts, true) {
+		return false
+	}
+	d.place(e, parts, false, "lies within the account's guarantee")
+	return true
+}
+
+// borrowUsedWorkers starts a job as a borrower on workers that are used in part,
+// before it would take an unused worker of its guarantee. It keeps workers whole
+// at the cost of more reclaims, so it is left to deployments that weigh
+// fragmentation above completion time.
+func (d *decider) borrowUsedWorkers(e *entry, available []int) bool {
+	if d.off.Objectives || d.s.Objectives.Fragmentation <= d.s.Objectives.CompletionTime || e.job.Urgent {
+		return false
+	}
+	used := d.z.vector()
+	for w := range used {
+		if d.free[w] < d.z.capacity[w] {
+			used[w] = available[w]
+		}
+	}
+	return d.borrowOn(e, used, "borrows the rest of workers in use")
+}
+
 // borrowInstead starts a job that its guarantee covers as a borrower, if
 // accelerators outside the guarantee are free: nobody has to be stopped.
 func (d *decider) borrowInstead(e *entry) bool {
+	return d.borrowOn(e, d.available(e), "borrows free accelerators in place of a reclaim")
+}
+
+// borrowOn places a job as a borrower on the given accelerators.
+func (d *decider) borrowOn(e *entry, usable []int, reason string) bool {
 	if !e.job.Stoppable() || !e.job.MayBorrow {
 		return false
 	}
-	parts := d.z.fit(d.available(e), nil, e.job.Shape)
+	parts := d.z.fit(usable, nil, e.job.Shape)
 	if parts == nil {
 		return false
 	}
-	d.place(e, parts, true, "borrows free accelerators in place of a reclaim")
+	d.place(e, parts, true, reason)
 	return true
 }
 
-// entitled reports whether the job stays within its account's guarantee by
-// the count of accelerators. Gangs outside the account's shapes do not count.
-func (d *decider) entitled(account int, job *model.Job) bool {
-	inside := d.fixedUse[account] - d.packed.outside[account]
-	return inside+job.Shape.Accelerators() <= d.guaranteed[account]
-}
-
-// claimFree places a job on free accelerators: first those of shapes that its
-// account uses in part already, so that whole shapes stay whole, then those of
-// its other shapes, then any others around which everything packs again.
-func (d *decider) claimFree(e *entry) bool {
-	available := d.available(e)
-	begun, cells := d.packed.begun[e.account], d.packed.cells[e.account]
-	for _, usable := range [][]int{minimum(available, begun), minimum(available, cells), available, d.free} {
-		parts := d.z.fit(usable, nil, e.job.Shape)
-		if parts != nil && d.fix(e.account, e.job, parts, true) {
-			d.place(e, parts, false, "lies within the account's guarantee")
-			return true
-		}
-	}
-	return false
-}
-
 // claimRegion takes the cheapest region that holds nothing but gangs that may
 // be stopped, and stops these.
 func (d *decider) claimRegion(e *entry) bool {
@@ -141,19 +186,19 @@
 	})
 }
 
-// regions lists where a job could go if borrowers were stopped, the cheapest
-// first: each rack that would hold it whole, and over several racks the one way
-// that fit finds.
+// regions lists where a job could go if others were stopped, the cheapest
+// first: the cheapest workers of each rack that would hold it whole, and the
+// ways that fit finds in the account's shapes and anywhere.
 func (d *decider) regions(e *entry) []region {
-	idle := sumOf(d.free, d.coming)
 	unfixed := d.unfixed(e)
+	prices := d.taskPrices(e, unfixed)
 	var regions []region
 	for _, r := range d.z.racks {
 		if d.z.slots(r, unfixed, e.job.Shape.AcceleratorsPerTask) >= e.job.Shape.Tasks {
-			parts := d.z.fill(nil, r, unfixed, idle, e.job.Shape, e.job.Shape.Tasks)
-			regions = append(regions, d.price(e, parts))
+			regions = append(regions, d.price(e, fillCheapest(r, unfixed, prices, e.job.Shape)))
 		}
 	}
+	idle := sumOf(d.free, d.coming)
 	for _, usable := range [][]int{d.packed.cells[e.account], unfixed} {
 		if parts := d.z.fit(usable, idle, e.job.Shape); parts != nil {
 			regions = append(regions, d.price(e, parts))
@@ -166,6 +211,40 @@
 	return regions
 }
 
+// taskPrices is, by worker, what it costs to make room for one task.
+func (d *decider) taskPrices(e *entry, unfixed []int) []float64 {
+	prices := make([]float64, len(unfixed))
+	for w := range prices {
+		if unfixed[w] >= e.job.Shape.AcceleratorsPerTask {
+			prices[w] = d.price(e, []part{{worker: w, tasks: 1}}).cost
+		}
+	}
+	return prices
+}
+
+// fillCheapest fills a rack's workers by rising price, then the tightest.
+func fillCheapest(r rack, usable []int, prices []float64, shape api.Shape) []part {
+	workers := make([]int, 0, r.end-r.first)
+	for w := r.first; w < r.end; w++ {
+		workers = append(workers, w)
+	}
+	slices.SortStableFunc(workers, func(a, b int) int {
+		if prices[a] != prices[b] {
+			return cmp.Compare(prices[a], prices[b])
+		}
+		return cmp.Compare(usable[a], usable[b])
+	})
+	var parts []part
+	left := shape.Tasks
+	for _, w := range workers {
+		if tasks := min(left, usable[w]/shape.AcceleratorsPerTask); tasks > 0 {
+			parts = append(parts, part{worker: w, tasks: tasks})
+			left -= tasks
+		}
+	}
+	return parts
+}
+
 // unfixed is what no gang holds that may not be stopped, and no earlier claim
 // waits for.
 func (d *decider) unfixed(e *entry) []int {
