Terms end when a worker shows a later epoch; plans are made when something changed

Cause: with the store out of reach, a replaced placer learned of its replacement only from the store; a start that a paused placer recorded after the takeover could have been repeated; a plan was made every 200 ms although nothing had changed. Ruled out: stepping down on any refusal; a late refusal of the epoch before would end the present term for good, so refusals carry the epoch of the call. Change: a worker's later epoch ends the term for good; a foreign start makes work that is not idempotent unknown (the chart's waiting state answers lose); rows of gangs that surely did not start say so; plans follow changes, and otherwise the second; cmd/capacity measures waiting jobs and configurations. Conclusion: tables of the core's take-over cases are in core_test.go.

--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -16,6 +16,8 @@
 func main() {
 	app := kingpin.New("capacity", "Measures costs and slopes on this machine.")
 	addPlacer(app)
+	addWaiting(app)
+	addConfig(app)
 	addPath(app)
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "capacity:", err)
@@ -36,6 +38,32 @@
 	})
 }
 
+func addWaiting(app *kingpin.Application) {
+	command := app.Command("waiting", "A full zone's placer over the number of waiting jobs.")
+	workers := command.Flag("workers", "Number of workers.").Default("640").Int()
+	sizes := command.Flag("waiting", "Numbers of waiting jobs, once for each.").Default("0", "100", "250", "500").Ints()
+	each := command.Flag("each", "Time measured at each size.").Default("10s").Duration()
+	command.Action(func(*kingpin.ParseContext) error {
+		series, err := capacity.PlacerWaiting(*workers, *sizes, *each)
+		if err != nil {
+			return err
+		}
+		return series.Write(os.Stdout)
+	})
+}
+
+func addConfig(app *kingpin.Application) {
+	command := app.Command("config", "A configuration over the number of client accounts.")
+	sizes := command.Flag("accounts", "Numbers of client accounts, once for each.").Default("4", "20", "40", "80", "160").Ints()
+	command.Action(func(*kingpin.ParseContext) error {
+		series, err := capacity.ConfigAccounts(*sizes)
+		if err != nil {
+			return err
+		}
+		return series.Write(os.Stdout)
+	})
+}
+
 func addPath(app *kingpin.Application) {
 	command := app.Command("path", "Requests through an entry instance against direct calls of a backend server.")
 	entry := command.Flag("entry", "IP number and port of an entry instance.").Required().String()
--- /dev/null
+++ b/internal/measure/capacity/config.go
@@ -0,0 +1,91 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/config"
+	"github.com/corianderbank/corianderbank/internal/model"
+	"github.com/corianderbank/corianderbank/internal/rules"
+	"github.com/corianderbank/corianderbank/internal/strictjson"
+)
+
+// The shape of the measured documents: each account has guarantees in every
+// zone and two rules of its own.
+const (
+	configZones     = 10
+	rulesPerAccount = 2
+	configRepeats   = 20
+)
+
+// ConfigAccounts measures a configuration over the number of client accounts.
+func ConfigAccounts(sizes []int) (Series, error) {
+	series := Series{
+		Title:    "configuration with guarantees in 10 zones and two rules an account",
+		SizeName: "accounts",
+		Names:    []string{"document KB", "parse ms", "check ms", "heap KB", "decide us"},
+	}
+	for _, size := range sizes {
+		point, err := configPoint(size)
+		if err != nil {
+			return series, err
+		}
+		series.Points = append(series.Points, point)
+	}
+	return series, nil
+}
+
+func configPoint(size int) (Point, error) {
+	data, err := json.Marshal(documentOf(size))
+	if err != nil {
+		return Point{}, err
+	}
+	before := heapMB()
+	document, err := config.Parse("configuration", data)
+	if err != nil {
+		return Point{}, err
+	}
+	heapKB := (heapMB() - before) * 1024
+	parse := timed(func() { _, _ = config.Parse("configuration", data) })
+	check := timed(func() { config.Check(document, strictjson.Index("configuration", data)) })
+	set := rules.NewSet(document.Rules)
+	last := rules.Situation{Work: rules.WorkRequest, Account: "nobody", Kind: "none"}
+	decide := timed(func() { set.Decide(last) })
+	const perMS, perUS = float64(time.Millisecond), float64(time.Microsecond)
+	return Point{Size: float64(size), Values: []float64{
+		float64(len(data)) / 1024, float64(parse) / perMS, float64(check) / perMS, heapKB, float64(decide) / perUS,
+	}}, nil
+}
+
+// timed returns the mean time of f.
+func timed(f func()) time.Duration {
+	started := time.Now()
+	for range configRepeats {
+		f()
+	}
+	return time.Since(started) / configRepeats
+}
+
+func documentOf(size int) config.Document {
+	var document config.Document
+	for i := range size {
+		name := fmt.Sprintf("account-%04d", i)
+		account := model.ClientAccount{Name: name, Guarantees: make(map[string][]model.GuaranteedShape)}
+		for z := range configZones {
+			shape := api.Shape{Tasks: 2, AcceleratorsPerTask: 8, SameRack: true}
+			account.Guarantees[fmt.Sprintf("zone-%d", z)] = []model.GuaranteedShape{{Shape: shape, Count: 1}}
+		}
+		document.Accounts = append(document.Accounts, account)
+		for k := range rulesPerAccount {
+			document.Rules = append(document.Rules, rules.Rule{
+				Name: fmt.Sprintf("rule-%04d-%d", i, k),
+				When: rules.When{Accounts: []string{name}, Kinds: []string{fmt.Sprintf("kind-%d", k)}},
+				Then: rules.Then{Priority: k},
+			})
+		}
+	}
+	document.Rules = append(document.Rules, rules.Rule{Name: "all-others"})
+	return document
+}
--- a/internal/measure/capacity/placer.go
+++ b/internal/measure/capacity/placer.go
@@ -26,16 +26,17 @@
 // The sizes of a zone in the measurement. At the target a zone has 640 workers
 // of 8 accelerators and 2,100 running tasks.
 const (
-	zoneName          = "zone"
-	workersPerRack    = 8
-	acceleratorsEach  = 8
-	tasksPerGang      = 4
-	tasksPerWorker    = 2100.0 / 640
-	workerLease       = 15 * time.Second
-	placerLease       = 4 * time.Second
-	placeInterval     = 200 * time.Millisecond
-	settleTime        = 3 * time.Second
-	submissionTimeout = 30 * time.Second
+	zoneName            = "zone"
+	workersPerRack      = 8
+	acceleratorsEach    = 8
+	acceleratorsPerTask = 2
+	tasksPerGang        = 4
+	tasksPerWorker      = 2100.0 / 640
+	workerLease         = 15 * time.Second
+	placerLease         = 4 * time.Second
+	placeInterval       = 200 * time.Millisecond
+	settleTime          = 3 * time.Second
+	submissionTimeout   = 30 * time.Second
 )
 
 // PlacerWorkers measures a zone's placer with running gangs over the number of
@@ -56,17 +57,50 @@
 	return series, nil
 }
 
+// PlacerWaiting measures a full zone's placer over the number of jobs that wait.
+func PlacerWaiting(workers int, sizes []int, each time.Duration) (Series, error) {
+	series := Series{
+		Title:    fmt.Sprintf("placer of %d full workers over the number of waiting jobs", workers),
+		SizeName: "waiting",
+		Names:    []string{"core %", "heap MB"},
+	}
+	for _, size := range sizes {
+		point, err := waitingPoint(workers, size, each)
+		if err != nil {
+			return series, err
+		}
+		series.Points = append(series.Points, point)
+	}
+	return series, nil
+}
+
+func waitingPoint(workers, waiting int, each time.Duration) (Point, error) {
+	z := newZone(workers)
+	before := heapMB()
+	running, stop := z.run()
+	defer stop()
+	full := workers * acceleratorsEach / (tasksPerGang * acceleratorsPerTask)
+	if err := z.fill(running, full+waiting); err != nil {
+		return Point{}, err
+	}
+	time.Sleep(settleTime)
+	used := usageNow()
+	time.Sleep(each)
+	return Point{Size: float64(waiting), Values: []float64{corePercent(used), heapMB() - before}}, nil
+}
+
 // zone is a placer over stand-in workers in one process. Calls go through JSON
 // as on the wire, without sockets.
 type zone struct {
-	workers map[string]*standin.Worker
-	order   []model.Worker
-	bytes   atomic.Int64
-	calls   atomic.Int64
+	platform *fake.Platform
+	workers  map[string]*standin.Worker
+	order    []model.Worker
+	bytes    atomic.Int64
+	calls    atomic.Int64
 }
 
 func newZone(count int) *zone {
-	z := &zone{workers: make(map[string]*standin.Worker)}
+	z := &zone{platform: fake.New(), workers: make(map[string]*standin.Worker)}
 	for i := range count {
 		id := fmt.Sprintf("worker-%04d", i)
 		rack := fmt.Sprintf("rack-%03d", i/workersPerRack)
@@ -78,38 +112,42 @@
 
 func placerPoint(size int, each time.Duration) (Point, error) {
 	z := newZone(size)
-	withWorkers := heapMB()
-	platform := fake.New()
-	running := newPlacer(z, platform)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		running.Run(ctx)
-		close(done)
-	}()
-	defer func() {
-		cancel()
-		<-done
-	}()
-	time.Sleep(settleTime)
-	if err := z.fill(ctx, running, int(float64(size)*tasksPerWorker/tasksPerGang)); err != nil {
+	heapBefore := heapMB()
+	running, stop := z.run()
+	defer stop()
+	if err := z.fill(running, int(float64(size)*tasksPerWorker/tasksPerGang)); err != nil {
 		return Point{}, err
 	}
 	time.Sleep(settleTime)
-	before, bytes, calls := usageNow(), z.bytes.Load(), z.calls.Load()
-	storeCalls := storeCallsOf(platform)
+	before, bytes, calls, storeCalls := usageNow(), z.bytes.Load(), z.calls.Load(), z.storeCalls()
 	time.Sleep(each)
 	seconds := each.Seconds()
 	cpu := corePercent(before)
 	return Point{Size: float64(size), Values: []float64{
-		cpu, heapMB() - withWorkers,
+		cpu, heapMB() - heapBefore,
 		float64(z.bytes.Load()-bytes) / seconds, float64(z.calls.Load()-calls) / seconds,
-		float64(storeCallsOf(platform)-storeCalls) / seconds,
+		float64(z.storeCalls()-storeCalls) / seconds,
 	}}, nil
 }
 
-func storeCallsOf(p *fake.Platform) int {
-	return p.Calls("commit") + p.Calls("read") + p.Calls("scan")
+func (z *zone) storeCalls() int {
+	return z.platform.Calls("commit") + z.platform.Calls("read") + z.platform.Calls("scan")
+}
+
+// run starts the zone's placer and waits until it knows the workers.
+func (z *zone) run() (running *placer.Placer, stop func()) {
+	running = newPlacer(z, z.platform)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		running.Run(ctx)
+		close(done)
+	}()
+	time.Sleep(settleTime)
+	return running, func() {
+		cancel()
+		<-done
+	}
 }
 
 func newPlacer(z *zone, platform *fake.Platform) *placer.Placer {
@@ -123,14 +161,14 @@
 }
 
 // fill starts gangs that outlast the measurement.
-func (z *zone) fill(ctx context.Context, running *placer.Placer, gangs int) error {
+func (z *zone) fill(running *placer.Placer, gangs int) error {
 	verdict := rules.NewSet([]rules.Rule{{Name: "all"}}).Decide(rules.Situation{})
 	for i := range gangs {
 		id := fmt.Sprintf("j-%05d~%s", i, zoneName)
-		callCtx, cancel := context.WithTimeout(ctx, submissionTimeout)
+		callCtx, cancel := context.WithTimeout(context.Background(), submissionTimeout)
 		_, err := running.Submit(callCtx, placer.Submission{ID: id, Verdict: verdict, Job: api.JobSubmission{
 			Account: fmt.Sprintf("account-%d", i%16), Kind: "train", Idempotent: true, Checkpointable: true,
-			Shape: api.Shape{Tasks: tasksPerGang, AcceleratorsPerTask: 2}, DeclaredRunS: 7200,
+			Shape: api.Shape{Tasks: tasksPerGang, AcceleratorsPerTask: acceleratorsPerTask}, DeclaredRunS: 7200,
 			Payload: json.RawMessage(`{"run_ms":7200000}`),
 		}})
 		cancel()
--- a/internal/placer/action.go
+++ b/internal/placer/action.go
@@ -140,6 +140,8 @@
 // reportEvent is a worker's report, or its silence (err).
 type reportEvent struct {
 	worker string
+	// epoch is the one that the renewal was sent under.
+	epoch  int64
 	report api.WorkerReport
 	err    error
 	// sentAt is when the renewal left; leases count from there.
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -65,6 +65,9 @@
 	// reconcileInterval is the time between reads of the open records: one
 	// store read for each zone every 10 s.
 	reconcileInterval = 10 * time.Second
+	// idleRound is the longest time between plans while nothing changes:
+	// deadlines and estimates go by seconds.
+	idleRound = time.Second
 	// stopWithin bounds a plain stop of tasks.
 	stopWithin = 2 * time.Second
 	// maxFailures bounds the failed attempts of one job whatever they are put
@@ -124,9 +127,11 @@
 
 // core is owned by one goroutine; see the package comment.
 type core struct {
-	zone        string
-	instance    string
-	epoch       int64
+	zone     string
+	instance string
+	epoch    int64
+	// leastEpoch is the highest epoch that a worker has shown.
+	leastEpoch  int64
 	held        bool
 	mayPlace    bool
 	platform    bool
@@ -147,8 +152,10 @@
 	workerLease time.Duration
 	maxJobs     int
 	actions     []action
-	// waiters are told when a job's answer changes.
-	changed map[string]bool
+	// touched says that something a plan depends on has changed since the last
+	// one, which was made at plannedAt.
+	touched   bool
+	plannedAt time.Time
 }
 
 func (c *core) do(a action) { c.actions = append(c.actions, a) }
@@ -173,7 +180,7 @@
 	c.decide(now, e, "gang", string(next), reason, "")
 	e.state = next
 	showTransition(e, next, now)
-	c.changed[e.record.ID] = true
+	c.touched = true
 	if c.chart.Final(next) {
 		c.end(e, reason, now)
 	}
@@ -263,16 +270,13 @@
 	if key := record.Submission.IdempotencyKey; key != "" {
 		c.byKey[record.Submission.Account+"\x00"+key] = record.ID
 	}
-	c.changed[record.ID] = true
+	c.touched = true
 	return e
 }
 
 // stepDown forgets everything: another instance holds the lease, or may.
 func (c *core) stepDown() {
 	c.held, c.recovered, c.recovering, c.mayPlace = false, false, false, false
-	for id := range c.jobs {
-		c.changed[id] = true
-	}
 	c.jobs = make(map[string]*entry)
 	c.byKey = make(map[string]string)
 	c.ended = nil
--- /dev/null
+++ b/internal/placer/core_test.go
@@ -0,0 +1,163 @@
+package placer
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/chart"
+	"github.com/corianderbank/corianderbank/internal/config"
+	"github.com/corianderbank/corianderbank/internal/decision"
+	"github.com/corianderbank/corianderbank/internal/estimate"
+	"github.com/corianderbank/corianderbank/internal/jobstore"
+	"github.com/corianderbank/corianderbank/internal/model"
+	"github.com/corianderbank/corianderbank/internal/quarantine"
+	"github.com/corianderbank/corianderbank/internal/rules"
+)
+
+const testLease = 15 * time.Second
+
+var testStart = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+
+// newTestCore returns a core that holds epoch 1 and has recovered with nothing.
+func newTestCore(workers int) *core {
+	c := &core{
+		zone: "z", instance: "i-1", chart: chart.MustLoad("gang"), workerChart: chart.MustLoad("worker"),
+		jobs: make(map[string]*entry), byKey: make(map[string]string), workers: make(map[string]*workerState),
+		runs: estimate.Declared{}, health: quarantine.NewTracker(),
+		recorder: decision.NewRecorder(zap.NewNop(), "i-1", 100), workerLease: testLease, maxJobs: 100,
+		config: &config.Snapshot{Version: 1, Document: &config.Document{Accounts: []model.ClientAccount{{Name: "acme"}}}},
+	}
+	var list []model.Worker
+	for i := range workers {
+		id := string(rune('a' + i))
+		list = append(list, model.Worker{ID: id, Addr: id, Zone: "z"})
+	}
+	c.apply(termEvent{epoch: 1, held: true, mayPlace: true, platform: true}, testStart)
+	event := recoveredEvent{epoch: 1, workers: list}
+	for _, w := range list {
+		event.reports = append(event.reports, testReport(w.ID, 1, 1))
+	}
+	c.apply(event, testStart)
+	c.takeActions()
+	return c
+}
+
+func testReport(worker string, epoch, highest int64, held ...api.ReservationReport) reportEvent {
+	return reportEvent{worker: worker, epoch: epoch, sentAt: testStart, report: api.WorkerReport{
+		ID: worker, Rack: "r", Incarnation: 1, Accelerators: 8, HighestEpoch: highest, Reservations: held,
+	}}
+}
+
+func testRecord(id string, phase jobstore.Phase, idempotent bool) jobstore.Record {
+	return jobstore.Record{ID: id, Zone: "z", Phase: phase, Attempt: 1, Epoch: 1, SubmittedAt: testStart, Submission: api.JobSubmission{
+		Account: "acme", Kind: "k", Shape: api.Shape{Tasks: 2, AcceleratorsPerTask: 8}, Idempotent: idempotent, DeclaredRunS: 60,
+	}}
+}
+
+func TestAWorkerThatSawALaterEpochEndsTheTerm(t *testing.T) {
+	cases := map[string]struct {
+		report reportEvent
+		holds  bool
+	}{
+		"a report of the same epoch":              {testReport("a", 1, 1), true},
+		"a report that shows a later epoch":       {testReport("a", 1, 2), false},
+		"a refusal of this epoch":                 {reportEvent{worker: "a", epoch: 1, err: api.NewError(api.KindStaleEpoch, "stale")}, false},
+		"a late refusal of an epoch before":       {reportEvent{worker: "a", epoch: 0, err: api.NewError(api.KindStaleEpoch, "stale")}, true},
+		"a worker that does not answer":           {reportEvent{worker: "a", epoch: 1, err: api.NewError(api.KindResultUnknown, "lost")}, true},
+		"a report of a worker that is not listed": {testReport("x", 1, 9), true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCore(2)
+			c.apply(test.report, testStart)
+			assert.Equal(t, c.held, test.holds)
+			// The store may be out of reach: the old term must not come back.
+			c.apply(termEvent{epoch: 1, held: true, mayPlace: true}, testStart)
+			assert.Equal(t, c.held, test.holds)
+			c.apply(termEvent{epoch: 9, held: true, mayPlace: true}, testStart)
+			assert.Assert(t, c.held)
+		})
+	}
+}
+
+func TestTakenOverGang(t *testing.T) {
+	part := func(worker string, state api.TaskState) reportEvent {
+		ref := api.GangRef{Epoch: 1, Gang: "j", Attempt: 1}
+		return testReport(worker, 2, 2, api.ReservationReport{GangRef: ref, Tasks: 1, Accelerators: 8, State: state})
+	}
+	cases := map[string]struct {
+		phase      jobstore.Phase
+		idempotent bool
+		reports    []reportEvent
+		state      chart.State
+		mayRun     bool
+	}{
+		"runs on when every part runs":                              {jobstore.PhaseStarted, false, []reportEvent{part("a", api.TaskRunning), part("b", api.TaskRunning)}, stRunning, true},
+		"ends when every part has finished":                         {jobstore.PhaseStarted, false, []reportEvent{part("a", api.TaskDone), part("b", api.TaskDone)}, stDone, true},
+		"is stopped when a part is missing":                         {jobstore.PhaseStarted, true, []reportEvent{part("a", api.TaskRunning), testReport("b", 2, 2)}, stStopping, true},
+		"is stopped when a part never started":                      {jobstore.PhaseStarted, false, []reportEvent{part("a", api.TaskRunning), part("b", api.TaskReserved)}, stStopping, true},
+		"did not run when every part is only reserved":              {jobstore.PhaseStarted, false, []reportEvent{part("a", api.TaskReserved), part("b", api.TaskReserved)}, stStopping, false},
+		"may have run when a reserved part is missing":              {jobstore.PhaseStarted, false, []reportEvent{part("a", api.TaskReserved), testReport("b", 2, 2)}, stStopping, true},
+		"may have run when nobody knows it":                         {jobstore.PhaseStarted, false, []reportEvent{testReport("a", 2, 2), testReport("b", 2, 2)}, stStopping, true},
+		"waits when it was only accepted":                           {jobstore.PhaseAccepted, false, []reportEvent{testReport("a", 2, 2), testReport("b", 2, 2)}, stWaiting, false},
+		"gives up a reservation made before its start was recorded": {jobstore.PhaseAccepted, false, []reportEvent{part("a", api.TaskReserved), testReport("b", 2, 2)}, stStopping, false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCore(2)
+			c.apply(termEvent{epoch: 2, held: true, mayPlace: true, platform: true}, testStart)
+			var workers []model.Worker
+			for _, id := range []string{"a", "b"} {
+				workers = append(workers, model.Worker{ID: id, Addr: id, Zone: "z"})
+			}
+			record := testRecord("j", test.phase, test.idempotent)
+			c.apply(recoveredEvent{epoch: 2, workers: workers, records: []jobstore.Record{record}, reports: test.reports}, testStart)
+			assert.Equal(t, c.jobs["j"].state, test.state)
+			assert.Equal(t, c.jobs["j"].mayRun, test.mayRun)
+		})
+	}
+}
+
+func TestAccountLimits(t *testing.T) {
+	c := newTestCore(2)
+	c.config.Document.Accounts[0].MaxJobs = 2
+	submission := func(account, rule string, maxQueued int) Submission {
+		return Submission{ID: "new", Job: api.JobSubmission{Account: account}, Verdict: rules.Verdict{Rule: rule, MaxQueued: maxQueued}}
+	}
+	first := testRecord("j-1", jobstore.PhaseAccepted, true)
+	first.Rule = "narrow"
+	c.addWaiting(first)
+	assert.NilError(t, c.accountLimit(submission("acme", "wide", 0)))
+	assert.Assert(t, api.IsKind(c.accountLimit(submission("acme", "narrow", 1)), api.KindQueueFull))
+	assert.Assert(t, api.IsKind(c.accountLimit(submission("orbit", "wide", 0)), api.KindUnknownAccount))
+	c.addWaiting(testRecord("j-2", jobstore.PhaseAccepted, true))
+	assert.Assert(t, api.IsKind(c.accountLimit(submission("acme", "wide", 0)), api.KindAccountLimit))
+}
+
+func TestAStartRecordedByAReplacedPlacerIsNotRepeated(t *testing.T) {
+	cases := map[string]struct {
+		idempotent bool
+		epoch      int64
+		state      chart.State
+	}{
+		"work that is not idempotent may have run":    {false, 1, stUnknown},
+		"idempotent work may be started again":        {true, 1, stWaiting},
+		"a start of this placer's own is not foreign": {false, 2, stWaiting},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCore(2)
+			c.epoch = 2
+			e := c.addWaiting(testRecord("j", jobstore.PhaseAccepted, test.idempotent))
+			found := testRecord("j", jobstore.PhaseStarted, test.idempotent)
+			found.Epoch, found.Version = test.epoch, 7
+			c.apply(persistedEvent{id: "j", record: found}, testStart)
+			assert.Equal(t, e.state, test.state)
+			assert.Equal(t, e.record.Version, int64(7))
+		})
+	}
+}
--- a/internal/placer/gangs.go
+++ b/internal/placer/gangs.go
@@ -190,6 +190,9 @@
 	c.do(releaseAction{ref: e.ref, parts: e.parts})
 	e.parts = nil
 	e.ranEver = e.ranEver || e.mayRun
+	if !e.ranEver {
+		e.record.Phase = jobstore.PhaseAccepted
+	}
 	if e.state == stCancelling {
 		c.step(e, evStopped, "cancelled by the caller", now)
 		return
@@ -227,6 +230,7 @@
 			return
 		}
 		e.record.Version = ev.record.Version
+		c.noteForeignStart(e, ev.record, now)
 		return
 	}
 	e.dirty = true
@@ -237,6 +241,21 @@
 	}
 }
 
+// noteForeignStart reacts to a row in which an earlier placer, paused until
+// after the takeover, recorded a start. The workers that this placer reached
+// refused that start; one that it did not reach may have made it.
+func (c *core) noteForeignStart(e *entry, found jobstore.Record, now time.Time) {
+	if found.Phase != jobstore.PhaseStarted || found.Epoch == c.epoch || e.record.Submission.Idempotent {
+		return
+	}
+	const reason = "an earlier placer recorded a start after it was replaced"
+	e.mayRun = true
+	e.stopReason = reason
+	if e.state == stWaiting {
+		c.step(e, evLose, reason, now)
+	}
+}
+
 // persist writes dirty records under the present epoch and releases ended gangs whose outcome is safe.
 func (c *core) persist(now time.Time) {
 	for _, e := range c.jobs {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -108,7 +108,7 @@
 			zone: opts.Zone, instance: opts.Instance,
 			chart: chart.MustLoad("gang"), workerChart: chart.MustLoad("worker"),
 			jobs: make(map[string]*entry), byKey: make(map[string]string), workers: make(map[string]*workerState),
-			changed: make(map[string]bool), runs: opts.Runs, health: opts.Health, recorder: opts.Recorder,
+			runs: opts.Runs, health: opts.Health, recorder: opts.Recorder,
 			workerLease: opts.WorkerLease, maxJobs: opts.MaxJobs,
 		},
 	}
@@ -179,7 +179,7 @@
 }
 
 func (p *Placer) tick(now time.Time) {
-	p.core.config = p.opts.Config.Current()
+	p.core.setConfig(p.opts.Config.Current())
 	p.core.setWorkers(p.opts.Fleet.Workers(p.opts.Zone), now)
 	p.core.round(now)
 	p.core.showRound(time.Since(now))
--- a/internal/placer/recover.go
+++ b/internal/placer/recover.go
@@ -11,7 +11,7 @@
 // term follows the zone's lease.
 func (ev termEvent) apply(c *core, now time.Time) {
 	c.platform = ev.platform
-	if !ev.held {
+	if !ev.held || ev.epoch < c.leastEpoch {
 		if c.held {
 			c.stepDown()
 		}
--- a/internal/placer/reports.go
+++ b/internal/placer/reports.go
@@ -74,6 +74,7 @@
 	if err != nil {
 		return
 	}
+	c.touched = c.touched || w.chartState != next
 	w.chartState = next
 	w.Health = model.WorkerHealth(next)
 }
@@ -83,17 +84,29 @@
 	if !ok {
 		return
 	}
+	if api.IsKind(ev.err, api.KindStaleEpoch) {
+		c.fence(ev.epoch + 1)
+	}
 	if ev.err != nil {
 		return
 	}
 	c.noteWorker(w, ev, now)
-	if ev.report.HighestEpoch > c.epoch && c.held {
-		c.stepDown()
+	c.fence(ev.report.HighestEpoch)
+	if !c.held {
 		return
 	}
 	c.noteReservations(ev, now)
 }
 
+// fence steps down for good under any epoch below least: a worker has seen a
+// later placer. The store may be out of reach and unable to say so.
+func (c *core) fence(least int64) {
+	c.leastEpoch = max(c.leastEpoch, least)
+	if c.held && c.epoch < c.leastEpoch {
+		c.stepDown()
+	}
+}
+
 // noteWorker updates what is known of the worker itself.
 func (c *core) noteWorker(w *workerState, ev reportEvent, now time.Time) {
 	report := ev.report
--- a/internal/placer/round.go
+++ b/internal/placer/round.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/config"
 	"github.com/corianderbank/corianderbank/internal/model"
 	"github.com/corianderbank/corianderbank/internal/placement"
 )
@@ -96,6 +97,15 @@
 	return gang
 }
 
+// setConfig takes the configuration in force.
+func (c *core) setConfig(snapshot *config.Snapshot) {
+	if snapshot == nil || (c.config != nil && c.config.Version == snapshot.Version) {
+		return
+	}
+	c.config = snapshot
+	c.touched = true
+}
+
 // round decides and begins what the plan says. Each placement is checked again
 // against the state that the ones before it left.
 func (c *core) round(now time.Time) {
@@ -104,6 +114,10 @@
 	if !c.held || !c.recovered {
 		return
 	}
+	if !c.touched && now.Sub(c.plannedAt) < idleRound {
+		return
+	}
+	c.touched, c.plannedAt = false, now
 	plan := placement.Decide(c.snapshot(now))
 	showPlan(plan)
 	for _, d := range plan.Decisions {
--- a/internal/placer/watch.go
+++ b/internal/placer/watch.go
@@ -106,7 +106,7 @@
 	report, err := p.opts.Workers.Renew(ctx, one.addr, api.Renew{
 		Epoch: epoch, LeaseMS: p.opts.WorkerLease.Milliseconds(), Gangs: gangs,
 	})
-	return reportEvent{worker: one.worker, report: report, err: err, sentAt: sentAt}
+	return reportEvent{worker: one.worker, epoch: epoch, report: report, err: err, sentAt: sentAt}
 }
 
 func (p *Placer) update(ctx context.Context, record jobstore.Record) (jobstore.Record, error) {
