--- a/internal/rules/check_test.go
+++ b/internal/rules/check_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -251,3 +252,53 @@
 		Check(list, nil, "", positions)
 	}
 }
+
+func BenchmarkDecideByTheLastOfManyRules(b *testing.B) {
+	set := NewSet(longList())
+	situation := Situation{Work: WorkRequest, Account: "a", Kind: "none of them", Keyed: true}
+	for b.Loop() {
+		set.Decide(situation)
+	}
+}
+
+// TestEveryFieldOfAConditionIsKnown fails for a new field of When until it is
+// compared, listed, explained and cut into atoms.
+func TestEveryFieldOfAConditionIsKnown(t *testing.T) {
+	fields := map[string]When{}
+	one, number, yes := 1, 1.0, true
+	kind := reflect.TypeFor[When]()
+	for i := range kind.NumField() {
+		var when When
+		name, _, _ := strings.Cut(kind.Field(i).Tag.Get("json"), ",")
+		target := reflect.ValueOf(&when).Elem().Field(i)
+		switch target.Interface().(type) {
+		case Work:
+			target.Set(reflect.ValueOf(WorkJob))
+		case []string:
+			target.Set(reflect.ValueOf([]string{"x"}))
+		case *int:
+			target.Set(reflect.ValueOf(&one))
+		case *float64:
+			target.Set(reflect.ValueOf(&number))
+		case *bool:
+			target.Set(reflect.ValueOf(&yes))
+		default:
+			t.Fatalf("%s has a type that the checker does not know", name)
+		}
+		fields[name] = when
+	}
+	// One of the two situations differs from any condition above.
+	low := Situation{Work: WorkRequest, HasDeadline: true, Load: 0}
+	high := Situation{Work: WorkRequest, Accelerators: 9, Load: 9}
+	for name, when := range fields {
+		assert.DeepEqual(t, presentFields(when), []string{name})
+		missed := mismatch(when, low)
+		if missed == "" {
+			missed = mismatch(when, high)
+		}
+		assert.Equal(t, missed, name)
+		assert.Assert(t, detail(name, when, high) != "", name)
+		space := newSpace([]Rule{{When: when}})
+		assert.Assert(t, !space.boxOf(When{}).within(space.boxOf(when)), "%s restricts nothing", name)
+	}
+}
