A failed job goes to other workers

Ruled out: the tracker; it counts distinct workers, and there was only one. Change: placement keeps a job off the workers it failed on, as long as others could hold it when empty; claims and reclaims included.

--- a/internal/placement/backfill.go
+++ b/internal/placement/backfill.go
@@ -58,7 +58,7 @@
 	if e.done || d.barred(e) || d.heads[e.account].entry == e || d.entitled(e.account, e.job) {
 		return false
 	}
-	return d.z.fit(d.free, nil, e.job.Shape) == nil
+	return d.fit(e, d.free, nil) == nil
 }
 
 // reserveFor reserves the region that comes free first. Without a time at which
@@ -70,7 +70,7 @@
 	}
 	for _, end := range d.ends() {
 		add(usable, end.parts, end.perTask)
-		parts := d.z.fit(d.z.withinCapacity(usable), nil, e.job.Shape)
+		parts := d.fit(e, d.z.withinCapacity(usable), nil)
 		if parts == nil {
 			continue
 		}
--- a/internal/placement/claim.go
+++ b/internal/placement/claim.go
@@ -32,7 +32,7 @@
 // left for placeBeyondGuarantee.
 func (d *decider) claimGuarantee(e *entry) {
 	attempt := failure{
-		account: e.account, shape: e.job.Shape, claims: true, urgent: e.job.Urgent,
+		account: e.account, only: only(e.job), shape: e.job.Shape, claims: true, urgent: e.job.Urgent,
 		stoppable: e.job.Stoppable() && e.job.MayBorrow,
 	}
 	if d.failed[attempt] || d.yields(e) || !d.entitled(e.account, e.job) || d.overLimit(e) {
@@ -93,7 +93,7 @@
 
 // claimOn places a job inside its guarantee on the given accelerators.
 func (d *decider) claimOn(e *entry, usable []int) bool {
-	parts := d.z.fit(usable, nil, e.job.Shape)
+	parts := d.fit(e, usable, nil)
 	if parts == nil || !d.fix(e.account, e.job, parts, true) {
 		return false
 	}
@@ -129,7 +129,7 @@
 	if !e.job.Stoppable() || !e.job.MayBorrow {
 		return false
 	}
-	parts := d.z.fit(usable, nil, e.job.Shape)
+	parts := d.fit(e, usable, nil)
 	if parts == nil {
 		return false
 	}
@@ -190,7 +190,7 @@
 // first: the cheapest workers of each rack that would hold it whole, and the
 // ways that fit finds in the account's shapes and anywhere.
 func (d *decider) regions(e *entry) []region {
-	unfixed := d.unfixed(e)
+	unfixed := d.avoiding(e.job, d.unfixed(e))
 	prices := d.taskPrices(e, unfixed)
 	var regions []region
 	for _, r := range d.z.racks {
@@ -200,7 +200,7 @@
 	}
 	idle := sumOf(d.free, d.coming)
 	for _, usable := range [][]int{d.packed.cells[e.account], unfixed} {
-		if parts := d.z.fit(usable, idle, e.job.Shape); parts != nil {
+		if parts := d.fit(e, usable, idle); parts != nil {
 			regions = append(regions, d.price(e, parts))
 		}
 	}
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -59,7 +59,9 @@
 // failure is a kind of placement that does not fit.
 type failure struct {
 	account int
-	shape   api.Shape
+	// only names a job that avoids workers.
+	only  string
+	shape api.Shape
 	// stoppable jobs beyond a guarantee fail for every account alike.
 	stoppable bool
 	claims    bool
@@ -171,14 +173,14 @@
 		return
 	}
 	stoppable := e.job.Stoppable()
-	attempt := failure{account: e.account, shape: e.job.Shape, stoppable: stoppable, outlasted: d.outlasted(e)}
+	attempt := failure{account: e.account, only: only(e.job), shape: e.job.Shape, stoppable: stoppable, outlasted: d.outlasted(e)}
 	if stoppable {
 		attempt.account = -1
 	}
 	if d.failed[attempt] || (d.off.Backfill && d.blocked) {
 		return
 	}
-	parts := d.z.fit(d.available(e), nil, e.job.Shape)
+	parts := d.fit(e, d.available(e), nil)
 	switch {
 	case parts != nil && stoppable:
 		d.place(e, parts, true, "borrows free accelerators")
