--- a/internal/platform/contract_test.go
+++ b/internal/platform/contract_test.go
@@ -229,3 +229,20 @@
 	assert.Assert(t, api.IsKind(result.Err, api.KindStoreUnavailable))
 	assert.Assert(t, !client.Reachable())
 }
+
+func TestInstanceListerOfTheStandIn(t *testing.T) {
+	server := httptest.NewServer(standin.NewPlatform(standin.DefaultListTTL).Handler())
+	defer server.Close()
+	client := platform.NewHTTP(server.Listener.Addr().String())
+	defer client.Close()
+	want := api.ListedInstance{ID: "w1", Role: api.RoleWorker, Addr: "127.0.0.1:1", AvailabilityZone: "z1", Incarnation: 7}
+	body, err := json.Marshal(want)
+	assert.NilError(t, err)
+	response, err := server.Client().Post(server.URL+"/v1/announce", "application/json", bytes.NewReader(body))
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	list, err := client.List(t.Context())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, list.Instances, []api.ListedInstance{want})
+	assert.Assert(t, !list.AsOf.IsZero())
+}
