--- a/test/process/promises_test.go
+++ b/test/process/promises_test.go
@@ -78,6 +78,7 @@
 	c := startCluster(t, dimensions)
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			c := c.in(t)
 			before := len(c.records().Executions)
 			input := requestsOf(name)
@@ -150,6 +151,7 @@
 	c := startCluster(t, dimensions)
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			c := c.in(t)
 			c.wait("the zone has a placer", func() bool { return c.placer() >= 0 })
 			placer := c.placer()
@@ -205,6 +207,7 @@
 	}
 	for name, stopping := range cases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			c := startCluster(t, size{entries: 2, backends: 2, configuration: oneAccount})
 			input := drive.Input{Items: []drive.Item{{
 				Name: "check", Count: 16, Work: standin.WorkPayload{WorkMS: 1000},
