--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -190,7 +190,11 @@
 }
 
 func (i *instance) ready() error {
-	if refusal := i.life.Refusal(); !api.IsKind(refusal, api.KindNotReady) {
+	refusal := i.life.Refusal()
+	if refusal == nil {
+		return withinGoroutines(i.settings.Limits.MaxGoroutines)
+	}
+	if !api.IsKind(refusal, api.KindNotReady) {
 		return refusal
 	}
 	if i.config.Current() == nil {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -122,7 +122,7 @@
 echo "loading $configuration"
 bin/corianderbank --addr "${addresses[0]}" config apply --expect 0 "$configuration"
 bin/standin wait --path /readyz "${addresses[@]}"
-bin/standin settle --limit 20s --accelerators $((${#zones[@]} * workers_per_zone * accelerators_per_worker)) "${flags[@]}"
+bin/standin settle --limit 30s --accelerators $((${#zones[@]} * workers_per_zone * accelerators_per_worker)) "${flags[@]}"
 
 if [ "${1:-}" = stay ]; then
   echo "entry instances: ${addresses[*]}"
--- a/test/docs/docs_test.go
+++ b/test/docs/docs_test.go
@@ -231,3 +231,18 @@
 	steps, _, _ = strings.Cut(steps, "\n\n")
 	assert.DeepEqual(t, matches("(?m)^\\| `([a-z_]+)`", steps), slices.Compact(inCode))
 }
+
+// TestEverySettingHasAnEffect fails for a setting that the code never reads.
+func TestEverySettingHasAnEffect(t *testing.T) {
+	var code strings.Builder
+	goFiles(t, func(path, text string) {
+		if !strings.Contains(filepath.ToSlash(path), "internal/settings/") {
+			code.WriteString(text)
+		}
+	})
+	for _, name := range []string{"Settings", "Limits", "Timing"} {
+		for _, f := range structFields(t, "internal/settings/settings.go", name) {
+			assert.Check(t, strings.Contains(code.String(), "."+f.goName), "%s is not used", f.name)
+		}
+	}
+}
