A path that does not take a method answers method_not_allowed

The kind was in the list and in no code: a wrong method fell to the pattern for unknown paths and got not_found. An unknown field is invalid_field now, as the table of kinds says; it was malformed_body.

--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/bodies_test.go
@@ -73,7 +73,7 @@
 		"not JSON":                  {"/v1/requests", `{`, api.KindMalformedBody},
 		"empty":                     {"/v1/jobs", ``, api.KindMalformedBody},
 		"wrong type":                {"/v1/requests", `{"account":5}`, api.KindMalformedBody},
-		"unknown field":             {"/v1/requests", `{"account":"a","kind":"k","nonsense":1}`, api.KindMalformedBody},
+		"unknown field":             {"/v1/requests", `{"account":"a","kind":"k","nonsense":1}`, api.KindInvalidField},
 		"data after the end":        {"/v1/requests", `{"account":"a","kind":"k"} {}`, api.KindMalformedBody},
 		"too large":                 {"/v1/requests", `{"account":"` + strings.Repeat("a", 2<<20) + `"}`, api.KindBodyTooLarge},
 		"no account":                {"/v1/requests", `{"kind":"k"}`, api.KindInvalidField},
@@ -96,6 +96,30 @@
 	}
 }
 
+func TestUnknownResources(t *testing.T) {
+	cases := map[string]struct {
+		method, path string
+		kind         api.Kind
+		allow        string
+	}{
+		"no such path":                      {http.MethodGet, "/v1/nothing", api.KindNotFound, ""},
+		"a path that takes another method":  {http.MethodPut, "/v1/requests", api.KindMethodNotAllowed, "POST"},
+		"a path that takes several methods": {http.MethodPost, "/v1/jobs/j-1", api.KindMethodNotAllowed, "GET, DELETE"},
+		"a path below a resource":           {http.MethodGet, "/v1/jobs/j-1/more", api.KindNotFound, ""},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			recorder := httptest.NewRecorder()
+			checkedServer().ServeHTTP(recorder, httptest.NewRequest(tc.method, tc.path, nil))
+			var body api.ErrorBody
+			assert.NilError(t, json.Unmarshal(recorder.Body.Bytes(), &body))
+			assert.Equal(t, body.Kind, tc.kind)
+			assert.Equal(t, recorder.Code, api.AnswerFor(tc.kind).Status)
+			assert.Equal(t, recorder.Header().Get("Allow"), tc.allow)
+		})
+	}
+}
+
 func FuzzBodies(f *testing.F) {
 	f.Add(`{"account":"a","kind":"k","payload":{"x":[1,2]}}`)
 	f.Add(`{"account":"a","kind":"k","declared_run_s":1e309,"shape":{"tasks":1e9}}`)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -92,7 +93,7 @@
 	mux.HandleFunc("GET /healthz", s.healthz)
 	mux.HandleFunc("GET /readyz", s.readyz)
 	mux.HandleFunc("GET /metrics", s.metrics)
-	mux.HandleFunc("/", s.notFound)
+	mux.HandleFunc("/", unknownResource(mux))
 	return mux
 }
 
@@ -142,10 +143,6 @@
 	metrics.WritePrometheus(w, true)
 }
 
-func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
-	writeError(w, api.NewError(api.KindNotFound, "no resource %s %s", r.Method, r.URL.Path))
-}
-
 // decode reads a bounded JSON body strictly into target.
 func (s *Server) decode(w http.ResponseWriter, r *http.Request, target any) error {
 	body := http.MaxBytesReader(w, r.Body, s.opts.Settings.Limits.MaxBodyBytes)
@@ -160,11 +157,18 @@
 	return nil
 }
 
+// unknownFieldPrefix begins the error of package json for a field that the
+// message does not have; it has no type of its own.
+const unknownFieldPrefix = "json: unknown field"
+
 func bodyError(err error) error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return api.NewError(api.KindBodyTooLarge, "the body exceeds %d bytes", tooLarge.Limit)
 	}
+	if strings.HasPrefix(err.Error(), unknownFieldPrefix) {
+		return api.NewError(api.KindInvalidField, "%v", err)
+	}
 	return api.NewError(api.KindMalformedBody, "%v", err)
 }
 
