--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -52,6 +52,8 @@
 	Logger   *zap.Logger
 	// Ready returns nil while the instance takes callers' work.
 	Ready func() error
+	// Metrics, if set, writes the metrics of the parts that keep their own.
+	Metrics func(w io.Writer)
 }
 
 // Server serves HTTP. It is safe for concurrent use.
@@ -140,6 +142,9 @@
 
 func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
 	s.answers.WritePrometheus(w)
+	if s.opts.Metrics != nil {
+		s.opts.Metrics(w)
+	}
 	metrics.WritePrometheus(w, true)
 }
 
--- a/test/process/commands_test.go
+++ b/test/process/commands_test.go
@@ -99,4 +99,10 @@
 	assert.Equal(t, len(status.Instances), 2)
 	assert.Equal(t, status.Zones[0].Accelerators, 16)
 	assert.Equal(t, len(status.Accounts), 1)
+
+	response, err := client.R().Get("http://" + c.entries[0].addr + "/metrics")
+	assert.NilError(t, err)
+	for _, line := range []string{"corianderbank_store_reachable 1", "corianderbank_requests_in_flight 0", `corianderbank_answers_total{work="job"`, "go_goroutines"} {
+		assert.Assert(t, strings.Contains(response.String(), line), "metrics lack %s", line)
+	}
 }
