Metrics of the zone, its accounts, the configuration and the placer

/metrics said nothing of what operators are paged for: waiting gangs, sick workers, a guarantee at risk, an instance behind in configuration. They are read from the parts when asked for; the zone's come from its placer only.

--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -97,7 +97,7 @@
 	})
 	i.buildWork(incarnation)
 	i.server = entry.New(entry.Options{
-		Settings: s, Requests: i.executor, Jobs: i.jobs, Fleet: fleetView{i}, Config: i.config, Logger: logger, Ready: i.ready, Metrics: i.platform.WriteMetrics,
+		Settings: s, Requests: i.executor, Jobs: i.jobs, Fleet: fleetView{i}, Config: i.config, Logger: logger, Ready: i.ready, Metrics: i.writeMetrics,
 	})
 	i.life = i.newLife()
 	return i
--- a/test/process/commands_test.go
+++ b/test/process/commands_test.go
@@ -30,6 +30,12 @@
 	return 0, string(out)
 }
 
+func (c *cluster) metrics(entry int) string {
+	response, err := client.R().Get("http://" + c.entries[entry].addr + "/metrics")
+	assert.NilError(c.t, err)
+	return response.String()
+}
+
 func TestOperatorCommands(t *testing.T) {
 	t.Parallel()
 	c := startCluster(t, size{entries: 2, backends: 1, workers: 2, configuration: oneAccount})
@@ -100,9 +106,9 @@
 	assert.Equal(t, status.Zones[0].Accelerators, 16)
 	assert.Equal(t, len(status.Accounts), 1)
 
-	response, err := client.R().Get("http://" + c.entries[0].addr + "/metrics")
-	assert.NilError(t, err)
-	for _, line := range []string{"corianderbank_store_reachable 1", "corianderbank_requests_in_flight 0", `corianderbank_answers_total{work="job"`, "go_goroutines"} {
-		assert.Assert(t, strings.Contains(response.String(), line), "metrics lack %s", line)
+	assert.Assert(t, strings.Contains(c.metrics(c.placer()), `corianderbank_zone_accelerators{availability_zone="zone-1"} 16`))
+	text := c.metrics(0)
+	for _, line := range []string{"corianderbank_store_reachable 1", "corianderbank_requests_in_flight 0", `corianderbank_answers_total{work="job"`, "corianderbank_config_version 2", "go_goroutines"} {
+		assert.Assert(t, strings.Contains(text, line), "metrics lack %s", line)
 	}
 }
