Placement lines name the second best

Cause: the style asks for what was second best; placement lines left it empty. Change: where the job would go without the chosen workers; counts of workers read as a person would say them.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -206,6 +206,7 @@
 // place enters a placement into the plan.
 func (d *decider) place(e *entry, parts []part, borrowed bool, reason string) {
 	perTask := e.job.Shape.AcceleratorsPerTask
+	second := d.secondBest(e, parts)
 	add(d.free, parts, -perTask)
 	for i := range d.reserved {
 		if d.outlasts(e, i) {
@@ -221,7 +222,33 @@
 		Borrowed:    borrowed,
 		ExpectedEnd: d.s.Now.Add(e.run),
 	})
-	d.decided("place", e.job, fmt.Sprintf("%s and %d more workers", d.z.workers[parts[0].worker].ID, len(parts)-1), reason)
+	d.decided("place", e.job, d.z.describe(parts), reason)
+	d.plan.Decisions[len(d.plan.Decisions)-1].SecondBest = second
+}
+
+// secondBest describes where the job would go if the workers of its placement
+// were not there; for the log.
+func (d *decider) secondBest(e *entry, parts []part) string {
+	usable := append([]int(nil), d.free...)
+	for _, p := range parts {
+		usable[p.worker] = 0
+	}
+	if other := d.fit(e, usable, nil); other != nil {
+		return d.z.describe(other)
+	}
+	return "nowhere else now"
+}
+
+// describe names the first worker of a placement and counts the others.
+func (z *zone) describe(parts []part) string {
+	first := z.workers[parts[0].worker].ID
+	switch len(parts) {
+	case 1:
+		return first
+	case 2:
+		return first + " and 1 more worker"
+	}
+	return fmt.Sprintf("%s and %d more workers", first, len(parts)-1)
 }
 
 // fix enters the parts of a job as fixed holdings of its account, if then every
