--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -223,6 +223,7 @@
 	s.Instance, s.AvailabilityZone, s.Listen, s.PeerListen, s.Platform = self.Instance, testZone, self.Addr, self.PeerAddr, n.relay.addr
 	s.Timing.PlacerLeaseMS, s.Timing.WorkerLeaseMS, s.Timing.ListPollMS = 1500, 3000, 200
 	s.Timing.ConfigPollMS, s.Timing.PeerIntervalMS, s.Timing.PlaceIntervalMS = 200, 200, 100
+	s.Timing.StopWithinMS = 10_000
 	s.Peers = peers
 	data, err := json.Marshal(s)
 	assert.NilError(c.t, err)
--- a/test/process/promises_test.go
+++ b/test/process/promises_test.go
@@ -223,6 +223,29 @@
 	}
 }
 
+func TestPlannedStopAnswersWhoWaitsForAJob(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, size{entries: 2, workers: 1, configuration: oneAccount})
+	var job api.JobAnswer
+	response, err := client.R().SetBody(api.JobSubmission{
+		Account: "acme", Kind: "long", Idempotent: true, DeclaredRunS: 60, Shape: api.Shape{Tasks: 1, AcceleratorsPerTask: 1},
+		Payload: []byte(`{"run_ms": 60000}`),
+	}).SetResult(&job).Post("http://" + c.entries[0].addr + "/v1/jobs")
+	assert.NilError(t, err)
+	assert.Equal(t, job.Outcome, api.OutcomeAccepted, response.String())
+	var waited api.JobAnswer
+	var waiting sync.WaitGroup
+	waiting.Go(func() {
+		_, err = client.R().SetResult(&waited).Get("http://" + c.entries[0].addr + "/v1/jobs/" + job.ID + "?wait_ms=60000")
+	})
+	time.Sleep(300 * time.Millisecond) // lets the call arrive; if it does not, nothing is shown
+	assert.NilError(t, c.entries[0].stop())
+	waiting.Wait()
+	assert.NilError(t, err)
+	assert.Equal(t, waited.ID, job.ID)
+	assert.Equal(t, waited.Outcome, api.OutcomeAccepted)
+}
+
 func TestLeavingBackendServerGetsNoNewWork(t *testing.T) {
 	t.Parallel()
 	c := startCluster(t, size{entries: 2, backends: 2, configuration: oneAccount})
