The placer indexes its jobs; a report no longer searches all of them

Change: open jobs are kept in order, gangs by worker, rows to write in a set; a plan is carried out in the turn that made it, so the second check went (the workers check each part at its reservation).

--- a/internal/placer/calls.go
+++ b/internal/placer/calls.go
@@ -185,7 +185,7 @@
 	switch before {
 	case stReserving:
 		c.do(releaseAction{ref: e.ref, parts: e.parts})
-		e.parts = nil
+		c.setParts(e, nil)
 	case stStarting, stRunning:
 		c.sendStop(e, false, stopWithin)
 	}
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -10,7 +10,6 @@
 
 import (
 	"fmt"
-	"sort"
 	"time"
 
 	"github.com/corianderbank/corianderbank/api"
@@ -105,7 +104,6 @@
 	dirty     bool
 	writing   bool
 	nextWrite time.Time
-	released  bool
 }
 
 // seenReport is the last report of a part.
@@ -142,6 +140,9 @@
 	chart       *chart.Chart
 	workerChart *chart.Chart
 	jobs        map[string]*entry
+	open        []*entry // in order of submission
+	onWorker    map[string]map[*entry]bool
+	unsaved     map[string]*entry
 	ended       []string
 	byKey       map[string]string
 	workers     map[string]*workerState
@@ -158,6 +159,14 @@
 	plannedAt time.Time
 }
 
+// newCore completes a core with its charts and empty memory.
+func newCore(c core) *core {
+	c.chart, c.workerChart = chart.MustLoad("gang"), chart.MustLoad("worker")
+	c.workers = make(map[string]*workerState)
+	c.clear()
+	return &c
+}
+
 func (c *core) do(a action) { c.actions = append(c.actions, a) }
 
 func (c *core) takeActions() []action {
@@ -202,7 +211,8 @@
 	e.record.Message = reason
 	e.record.Outcome, e.record.ErrorKind = finalOutcome(e)
 	showOutcome(e.record.Outcome, e.record.ErrorKind)
-	e.dirty = true
+	c.markUnsaved(e)
+	c.closeJob(e)
 	c.health.JobEnded(e.record.ID)
 	c.ended = append(c.ended, e.record.ID)
 	c.forgetOldest()
@@ -246,27 +256,12 @@
 	}
 }
 
-// live returns the jobs that have not ended, in order of submission.
-func (c *core) live() []*entry {
-	var list []*entry
-	for _, e := range c.jobs {
-		if !c.chart.Final(e.state) {
-			list = append(list, e)
-		}
-	}
-	sort.Slice(list, func(i, j int) bool {
-		a, b := list[i].record, list[j].record
-		if !a.SubmittedAt.Equal(b.SubmittedAt) {
-			return a.SubmittedAt.Before(b.SubmittedAt)
-		}
-		return a.ID < b.ID
-	})
-	return list
-}
-
 func (c *core) addWaiting(record jobstore.Record) *entry {
+	// Records read from the store have no monotonic time; the order of the open
+	// jobs must compare all of them alike.
+	record.SubmittedAt = record.SubmittedAt.Round(0)
 	e := &entry{record: record, state: c.chart.Initial, reports: make(map[string]seenReport)}
-	c.jobs[record.ID] = e
+	c.openJob(e)
 	if key := record.Submission.IdempotencyKey; key != "" {
 		c.byKey[record.Submission.Account+"\x00"+key] = record.ID
 	}
@@ -277,9 +272,16 @@
 // stepDown forgets everything: another instance holds the lease, or may.
 func (c *core) stepDown() {
 	c.held, c.recovered, c.recovering, c.mayPlace = false, false, false, false
+	c.clear()
+}
+
+// clear empties the memory of jobs.
+func (c *core) clear() {
 	c.jobs = make(map[string]*entry)
+	c.open, c.ended = nil, nil
+	c.onWorker = make(map[string]map[*entry]bool)
+	c.unsaved = make(map[string]*entry)
 	c.byKey = make(map[string]string)
-	c.ended = nil
 }
 
 func (c *core) apply(ev event, now time.Time) { ev.apply(c, now) }
--- a/internal/placer/gangs.go
+++ b/internal/placer/gangs.go
@@ -21,11 +21,11 @@
 		return
 	}
 	e.ref = api.GangRef{Epoch: c.epoch, Gang: e.record.ID, Attempt: e.nextAttempt()}
-	e.parts = parts
+	c.setParts(e, parts)
 	e.reports = make(map[string]seenReport)
 	e.borrowed = p.Borrowed
 	e.expectedEnd = p.ExpectedEnd
-	e.mayRun, e.stopSent, e.released, e.checkpointed = false, false, false, false
+	e.mayRun, e.stopSent, e.checkpointed = false, false, false
 	e.lapseAt = time.Time{}
 	c.do(reserveAction{ref: e.ref, account: e.record.Submission.Account, parts: parts, ttl: reserveTTLFactor * c.workerLease})
 }
@@ -64,7 +64,7 @@
 	e.record.Phase = jobstore.PhaseStarted
 	e.record.StartedAt = now
 	if e.record.Submission.Idempotent {
-		e.dirty = true
+		c.markUnsaved(e)
 		c.start(e)
 		return
 	}
@@ -76,7 +76,7 @@
 func (c *core) fallBack(e *entry, reason string, now time.Time) {
 	c.step(e, evShort, reason, now)
 	e.notBefore = now.Add(retryPlacementAfter)
-	e.parts = nil
+	c.setParts(e, nil)
 }
 
 func (ev grantedEvent) apply(c *core, now time.Time) {
@@ -188,7 +188,7 @@
 // stopped ends the present attempt: every part is surely not running.
 func (c *core) stopped(e *entry, now time.Time) {
 	c.do(releaseAction{ref: e.ref, parts: e.parts})
-	e.parts = nil
+	c.setParts(e, nil)
 	e.ranEver = e.ranEver || e.mayRun
 	if !e.ranEver {
 		e.record.Phase = jobstore.PhaseAccepted
@@ -202,7 +202,7 @@
 		return
 	}
 	e.notBefore = now.Add(retryPlacementAfter)
-	e.dirty = true
+	c.markUnsaved(e)
 	c.step(e, evStopped, "waits again: "+e.stopReason, now)
 }
 
@@ -226,14 +226,14 @@
 			return
 		}
 		if ev.record.Phase == jobstore.PhaseEnded && e.record.Phase != jobstore.PhaseEnded {
-			delete(c.jobs, ev.id)
+			c.dropJob(e)
 			return
 		}
 		e.record.Version = ev.record.Version
 		c.noteForeignStart(e, ev.record, now)
 		return
 	}
-	e.dirty = true
+	c.markUnsaved(e)
 	e.nextWrite = now.Add(persistRetryAfter)
 	if api.IsKind(ev.err, api.KindConflict) || api.IsKind(ev.err, api.KindResultUnknown) {
 		e.writing = true
@@ -258,19 +258,36 @@
 
 // persist writes dirty records under the present epoch and releases ended gangs whose outcome is safe.
 func (c *core) persist(now time.Time) {
-	for _, e := range c.jobs {
-		if e.dirty && !e.writing && !now.Before(e.nextWrite) {
-			e.dirty, e.writing = false, true
-			e.record.Epoch = c.epoch
-			c.do(persistAction{record: e.record})
+	for id, e := range c.unsaved {
+		if e.writing {
+			continue
 		}
-		durable := !e.dirty && !e.writing && c.chart.Final(e.state)
-		if durable && !e.released {
-			e.released = true
-			if len(e.parts) > 0 {
-				c.do(releaseAction{ref: e.ref, parts: e.parts})
-			}
+		if e.dirty {
+			c.write(e, now)
+			continue
 		}
+		delete(c.unsaved, id)
+		if c.chart.Final(e.state) {
+			c.acknowledge(e)
+		}
+	}
+}
+
+func (c *core) write(e *entry, now time.Time) {
+	if now.Before(e.nextWrite) {
+		return
+	}
+	e.dirty, e.writing = false, true
+	e.record.Epoch = c.epoch
+	c.do(persistAction{record: e.record})
+}
+
+// acknowledge releases what an ended gang still holds, now that its outcome is
+// safe: until then its workers keep the news for the next placer.
+func (c *core) acknowledge(e *entry) {
+	if len(e.parts) > 0 {
+		c.do(releaseAction{ref: e.ref, parts: e.parts})
+		c.setParts(e, nil)
 	}
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"github.com/corianderbank/corianderbank/api"
-	"github.com/corianderbank/corianderbank/internal/chart"
 	"github.com/corianderbank/corianderbank/internal/config"
 	"github.com/corianderbank/corianderbank/internal/decision"
 	"github.com/corianderbank/corianderbank/internal/estimate"
@@ -104,13 +103,10 @@
 		pool:    pond.NewPool(poolSize),
 		leaving: make(chan struct{}),
 		left:    make(chan struct{}),
-		core: &core{
-			zone: opts.Zone, instance: opts.Instance,
-			chart: chart.MustLoad("gang"), workerChart: chart.MustLoad("worker"),
-			jobs: make(map[string]*entry), byKey: make(map[string]string), workers: make(map[string]*workerState),
-			runs: opts.Runs, health: opts.Health, recorder: opts.Recorder,
+		core: newCore(core{
+			zone: opts.Zone, instance: opts.Instance, runs: opts.Runs, health: opts.Health, recorder: opts.Recorder,
 			workerLease: opts.WorkerLease, maxJobs: opts.MaxJobs,
-		},
+		}),
 	}
 }
 
--- a/internal/placer/recover.go
+++ b/internal/placer/recover.go
@@ -88,6 +88,7 @@
 	}
 	e.ref = api.GangRef{Epoch: c.epoch, Gang: record.ID, Attempt: attempt}
 	tasks := 0
+	var parts []part
 	for worker, r := range held {
 		if r.Attempt != attempt {
 			continue
@@ -97,12 +98,13 @@
 			continue
 		}
 		tasks += r.Tasks
-		e.parts = append(e.parts, part{worker: worker, addr: w.Addr, task: api.TaskPlacement{Worker: worker, Tasks: r.Tasks, Accelerators: r.Accelerators}})
+		parts = append(parts, part{worker: worker, addr: w.Addr, task: api.TaskPlacement{Worker: worker, Tasks: r.Tasks, Accelerators: r.Accelerators}})
 		e.reports[worker] = seenReport{state: r.State, ranS: r.RanS, msg: r.Message, renewedAt: now}
 		if r.State != api.TaskReserved {
 			e.mayRun = true
 		}
 	}
+	c.setParts(e, parts)
 	c.resume(e, tasks == record.Submission.Shape.Tasks, now)
 }
 
--- a/internal/placer/reports.go
+++ b/internal/placer/reports.go
@@ -58,12 +58,11 @@
 	return count
 }
 
+// holdsGang reports whether a gang that has not ended holds a part of a worker.
 func (c *core) holdsGang(worker string) bool {
-	for _, e := range c.jobs {
-		for _, p := range e.parts {
-			if p.worker == worker && !c.chart.Final(e.state) {
-				return true
-			}
+	for e := range c.onWorker[worker] {
+		if !c.chart.Final(e.state) {
+			return true
 		}
 	}
 	return false
@@ -138,8 +137,8 @@
 		}
 		e.reports[ev.worker] = seenReport{state: r.State, ranS: r.RanS, msg: r.Message, renewedAt: renewedAt}
 	}
-	for _, e := range c.live() {
-		if e.state == stRunning && e.holds(ev.worker) {
+	for _, e := range c.gangsOn(ev.worker) {
+		if e.state == stRunning {
 			if !seen[e.record.ID] && ev.sentAt.After(e.reports[ev.worker].renewedAt) {
 				c.stop(e, evWorkerLost, "worker "+ev.worker+" no longer has its part", now)
 				continue
--- a/internal/placer/round.go
+++ b/internal/placer/round.go
@@ -106,8 +106,10 @@
 	c.touched = true
 }
 
-// round decides and begins what the plan says. Each placement is checked again
-// against the state that the ones before it left.
+// round decides and begins what the plan says. The plan is carried out in the
+// same turn of the goroutine that owns the state, so there is no newer state to
+// check it against here; the workers, who hold the truth, check each part again
+// when they are asked to reserve it.
 func (c *core) round(now time.Time) {
 	c.checkSilence(now)
 	c.persist(now)
@@ -164,10 +166,6 @@
 		c.decide(now, e, "wait", "waiting", "a worker of the placement is being probed", "")
 		return
 	}
-	if err := placement.Recheck(c.snapshot(now), p); err != nil {
-		c.decide(now, e, "recheck", "waiting", err.Error(), "")
-		return
-	}
 	c.begin(e, p, now)
 }
 
