--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -37,7 +37,9 @@
 	// Claim returns a held claim, or the recorded answer of an earlier
 	// arrival. It waits, within ctx, for an earlier arrival under way; if that
 	// does not end, the answer has the outcome unknown. Errors: KindKeyReused
-	// for another body, KindStoreUnavailable if nothing is claimed and nothing
-	// ran, KindResultUnknown if the claim may have been made.
+	// for another body, KindStoreUnavailable if this arrival has no claim and
+	// never will (whether an earlier one of the key ran cannot be known then),
+	// KindResultUnknown if the claim may have been made; it is never used, and
+	// released when the store returns.
 	Claim(ctx context.Context, request Request) (Held, *api.RequestAnswer, error)
 }
