--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -97,7 +97,7 @@
 	})
 	i.buildWork(incarnation)
 	i.server = entry.New(entry.Options{
-		Settings: s, Requests: i.executor, Jobs: i.jobs, Fleet: fleetView{i}, Config: i.config, Logger: logger, Ready: i.ready,
+		Settings: s, Requests: i.executor, Jobs: i.jobs, Fleet: fleetView{i}, Config: i.config, Logger: logger, Ready: i.ready, Metrics: i.writeMetrics,
 	})
 	i.life = i.newLife()
 	return i
@@ -190,7 +190,11 @@
 }
 
 func (i *instance) ready() error {
-	if refusal := i.life.Refusal(); !api.IsKind(refusal, api.KindNotReady) {
+	refusal := i.life.Refusal()
+	if refusal == nil {
+		return withinGoroutines(i.settings.Limits.MaxGoroutines)
+	}
+	if !api.IsKind(refusal, api.KindNotReady) {
 		return refusal
 	}
 	if i.config.Current() == nil {
