Waiting readers do not hold up a shutdown

Cause: GET of a job with wait_ms waits up to a minute, beyond the bound of a shutdown, which would then cut the reader off. Change: the wait goes in slices of 2 s and ends with the job's present state when the instance shuts down.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -143,7 +143,7 @@
 		writeError(w, err)
 		return
 	}
-	answer, err := s.opts.Jobs.Get(r.Context(), r.PathValue("id"), wait)
+	answer, err := s.awaitJob(r.Context(), r.PathValue("id"), wait)
 	if err != nil {
 		writeError(w, err)
 		return
@@ -151,6 +151,26 @@
 	writeJSON(w, http.StatusOK, answer)
 }
 
+// waitSlice bounds how long a waiting reader holds up a shutdown.
+const waitSlice = 2 * time.Second
+
+// awaitJob waits for the job's end in slices. A reader that waits when the
+// instance shuts down gets the job's present state, and asks another instance.
+func (s *Server) awaitJob(ctx context.Context, id string, wait time.Duration) (api.JobAnswer, error) {
+	until := time.Now().Add(wait)
+	for {
+		remaining := max(0, time.Until(until))
+		answer, err := s.opts.Jobs.Get(ctx, id, min(remaining, waitSlice))
+		if err != nil || answer.Outcome != api.OutcomeAccepted {
+			return answer, err
+		}
+		over := ctx.Err() != nil || !time.Now().Before(until)
+		if over || api.IsKind(s.opts.Ready(), api.KindStopping) {
+			return answer, nil
+		}
+	}
+}
+
 func waitOf(r *http.Request) (time.Duration, error) {
 	text := r.URL.Query().Get("wait_ms")
 	if text == "" {
