--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/corianderbank/corianderbank/internal/measure"
 	"github.com/corianderbank/corianderbank/internal/measure/gangload"
+	"github.com/corianderbank/corianderbank/internal/measure/requestload"
 )
 
 // defaultSeed is the seed of the published figures.
@@ -29,7 +30,7 @@
 }
 
 func run(seed uint64, dir string) error {
-	rows := gangload.Run(seed)
+	rows := append(gangload.Run(seed), requestload.Run(seed)...)
 	var table bytes.Buffer
 	fmt.Fprintf(&table, "# Figures of make measure\n\nSeed %d.\n", seed)
 	if err := measure.WriteTable(&table, rows); err != nil {
