Guarantees are not judged before the workers have reported

Cause: the example configuration was refused as not packing into 0 workers when it was applied right after the start (found by hand with default timings). Ruled out: the packing check; it was asked too early. Change: a placer with workers that have not reported says that it cannot tell.

--- a/internal/placer/calls.go
+++ b/internal/placer/calls.go
@@ -196,11 +196,25 @@
 		call.reply <- reply{err: err}
 		return
 	}
-	err := placement.CheckGuarantees(c.zone, c.workerList(false), call.accounts)
-	if err != nil {
-		err = api.NewError(api.KindShapeNeverFits, "%v", err)
+	call.reply <- reply{err: c.checkGuarantees(call.accounts)}
+}
+
+// checkGuarantees asks whether guarantees pack. While some workers have not
+// reported, nobody can tell: a placer that has just taken over must not refuse a
+// configuration that fits.
+func (c *core) checkGuarantees(accounts []model.ClientAccount) error {
+	for _, w := range c.workers {
+		if w.Accelerators == 0 {
+			return api.NewError(api.KindNotReady, "worker %s has not reported yet", w.ID)
+		}
 	}
-	call.reply <- reply{err: err}
+	if len(c.workers) == 0 {
+		return api.NewError(api.KindNotReady, "no workers are known yet")
+	}
+	if err := placement.CheckGuarantees(c.zone, c.workerList(false), accounts); err != nil {
+		return api.NewError(api.KindShapeNeverFits, "%v", err)
+	}
+	return nil
 }
 
 func (call statusCall) apply(c *core, now time.Time) {
--- a/internal/placer/core_test.go
+++ b/internal/placer/core_test.go
@@ -159,3 +159,18 @@
 		})
 	}
 }
+
+func TestGuaranteesAreCheckedOnceEveryWorkerHasReported(t *testing.T) {
+	shape := model.GuaranteedShape{Shape: api.Shape{Tasks: 2, AcceleratorsPerTask: 8, SameRack: true}, Count: 1}
+	accounts := func(count int) []model.ClientAccount {
+		wanted := shape
+		wanted.Count = count
+		return []model.ClientAccount{{Name: "acme", Guarantees: map[string][]model.GuaranteedShape{"z": {wanted}}}}
+	}
+	reported := newTestCore(4)
+	assert.NilError(t, reported.checkGuarantees(accounts(1)))
+	assert.Assert(t, api.IsKind(reported.checkGuarantees(accounts(3)), api.KindShapeNeverFits))
+	reported.setWorkers([]model.Worker{{ID: "new", Addr: "new", Zone: "z"}}, testStart)
+	assert.Assert(t, api.IsKind(reported.checkGuarantees(accounts(3)), api.KindNotReady))
+	assert.Assert(t, api.IsKind(newTestCore(0).checkGuarantees(accounts(1)), api.KindNotReady))
+}
