--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/backoff"
 	"github.com/corianderbank/corianderbank/internal/platform"
 )
 
@@ -78,7 +79,8 @@
 // Claim implements Claims.
 func (s *Store) Claim(ctx context.Context, request Request) (Held, *api.RequestAnswer, error) {
 	present := seen{row: api.Row{Ref: claimRef(request)}}
-	for delay := waitFirst; ; delay = min(2*delay, waitMost) {
+	retry := backoff.Backoff{Base: waitFirst, Max: waitMost}
+	for {
 		next, err := s.step(ctx, request, present)
 		switch {
 		case err != nil:
@@ -88,7 +90,7 @@
 		case next.answer != nil:
 			return nil, next.answer, nil
 		}
-		if !next.again && !pause(ctx, delay/2+rand.N(delay/2)) {
+		if !next.again && !pause(ctx, retry.Failed(rand.Float64())) {
 			return nil, unknown(request, "an earlier arrival of the key has not ended"), nil
 		}
 		present = s.look(ctx, next.present)
@@ -176,11 +178,19 @@
 	}
 	s.forget(mine)
 	if len(result.Conflicts) == 0 {
-		return stepped{}, platform.ErrorOf(result)
+		return stepped{}, notClaimed(request, result.Err)
 	}
 	return stepped{present: conflicting(result.Conflicts[0]), again: true}, nil
 }
 
+// notClaimed says what a store that is out leaves known: this arrival did not
+// run, and nothing about earlier ones.
+func notClaimed(request Request, cause error) error {
+	return api.NewError(api.KindStoreUnavailable,
+		"this submission did not run; whether an earlier one with key %s did is known when the store returns: send the same key again: %w",
+		request.Key, cause)
+}
+
 // conflicting is what a conflict tells of the claim; its end is yet to be read.
 func conflicting(row api.Row) seen {
 	present := seen{row: row}
--- a/internal/placement/claim.go
+++ b/internal/placement/claim.go
@@ -79,7 +79,7 @@
 
 func claimFailure(e *entry) failure {
 	return failure{
-		account: e.account, shape: e.job.Shape, claims: true, urgent: e.job.Urgent,
+		account: e.account, only: only(e.job), shape: e.job.Shape, claims: true, urgent: e.job.Urgent,
 		stoppable: e.job.Stoppable() && e.job.MayBorrow,
 	}
 }
@@ -139,7 +139,7 @@
 
 // claimOn places a job inside its guarantee on the given accelerators.
 func (d *decider) claimOn(e *entry, usable []int) bool {
-	parts := d.z.fit(usable, nil, e.job.Shape)
+	parts := d.fit(e, usable, nil)
 	if parts == nil || !d.fix(e.account, e.job, parts, true) {
 		return false
 	}
@@ -167,7 +167,7 @@
 // fitsToBorrow reports whether a job would start as a borrower on the given
 // accelerators. Urgent jobs do not, where they can claim.
 func (d *decider) fitsToBorrow(e *entry, usable []int) bool {
-	return !e.job.Urgent && e.job.Stoppable() && e.job.MayBorrow && d.z.fit(usable, nil, e.job.Shape) != nil
+	return !e.job.Urgent && e.job.Stoppable() && e.job.MayBorrow && d.fit(e, usable, nil) != nil
 }
 
 // borrowOn places a job as a borrower on the given accelerators.
@@ -175,7 +175,7 @@
 	if !d.fitsToBorrow(e, usable) {
 		return false
 	}
-	d.place(e, d.z.fit(usable, nil, e.job.Shape), true, reason)
+	d.place(e, d.fit(e, usable, nil), true, reason)
 	return true
 }
 
@@ -192,7 +192,7 @@
 	if (e.job.Stoppable() && !e.job.Urgent) || d.off.Reclaim {
 		return false
 	}
-	parts := d.z.fit(d.packed.begun[e.account], sumOf(d.free, d.coming), e.job.Shape)
+	parts := d.fit(e, d.packed.begun[e.account], sumOf(d.free, d.coming))
 	return parts != nil && d.takeRegion(e, []region{d.price(e, parts)})
 }
 
@@ -247,7 +247,7 @@
 // first: the cheapest workers of each rack that would hold it whole, and the
 // ways that fit finds in the account's shapes and anywhere.
 func (d *decider) regions(e *entry) []region {
-	unfixed := d.unfixed(e)
+	unfixed := d.avoiding(e.job, d.unfixed(e))
 	prices := d.taskPrices(e, unfixed)
 	var regions []region
 	for _, r := range d.z.racks {
@@ -257,7 +257,7 @@
 	}
 	idle := sumOf(d.free, d.coming)
 	for _, usable := range [][]int{d.packed.cells[e.account], unfixed} {
-		if parts := d.z.fit(usable, idle, e.job.Shape); parts != nil {
+		if parts := d.fit(e, usable, idle); parts != nil {
 			regions = append(regions, d.price(e, parts))
 		}
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"github.com/corianderbank/corianderbank/api"
-	"github.com/corianderbank/corianderbank/internal/chart"
 	"github.com/corianderbank/corianderbank/internal/config"
 	"github.com/corianderbank/corianderbank/internal/decision"
 	"github.com/corianderbank/corianderbank/internal/estimate"
@@ -34,8 +33,13 @@
 	fanOut = 64
 	// leasePart is the part of a lease after which it is renewed.
 	leasePart = 3
-	// watchPart is the part of a worker lease after which workers are renewed.
-	watchPart = 10
+	// steadyPart is the part of a worker lease after which a worker is renewed;
+	// watchPart that while news is expected of it.
+	steadyPart = 5
+	watchPart  = 15
+	// overduePart is the part of a gang's run time by which it may be late and
+	// still be expected to end soon.
+	overduePart = 10
 	// waitPoll bounds how late a waiting reader sees a change.
 	waitPoll = 50 * time.Millisecond
 )
@@ -99,13 +103,10 @@
 		pool:    pond.NewPool(poolSize),
 		leaving: make(chan struct{}),
 		left:    make(chan struct{}),
-		core: &core{
-			zone: opts.Zone, instance: opts.Instance,
-			chart: chart.MustLoad("gang"), workerChart: chart.MustLoad("worker"),
-			jobs: make(map[string]*entry), byKey: make(map[string]string), workers: make(map[string]*workerState),
-			changed: make(map[string]bool), runs: opts.Runs, health: opts.Health, recorder: opts.Recorder,
+		core: newCore(core{
+			zone: opts.Zone, instance: opts.Instance, runs: opts.Runs, health: opts.Health, recorder: opts.Recorder,
 			workerLease: opts.WorkerLease, maxJobs: opts.MaxJobs,
-		},
+		}),
 	}
 }
 
@@ -174,9 +175,10 @@
 }
 
 func (p *Placer) tick(now time.Time) {
-	p.core.config = p.opts.Config.Current()
+	p.core.setConfig(p.opts.Config.Current())
 	p.core.setWorkers(p.opts.Fleet.Workers(p.opts.Zone), now)
 	p.core.round(now)
+	p.core.showRound(time.Since(now))
 	p.load.Store(math.Float64bits(p.core.load()))
 }
 
--- a/internal/placer/round.go
+++ b/internal/placer/round.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/config"
 	"github.com/corianderbank/corianderbank/internal/model"
 	"github.com/corianderbank/corianderbank/internal/placement"
 )
@@ -96,15 +97,31 @@
 	return gang
 }
 
-// round decides and begins what the plan says. Each placement is checked again
-// against the state that the ones before it left.
+// setConfig takes the configuration in force.
+func (c *core) setConfig(snapshot *config.Snapshot) {
+	if snapshot == nil || (c.config != nil && c.config.Version == snapshot.Version) {
+		return
+	}
+	c.config = snapshot
+	c.touched = true
+}
+
+// round decides and begins what the plan says. The plan is carried out in the
+// same turn of the goroutine that owns the state, so there is no newer state to
+// check it against here; the workers, who hold the truth, check each part again
+// when they are asked to reserve it.
 func (c *core) round(now time.Time) {
 	c.checkSilence(now)
 	c.persist(now)
 	if !c.held || !c.recovered {
 		return
 	}
+	if !c.touched && now.Sub(c.plannedAt) < idleRound {
+		return
+	}
+	c.touched, c.plannedAt = false, now
 	plan := placement.Decide(c.snapshot(now))
+	showPlan(plan)
 	for _, d := range plan.Decisions {
 		if e, ok := c.jobs[d.Subject]; ok && d.Rule == "" {
 			d.Rule = e.record.Rule
@@ -149,10 +166,6 @@
 		c.decide(now, e, "wait", "waiting", "a worker of the placement is being probed", "")
 		return
 	}
-	if err := placement.Recheck(c.snapshot(now), p); err != nil {
-		c.decide(now, e, "recheck", "waiting", err.Error(), "")
-		return
-	}
 	c.begin(e, p, now)
 }
 
--- a/internal/request/dispatcher.go
+++ b/internal/request/dispatcher.go
@@ -107,9 +107,7 @@
 	tried []string
 	// again says that the request had been let in before.
 	again bool
-	// checkOnly asks whether the request would be let in.
-	checkOnly bool
-	reply     chan turn
+	reply chan turn
 }
 
 // turn answers a submission: the choice of a backend server, or a refusal.
@@ -146,8 +144,10 @@
 
 // Run is the duty. Requests that wait when ctx ends are refused.
 func (d *Dispatcher) Run(ctx context.Context) {
-	defer close(d.done)
+	// The end is told first: a call under way may wait for another dispatcher
+	// that ends at the same time and waits for this one.
 	defer d.sharing.close()
+	defer close(d.done)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -177,10 +177,6 @@
 }
 
 func (d *Dispatcher) submit(asked submission, now time.Time) {
-	if asked.checkOnly {
-		asked.reply <- turn{refusal: d.queue.Check(asked.request, now)}
-		return
-	}
 	if asked.again {
 		d.queue.Restore(asked.request)
 	} else if refusal := d.queue.Offer(asked.request, now); refusal != nil {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # Starts a platform, and in each of two availability zones two entry instances,
-# two backend servers and four workers, all as separate processes on loopback;
+# two backend servers and six workers, all as separate processes on loopback;
 # loads accounts and rules; sends examples/demo.json; checks the answers; stops
-# everything. Exits non-zero on any fault. Needs bin/ from "make build".
+# everything. Exits non-zero on any fault. Needs bin/ from "make build". With the
+# argument "stay" it sends nothing and keeps everything running until interrupted.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -11,7 +12,7 @@
 zones=(zone-1 zone-2)
 entries_per_zone=2
 backends_per_zone=2
-workers_per_zone=4
+workers_per_zone=6
 workers_per_rack=2
 accelerators_per_worker=8
 
@@ -121,7 +122,14 @@
 echo "loading $configuration"
 bin/corianderbank --addr "${addresses[0]}" config apply --expect 0 "$configuration"
 bin/standin wait --path /readyz "${addresses[@]}"
-bin/standin settle --limit 20s --accelerators $((${#zones[@]} * workers_per_zone * accelerators_per_worker)) "${flags[@]}"
+bin/standin settle --limit 30s --accelerators $((${#zones[@]} * workers_per_zone * accelerators_per_worker)) "${flags[@]}"
+
+if [ "${1:-}" = stay ]; then
+  echo "entry instances: ${addresses[*]}"
+  echo "export CORIANDERBANK_ADDR=${addresses[0]}"
+  echo "running until interrupted"
+  wait
+fi
 
 echo "sending $work"
 bin/standin drive --input "$work" --limit 45s "${flags[@]}"
