--- a/internal/placement/claim.go
+++ b/internal/placement/claim.go
@@ -28,10 +28,18 @@
 }
 
 // claimUrgent is claimGuarantee for urgent jobs, which go before those of all
-// accounts that are not.
+// accounts that are not. One that its account's scattered gangs keep out of the
+// guarantee borrows any free accelerators, reserved ones too.
 func (d *decider) claimUrgent(e *entry) {
-	if e.job.Urgent {
-		d.claimGuarantee(e)
+	if !e.job.Urgent {
+		return
+	}
+	d.claimGuarantee(e)
+	if e.done || !e.job.Stoppable() || !e.job.MayBorrow || d.overLimit(e) || !d.entitled(e.account, e.job) {
+		return
+	}
+	if parts := d.fit(e, d.free, nil); parts != nil {
+		d.place(e, parts, true, "urgent, and its account's own gangs lie in the way")
 	}
 }
 
--- a/internal/placement/scenario_test.go
+++ b/internal/placement/scenario_test.go
@@ -291,3 +291,23 @@
 	ids := placedIDs(Decide(s))
 	assert.Assert(t, len(ids) > 0 && ids[0] == "claim", "placed %v", ids)
 }
+
+// TestUrgentJobBorrowsWhatIsReserved is a scenario that the harness showed: an
+// urgent job that its account's own gangs kept out of the guarantee waited
+// beside free accelerators that were reserved for a large gang.
+func TestUrgentJobBorrowsWhatIsReserved(t *testing.T) {
+	s := testSnapshot(1, 4, testAccount("a", 2, 1), model.ClientAccount{Name: "c"})
+	urgent := func(id string, tasks, perTask int, stoppable bool) model.Job {
+		return with(testJob(id, "a", tasks, perTask), func(j *model.Job) {
+			j.Urgent, j.Idempotent, j.Checkpointable = true, stoppable, stoppable
+		})
+	}
+	s.Gangs = []model.Gang{
+		running(urgent("x", 1, 1, true), time.Hour, false, on("r00-w00", 1, 1)),
+		running(urgent("y", 1, 1, false), time.Hour, false, on("r00-w01", 1, 1)),
+		running(testJob("z", "c", 1, 8), time.Hour, true, on("r00-w02", 1, 8)),
+	}
+	large := with(testJob("large", "c", 2, 8), func(j *model.Job) { j.SubmittedAt = testNow.Add(-9 * time.Hour) })
+	s.Waiting = []model.Job{large, urgent("claim", 1, 8, true)}
+	assert.DeepEqual(t, placedIDs(Decide(s)), []string{"claim"})
+}
