Cases that share a cluster run one after the other again

Cases with a cluster of their own stay parallel, and so do the tests. A failed test now prints a process's log from a panic on, if there is one.

--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -35,6 +35,10 @@
 // getTimeout bounds one look at a process, which may be frozen.
 const getTimeout = 5 * time.Second
 
+// logTail is the number of lines of a process's log that a failed test prints:
+// the last ones, or those from a crash on.
+const logTail = 40
+
 // bin is the directory of the binaries under test.
 var bin string
 
@@ -119,7 +123,15 @@
 	}
 	data, _ := os.ReadFile(p.log)
 	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
-	p.t.Logf("end of %s:\n%s", p.name, strings.Join(lines[max(0, len(lines)-40):], "\n"))
+	from := max(0, len(lines)-logTail)
+	for i, line := range lines {
+		if strings.HasPrefix(line, "panic:") || strings.HasPrefix(line, "fatal error:") {
+			from = i
+			break
+		}
+	}
+	p.t.Logf("log of %s, lines %d to %d of %d:\n%s", p.name, from+1, min(from+logTail, len(lines)), len(lines),
+		strings.Join(lines[from:min(from+logTail, len(lines))], "\n"))
 }
 
 // node is one process with its addresses.
--- a/test/process/promises_test.go
+++ b/test/process/promises_test.go
@@ -78,8 +78,7 @@
 	c := startCluster(t, dimensions)
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			c := c.in(t)
+			c := c.in(t) // the cases share the cluster, one after the other
 			before := len(c.records().Executions)
 			input := requestsOf(name)
 			first := run(c, input, c.entries...)
@@ -151,8 +150,7 @@
 	c := startCluster(t, dimensions)
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			c := c.in(t)
+			c := c.in(t) // the cases share the cluster, one after the other
 			c.wait("the zone has a placer", func() bool { return c.placer() >= 0 })
 			placer := c.placer()
 			before := len(c.records().Starts)
