--- a/internal/placer/core_test.go
+++ b/internal/placer/core_test.go
@@ -24,13 +24,11 @@
 
 // newTestCore returns a core that holds epoch 1 and has recovered with nothing.
 func newTestCore(workers int) *core {
-	c := &core{
-		zone: "z", instance: "i-1", chart: chart.MustLoad("gang"), workerChart: chart.MustLoad("worker"),
-		jobs: make(map[string]*entry), byKey: make(map[string]string), workers: make(map[string]*workerState),
-		runs: estimate.Declared{}, health: quarantine.NewTracker(),
+	c := newCore(core{
+		zone: "z", instance: "i-1", runs: estimate.Declared{}, health: quarantine.NewTracker(),
 		recorder: decision.NewRecorder(zap.NewNop(), "i-1", 100), workerLease: testLease, maxJobs: 100,
 		config: &config.Snapshot{Version: 1, Document: &config.Document{Accounts: []model.ClientAccount{{Name: "acme"}}}},
-	}
+	})
 	var list []model.Worker
 	for i := range workers {
 		id := string(rune('a' + i))
@@ -161,3 +159,18 @@
 		})
 	}
 }
+
+func TestGuaranteesAreCheckedOnceEveryWorkerHasReported(t *testing.T) {
+	shape := model.GuaranteedShape{Shape: api.Shape{Tasks: 2, AcceleratorsPerTask: 8, SameRack: true}, Count: 1}
+	accounts := func(count int) []model.ClientAccount {
+		wanted := shape
+		wanted.Count = count
+		return []model.ClientAccount{{Name: "acme", Guarantees: map[string][]model.GuaranteedShape{"z": {wanted}}}}
+	}
+	reported := newTestCore(4)
+	assert.NilError(t, reported.checkGuarantees(accounts(1)))
+	assert.Assert(t, api.IsKind(reported.checkGuarantees(accounts(3)), api.KindShapeNeverFits))
+	reported.setWorkers([]model.Worker{{ID: "new", Addr: "new", Zone: "z"}}, testStart)
+	assert.Assert(t, api.IsKind(reported.checkGuarantees(accounts(3)), api.KindNotReady))
+	assert.Assert(t, api.IsKind(newTestCore(0).checkGuarantees(accounts(1)), api.KindNotReady))
+}
