--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -51,6 +52,8 @@
 	Logger   *zap.Logger
 	// Ready returns nil while the instance takes callers' work.
 	Ready func() error
+	// Metrics, if set, writes the metrics of the parts that keep their own.
+	Metrics func(w io.Writer)
 }
 
 // Server serves HTTP. It is safe for concurrent use.
@@ -92,7 +95,7 @@
 	mux.HandleFunc("GET /healthz", s.healthz)
 	mux.HandleFunc("GET /readyz", s.readyz)
 	mux.HandleFunc("GET /metrics", s.metrics)
-	mux.HandleFunc("/", s.notFound)
+	mux.HandleFunc("/", unknownResource(mux))
 	return mux
 }
 
@@ -139,13 +142,12 @@
 
 func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
 	s.answers.WritePrometheus(w)
+	if s.opts.Metrics != nil {
+		s.opts.Metrics(w)
+	}
 	metrics.WritePrometheus(w, true)
 }
 
-func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
-	writeError(w, api.NewError(api.KindNotFound, "no resource %s %s", r.Method, r.URL.Path))
-}
-
 // decode reads a bounded JSON body strictly into target.
 func (s *Server) decode(w http.ResponseWriter, r *http.Request, target any) error {
 	body := http.MaxBytesReader(w, r.Body, s.opts.Settings.Limits.MaxBodyBytes)
@@ -160,11 +162,18 @@
 	return nil
 }
 
+// unknownFieldPrefix begins the error of package json for a field that the
+// message does not have; it has no type of its own.
+const unknownFieldPrefix = "json: unknown field"
+
 func bodyError(err error) error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return api.NewError(api.KindBodyTooLarge, "the body exceeds %d bytes", tooLarge.Limit)
 	}
+	if strings.HasPrefix(err.Error(), unknownFieldPrefix) {
+		return api.NewError(api.KindInvalidField, "%v", err)
+	}
 	return api.NewError(api.KindMalformedBody, "%v", err)
 }
 
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -10,7 +10,6 @@
 
 import (
 	"fmt"
-	"sort"
 	"time"
 
 	"github.com/corianderbank/corianderbank/api"
@@ -65,6 +64,9 @@
 	// reconcileInterval is the time between reads of the open records: one
 	// store read for each zone every 10 s.
 	reconcileInterval = 10 * time.Second
+	// idleRound is the longest time between plans while nothing changes:
+	// deadlines and estimates go by seconds.
+	idleRound = time.Second
 	// stopWithin bounds a plain stop of tasks.
 	stopWithin = 2 * time.Second
 	// maxFailures bounds the failed attempts of one job whatever they are put
@@ -102,7 +104,6 @@
 	dirty     bool
 	writing   bool
 	nextWrite time.Time
-	released  bool
 }
 
 // seenReport is the last report of a part.
@@ -124,9 +125,11 @@
 
 // core is owned by one goroutine; see the package comment.
 type core struct {
-	zone        string
-	instance    string
-	epoch       int64
+	zone     string
+	instance string
+	epoch    int64
+	// leastEpoch is the highest epoch that a worker has shown.
+	leastEpoch  int64
 	held        bool
 	mayPlace    bool
 	platform    bool
@@ -137,6 +140,9 @@
 	chart       *chart.Chart
 	workerChart *chart.Chart
 	jobs        map[string]*entry
+	open        []*entry // in order of submission
+	onWorker    map[string]map[*entry]bool
+	unsaved     map[string]*entry
 	ended       []string
 	byKey       map[string]string
 	workers     map[string]*workerState
@@ -147,8 +153,18 @@
 	workerLease time.Duration
 	maxJobs     int
 	actions     []action
-	// waiters are told when a job's answer changes.
-	changed map[string]bool
+	// touched says that something a plan depends on has changed since the last
+	// one, which was made at plannedAt.
+	touched   bool
+	plannedAt time.Time
+}
+
+// newCore completes a core with its charts and empty memory.
+func newCore(c core) *core {
+	c.chart, c.workerChart = chart.MustLoad("gang"), chart.MustLoad("worker")
+	c.workers = make(map[string]*workerState)
+	c.clear()
+	return &c
 }
 
 func (c *core) do(a action) { c.actions = append(c.actions, a) }
@@ -173,7 +189,7 @@
 	c.decide(now, e, "gang", string(next), reason, "")
 	e.state = next
 	showTransition(e, next, now)
-	c.changed[e.record.ID] = true
+	c.touched = true
 	if c.chart.Final(next) {
 		c.end(e, reason, now)
 	}
@@ -195,7 +211,8 @@
 	e.record.Message = reason
 	e.record.Outcome, e.record.ErrorKind = finalOutcome(e)
 	showOutcome(e.record.Outcome, e.record.ErrorKind)
-	e.dirty = true
+	c.markUnsaved(e)
+	c.closeJob(e)
 	c.health.JobEnded(e.record.ID)
 	c.ended = append(c.ended, e.record.ID)
 	c.forgetOldest()
@@ -239,43 +256,32 @@
 	}
 }
 
-// live returns the jobs that have not ended, in order of submission.
-func (c *core) live() []*entry {
-	var list []*entry
-	for _, e := range c.jobs {
-		if !c.chart.Final(e.state) {
-			list = append(list, e)
-		}
-	}
-	sort.Slice(list, func(i, j int) bool {
-		a, b := list[i].record, list[j].record
-		if !a.SubmittedAt.Equal(b.SubmittedAt) {
-			return a.SubmittedAt.Before(b.SubmittedAt)
-		}
-		return a.ID < b.ID
-	})
-	return list
-}
-
 func (c *core) addWaiting(record jobstore.Record) *entry {
+	// Records read from the store have no monotonic time; the order of the open
+	// jobs must compare all of them alike.
+	record.SubmittedAt = record.SubmittedAt.Round(0)
 	e := &entry{record: record, state: c.chart.Initial, reports: make(map[string]seenReport)}
-	c.jobs[record.ID] = e
+	c.openJob(e)
 	if key := record.Submission.IdempotencyKey; key != "" {
 		c.byKey[record.Submission.Account+"\x00"+key] = record.ID
 	}
-	c.changed[record.ID] = true
+	c.touched = true
 	return e
 }
 
 // stepDown forgets everything: another instance holds the lease, or may.
 func (c *core) stepDown() {
 	c.held, c.recovered, c.recovering, c.mayPlace = false, false, false, false
-	for id := range c.jobs {
-		c.changed[id] = true
-	}
+	c.clear()
+}
+
+// clear empties the memory of jobs.
+func (c *core) clear() {
 	c.jobs = make(map[string]*entry)
+	c.open, c.ended = nil, nil
+	c.onWorker = make(map[string]map[*entry]bool)
+	c.unsaved = make(map[string]*entry)
 	c.byKey = make(map[string]string)
-	c.ended = nil
 }
 
 func (c *core) apply(ev event, now time.Time) { ev.apply(c, now) }
--- a/internal/placer/reports.go
+++ b/internal/placer/reports.go
@@ -58,12 +58,11 @@
 	return count
 }
 
+// holdsGang reports whether a gang that has not ended holds a part of a worker.
 func (c *core) holdsGang(worker string) bool {
-	for _, e := range c.jobs {
-		for _, p := range e.parts {
-			if p.worker == worker && !c.chart.Final(e.state) {
-				return true
-			}
+	for e := range c.onWorker[worker] {
+		if !c.chart.Final(e.state) {
+			return true
 		}
 	}
 	return false
@@ -74,6 +73,7 @@
 	if err != nil {
 		return
 	}
+	c.touched = c.touched || w.chartState != next
 	w.chartState = next
 	w.Health = model.WorkerHealth(next)
 }
@@ -83,17 +83,29 @@
 	if !ok {
 		return
 	}
+	if api.IsKind(ev.err, api.KindStaleEpoch) {
+		c.fence(ev.epoch + 1)
+	}
 	if ev.err != nil {
 		return
 	}
 	c.noteWorker(w, ev, now)
-	if ev.report.HighestEpoch > c.epoch && c.held {
-		c.stepDown()
+	c.fence(ev.report.HighestEpoch)
+	if !c.held {
 		return
 	}
 	c.noteReservations(ev, now)
 }
 
+// fence steps down for good under any epoch below least: a worker has seen a
+// later placer. The store may be out of reach and unable to say so.
+func (c *core) fence(least int64) {
+	c.leastEpoch = max(c.leastEpoch, least)
+	if c.held && c.epoch < c.leastEpoch {
+		c.stepDown()
+	}
+}
+
 // noteWorker updates what is known of the worker itself.
 func (c *core) noteWorker(w *workerState, ev reportEvent, now time.Time) {
 	report := ev.report
@@ -125,8 +137,8 @@
 		}
 		e.reports[ev.worker] = seenReport{state: r.State, ranS: r.RanS, msg: r.Message, renewedAt: renewedAt}
 	}
-	for _, e := range c.live() {
-		if e.state == stRunning && e.holds(ev.worker) {
+	for _, e := range c.gangsOn(ev.worker) {
+		if e.state == stRunning {
 			if !seen[e.record.ID] && ev.sentAt.After(e.reports[ev.worker].renewedAt) {
 				c.stop(e, evWorkerLost, "worker "+ev.worker+" no longer has its part", now)
 				continue
