A keyed job submitted again is the same job, also after its end

Cause: read in review: the record of an earlier job of the same key was put into the queue, so a job that had ended, or that another zone holds, was queued to run again; and a repeated key could be refused as not run by a limit although its job had run. Ruled out: the table; its key row was right, the placer did not look. Change: an earlier record is answered, not queued; a refusal of a keyed submission first looks for its job; the memory of keys compares the work and is bounded with the ended jobs. Conclusion: the promise holds for jobs across placers.

--- a/internal/jobs/router.go
+++ b/internal/jobs/router.go
@@ -174,7 +174,7 @@
 	}
 	record, storeErr := r.Store.Get(ctx, id)
 	if storeErr == nil {
-		return answerOf(record), nil
+		return jobstore.Answer(record), nil
 	}
 	if api.IsKind(storeErr, api.KindNotFound) {
 		return api.JobAnswer{}, storeErr
@@ -203,7 +203,7 @@
 	if storeErr != nil {
 		return api.JobAnswer{}, storeErr
 	}
-	return answerOf(record), nil
+	return jobstore.Answer(record), nil
 }
 
 func (r *Router) cancelAt(ctx context.Context, zone, id string) (api.JobAnswer, error) {
@@ -221,7 +221,7 @@
 	}
 	answers := make([]api.JobAnswer, 0, len(records))
 	for _, record := range records {
-		answers = append(answers, answerOf(record))
+		answers = append(answers, jobstore.Answer(record))
 	}
 	return answers, nil
 }
@@ -334,20 +334,3 @@
 	}
 	return nil, api.NewError(api.KindInvalidField, "unknown operation %q", call.GetOp())
 }
-
-// answerOf is what the table alone tells of a job.
-func answerOf(record jobstore.Record) api.JobAnswer {
-	shape := record.Submission.Shape
-	answer := api.JobAnswer{
-		ID: record.ID, Outcome: api.OutcomeAccepted, Rule: record.Rule, State: string(record.Phase),
-		AvailabilityZone: record.Zone, Attempt: record.Attempt, Account: record.Submission.Account,
-		Kind: record.Submission.Kind, Shape: &shape, SubmittedAt: &record.SubmittedAt,
-	}
-	if record.Phase == jobstore.PhaseEnded {
-		answer.Outcome, answer.ErrorKind, answer.Message = record.Outcome, record.ErrorKind, record.Message
-		answer.State = record.State
-		answer.EndedAt = &record.EndedAt
-		answer.RetryAfterS = api.DefaultRetryAfterS(record.ErrorKind)
-	}
-	return answer
-}
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -59,6 +59,9 @@
 	// Accept inserts a new record, unless its idempotency key names an earlier
 	// job of the account; then it returns that one and true.
 	Accept(ctx context.Context, record Record) (Record, bool, error)
+	// Find returns the job of an account's idempotency key, or KindNotFound. It
+	// returns KindKeyReused if that job asks for other work than submission.
+	Find(ctx context.Context, submission api.JobSubmission) (Record, error)
 	// Update replaces the record if its row still has record.Version, and
 	// returns it with the new version.
 	Update(ctx context.Context, record Record) (Record, error)
@@ -70,3 +73,23 @@
 	// account means all.
 	List(ctx context.Context, account string, limit int) ([]Record, error)
 }
+
+// Same reports whether two submissions ask for the same work.
+func Same(a, b api.JobSubmission) bool { return sameJSON(a, b) }
+
+// Answer is what the record alone tells callers of a job.
+func Answer(record Record) api.JobAnswer {
+	shape := record.Submission.Shape
+	answer := api.JobAnswer{
+		ID: record.ID, Outcome: api.OutcomeAccepted, Rule: record.Rule, State: string(record.Phase),
+		AvailabilityZone: record.Zone, Attempt: record.Attempt, Account: record.Submission.Account,
+		Kind: record.Submission.Kind, Shape: &shape, SubmittedAt: &record.SubmittedAt,
+	}
+	if record.Phase == PhaseEnded {
+		answer.Outcome, answer.ErrorKind, answer.Message = record.Outcome, record.ErrorKind, record.Message
+		answer.State = record.State
+		answer.EndedAt = &record.EndedAt
+		answer.RetryAfterS = api.DefaultRetryAfterS(record.ErrorKind)
+	}
+	return answer
+}
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -116,6 +116,20 @@
 	return ops, nil
 }
 
+// Find implements Store.
+func (t *Tables) Find(ctx context.Context, submission api.JobSubmission) (Record, error) {
+	wanted := Record{Submission: submission}
+	read, err := t.tables.Read(ctx, platform.PurposeSubmission, keyRef(wanted))
+	if err != nil {
+		return Record{}, err
+	}
+	if read.Rows[0].Version == 0 {
+		return Record{}, api.NewError(api.KindNotFound, "no job has the key %s", submission.IdempotencyKey)
+	}
+	found, _, err := t.earlier(ctx, read.Rows[0], wanted)
+	return found, err
+}
+
 // earlier returns the job that holds the key, if it asks for the same work.
 func (t *Tables) earlier(ctx context.Context, conflict api.Row, record Record) (Record, bool, error) {
 	var entry index
--- a/internal/placer/calls.go
+++ b/internal/placer/calls.go
@@ -79,10 +79,11 @@
 	if err := c.ready(); err != nil {
 		return api.JobAnswer{}, err
 	}
-	if id, ok := c.byKey[s.Job.Account+"\x00"+s.Job.IdempotencyKey]; ok && s.Job.IdempotencyKey != "" {
-		if e := c.jobs[id]; e != nil {
-			return c.answer(e), nil
+	if e := c.sameKey(s.Job); e != nil {
+		if !jobstore.Same(e.record.Submission, s.Job) {
+			return api.JobAnswer{}, api.NewError(api.KindKeyReused, "key %s was used for another job", s.Job.IdempotencyKey)
 		}
+		return c.answer(e), nil
 	}
 	if open := len(c.jobs) - len(c.ended); open >= c.maxJobs {
 		return api.JobAnswer{}, api.NewError(api.KindQueueFull, "the placer holds %d jobs", open)
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -115,6 +115,21 @@
 	renewedAt time.Time
 }
 
+// accountKey is an idempotency key, which is unique within its account.
+type accountKey struct {
+	account, key string
+}
+
+func keyOf(job api.JobSubmission) accountKey { return accountKey{job.Account, job.IdempotencyKey} }
+
+// sameKey returns the job in memory that was submitted under the same key.
+func (c *core) sameKey(job api.JobSubmission) *entry {
+	if job.IdempotencyKey == "" {
+		return nil
+	}
+	return c.byKey[keyOf(job)]
+}
+
 type workerState struct {
 	model.Worker
 	lastReport time.Time
@@ -144,7 +159,7 @@
 	onWorker    map[string]map[*entry]bool
 	unsaved     map[string]*entry
 	ended       []string
-	byKey       map[string]string
+	byKey       map[accountKey]*entry
 	workers     map[string]*workerState
 	runs        estimate.Source
 	health      *quarantine.Tracker
@@ -253,6 +268,9 @@
 		}
 		c.ended = c.ended[1:]
 		delete(c.jobs, id)
+		if e != nil && c.byKey[keyOf(e.record.Submission)] == e {
+			delete(c.byKey, keyOf(e.record.Submission))
+		}
 	}
 }
 
@@ -262,8 +280,8 @@
 	record.SubmittedAt = record.SubmittedAt.Round(0)
 	e := &entry{record: record, state: c.chart.Initial, reports: make(map[string]seenReport)}
 	c.openJob(e)
-	if key := record.Submission.IdempotencyKey; key != "" {
-		c.byKey[record.Submission.Account+"\x00"+key] = record.ID
+	if record.Submission.IdempotencyKey != "" {
+		c.byKey[keyOf(record.Submission)] = e
 	}
 	c.touched = true
 	return e
@@ -281,7 +299,7 @@
 	c.open, c.ended = nil, nil
 	c.onWorker = make(map[string]map[*entry]bool)
 	c.unsaved = make(map[string]*entry)
-	c.byKey = make(map[string]string)
+	c.byKey = make(map[accountKey]*entry)
 }
 
 func (c *core) apply(ev event, now time.Time) { ev.apply(c, now) }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -257,25 +257,58 @@
 	return p.call(ctx, func(r chan reply) event { return admitCall{s, r} })
 }
 
-// Submit admits and durably accepts the job.
+// Submit admits and durably accepts the job. A submission whose idempotency key
+// names an earlier job gets that job's answer, whether it would be admitted now
+// or not.
 func (p *Placer) Submit(ctx context.Context, s Submission) (api.JobAnswer, error) {
 	answer, err := p.Admit(ctx, s)
-	if err != nil || answer.ID != s.ID {
-		return answer, err
+	if err != nil {
+		return p.refused(ctx, s, err)
+	}
+	if answer.ID != s.ID {
+		return answer, nil
 	}
 	record := p.core.record(s, time.Now())
-	accepted, _, err := p.opts.Jobs.Accept(ctx, record)
+	accepted, earlier, err := p.opts.Jobs.Accept(ctx, record)
 	if err != nil {
 		return api.JobAnswer{}, err
 	}
+	if earlier {
+		return p.known(ctx, accepted), nil
+	}
 	answer, err = p.call(ctx, func(r chan reply) event { return acceptedCall{accepted, r} })
 	if err != nil {
 		// The row is written: the zone's placer finds it.
-		return api.JobAnswer{ID: accepted.ID, Outcome: api.OutcomeAccepted, AvailabilityZone: p.opts.Zone, Rule: record.Rule}, nil
+		return jobstore.Answer(accepted), nil
 	}
 	return answer, nil
 }
 
+// refused returns the refusal of a submission, unless its key names a job that
+// was accepted before: then that is the truth about it.
+func (p *Placer) refused(ctx context.Context, s Submission, refusal error) (api.JobAnswer, error) {
+	if s.Job.IdempotencyKey == "" || api.IsKind(refusal, api.KindNoPlacer) || api.IsKind(refusal, api.KindKeyReused) {
+		return api.JobAnswer{}, refusal
+	}
+	found, err := p.opts.Jobs.Find(ctx, s.Job)
+	switch {
+	case err == nil:
+		return p.known(ctx, found), nil
+	case api.IsKind(err, api.KindNotFound):
+		return api.JobAnswer{}, refusal
+	}
+	return api.JobAnswer{}, err
+}
+
+// known is the answer of a job that was accepted before, by this zone or another.
+func (p *Placer) known(ctx context.Context, record jobstore.Record) api.JobAnswer {
+	answer, err := p.call(ctx, func(r chan reply) event { return getCall{record.ID, r} })
+	if err != nil {
+		return jobstore.Answer(record)
+	}
+	return answer
+}
+
 // Get returns the job's answer. It waits up to wait for a final one.
 func (p *Placer) Get(ctx context.Context, id string, wait time.Duration) (api.JobAnswer, error) {
 	until := time.Now().Add(wait)
