Readers wait for a job's end without asking; a slow store does not cost the lease

Cause: a waiting reader asked the core every 50 ms (500 readers are 10,000 events a second); a call to the lease had 1.3 s for two store calls, so a store that takes 0.7 s for each would never renew or hand over a zone's lease. Ruled out: longer polls; the end of a job is to be seen at once. Change: the core closes the reader's channel at the job's end or its term's; the lease's call may take two thirds of the lease, and its interval counts from its start; a job that finishes after its deadline says so. Conclusion: one event for each wait.

--- a/internal/placer/calls.go
+++ b/internal/placer/calls.go
@@ -37,12 +37,20 @@
 	reply  chan reply
 }
 
-// getCall asks for a job's answer.
+// getCall asks for a job's answer. If the job has not ended, ended is closed
+// when it does, or when this placer's term ends; a forgetCall ends the wait.
 type getCall struct {
 	id    string
+	ended chan struct{}
 	reply chan reply
 }
 
+// forgetCall says that nobody waits any more on the ended of a getCall.
+type forgetCall struct {
+	id    string
+	ended chan struct{}
+}
+
 // cancelCall cancels a job.
 type cancelCall struct {
 	id    string
@@ -161,9 +169,18 @@
 		call.reply <- reply{err: api.NewError(api.KindNotFound, "no job %q in memory", call.id)}
 		return
 	}
+	if call.ended != nil && !c.chart.Final(e.state) {
+		e.waiters[call.ended] = true
+	}
 	call.reply <- reply{answer: c.answer(e)}
 }
 
+func (call forgetCall) apply(c *core, _ time.Time) {
+	if e, ok := c.jobs[call.id]; ok {
+		delete(e.waiters, call.ended)
+	}
+}
+
 func (call cancelCall) apply(c *core, now time.Time) {
 	if err := c.ready(); err != nil {
 		call.reply <- reply{err: err}
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -101,6 +101,8 @@
 	// refusal is the kind of a refusal, set before evRefuse.
 	refusal api.Kind
 	// dirty records are written when nothing is in flight for the row.
+	// waiters are closed when the job ends or the term does.
+	waiters   map[chan struct{}]bool
 	dirty     bool
 	writing   bool
 	nextWrite time.Time
@@ -228,6 +230,7 @@
 	showOutcome(e.record.Outcome, e.record.ErrorKind)
 	c.markUnsaved(e)
 	c.closeJob(e)
+	e.wakeWaiters()
 	c.health.JobEnded(e.record.ID)
 	c.ended = append(c.ended, e.record.ID)
 	c.forgetOldest()
@@ -278,7 +281,7 @@
 	// Records read from the store have no monotonic time; the order of the open
 	// jobs must compare all of them alike.
 	record.SubmittedAt = record.SubmittedAt.Round(0)
-	e := &entry{record: record, state: c.chart.Initial, reports: make(map[string]seenReport)}
+	e := &entry{record: record, state: c.chart.Initial, reports: make(map[string]seenReport), waiters: make(map[chan struct{}]bool)}
 	c.openJob(e)
 	if record.Submission.IdempotencyKey != "" {
 		c.byKey[keyOf(record.Submission)] = e
@@ -290,9 +293,19 @@
 // stepDown forgets everything: another instance holds the lease, or may.
 func (c *core) stepDown() {
 	c.held, c.recovered, c.recovering, c.mayPlace = false, false, false, false
+	for _, e := range c.open {
+		e.wakeWaiters()
+	}
 	c.clear()
 }
 
+func (e *entry) wakeWaiters() {
+	for ended := range e.waiters {
+		close(ended)
+	}
+	clear(e.waiters)
+}
+
 // clear empties the memory of jobs.
 func (c *core) clear() {
 	c.jobs = make(map[string]*entry)
--- a/internal/placer/index.go
+++ b/internal/placer/index.go
@@ -37,6 +37,7 @@
 // dropJob forgets a job that another placer has ended.
 func (c *core) dropJob(e *entry) {
 	c.closeJob(e)
+	e.wakeWaiters()
 	c.setParts(e, nil)
 	delete(c.jobs, e.record.ID)
 	delete(c.unsaved, e.record.ID)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -31,7 +31,8 @@
 	poolSize = 64
 	// fanOut bounds the concurrent calls of one gang: 512 parts in 8 rounds.
 	fanOut = 64
-	// leasePart is the part of a lease after which it is renewed.
+	// leasePart is the part of a lease after which it is renewed. A call may
+	// take two such parts, so that a slow store does not cost the lease.
 	leasePart = 3
 	// steadyPart is the part of a worker lease after which a worker is renewed;
 	// watchPart that while news is expected of it.
@@ -40,8 +41,6 @@
 	// overduePart is the part of a gang's run time by which it may be late and
 	// still be expected to end soon.
 	overduePart = 10
-	// waitPoll bounds how late a waiting reader sees a change.
-	waitPoll = 50 * time.Millisecond
 )
 
 // Options are what a placer works with. Holder and OnEpoch may be left out.
@@ -214,6 +213,7 @@
 	defer close(p.left)
 	var held lease.Held
 	for {
+		next := time.Now().Add(p.opts.PlacerLease / leasePart)
 		held = p.renewLease(ctx, held)
 		select {
 		case <-ctx.Done():
@@ -226,7 +226,7 @@
 				}
 			}
 			return
-		case <-time.After(p.opts.PlacerLease / leasePart):
+		case <-time.After(time.Until(next)):
 		}
 	}
 }
@@ -235,7 +235,7 @@
 // the store does not answer, a holder stays holder: the role changes hands only
 // through the table, and the workers refuse an older epoch.
 func (p *Placer) renewLease(ctx context.Context, held lease.Held) lease.Held {
-	callCtx, cancel := context.WithTimeout(ctx, p.opts.PlacerLease/leasePart)
+	callCtx, cancel := context.WithTimeout(ctx, p.opts.PlacerLease*2/leasePart)
 	defer cancel()
 	fresh, err := p.opts.Leases.Acquire(callCtx, p.opts.Zone, p.opts.Holder)
 	switch {
@@ -302,7 +302,7 @@
 
 // known is the answer of a job that was accepted before, by this zone or another.
 func (p *Placer) known(ctx context.Context, record jobstore.Record) api.JobAnswer {
-	answer, err := p.call(ctx, func(r chan reply) event { return getCall{record.ID, r} })
+	answer, err := p.call(ctx, func(r chan reply) event { return getCall{record.ID, nil, r} })
 	if err != nil {
 		return jobstore.Answer(record)
 	}
@@ -311,18 +311,22 @@
 
 // Get returns the job's answer. It waits up to wait for a final one.
 func (p *Placer) Get(ctx context.Context, id string, wait time.Duration) (api.JobAnswer, error) {
-	until := time.Now().Add(wait)
-	for {
-		answer, err := p.call(ctx, func(r chan reply) event { return getCall{id, r} })
-		if err != nil || answer.Outcome != api.OutcomeAccepted || !time.Now().Before(until) {
-			return answer, err
-		}
-		select {
-		case <-ctx.Done():
-			return answer, nil
-		case <-time.After(min(waitPoll, time.Until(until))):
-		}
+	ended := make(chan struct{})
+	answer, err := p.call(ctx, func(r chan reply) event { return getCall{id, ended, r} })
+	if err != nil || answer.Outcome != api.OutcomeAccepted || wait <= 0 {
+		p.post(ctx, forgetCall{id, ended})
+		return answer, err
 	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ended:
+		return p.call(ctx, func(r chan reply) event { return getCall{id, nil, r} })
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	p.post(context.WithoutCancel(ctx), forgetCall{id, ended})
+	return answer, nil
 }
 
 // Cancel cancels the job and returns its answer.
--- a/internal/placer/reports.go
+++ b/internal/placer/reports.go
@@ -199,7 +199,17 @@
 		c.probePassed(p.worker, now)
 	}
 	c.observe(e)
-	c.step(e, evFinish, "every part finished", now)
+	c.step(e, evFinish, finishReason(e, now), now)
+}
+
+// finishReason says so when a job finished after its deadline: it was placed in
+// time by an estimate that turned out wrong.
+func finishReason(e *entry, now time.Time) string {
+	deadline := e.record.Submission.Deadline
+	if deadline == nil || !now.After(*deadline) {
+		return "every part finished"
+	}
+	return fmt.Sprintf("every part finished, %s after the deadline", now.Sub(*deadline).Round(time.Millisecond))
 }
 
 // observer learns real run times; estimate.History is one.
