--- a/internal/placer/calls.go
+++ b/internal/placer/calls.go
@@ -37,12 +37,20 @@
 	reply  chan reply
 }
 
-// getCall asks for a job's answer.
+// getCall asks for a job's answer. If the job has not ended, ended is closed
+// when it does, or when this placer's term ends; a forgetCall ends the wait.
 type getCall struct {
 	id    string
+	ended chan struct{}
 	reply chan reply
 }
 
+// forgetCall says that nobody waits any more on the ended of a getCall.
+type forgetCall struct {
+	id    string
+	ended chan struct{}
+}
+
 // cancelCall cancels a job.
 type cancelCall struct {
 	id    string
@@ -79,10 +87,11 @@
 	if err := c.ready(); err != nil {
 		return api.JobAnswer{}, err
 	}
-	if id, ok := c.byKey[s.Job.Account+"\x00"+s.Job.IdempotencyKey]; ok && s.Job.IdempotencyKey != "" {
-		if e := c.jobs[id]; e != nil {
-			return c.answer(e), nil
+	if e := c.sameKey(s.Job); e != nil {
+		if !jobstore.Same(e.record.Submission, s.Job) {
+			return api.JobAnswer{}, api.NewError(api.KindKeyReused, "key %s was used for another job", s.Job.IdempotencyKey)
 		}
+		return c.answer(e), nil
 	}
 	if open := len(c.jobs) - len(c.ended); open >= c.maxJobs {
 		return api.JobAnswer{}, api.NewError(api.KindQueueFull, "the placer holds %d jobs", open)
@@ -160,9 +169,18 @@
 		call.reply <- reply{err: api.NewError(api.KindNotFound, "no job %q in memory", call.id)}
 		return
 	}
+	if call.ended != nil && !c.chart.Final(e.state) {
+		e.waiters[call.ended] = true
+	}
 	call.reply <- reply{answer: c.answer(e)}
 }
 
+func (call forgetCall) apply(c *core, _ time.Time) {
+	if e, ok := c.jobs[call.id]; ok {
+		delete(e.waiters, call.ended)
+	}
+}
+
 func (call cancelCall) apply(c *core, now time.Time) {
 	if err := c.ready(); err != nil {
 		call.reply <- reply{err: err}
@@ -185,7 +203,7 @@
 	switch before {
 	case stReserving:
 		c.do(releaseAction{ref: e.ref, parts: e.parts})
-		e.parts = nil
+		c.setParts(e, nil)
 	case stStarting, stRunning:
 		c.sendStop(e, false, stopWithin)
 	}
@@ -196,11 +214,25 @@
 		call.reply <- reply{err: err}
 		return
 	}
-	err := placement.CheckGuarantees(c.zone, c.workerList(false), call.accounts)
-	if err != nil {
-		err = api.NewError(api.KindShapeNeverFits, "%v", err)
+	call.reply <- reply{err: c.checkGuarantees(call.accounts)}
+}
+
+// checkGuarantees asks whether guarantees pack. While some workers have not
+// reported, nobody can tell: a placer that has just taken over must not refuse a
+// configuration that fits.
+func (c *core) checkGuarantees(accounts []model.ClientAccount) error {
+	for _, w := range c.workers {
+		if w.Accelerators == 0 {
+			return api.NewError(api.KindNotReady, "worker %s has not reported yet", w.ID)
+		}
 	}
-	call.reply <- reply{err: err}
+	if len(c.workers) == 0 {
+		return api.NewError(api.KindNotReady, "no workers are known yet")
+	}
+	if err := placement.CheckGuarantees(c.zone, c.workerList(false), accounts); err != nil {
+		return api.NewError(api.KindShapeNeverFits, "%v", err)
+	}
+	return nil
 }
 
 func (call statusCall) apply(c *core, now time.Time) {
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -10,7 +10,6 @@
 
 import (
 	"fmt"
-	"sort"
 	"time"
 
 	"github.com/corianderbank/corianderbank/api"
@@ -102,10 +101,11 @@
 	// refusal is the kind of a refusal, set before evRefuse.
 	refusal api.Kind
 	// dirty records are written when nothing is in flight for the row.
+	// waiters are closed when the job ends or the term does.
+	waiters   map[chan struct{}]bool
 	dirty     bool
 	writing   bool
 	nextWrite time.Time
-	released  bool
 }
 
 // seenReport is the last report of a part.
@@ -117,6 +117,21 @@
 	renewedAt time.Time
 }
 
+// accountKey is an idempotency key, which is unique within its account.
+type accountKey struct {
+	account, key string
+}
+
+func keyOf(job api.JobSubmission) accountKey { return accountKey{job.Account, job.IdempotencyKey} }
+
+// sameKey returns the job in memory that was submitted under the same key.
+func (c *core) sameKey(job api.JobSubmission) *entry {
+	if job.IdempotencyKey == "" {
+		return nil
+	}
+	return c.byKey[keyOf(job)]
+}
+
 type workerState struct {
 	model.Worker
 	lastReport time.Time
@@ -142,8 +157,11 @@
 	chart       *chart.Chart
 	workerChart *chart.Chart
 	jobs        map[string]*entry
+	open        []*entry // in order of submission
+	onWorker    map[string]map[*entry]bool
+	unsaved     map[string]*entry
 	ended       []string
-	byKey       map[string]string
+	byKey       map[accountKey]*entry
 	workers     map[string]*workerState
 	runs        estimate.Source
 	health      *quarantine.Tracker
@@ -158,6 +176,14 @@
 	plannedAt time.Time
 }
 
+// newCore completes a core with its charts and empty memory.
+func newCore(c core) *core {
+	c.chart, c.workerChart = chart.MustLoad("gang"), chart.MustLoad("worker")
+	c.workers = make(map[string]*workerState)
+	c.clear()
+	return &c
+}
+
 func (c *core) do(a action) { c.actions = append(c.actions, a) }
 
 func (c *core) takeActions() []action {
@@ -202,7 +228,9 @@
 	e.record.Message = reason
 	e.record.Outcome, e.record.ErrorKind = finalOutcome(e)
 	showOutcome(e.record.Outcome, e.record.ErrorKind)
-	e.dirty = true
+	c.markUnsaved(e)
+	c.closeJob(e)
+	e.wakeWaiters()
 	c.health.JobEnded(e.record.ID)
 	c.ended = append(c.ended, e.record.ID)
 	c.forgetOldest()
@@ -243,32 +271,20 @@
 		}
 		c.ended = c.ended[1:]
 		delete(c.jobs, id)
-	}
-}
-
-// live returns the jobs that have not ended, in order of submission.
-func (c *core) live() []*entry {
-	var list []*entry
-	for _, e := range c.jobs {
-		if !c.chart.Final(e.state) {
-			list = append(list, e)
+		if e != nil && c.byKey[keyOf(e.record.Submission)] == e {
+			delete(c.byKey, keyOf(e.record.Submission))
 		}
 	}
-	sort.Slice(list, func(i, j int) bool {
-		a, b := list[i].record, list[j].record
-		if !a.SubmittedAt.Equal(b.SubmittedAt) {
-			return a.SubmittedAt.Before(b.SubmittedAt)
-		}
-		return a.ID < b.ID
-	})
-	return list
 }
 
 func (c *core) addWaiting(record jobstore.Record) *entry {
-	e := &entry{record: record, state: c.chart.Initial, reports: make(map[string]seenReport)}
-	c.jobs[record.ID] = e
-	if key := record.Submission.IdempotencyKey; key != "" {
-		c.byKey[record.Submission.Account+"\x00"+key] = record.ID
+	// Records read from the store have no monotonic time; the order of the open
+	// jobs must compare all of them alike.
+	record.SubmittedAt = record.SubmittedAt.Round(0)
+	e := &entry{record: record, state: c.chart.Initial, reports: make(map[string]seenReport), waiters: make(map[chan struct{}]bool)}
+	c.openJob(e)
+	if record.Submission.IdempotencyKey != "" {
+		c.byKey[keyOf(record.Submission)] = e
 	}
 	c.touched = true
 	return e
@@ -277,9 +293,26 @@
 // stepDown forgets everything: another instance holds the lease, or may.
 func (c *core) stepDown() {
 	c.held, c.recovered, c.recovering, c.mayPlace = false, false, false, false
+	for _, e := range c.open {
+		e.wakeWaiters()
+	}
+	c.clear()
+}
+
+func (e *entry) wakeWaiters() {
+	for ended := range e.waiters {
+		close(ended)
+	}
+	clear(e.waiters)
+}
+
+// clear empties the memory of jobs.
+func (c *core) clear() {
 	c.jobs = make(map[string]*entry)
-	c.byKey = make(map[string]string)
-	c.ended = nil
+	c.open, c.ended = nil, nil
+	c.onWorker = make(map[string]map[*entry]bool)
+	c.unsaved = make(map[string]*entry)
+	c.byKey = make(map[accountKey]*entry)
 }
 
 func (c *core) apply(ev event, now time.Time) { ev.apply(c, now) }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"github.com/corianderbank/corianderbank/api"
-	"github.com/corianderbank/corianderbank/internal/chart"
 	"github.com/corianderbank/corianderbank/internal/config"
 	"github.com/corianderbank/corianderbank/internal/decision"
 	"github.com/corianderbank/corianderbank/internal/estimate"
@@ -32,7 +31,8 @@
 	poolSize = 64
 	// fanOut bounds the concurrent calls of one gang: 512 parts in 8 rounds.
 	fanOut = 64
-	// leasePart is the part of a lease after which it is renewed.
+	// leasePart is the part of a lease after which it is renewed. A call may
+	// take two such parts, so that a slow store does not cost the lease.
 	leasePart = 3
 	// steadyPart is the part of a worker lease after which a worker is renewed;
 	// watchPart that while news is expected of it.
@@ -41,8 +41,6 @@
 	// overduePart is the part of a gang's run time by which it may be late and
 	// still be expected to end soon.
 	overduePart = 10
-	// waitPoll bounds how late a waiting reader sees a change.
-	waitPoll = 50 * time.Millisecond
 )
 
 // Options are what a placer works with. Holder and OnEpoch may be left out.
@@ -104,13 +102,10 @@
 		pool:    pond.NewPool(poolSize),
 		leaving: make(chan struct{}),
 		left:    make(chan struct{}),
-		core: &core{
-			zone: opts.Zone, instance: opts.Instance,
-			chart: chart.MustLoad("gang"), workerChart: chart.MustLoad("worker"),
-			jobs: make(map[string]*entry), byKey: make(map[string]string), workers: make(map[string]*workerState),
-			runs: opts.Runs, health: opts.Health, recorder: opts.Recorder,
+		core: newCore(core{
+			zone: opts.Zone, instance: opts.Instance, runs: opts.Runs, health: opts.Health, recorder: opts.Recorder,
 			workerLease: opts.WorkerLease, maxJobs: opts.MaxJobs,
-		},
+		}),
 	}
 }
 
@@ -218,6 +213,7 @@
 	defer close(p.left)
 	var held lease.Held
 	for {
+		next := time.Now().Add(p.opts.PlacerLease / leasePart)
 		held = p.renewLease(ctx, held)
 		select {
 		case <-ctx.Done():
@@ -230,7 +226,7 @@
 				}
 			}
 			return
-		case <-time.After(p.opts.PlacerLease / leasePart):
+		case <-time.After(time.Until(next)):
 		}
 	}
 }
@@ -239,7 +235,7 @@
 // the store does not answer, a holder stays holder: the role changes hands only
 // through the table, and the workers refuse an older epoch.
 func (p *Placer) renewLease(ctx context.Context, held lease.Held) lease.Held {
-	callCtx, cancel := context.WithTimeout(ctx, p.opts.PlacerLease/leasePart)
+	callCtx, cancel := context.WithTimeout(ctx, p.opts.PlacerLease*2/leasePart)
 	defer cancel()
 	fresh, err := p.opts.Leases.Acquire(callCtx, p.opts.Zone, p.opts.Holder)
 	switch {
@@ -261,39 +257,76 @@
 	return p.call(ctx, func(r chan reply) event { return admitCall{s, r} })
 }
 
-// Submit admits and durably accepts the job.
+// Submit admits and durably accepts the job. A submission whose idempotency key
+// names an earlier job gets that job's answer, whether it would be admitted now
+// or not.
 func (p *Placer) Submit(ctx context.Context, s Submission) (api.JobAnswer, error) {
 	answer, err := p.Admit(ctx, s)
-	if err != nil || answer.ID != s.ID {
-		return answer, err
+	if err != nil {
+		return p.refused(ctx, s, err)
+	}
+	if answer.ID != s.ID {
+		return answer, nil
 	}
 	record := p.core.record(s, time.Now())
-	accepted, _, err := p.opts.Jobs.Accept(ctx, record)
+	accepted, earlier, err := p.opts.Jobs.Accept(ctx, record)
 	if err != nil {
 		return api.JobAnswer{}, err
 	}
+	if earlier {
+		return p.known(ctx, accepted), nil
+	}
 	answer, err = p.call(ctx, func(r chan reply) event { return acceptedCall{accepted, r} })
 	if err != nil {
 		// The row is written: the zone's placer finds it.
-		return api.JobAnswer{ID: accepted.ID, Outcome: api.OutcomeAccepted, AvailabilityZone: p.opts.Zone, Rule: record.Rule}, nil
+		return jobstore.Answer(accepted), nil
 	}
 	return answer, nil
 }
 
+// refused returns the refusal of a submission, unless its key names a job that
+// was accepted before: then that is the truth about it.
+func (p *Placer) refused(ctx context.Context, s Submission, refusal error) (api.JobAnswer, error) {
+	if s.Job.IdempotencyKey == "" || api.IsKind(refusal, api.KindNoPlacer) || api.IsKind(refusal, api.KindKeyReused) {
+		return api.JobAnswer{}, refusal
+	}
+	found, err := p.opts.Jobs.Find(ctx, s.Job)
+	switch {
+	case err == nil:
+		return p.known(ctx, found), nil
+	case api.IsKind(err, api.KindNotFound):
+		return api.JobAnswer{}, refusal
+	}
+	return api.JobAnswer{}, err
+}
+
+// known is the answer of a job that was accepted before, by this zone or another.
+func (p *Placer) known(ctx context.Context, record jobstore.Record) api.JobAnswer {
+	answer, err := p.call(ctx, func(r chan reply) event { return getCall{record.ID, nil, r} })
+	if err != nil {
+		return jobstore.Answer(record)
+	}
+	return answer
+}
+
 // Get returns the job's answer. It waits up to wait for a final one.
 func (p *Placer) Get(ctx context.Context, id string, wait time.Duration) (api.JobAnswer, error) {
-	until := time.Now().Add(wait)
-	for {
-		answer, err := p.call(ctx, func(r chan reply) event { return getCall{id, r} })
-		if err != nil || answer.Outcome != api.OutcomeAccepted || !time.Now().Before(until) {
-			return answer, err
-		}
-		select {
-		case <-ctx.Done():
-			return answer, nil
-		case <-time.After(min(waitPoll, time.Until(until))):
-		}
+	ended := make(chan struct{})
+	answer, err := p.call(ctx, func(r chan reply) event { return getCall{id, ended, r} })
+	if err != nil || answer.Outcome != api.OutcomeAccepted || wait <= 0 {
+		p.post(ctx, forgetCall{id, ended})
+		return answer, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ended:
+		return p.call(ctx, func(r chan reply) event { return getCall{id, nil, r} })
+	case <-timer.C:
+	case <-ctx.Done():
 	}
+	p.post(context.WithoutCancel(ctx), forgetCall{id, ended})
+	return answer, nil
 }
 
 // Cancel cancels the job and returns its answer.
