Borrowers can be reclaimed after a takeover, and after a guarantee is lowered

Ruled out: the decision; it stops what it is told has borrowed. Change: the row says whether the attempt borrowed; where the store was out at the start, a gang that can be stopped counts as a borrower; a configuration that lowers a guarantee makes borrowers of the gangs it does not cover any more, the latest first; adopted gangs get an expected end; unused fields went.

--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -34,6 +34,8 @@
 	// Attempt counts the starts; Epoch is the epoch of the last writer.
 	Attempt int   `json:"attempt"`
 	Epoch   int64 `json:"epoch"`
+	// Borrowed says that this attempt went beyond its account's guarantee.
+	Borrowed bool `json:"borrowed,omitempty"`
 	// Checkpoint names the last known checkpoint.
 	Checkpoint string  `json:"checkpoint,omitempty"`
 	ProgressS  float64 `json:"progress_s,omitempty"`
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -93,8 +93,7 @@
 	// ExpectedEnd is the corrected estimate.
 	ExpectedEnd time.Time
 	// Borrowed says that the gang runs beyond its account's guarantee.
-	Borrowed  bool
-	Throttled bool
+	Borrowed bool
 }
 
 // GuaranteedShape is a shape that an account can claim Count times in a zone.
--- a/internal/placer/action.go
+++ b/internal/placer/action.go
@@ -25,7 +25,9 @@
 	ref     api.GangRef
 	account string
 	parts   []part
-	ttl     time.Duration
+	// ttl is the life of a reservation that is not started. It is far longer
+	// than a start, so that no part lapses while another is being started.
+	ttl time.Duration
 }
 
 // grantAction writes the right to start into the job's row. It results in
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -84,7 +84,6 @@
 	parts       []part
 	reports     map[string]seenReport
 	borrowed    bool
-	throttled   bool
 	expectedEnd time.Time
 	notBefore   time.Time
 	// mayRun says that some part of the present attempt may have started.
--- a/internal/placer/core_test.go
+++ b/internal/placer/core_test.go
@@ -174,3 +174,31 @@
 	assert.Assert(t, api.IsKind(reported.checkGuarantees(accounts(3)), api.KindNotReady))
 	assert.Assert(t, api.IsKind(newTestCore(0).checkGuarantees(accounts(1)), api.KindNotReady))
 }
+
+func TestGangsThatANewConfigurationDoesNotCoverBecomeBorrowers(t *testing.T) {
+	shape := api.Shape{Tasks: 2, AcceleratorsPerTask: 8}
+	cases := map[string]struct {
+		guaranteed int
+		idempotent bool
+		borrowed   []bool
+	}{
+		"the guarantee stays":                 {2, true, []bool{false, false}},
+		"half of it stays":                    {1, true, []bool{false, true}},
+		"nothing of it stays":                 {0, true, []bool{true, true}},
+		"gangs that cannot be stopped remain": {0, false, []bool{false, false}},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCore(4)
+			for i, id := range []string{"j-1", "j-2"} {
+				record := testRecord(id, jobstore.PhaseStarted, test.idempotent)
+				record.SubmittedAt = testStart.Add(time.Duration(i) * time.Second)
+				c.setParts(c.addWaiting(record), []part{{worker: "a"}})
+			}
+			guarantees := map[string][]model.GuaranteedShape{"z": {{Shape: shape, Count: test.guaranteed}}}
+			document := &config.Document{Accounts: []model.ClientAccount{{Name: "acme", Guarantees: guarantees}}}
+			c.setConfig(&config.Snapshot{Version: 2, Document: document})
+			assert.DeepEqual(t, []bool{c.jobs["j-1"].borrowed, c.jobs["j-2"].borrowed}, test.borrowed)
+		})
+	}
+}
--- a/internal/placer/gangs.go
+++ b/internal/placer/gangs.go
@@ -10,10 +10,6 @@
 	"github.com/corianderbank/corianderbank/internal/placement"
 )
 
-// reserveTTLFactor makes a reservation outlive its start: it must not lapse on
-// one worker while the start is under way on another.
-const reserveTTLFactor = 1
-
 // begin reserves the parts of a placement.
 func (c *core) begin(e *entry, p placement.Placement, now time.Time) {
 	parts, ok := c.partsOf(p.Tasks)
@@ -27,7 +23,7 @@
 	e.expectedEnd = p.ExpectedEnd
 	e.mayRun, e.stopSent, e.checkpointed = false, false, false
 	e.lapseAt = time.Time{}
-	c.do(reserveAction{ref: e.ref, account: e.record.Submission.Account, parts: parts, ttl: reserveTTLFactor * c.workerLease})
+	c.do(reserveAction{ref: e.ref, account: e.record.Submission.Account, parts: parts, ttl: c.workerLease})
 }
 
 // nextAttempt rises with each reservation, so that a worker can tell a late
@@ -63,6 +59,7 @@
 	e.record.Epoch = ev.ref.Epoch
 	e.record.Phase = jobstore.PhaseStarted
 	e.record.StartedAt = now
+	e.record.Borrowed = e.borrowed
 	if e.record.Submission.Idempotent {
 		c.markUnsaved(e)
 		c.start(e)
--- a/internal/placer/recover.go
+++ b/internal/placer/recover.go
@@ -63,6 +63,9 @@
 	for _, record := range ev.records {
 		c.adopt(record, held[record.ID], now)
 	}
+	if c.config != nil {
+		c.lowerGuarantees()
+	}
 	for _, report := range ev.reports {
 		report.apply(c, now)
 	}
@@ -105,9 +108,32 @@
 		}
 	}
 	c.setParts(e, parts)
+	e.borrowed = c.wasBorrowed(e)
+	e.expectedEnd = c.expectedEnd(e, now)
 	c.resume(e, tasks == record.Submission.Shape.Tasks, now)
 }
 
+// wasBorrowed says whether an adopted gang goes beyond its account's guarantee.
+// Its row tells, unless the store was out when it started: then a gang that can
+// be stopped counts as a borrower, so that no other account's guarantee is lost.
+func (c *core) wasBorrowed(e *entry) bool {
+	if e.record.Phase == jobstore.PhaseStarted && e.record.Attempt == e.ref.Attempt {
+		return e.record.Borrowed
+	}
+	return e.job().Stoppable()
+}
+
+// expectedEnd estimates the end of an adopted gang; one whose start was not
+// recorded is taken to start now.
+func (c *core) expectedEnd(e *entry, now time.Time) time.Time {
+	started := e.record.StartedAt
+	if started.IsZero() {
+		started = now
+	}
+	job := e.job()
+	return started.Add(c.runs.Run(job.Account, job.Kind, job.DeclaredRun) - job.Progress)
+}
+
 // resume decides what becomes of an adopted gang. Whole gangs that run go on.
 // Gangs of which every part is still only reserved surely never started: every
 // worker refuses the epoch before this one. Others are stopped first; those
--- a/internal/placer/round.go
+++ b/internal/placer/round.go
@@ -86,7 +86,7 @@
 func (e *entry) gang() model.Gang {
 	gang := model.Gang{
 		Job: e.job(), State: model.GangState(e.state), StartedAt: e.record.StartedAt,
-		ExpectedEnd: e.expectedEnd, Borrowed: e.borrowed, Throttled: e.throttled,
+		ExpectedEnd: e.expectedEnd, Borrowed: e.borrowed,
 	}
 	if e.state == stCancelling {
 		gang.State = model.GangStopping
@@ -104,6 +104,30 @@
 	}
 	c.config = snapshot
 	c.touched = true
+	c.lowerGuarantees()
+}
+
+// lowerGuarantees makes borrowers of the gangs that a new configuration no
+// longer covers, the latest first: what another account is guaranteed now must
+// be there when it is claimed. Gangs that cannot be stopped keep their place.
+func (c *core) lowerGuarantees() {
+	covered := make(map[string]int)
+	for _, account := range c.config.Document.Accounts {
+		covered[account.Name] = account.GuaranteedAccelerators(c.zone)
+	}
+	for _, e := range c.open {
+		if len(e.parts) == 0 || e.borrowed {
+			continue
+		}
+		job := e.job()
+		covered[job.Account] -= job.Shape.Accelerators()
+		if covered[job.Account] < 0 && job.Stoppable() {
+			covered[job.Account] += job.Shape.Accelerators()
+			e.borrowed = true
+			e.record.Borrowed = true
+			c.markUnsaved(e)
+		}
+	}
 }
 
 // round decides and begins what the plan says. The plan is carried out in the
--- a/test/invariants/reclaim_test.go
+++ b/test/invariants/reclaim_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/platform/fake"
 	"github.com/corianderbank/corianderbank/internal/standin"
 )
 
@@ -25,6 +26,8 @@
 	checkpointable, idempotent bool
 	// tasks is the size of each borrowing gang, of 8 accelerators a task.
 	tasks int
+	// storeOut takes the store away once the borrowers are accepted.
+	storeOut bool
 	// fault is played when all borrowers run, before the claim.
 	fault func(w *gangWorld)
 	// during is played 300 ms after the claim.
@@ -65,9 +68,19 @@
 	"checkpoints take 3 s":                         {checkpointable: true, idempotent: true, tasks: 2, fault: func(w *gangWorld) { w.checkpointTime = 3 * time.Second }, within: urgentStart},
 	"checkpoints take longer than they may":        {checkpointable: true, idempotent: true, tasks: 2, fault: func(w *gangWorld) { w.checkpointTime = time.Minute }, within: urgentStart},
 	"slow checkpoints and a slow worker":           {checkpointable: true, idempotent: true, tasks: 2, fault: func(w *gangWorld) { w.checkpointTime = time.Minute; slowWorker(w) }, within: urgentStart},
-	"a worker is slow":                             {checkpointable: true, idempotent: true, tasks: 2, fault: slowWorker, within: urgentStart},
-	"the placer dies in the middle":                {checkpointable: true, idempotent: true, tasks: 2, during: killActive, within: takeover + urgentStart},
-	"a worker dies in the middle":                  {checkpointable: true, idempotent: true, tasks: 1, during: func(w *gangWorld) { w.replaceWorker(w.order[0]) }, within: urgentStart + gangWorkerLease},
+	"the placer died before the claim":             {checkpointable: true, idempotent: true, tasks: 2, fault: func(w *gangWorld) { killActive(w); time.Sleep(takeover) }, within: urgentStart},
+	"the store was out at the start and the placer died": {
+		checkpointable: true, idempotent: true, tasks: 2, storeOut: true,
+		fault: func(w *gangWorld) {
+			killActive(w)
+			w.platform.SetFault(nil)
+			time.Sleep(takeover)
+		},
+		within: urgentStart,
+	},
+	"a worker is slow":              {checkpointable: true, idempotent: true, tasks: 2, fault: slowWorker, within: urgentStart},
+	"the placer dies in the middle": {checkpointable: true, idempotent: true, tasks: 2, during: killActive, within: takeover + urgentStart},
+	"a worker dies in the middle":   {checkpointable: true, idempotent: true, tasks: 1, during: func(w *gangWorld) { w.replaceWorker(w.order[0]) }, within: urgentStart + gangWorkerLease},
 }
 
 // TestGuaranteedShapeIsReclaimed fills a zone with borrowers and claims the
@@ -124,6 +137,9 @@
 			return "a borrower was not accepted"
 		}
 	}
+	if test.storeOut {
+		w.platform.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Down: true} })
+	}
 	time.Sleep(5 * time.Second)
 	if busy := w.busyWorkers(); busy != len(w.order) {
 		return fmt.Sprintf("borrowers run on %d of %d workers", busy, len(w.order))
