A new placer learns run times from the table

Cause: estimates lived only in the memory of a placer; each takeover went back to declared times, which are off by up to ten times. Ruled out: a table of estimates; the ended jobs' rows hold all that is needed. Change: recovery reads the 500 newest jobs and learns from those that ended well in one piece. Conclusion: one scan and its reads for each takeover.

--- a/internal/placer/action.go
+++ b/internal/placer/action.go
@@ -156,6 +156,9 @@
 	// workers are those that were asked, whether they answered or not.
 	workers []model.Worker
 	records []jobstore.Record
+	// recent are the newest jobs of all zones, the newest first: what they really
+	// took corrects the estimates, which a placer keeps only in memory.
+	recent  []jobstore.Record
 	reports []reportEvent
 	err     error
 }
--- a/internal/placer/core_test.go
+++ b/internal/placer/core_test.go
@@ -202,3 +202,20 @@
 		})
 	}
 }
+
+func TestANewPlacerLearnsRunTimesFromTheTable(t *testing.T) {
+	const runs = 50
+	c := newTestCore(2)
+	c.runs = estimate.NewHistory()
+	var recent []jobstore.Record
+	for range runs {
+		record := testRecord("j", jobstore.PhaseEnded, true)
+		record.Outcome, record.StartedAt, record.EndedAt = api.OutcomeDone, testStart, testStart.Add(5*time.Minute)
+		recent = append(recent, record)
+	}
+	failed := recent[0]
+	failed.ErrorKind, failed.EndedAt = api.KindJobFailed, testStart.Add(time.Hour)
+	c.learn(append(recent, failed))
+	estimated := c.runs.Run("acme", "k", time.Minute)
+	assert.Assert(t, estimated >= 5*time.Minute && estimated < 10*time.Minute, "%s", estimated)
+}
--- a/internal/placer/execute.go
+++ b/internal/placer/execute.go
@@ -11,6 +11,9 @@
 // storeCallTimeout bounds a call to the job store.
 const storeCallTimeout = 5 * time.Second
 
+// learntJobs bounds the ended jobs that a new placer learns run times from.
+const learntJobs = 500
+
 // carryOut hands the core's actions to the pool. Actions of one gang do not
 // overlap, but for releases: the chart has one call under way for each state.
 func (p *Placer) carryOut(ctx context.Context) {
@@ -172,6 +175,9 @@
 	}
 	reports := each(parts, func(one part) reportEvent { return p.renewOne(ctx, one, a.epoch, nil) })
 	event := recoveredEvent{epoch: a.epoch, workers: workers, records: records}
+	if recent, err := p.opts.Jobs.List(callCtx, "", learntJobs); err == nil {
+		event.recent = recent
+	}
 	for _, report := range reports {
 		if report.err == nil {
 			event.reports = append(event.reports, report)
--- a/internal/placer/recover.go
+++ b/internal/placer/recover.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/corianderbank/corianderbank/api"
@@ -48,6 +49,7 @@
 	}
 	c.recovered = true
 	c.setWorkers(ev.workers, now)
+	c.learn(ev.recent)
 	c.reconcileAt = now.Add(reconcileInterval)
 	held := make(map[string]map[string]api.ReservationReport)
 	for _, report := range ev.reports {
@@ -82,6 +84,23 @@
 	}
 }
 
+// learn takes the run times of jobs that ended well, the oldest first. Those
+// that were stopped and resumed are left out: their rows do not tell how long
+// each part of them ran.
+func (c *core) learn(recent []jobstore.Record) {
+	learner, ok := c.runs.(observer)
+	if !ok {
+		return
+	}
+	for _, record := range slices.Backward(recent) {
+		whole := record.Outcome == api.OutcomeDone && record.ErrorKind == "" && record.ProgressS == 0
+		if whole && record.EndedAt.After(record.StartedAt) {
+			submission := record.Submission
+			learner.Observe(submission.Account, submission.Kind, seconds(submission.DeclaredRunS), record.EndedAt.Sub(record.StartedAt))
+		}
+	}
+}
+
 // adopt takes over one open record with what the workers hold of it.
 func (c *core) adopt(record jobstore.Record, held map[string]api.ReservationReport, now time.Time) {
 	e := c.addWaiting(record)
