A submission that one zone may have accepted is not refused for another's reason

Cause: found by writing the router's table test: with the own zone refusing and the answer of the next one lost, the caller was told not_run, with the first zone's reason, although the second may have accepted the job. Ruled out: the callers' retries; no key was needed for it. Conclusion: not_run stays truthful across zones.

--- a/internal/jobs/router.go
+++ b/internal/jobs/router.go
@@ -78,6 +78,10 @@
 		if err == nil {
 			return answer, nil
 		}
+		if api.IsKind(err, api.KindResultUnknown) {
+			// That zone may have accepted it, whatever others said before.
+			return answer, err
+		}
 		if first == nil {
 			refusal, first = answer, err
 		}
