not_run is said once its row says so; a new placer fences the rows it adopts

Change: an ended job is under way for its callers until its row is written (outcomes other than not_run do not wait while the store is out); a job adopted at a takeover is placed only after its row was written in the new term, which makes late writes of earlier placers conflict; a cancellation waits for its final outcome for 3 s. Conclusion: not_run holds for jobs across takeovers.

--- a/internal/placer/calls.go
+++ b/internal/placer/calls.go
@@ -155,6 +155,7 @@
 	e, known := c.jobs[call.record.ID]
 	if !known {
 		e = c.addWaiting(call.record)
+		e.fenced = true // no other placer has ever seen the row
 	}
 	call.reply <- reply{c.answer(e), nil}
 }
@@ -169,7 +170,7 @@
 		call.reply <- reply{err: api.NewError(api.KindNotFound, "no job %q in memory", call.id)}
 		return
 	}
-	if call.ended != nil && !c.chart.Final(e.state) {
+	if call.ended != nil && !c.settled(e) {
 		e.waiters[call.ended] = true
 	}
 	call.reply <- reply{answer: c.answer(e)}
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -99,6 +99,10 @@
 	stopReason string
 	// refusal is the kind of a refusal, set before evRefuse.
 	refusal api.Kind
+	// fenced says that the row was written in this term: a write of an earlier
+	// placer, paused until now, can no longer take effect. A job is placed only
+	// then.
+	fenced bool
 	// dirty records are written when nothing is in flight for the row.
 	// waiters are closed when the job ends or the term does.
 	waiters   map[chan struct{}]bool
@@ -229,7 +233,6 @@
 	showOutcome(e.record.Outcome, e.record.ErrorKind)
 	c.markUnsaved(e)
 	c.closeJob(e)
-	e.wakeWaiters()
 	c.health.JobEnded(e.record.ID)
 	c.ended = append(c.ended, e.record.ID)
 	c.forgetOldest()
@@ -298,6 +301,18 @@
 	c.clear()
 }
 
+// settled says whether callers may be told the final outcome of an ended job.
+// That it did not run is said only once its row says so: until then, the next
+// placer would find the job accepted and run it. Other outcomes wait for the row
+// too, unless the store is out.
+func (c *core) settled(e *entry) bool {
+	if !c.chart.Final(e.state) {
+		return false
+	}
+	durable := !e.dirty && !e.writing
+	return durable || (!c.platform && e.record.Outcome != api.OutcomeNotRun)
+}
+
 func (e *entry) wakeWaiters() {
 	for ended := range e.waiters {
 		close(ended)
--- a/internal/placer/core_test.go
+++ b/internal/placer/core_test.go
@@ -219,3 +219,51 @@
 	estimated := c.runs.Run("acme", "k", time.Minute)
 	assert.Assert(t, estimated >= 5*time.Minute && estimated < 10*time.Minute, "%s", estimated)
 }
+
+func TestNotRunIsSaidOnlyOnceItsRowSaysSo(t *testing.T) {
+	cases := map[string]struct {
+		platform bool
+		end      chart.Event
+		state    chart.State
+		atOnce   bool
+	}{
+		"a cancelled job waits for its row":               {true, evCancel, stWaiting, false},
+		"it waits longer while the store is out":          {false, evCancel, stWaiting, false},
+		"a refused job waits for its row":                 {true, evRefuse, stWaiting, false},
+		"a finished job waits for its row":                {true, evFinish, stRunning, false},
+		"a finished job does not wait for a store outage": {false, evFinish, stRunning, true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCore(2)
+			c.platform = test.platform
+			e := c.addWaiting(testRecord("j", jobstore.PhaseAccepted, true))
+			e.state = test.state
+			assert.Assert(t, c.step(e, test.end, "test", testStart))
+			assert.Equal(t, c.answer(e).Outcome != api.OutcomeAccepted, test.atOnce)
+			c.persist(testStart)
+			assert.Equal(t, c.answer(e).Outcome != api.OutcomeAccepted, test.atOnce)
+			c.apply(persistedEvent{id: "j", record: e.record}, testStart)
+			assert.Equal(t, c.answer(e).Outcome, e.record.Outcome)
+		})
+	}
+}
+
+func TestAnAdoptedJobIsPlacedOnlyOnceItsRowIsThisTerms(t *testing.T) {
+	c := newTestCore(2)
+	c.apply(termEvent{epoch: 2, held: true, mayPlace: true, platform: true}, testStart)
+	workers := []model.Worker{{ID: "a", Addr: "a", Zone: "z"}, {ID: "b", Addr: "b", Zone: "z"}}
+	record := testRecord("j", jobstore.PhaseAccepted, true)
+	record.Borrow = true
+	c.apply(recoveredEvent{
+		epoch: 2, workers: workers, records: []jobstore.Record{record},
+		reports: []reportEvent{testReport("a", 2, 2), testReport("b", 2, 2)},
+	}, testStart)
+	c.round(testStart)
+	assert.Equal(t, c.jobs["j"].state, stWaiting)
+	written := record
+	written.Epoch, written.Version = 2, 5
+	c.apply(persistedEvent{id: "j", record: written}, testStart)
+	c.round(testStart.Add(time.Second))
+	assert.Equal(t, c.jobs["j"].state, stReserving)
+}
--- a/internal/placer/gangs.go
+++ b/internal/placer/gangs.go
@@ -227,6 +227,8 @@
 			return
 		}
 		e.record.Version = ev.record.Version
+		e.fenced = e.fenced || ev.record.Epoch == c.epoch
+		c.touched = true
 		c.noteForeignStart(e, ev.record, now)
 		return
 	}
@@ -266,6 +268,7 @@
 		delete(c.unsaved, id)
 		if c.chart.Final(e.state) {
 			c.acknowledge(e)
+			e.wakeWaiters()
 		}
 	}
 }
@@ -275,6 +278,9 @@
 		return
 	}
 	e.dirty, e.writing = false, true
+	if !c.platform && c.chart.Final(e.state) && c.settled(e) {
+		e.wakeWaiters()
+	}
 	e.record.Epoch = c.epoch
 	c.do(persistAction{record: e.record})
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -38,6 +38,8 @@
 	// watchPart that while news is expected of it.
 	steadyPart = 5
 	watchPart  = 15
+	// cancelWait is how long a cancellation waits for the final outcome.
+	cancelWait = 3 * time.Second
 	// overduePart is the part of a gang's run time by which it may be late and
 	// still be expected to end soon.
 	overduePart = 10
@@ -329,9 +331,14 @@
 	return answer, nil
 }
 
-// Cancel cancels the job and returns its answer.
+// Cancel cancels the job and returns its answer, which it waits for a while: a
+// gang has to stop, and the outcome has to be written, before it is final.
 func (p *Placer) Cancel(ctx context.Context, id string) (api.JobAnswer, error) {
-	return p.call(ctx, func(r chan reply) event { return cancelCall{id, r} })
+	answer, err := p.call(ctx, func(r chan reply) event { return cancelCall{id, r} })
+	if err != nil || answer.Outcome != api.OutcomeAccepted {
+		return answer, err
+	}
+	return p.Get(ctx, id, cancelWait)
 }
 
 // CheckGuarantees returns an error of KindShapeNeverFits if the guarantees of
--- a/internal/placer/recover.go
+++ b/internal/placer/recover.go
@@ -128,6 +128,7 @@
 	}
 	c.setParts(e, parts)
 	e.borrowed = c.wasBorrowed(e)
+	c.markUnsaved(e)
 	e.expectedEnd = c.expectedEnd(e, now)
 	c.resume(e, tasks == record.Submission.Shape.Tasks, now)
 }
--- a/internal/placer/round.go
+++ b/internal/placer/round.go
@@ -19,7 +19,7 @@
 	}
 	for _, e := range c.live() {
 		if e.state == stWaiting {
-			if !now.Before(e.notBefore) {
+			if e.fenced && !now.Before(e.notBefore) {
 				s.Waiting = append(s.Waiting, e.job())
 			}
 			continue
@@ -202,7 +202,7 @@
 		Attempt: r.Attempt, Account: r.Submission.Account, Kind: r.Submission.Kind, Shape: &shape,
 		SubmittedAt: timeOrNil(r.SubmittedAt), StartedAt: timeOrNil(r.StartedAt), EndedAt: timeOrNil(r.EndedAt),
 	}
-	if c.chart.Final(e.state) {
+	if c.settled(e) {
 		answer.Outcome, answer.ErrorKind, answer.Message = r.Outcome, r.ErrorKind, r.Message
 		answer.RetryAfterS = api.DefaultRetryAfterS(r.ErrorKind)
 		return answer
