--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -217,3 +217,21 @@
 	assert.Assert(t, mean > 15*time.Millisecond && mean < 45*time.Millisecond, "mean %v", mean)
 	assert.Assert(t, high > 60*time.Millisecond && high < 110*time.Millisecond, "high %v", high)
 }
+
+func BenchmarkOfferAndNext(b *testing.B) {
+	q := learned(Policy{}, 50, 100*time.Millisecond, "a", "b", "c", "d")
+	names := []string{"a", "b", "c", "d"}
+	for i := range 200 {
+		q.Offer(request(fmt.Sprint("w", i), names[i%4], time.Minute), start)
+	}
+	ids := make([]string, 1000)
+	for i := range ids {
+		ids[i] = fmt.Sprint("r", i)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		q.Offer(request(ids[i%1000], names[i%4], time.Minute), start)
+		next, _ := q.Next()
+		q.Finish(next.ID, 100*time.Millisecond)
+	}
+}
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -31,7 +31,8 @@
 	observe Observer
 }
 
-// NewClient returns a client that opens at most connections to each server.
+// NewClient returns a client that opens at most connections to each server. It
+// follows no redirect: a second dispatch may be a second run.
 func NewClient(connections int, observe Observer) *Client {
 	transport := &http.Transport{
 		MaxConnsPerHost:     connections,
@@ -40,7 +41,8 @@
 		DisableCompression:  true,
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	}
-	client := resty.NewWithClient(&http.Client{Transport: transport}).SetResponseBodyLimit(maxAnswerBytes)
+	client := resty.NewWithClient(&http.Client{Transport: transport}).SetResponseBodyLimit(maxAnswerBytes).
+		SetRedirectPolicy(resty.NoRedirectPolicy())
 	return &Client{client: client, observe: observe}
 }
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -221,3 +221,14 @@
 		})
 	}
 }
+
+func BenchmarkPickOfFifty(b *testing.B) {
+	tab, _ := table(Policy{}, 50)
+	random := rand.New(rand.NewPCG(1, 1))
+	b.ReportAllocs()
+	for b.Loop() {
+		choice, _ := tab.Pick(start, random, all, nil)
+		tab.Started(choice.ID)
+		tab.Finished(choice.ID, Result{Took: 50 * time.Millisecond, Expected: 50 * time.Millisecond, Incarnation: choice.Incarnation})
+	}
+}
