A worker's failure without a reason may have started the tasks

A redirect would have been followed. Ruled out: refusals with a kind; they are the worker's own word. Conclusion: unknown stays unknown.

--- a/internal/placer/execute.go
+++ b/internal/placer/execute.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/worker"
 )
 
 // storeCallTimeout bounds a call to the job store.
@@ -95,7 +96,7 @@
 		if err != nil && result.err == nil {
 			result.worker, result.err = a.parts[i].worker, err
 		}
-		if err == nil || api.IsKind(err, api.KindResultUnknown) {
+		if err == nil || !worker.Refused(err) {
 			result.mayRun = true
 		}
 	}
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -46,7 +46,7 @@
 		IdleConnTimeout:     time.Minute,
 		DialContext:         (&net.Dialer{Timeout: callTimeout}).DialContext,
 	}
-	return &HTTP{client: resty.NewWithClient(&http.Client{Transport: transport})}
+	return &HTTP{client: resty.NewWithClient(&http.Client{Transport: transport}).SetRedirectPolicy(resty.NoRedirectPolicy())}
 }
 
 // Reserve implements Client.
@@ -105,11 +105,21 @@
 		return nil
 	}
 	if failure.Kind == "" {
-		return api.NewError(api.KindInternal, "worker %s: status %d", addr, response.StatusCode())
+		return api.NewError(api.KindResultUnknown, "worker %s: status %d", addr, response.StatusCode())
 	}
 	return api.NewError(failure.Kind, "worker %s: %s", addr, failure.Message)
 }
 
+// Refused reports whether err says for sure that the worker did not do what it
+// was asked to: it said so, or the call never left.
+func Refused(err error) bool {
+	switch api.KindOf(err) {
+	case api.KindNotReady, api.KindStaleEpoch, api.KindNoCapacity, api.KindConflict, api.KindNotFound, api.KindInvalidField:
+		return true
+	}
+	return false
+}
+
 // transportError tells a call that never left from one whose answer was lost.
 func transportError(addr string, err error) error {
 	var operation *net.OpError
