--- a/internal/placer/core_test.go
+++ b/internal/placer/core_test.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -267,3 +268,15 @@
 	c.round(testStart.Add(time.Second))
 	assert.Equal(t, c.jobs["j"].state, stReserving)
 }
+
+func TestCallsToAPlacerThatHasEndedComeBack(t *testing.T) {
+	p := New(Options{Zone: "z", Instance: "i-1", WorkerLease: testLease, Interval: time.Second, PlacerLease: time.Second})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	p.loop(ctx)
+	_, err := p.Cancel(context.Background(), "j~z")
+	assert.Assert(t, api.IsKind(err, api.KindNoPlacer), "%v", err)
+	_, err = p.Get(context.Background(), "j~z", time.Hour)
+	assert.Assert(t, api.IsKind(err, api.KindNoPlacer), "%v", err)
+	assert.Equal(t, len(p.Status(context.Background()).Zones), 0)
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -91,6 +91,8 @@
 	leaving   chan struct{}
 	leaveOnce sync.Once
 	left      chan struct{}
+	// ended is closed when the loop has ended and answers nobody any more.
+	ended chan struct{}
 }
 
 // New returns a placer; Run makes it work.
@@ -104,6 +106,7 @@
 		pool:    pond.NewPool(poolSize),
 		leaving: make(chan struct{}),
 		left:    make(chan struct{}),
+		ended:   make(chan struct{}),
 		core: newCore(core{
 			zone: opts.Zone, instance: opts.Instance, runs: opts.Runs, health: opts.Health, recorder: opts.Recorder,
 			workerLease: opts.WorkerLease, maxJobs: opts.MaxJobs,
@@ -150,6 +153,7 @@
 
 // loop owns the core.
 func (p *Placer) loop(ctx context.Context) {
+	defer close(p.ended)
 	ticker := time.NewTicker(p.opts.Interval)
 	defer ticker.Stop()
 	for {
@@ -205,6 +209,8 @@
 	select {
 	case p.events <- ev:
 		return true
+	case <-p.ended:
+		return false
 	case <-ctx.Done():
 		return false
 	}
@@ -325,6 +331,7 @@
 	case <-ended:
 		return p.call(ctx, func(r chan reply) event { return getCall{id, nil, r} })
 	case <-timer.C:
+	case <-p.ended:
 	case <-ctx.Done():
 	}
 	p.post(context.WithoutCancel(ctx), forgetCall{id, ended})
@@ -362,6 +369,8 @@
 	select {
 	case status := <-answer:
 		return status
+	case <-p.ended:
+		return api.Status{Instance: p.opts.Instance}
 	case <-ctx.Done():
 		return api.Status{Instance: p.opts.Instance}
 	}
@@ -375,6 +384,8 @@
 	select {
 	case r := <-answer:
 		return r.answer, r.err
+	case <-p.ended:
+		return api.JobAnswer{}, errNoPlacer
 	case <-ctx.Done():
 		return api.JobAnswer{}, api.NewError(api.KindNoPlacer, "the placer did not answer in time")
 	}
--- a/test/invariants/gang_test.go
+++ b/test/invariants/gang_test.go
@@ -77,7 +77,7 @@
 	"a placer dies while the store loses answers":  {1, 2},
 	"placers die twice":                            {17},
 	"everything at once":                           {2, 90},
-	"everything at once, and twice":                {0, 126},
+	"everything at once, and twice":                {0, 126, 443},
 	"nothing fails":                                {185},
 	"cancellations while workers die and are lost": {363},
 }
