--- a/test/invariants/gang_world_test.go
+++ b/test/invariants/gang_world_test.go
@@ -180,15 +180,28 @@
 		PlacerLease: gangPlacerLease, WorkerLease: gangWorkerLease, Interval: gangInterval,
 		MaxJobs: 1000, MayPlace: func() bool { return true },
 	})
-	w.mu.Lock()
-	w.placers[instance] = running
-	w.mu.Unlock()
+	if !w.enterPlacer(instance, running) {
+		cancel()
+		return
+	}
 	go func() {
 		running.placer.Run(ctx)
 		close(running.done)
 	}()
 }
 
+// enterPlacer makes running the instance's placer, unless it has one: two
+// restarts may end at the same time.
+func (w *gangWorld) enterPlacer(instance string, running *gangPlacer) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.placers[instance] != nil {
+		return false
+	}
+	w.placers[instance] = running
+	return true
+}
+
 func (w *gangWorld) newRecorder(instance string) *decision.Recorder {
 	w.mu.Lock()
 	defer w.mu.Unlock()
