--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -1,7 +1,7 @@
 // Package placement decides which gangs start where, which are stopped to give
 // a guarantee back, and which jobs are refused. It is a pure function from a
 // snapshot to a plan: no clock, network or randomness of its own. The placer
-// applies a plan after checking it against newer state (see Recheck).
+// applies a plan, and checks placements that cannot be undone again (see Recheck).
 package placement
 
 import (
--- a/internal/placer/round.go
+++ b/internal/placer/round.go
@@ -131,8 +131,8 @@
 }
 
 // round decides and begins what the plan says. The plan is carried out in the
-// same turn of the goroutine that owns the state, so there is no newer state to
-// check it against here; the workers, who hold the truth, check each part again
+// same turn of the goroutine that owns the state, so only placements that cannot
+// be undone are checked again; the workers, who hold the truth, check each part
 // when they are asked to reserve it.
 func (c *core) round(now time.Time) {
 	c.checkSilence(now)
@@ -190,9 +190,23 @@
 		c.decide(now, e, "wait", "waiting", "a worker of the placement is being probed", "")
 		return
 	}
+	if err := c.recheck(e, p, now); err != nil {
+		c.decide(now, e, "recheck", "waiting", err.Error(), "")
+		return
+	}
 	c.begin(e, p, now)
 }
 
+// recheck holds the placement of a gang that nobody may stop against the state
+// that the placements before it left: a mistake there would keep another
+// account from its guarantee until the gang ends.
+func (c *core) recheck(e *entry, p placement.Placement, now time.Time) error {
+	if e.job().Stoppable() {
+		return nil
+	}
+	return placement.Recheck(c.snapshot(now), p)
+}
+
 // answer is what callers are told of a job.
 func (c *core) answer(e *entry) api.JobAnswer {
 	r := e.record
