--- a/api/kind.go
+++ b/api/kind.go
@@ -34,6 +34,8 @@
 	KindInvalidShape        Kind = "invalid_shape"
 	KindShapeNeverFits      Kind = "shape_never_fits"
 	KindNotFound            Kind = "not_found"
+	KindGone                Kind = "gone"
+	KindUnknownKey          Kind = "unknown_key"
 	KindMethodNotAllowed    Kind = "method_not_allowed"
 	KindKeyReused           Kind = "key_reused"
 	KindRefusedByRule       Kind = "refused_by_rule"
@@ -83,6 +85,8 @@
 	{KindInvalidShape, http.StatusUnprocessableEntity, 0, "The shape is not positive or exceeds the largest gang."},
 	{KindShapeNeverFits, http.StatusUnprocessableEntity, 0, "No availability zone could hold the shape, even when empty."},
 	{KindNotFound, http.StatusNotFound, 0, "There is no such resource."},
+	{KindGone, http.StatusGone, 0, "There is no such job."},
+	{KindUnknownKey, http.StatusUnauthorized, 0, "The key belongs to no client account of the configuration in force."},
 	{KindMethodNotAllowed, http.StatusMethodNotAllowed, 0, "The resource does not take this method."},
 	{KindKeyReused, http.StatusConflict, 0, "The idempotency key was used before with a different body."},
 	{KindRefusedByRule, http.StatusForbidden, 60, "A rule refuses this work in the present situation."},
--- a/cmd/corianderbank/main.go
+++ b/cmd/corianderbank/main.go
@@ -7,8 +7,9 @@
 
 	"github.com/corianderbank/corianderbank/internal/cli"
 	"github.com/corianderbank/corianderbank/internal/serve"
+	"github.com/corianderbank/corianderbank/platform"
 )
 
 func main() {
-	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr, serve.Run))
+	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr, cli.Serve{Zone: serve.Run, Deployment: platform.Run}))
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -53,9 +53,19 @@
 	helped bool
 }
 
+// Serve holds what runs an instance with a settings file until it is told to
+// stop.
+type Serve struct {
+	// Zone runs an entry instance, which schedules its availability zone.
+	Zone func(settingsFile string) error
+	// Deployment runs an instance that schedules a whole deployment on the
+	// platform.
+	Deployment func(settingsFile string) error
+}
+
 // Run parses args (without the program's name), runs the command and returns
-// its exit code. serve runs an entry instance until it is told to stop.
-func Run(args []string, stdout, stderr io.Writer, serve func(settingsFile string) error) int {
+// its exit code. serve runs an instance.
+func Run(args []string, stdout, stderr io.Writer, serve Serve) int {
 	s := newShell(stdout, stderr, serve)
 	name, err := s.app.Parse(args)
 	if s.helped && slices.ContainsFunc(args, asksForHelp) {
@@ -78,10 +88,10 @@
 // App returns the command line without running it, for tests that compare it
 // with the pages.
 func App() *kingpin.Application {
-	return newShell(io.Discard, io.Discard, nil).app
+	return newShell(io.Discard, io.Discard, Serve{}).app
 }
 
-func newShell(stdout, stderr io.Writer, serve func(string) error) *shell {
+func newShell(stdout, stderr io.Writer, serve Serve) *shell {
 	s := &shell{
 		app:    kingpin.New("corianderbank", "Schedules multi-accelerator jobs and requests under client account guarantees."),
 		stdout: stdout, stderr: stderr, commands: make(map[string]func() error),
@@ -107,10 +117,13 @@
 	s.commands[command.FullCommand()] = run
 }
 
-func (s *shell) addServe(serve func(string) error) {
-	command := s.app.Command("serve", "Run an entry instance until SIGTERM.")
-	file := command.Flag("settings", "Settings file.").Required().PlaceHolder("FILE").String()
-	s.add(command, func() error { return serve(*file) })
+func (s *shell) addServe(serve Serve) {
+	zone := s.app.Command("serve", "Run an entry instance until SIGTERM.")
+	zoneFile := zone.Flag("settings", "Settings file.").Required().PlaceHolder("FILE").String()
+	s.add(zone, func() error { return serve.Zone(*zoneFile) })
+	whole := s.app.Command("deployment", "Run an instance of a deployment-wide scheduler on the platform until SIGTERM.")
+	wholeFile := whole.Flag("settings", "Settings file.").Required().PlaceHolder("FILE").String()
+	s.add(whole, func() error { return serve.Deployment(*wholeFile) })
 }
 
 // print writes value as JSON, or as the text that the function renders.
--- /dev/null
+++ b/internal/deployment/accept.go
@@ -0,0 +1,202 @@
+package deployment
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+const (
+	// retryPause is the pause between two tries of a store call that may have
+	// been performed.
+	retryPause = 60 * time.Millisecond
+	// answerReserve is kept of a caller's deadline to send the answer.
+	answerReserve = 80 * time.Millisecond
+	// comeBack is when to come back while the store is away: outages of some
+	// seconds are the usual ones, and a caller's few tries should outlast them.
+	comeBack = 1 * time.Second
+)
+
+// Caller is who asks, for what queue, and until when.
+type Caller struct {
+	Queue   *workload.Queue
+	Account string
+}
+
+// Admit finds the queue of a host and path, and the client account of a key.
+// It returns the rest of the path.
+func (i *Instance) Admit(host, path, key string) (Caller, string, error) {
+	config := i.configuration.Load()
+	if config == nil {
+		return Caller{}, "", api.NewError(api.KindNotReady, "no configuration yet")
+	}
+	queue := queueOf(config, host, path)
+	if queue == nil {
+		return Caller{}, "", api.NewError(api.KindNotFound, "no queue for host %q and path %q", host, path)
+	}
+	caller := Caller{Queue: queue}
+	account, known := config.AccountOf(key)
+	if !known && !queue.Public {
+		return Caller{}, "", api.NewError(api.KindUnknownKey, "unknown key")
+	}
+	caller.Account = account
+	return caller, path[len(queue.Prefix):], nil
+}
+
+// queueOf returns the queue with the longest prefix of the path.
+func queueOf(config *workload.Configuration, host, path string) *workload.Queue {
+	var best *workload.Queue
+	for n := range config.Queues {
+		q := &config.Queues[n]
+		if q.Host == host && strings.HasPrefix(path, q.Prefix) && (best == nil || len(q.Prefix) > len(best.Prefix)) {
+			best = q
+		}
+	}
+	return best
+}
+
+// MaxBodyBytes bounds a body; zero where the configuration does not.
+func (i *Instance) MaxBodyBytes() int64 {
+	if config := i.configuration.Load(); config != nil {
+		return config.MaxBodyBytes
+	}
+	return 0
+}
+
+// Submit accepts a job: it returns nil once the store has it. An error of a
+// kind that is answered with "come back" means that the job was not accepted
+// and never runs; KindResultUnknown that it may have been accepted.
+func (i *Instance) Submit(ctx context.Context, caller Caller, job *workload.Job) error {
+	job.Queue, job.Account = caller.Queue.Name, caller.Account
+	job.AcceptedMS = time.Now().UnixMilli()
+	err := i.submit(ctx, job)
+	i.logger.Info("submit", zap.String("job", job.ID), zap.String("queue", job.Queue), zap.String("client_account", job.Account),
+		zap.Int64("config_version", i.configVersion()), zap.String("error_kind", kindName(err)), zap.Error(err))
+	metrics.GetOrCreateCounter(`corianderbank_deployment_submits_total{error_kind="` + kindName(err) + `"}`).Inc()
+	return err
+}
+
+func kindName(err error) string {
+	if err == nil {
+		return ""
+	}
+	return string(api.KindOf(err))
+}
+
+func (i *Instance) submit(ctx context.Context, job *workload.Job) error {
+	if known, ok := i.replica.get(job.ID); ok {
+		return sameJob(known.job, job)
+	}
+	key := jobPrefix + job.ID
+	row := workload.Row{Key: key, Value: encode(job)}
+	return i.writeOnce(ctx, workload.Write{
+		Expect: []workload.Row{{Key: key}}, Put: []workload.Row{row},
+	}, func(rows []workload.Row) error {
+		for _, existing := range rows {
+			var accepted workload.Job
+			if existing.Key == key && json.Unmarshal(existing.Value, &accepted) == nil {
+				return sameJob(&accepted, job)
+			}
+		}
+		return api.NewError(api.KindResultUnknown, "the store refused the job and showed no row")
+	})
+}
+
+// sameJob answers a submission of an id that was accepted before.
+func sameJob(accepted, sent *workload.Job) error {
+	if accepted.Account != sent.Account {
+		return api.NewError(api.KindConflict, "the id belongs to another client account's job")
+	}
+	return nil
+}
+
+// writeOnce makes a conditional write until its result is known or the caller's
+// time is up. An answer that is missing is no refusal: the write is repeated,
+// and its own effect is met as a conflict.
+func (i *Instance) writeOnce(ctx context.Context, write workload.Write, conflict func([]workload.Row) error) error {
+	unknown := false
+	for {
+		written, err := i.store.Write(ctx, write)
+		switch {
+		case err == nil && written.Conflict:
+			i.replica.apply(written.Rows)
+			return conflict(written.Rows)
+		case err == nil:
+			for n := range write.Put {
+				write.Put[n].Version = written.Version
+			}
+			i.replica.apply(write.Put)
+			i.tellHolder(write.Put)
+			return nil
+		}
+		unknown = unknown || errors.Is(err, workload.ErrUnknown)
+		if !unknown {
+			return api.WithRetryAfter(api.NewError(api.KindStoreUnavailable, "the store was not reached: %w", err), comeBack)
+		}
+		if pause(ctx, retryPause); ctx.Err() != nil {
+			return api.NewError(api.KindResultUnknown, "the store's answer is missing: %w", err)
+		}
+	}
+}
+
+// find returns a job of the caller's queue; KindGone if the store has none.
+func (i *Instance) find(ctx context.Context, caller Caller, id string) (JobState, error) {
+	state, job, ok := i.replica.state(id)
+	if !ok {
+		if err := i.fetch(ctx, id); err != nil {
+			return "", err
+		}
+		if state, job, ok = i.replica.state(id); !ok {
+			return "", api.NewError(api.KindGone, "no job %s", id)
+		}
+	}
+	if job.Account != caller.Account {
+		return "", api.NewError(api.KindGone, "no job %s of this client account", id)
+	}
+	return state, nil
+}
+
+// fetch reads the rows of one job.
+func (i *Instance) fetch(ctx context.Context, id string) error {
+	for _, prefix := range []string{jobPrefix, cancelPrefix, recordPrefix} {
+		page, err := i.store.Read(ctx, workload.SourceOwn, prefix+id, prefix+id+"\x00")
+		if err != nil {
+			return api.WithRetryAfter(api.NewError(api.KindStoreUnavailable, "the store was not reached: %w", err), comeBack)
+		}
+		i.replica.apply(page.Rows)
+		if len(page.Rows) == 0 && prefix == jobPrefix {
+			return nil
+		}
+	}
+	return nil
+}
+
+// State returns a job's state.
+func (i *Instance) State(ctx context.Context, caller Caller, id string) (JobState, error) {
+	return i.find(ctx, caller, id)
+}
+
+// Pending returns the number of the queue's jobs of which no task has started.
+func (i *Instance) Pending(caller Caller) int { return i.replica.pending(caller.Queue.Name) }
+
+// Cancel cancels a job: it returns nil once the store has it.
+func (i *Instance) Cancel(ctx context.Context, caller Caller, id string) error {
+	state, err := i.find(ctx, caller, id)
+	if err == nil && state != StateCancelled && state != StateCompleted && state != StateFailed {
+		key := cancelPrefix + id
+		err = i.writeOnce(ctx, workload.Write{
+			Expect: []workload.Row{{Key: key}}, Put: []workload.Row{{Key: key, Value: encode(time.Now().UnixMilli())}},
+		}, func([]workload.Row) error { return nil })
+	}
+	i.logger.Info("cancel", zap.String("job", id), zap.String("queue", caller.Queue.Name), zap.String("state_before", string(state)),
+		zap.String("error_kind", kindName(err)), zap.Error(err))
+	return err
+}
--- /dev/null
+++ b/internal/deployment/conduct.go
@@ -0,0 +1,358 @@
+package deployment
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/alitto/pond/v2"
+	"go.uber.org/zap"
+
+	"github.com/corianderbank/corianderbank/internal/dispatch"
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+const (
+	// eventCapacity bounds the events that wait for the loop: a burst of answers
+	// from every worker at once. A sender waits when it is full.
+	eventCapacity = 4096
+	// roundEvery is the longest time between two decisions.
+	roundEvery = 50 * time.Millisecond
+	// ordersAtOnce bounds the orders and looks under way: each worker may have a
+	// waiting look, a quick one, and starts beside them.
+	ordersAtOnce = 1024
+	// recordsAtOnce bounds the records of one transaction.
+	recordsAtOnce = 50
+	// writePause is the pause after a failed write of records.
+	writePause = 100 * time.Millisecond
+	// collectEvery is how often rows of jobs that ended long ago are removed.
+	collectEvery = 5 * time.Second
+	// keptTimes says how many times the promised time states are kept.
+	keptTimes = 2
+)
+
+// event changes the core; the loop runs them one after the other.
+type event func(core *dispatch.Core, now time.Time, wallMS int64)
+
+// conductor is the loop of one held lease: it feeds the core, carries out what
+// the core decides, and stores its records.
+type conductor struct {
+	instance *Instance
+	grant    *grant
+	core     *dispatch.Core
+	events   chan event
+	orders   pond.Pool
+	logger   *zap.Logger
+	// writing says that records are on their way to the store.
+	writing bool
+	// recordVersions are the versions of the record rows.
+	recordVersions map[string]int64
+	collectedAt    time.Time
+	ctx            context.Context
+}
+
+// hold conducts until the context ends or the lease is over.
+func (i *Instance) hold(ctx context.Context, g *grant) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c := &conductor{
+		instance: i, grant: g, events: make(chan event, eventCapacity), ctx: ctx,
+		orders: pond.NewPool(ordersAtOnce), logger: i.logger.Named("conduct"), recordVersions: make(map[string]int64),
+	}
+	defer func() { c.orders.Stop() }()
+	if !c.load() {
+		return
+	}
+	i.conductor.Store(c)
+	defer i.conductor.Store(nil)
+	c.run()
+}
+
+// load fills the core with what the store has. The read comes after the lease
+// was taken, so nothing that an earlier holder wrote is missing.
+func (c *conductor) load() bool {
+	for c.ctx.Err() == nil {
+		rows, version, err := readAll(c.ctx, c.instance.store, workload.SourceOwn, "", "")
+		if err != nil {
+			c.logger.Warn("reading the table failed", zap.Error(err))
+			pause(c.ctx, followPause)
+			continue
+		}
+		c.instance.replica.reload(rows, version)
+		workers, _, err := readAll(c.ctx, c.instance.store, workload.SourceWorkers, "", "")
+		if err != nil {
+			c.logger.Warn("reading the workers failed", zap.Error(err))
+			pause(c.ctx, followPause)
+			continue
+		}
+		c.instance.workers.reload(workers, 0)
+		c.fill()
+		return true
+	}
+	return false
+}
+
+func (c *conductor) fill() {
+	now, wallMS := bootTime(), time.Now().UnixMilli()
+	c.core = dispatch.New(c.instance.settings.bounds(), c.grant.epoch, now, c.grant.earlier)
+	c.core.Configure(c.instance.configuration.Load())
+	for _, w := range c.instance.workers.recent(now) {
+		c.core.Listed([]workload.Worker{w}, now, wallMS)
+	}
+	c.core.Listed(c.instance.workers.list(), now, wallMS)
+	for _, known := range c.instance.replica.snapshot() {
+		c.core.AddJob(known.job, known.record, known.cancelled, c.grant.earlier, now, wallMS)
+	}
+}
+
+// post hands an event to the loop; it waits while the ring is full, and gives
+// up when the lease is over.
+func (c *conductor) post(e event) {
+	select {
+	case c.events <- e:
+	case <-c.ctx.Done():
+	}
+}
+
+func (c *conductor) run() {
+	ticker := time.NewTicker(roundEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case e := <-c.events:
+			c.apply(e)
+			c.drain()
+		case <-ticker.C:
+		case <-c.ctx.Done():
+			return
+		}
+		if !c.grant.valid() {
+			return
+		}
+		c.round()
+		if c.core.Fenced() {
+			c.logger.Warn("a worker has seen a higher epoch", zap.Int64("epoch", c.grant.epoch))
+			c.grant.end()
+			return
+		}
+	}
+}
+
+func (c *conductor) apply(e event) { e(c.core, bootTime(), time.Now().UnixMilli()) }
+
+// drain takes what else waits, so that one round answers all of it.
+func (c *conductor) drain() {
+	for range eventCapacity {
+		select {
+		case e := <-c.events:
+			c.apply(e)
+		default:
+			return
+		}
+	}
+}
+
+// round decides and carries out.
+func (c *conductor) round() {
+	started := bootTime()
+	for _, action := range c.core.Decide(started, time.Now().UnixMilli()) {
+		c.carryOut(action)
+	}
+	metricRound.UpdateDuration(started)
+	c.write()
+	c.collect()
+	c.instance.replica.setBegan(c.grant.epoch, c.core.Began())
+}
+
+var metricRound = metrics.NewHistogram("corianderbank_deployment_round_seconds")
+
+func (c *conductor) carryOut(action dispatch.Action) {
+	switch action.Kind {
+	case dispatch.ActStart:
+		c.logOrder("start", action)
+		c.orders.Submit(func() { c.start(action) })
+	case dispatch.ActStop:
+		c.logOrder("stop", action)
+		c.orders.Submit(func() { c.stop(action) })
+	case dispatch.ActLook:
+		c.orders.Submit(func() { c.look(action) })
+	}
+}
+
+func (c *conductor) logOrder(what string, action dispatch.Action) {
+	o := action.Order
+	c.logger.Info("order", zap.String("order", what), zap.String("job", o.Task.Job), zap.Int("occurrence", o.Task.Occurrence),
+		zap.Int("step", o.Task.Step), zap.Int("task", o.Task.Index), zap.Int64("attempt", o.Attempt),
+		zap.String("worker", o.Worker), zap.Int64("epoch", o.Epoch), zap.String("reason", action.Reason))
+}
+
+// start gives a start, if the lease still holds at the moment it leaves.
+func (c *conductor) start(action dispatch.Action) {
+	receipt := workload.Receipt{Verdict: workload.VerdictUnknown, Err: errLeaseOver}
+	sent := time.Now()
+	if c.grant.valid() {
+		receipt = c.instance.workerClient.Start(c.ctx, action.Order)
+	}
+	metricOrder("start", receipt.Verdict).UpdateDuration(sent)
+	c.logReceipt("start", action, receipt)
+	c.post(func(core *dispatch.Core, now time.Time, wallMS int64) {
+		core.StartAnswered(action.Order, receipt, now, wallMS)
+	})
+}
+
+func (c *conductor) stop(action dispatch.Action) {
+	receipt := workload.Receipt{Verdict: workload.VerdictUnknown, Err: errLeaseOver}
+	sent := time.Now()
+	if c.grant.valid() {
+		receipt = c.instance.workerClient.Stop(c.ctx, action.Order)
+	}
+	metricOrder("stop", receipt.Verdict).UpdateDuration(sent)
+	c.logReceipt("stop", action, receipt)
+	c.post(func(core *dispatch.Core, now time.Time, wallMS int64) {
+		core.StopAnswered(action.Order, receipt, now, wallMS)
+	})
+}
+
+func (c *conductor) look(action dispatch.Action) {
+	sight := workload.Sight{Verdict: workload.VerdictUnknown, Err: errLeaseOver}
+	if c.grant.valid() {
+		sight = c.instance.workerClient.Look(c.ctx, action.Look)
+	}
+	for _, e := range sight.Ended {
+		if e.Number > action.Look.Noted {
+			c.logger.Info("end", zap.String("job", e.Task.Job), zap.Int("occurrence", e.Task.Occurrence), zap.Int("step", e.Task.Step),
+				zap.Int("task", e.Task.Index), zap.Int64("attempt", e.Attempt), zap.String("worker", action.Look.Worker),
+				zap.String("kind", string(e.Kind)), zap.Int64("number", e.Number))
+		}
+	}
+	c.post(func(core *dispatch.Core, now time.Time, wallMS int64) { core.Saw(action, sight, now, wallMS) })
+}
+
+var errLeaseOver = errors.New("the lease is over")
+
+func metricOrder(kind string, verdict workload.Verdict) *metrics.Histogram {
+	return metrics.GetOrCreateHistogram(`corianderbank_deployment_order_seconds{order="` + kind + `",verdict="` + verdict.String() + `"}`)
+}
+
+func (c *conductor) logReceipt(what string, action dispatch.Action, receipt workload.Receipt) {
+	if receipt.Verdict == workload.VerdictDone {
+		return
+	}
+	o := action.Order
+	c.logger.Warn("order not carried out", zap.String("order", what), zap.String("job", o.Task.Job), zap.Int("step", o.Task.Step),
+		zap.Int("task", o.Task.Index), zap.Int64("attempt", o.Attempt), zap.String("worker", o.Worker),
+		zap.Stringer("verdict", receipt.Verdict), zap.Error(receipt.Err))
+}
+
+// write stores what the store does not have yet; one write is under way at a
+// time.
+func (c *conductor) write() {
+	if c.writing {
+		return
+	}
+	list := c.core.Unwritten(recordsAtOnce)
+	if len(list) == 0 {
+		return
+	}
+	c.writing = true
+	c.orders.Submit(func() { c.writeRecords(list) })
+}
+
+// writeRecords tries one write. What is written expects the epoch and the
+// version of every record, so that neither a holder that was replaced nor a
+// late copy of an earlier write can change anything.
+func (c *conductor) writeRecords(list []dispatch.Unwritten) {
+	tx := workload.Write{Expect: []workload.Row{{Key: epochKey, Version: c.grant.epochVersion}}}
+	for _, u := range list {
+		key := recordPrefix + u.Job
+		tx.Expect = append(tx.Expect, workload.Row{Key: key, Version: c.recordVersion(key)})
+		tx.Put = append(tx.Put, workload.Row{Key: key, Value: u.Record})
+	}
+	written, err := c.instance.store.Write(c.ctx, tx)
+	switch {
+	case err != nil:
+		c.logger.Debug("writing records failed", zap.Error(err))
+		pause(c.ctx, writePause)
+	case written.Conflict:
+		c.conflict(written.Rows)
+	default:
+		for n := range tx.Put {
+			tx.Put[n].Version = written.Version
+			c.recordVersions[tx.Put[n].Key] = written.Version
+		}
+		c.instance.replica.apply(tx.Put)
+		c.instance.passOn(tx.Put)
+		c.logFinals(list)
+	}
+	stored := err == nil && !written.Conflict
+	c.post(func(core *dispatch.Core, now time.Time, wallMS int64) {
+		c.writing = false
+		if stored {
+			core.Recorded(list, now, wallMS)
+		}
+	})
+}
+
+func (c *conductor) logFinals(list []dispatch.Unwritten) {
+	for _, u := range list {
+		if u.Final != "" {
+			c.logger.Info("job ended", zap.String("job", u.Job), zap.String("state", string(u.Final)), zap.Int64("epoch", c.grant.epoch))
+		}
+	}
+}
+
+// recordVersion is only called by the one write under way.
+func (c *conductor) recordVersion(key string) int64 {
+	if version, ok := c.recordVersions[key]; ok {
+		return version
+	}
+	return c.instance.replica.version(key)
+}
+
+// conflict takes the versions that a refused write met: either an earlier copy
+// of it was performed although its answer was lost, or the lease is lost.
+func (c *conductor) conflict(rows []workload.Row) {
+	for _, row := range rows {
+		if row.Key != epochKey {
+			c.recordVersions[row.Key] = row.Version
+			continue
+		}
+		if row.Version != c.grant.epochVersion {
+			c.logger.Warn("the store has a higher epoch", zap.Int64("epoch", c.grant.epoch))
+			c.grant.end()
+		}
+	}
+}
+
+// collect removes the rows of jobs whose states need not be shown any more.
+func (c *conductor) collect() {
+	now := bootTime()
+	if now.Sub(c.collectedAt) < collectEvery {
+		return
+	}
+	c.collectedAt = now
+	kept := keptTimes * c.instance.settings.bounds().StatusKept
+	ids := c.instance.replica.expired(time.Now().Add(-kept).UnixMilli(), recordsAtOnce/2)
+	if len(ids) == 0 {
+		return
+	}
+	c.orders.Submit(func() { c.remove(ids) })
+}
+
+func (c *conductor) remove(ids []string) {
+	tx := workload.Write{Expect: []workload.Row{{Key: epochKey, Version: c.grant.epochVersion}}}
+	for _, id := range ids {
+		tx.Remove = append(tx.Remove, jobPrefix+id, cancelPrefix+id, recordPrefix+id)
+	}
+	written, err := c.instance.store.Write(c.ctx, tx)
+	if err != nil || written.Conflict {
+		c.logger.Debug("removing old rows failed", zap.Error(err), zap.Bool("conflict", written.Conflict))
+		return
+	}
+	c.post(func(core *dispatch.Core, _ time.Time, _ int64) {
+		for _, id := range ids {
+			core.Forget(id)
+		}
+	})
+}
--- /dev/null
+++ b/internal/deployment/doc.go
@@ -0,0 +1,15 @@
+// Package deployment runs one instance of a deployment-wide scheduler. Every
+// instance takes callers' jobs and knows all of them; one of them holds the
+// lease and drives the core (package dispatch) with it.
+//
+//	clock.go     steady time that counts suspensions
+//	settings.go  the settings of a process
+//	replica.go   what this instance knows of the product's table
+//	reach.go     the store, directly or through a peer
+//	follow.go    the duties that follow the store's tables
+//	lease.go     who schedules
+//	conduct.go   the loop of the holder: core, orders, records
+//	accept.go    what callers ask
+//	gossip.go    what instances tell each other
+//	instance.go  an instance put together, its start and its stop
+package deployment
--- /dev/null
+++ b/internal/deployment/follow.go
@@ -0,0 +1,88 @@
+package deployment
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+const (
+	// followWait is how long the store may wait for a change. It is shorter than
+	// the bounds within which changes must be in force, so that a feed that went
+	// silent is noticed in time.
+	followWait = 1 * time.Second
+	// followPause is the pause after a failure.
+	followPause = 100 * time.Millisecond
+	// holderGap and othersGap are the pauses after changes of the product's
+	// table: the holder starts what is new there; the others get most of it from
+	// the holder and from whom callers asked, and take the rest from the feed.
+	holderGap = 10 * time.Millisecond
+	othersGap = 200 * time.Millisecond
+	// workersHolderGap and workersOthersGap are the same for the list of
+	// workers, where every heartbeat is a change. Without them eight instances
+	// made 500 calls a second, most of them for heartbeats of 48 workers.
+	workersHolderGap = 250 * time.Millisecond
+	workersOthersGap = 1 * time.Second
+	// configurationGap batches changes that come in quick succession.
+	configurationGap = 20 * time.Millisecond
+	// readEvery is how often a followed table is read all the same: a feed may
+	// hear nothing for a while although there are changes.
+	readEvery = 1 * time.Second
+)
+
+// follower keeps up with one table: a whole read, then its changes.
+type follower struct {
+	store  workload.Store
+	source workload.Source
+	logger *zap.Logger
+	// gap is the pause after changes, so that a table with many writers costs a
+	// call a gap and not a call a write.
+	gap func() time.Duration
+	// whole takes a whole read, taken at a version; changes takes what follows.
+	whole   func(rows []workload.Row, at int64)
+	changes func(rows []workload.Row)
+}
+
+// run follows until the context ends.
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		rows, version, err := readAll(ctx, f.store, f.source, "", "")
+		if err != nil {
+			pause(ctx, followPause)
+			continue
+		}
+		f.whole(rows, version)
+		f.follow(ctx, version)
+	}
+}
+
+// follow takes changes until the history is gone.
+func (f *follower) follow(ctx context.Context, version int64) {
+	for ctx.Err() == nil {
+		page, err := f.store.Follow(ctx, f.source, version, followWait)
+		if errors.Is(err, workload.ErrHistoryGone) {
+			f.logger.Info("history gone, reading the table", zap.String("source", string(f.source)), zap.Int64("version", version))
+			return
+		}
+		if err != nil {
+			pause(ctx, followPause)
+			continue
+		}
+		f.changes(page.Rows)
+		version = max(version, page.Version)
+		pause(ctx, f.gap())
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/deployment/instance.go
@@ -0,0 +1,336 @@
+package deployment
+
+import (
+	"context"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/alitto/pond/v2"
+	"go.uber.org/zap"
+
+	"github.com/corianderbank/corianderbank/internal/dispatch"
+	"github.com/corianderbank/corianderbank/internal/lifecycle"
+	"github.com/corianderbank/corianderbank/internal/peer"
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+// Decoder reads the documents that others keep in the store.
+type Decoder interface {
+	// IsConfiguration reports whether a row of SourceConfiguration is the
+	// configuration.
+	IsConfiguration(key string) bool
+	Configuration(data []byte) (*workload.Configuration, error)
+	Worker(id string, data []byte) (workload.Worker, error)
+}
+
+// Options are what an instance needs.
+type Options struct {
+	Settings *Settings
+	Store    workload.Store
+	Workers  workload.Workers
+	Decoder  Decoder
+	Logger   *zap.Logger
+}
+
+// Servers is what takes callers.
+type Servers interface {
+	// Announce makes answers close their connections.
+	Announce()
+	// Drain takes nothing new and waits for the requests in flight.
+	Drain(ctx context.Context) error
+	Close()
+}
+
+// Instance is one instance of a deployment-wide scheduler.
+type Instance struct {
+	settings *Settings
+	logger   *zap.Logger
+	decoder  Decoder
+	// store is the store by any path.
+	store         *reach
+	reach         *reach
+	workerClient  workload.Workers
+	replica       *replica
+	workers       *roster
+	lease         *lease
+	node          *peer.Node
+	peers         *peers
+	calls         pond.Pool
+	life          *lifecycle.Life
+	configuration atomic.Pointer[workload.Configuration]
+	configRow     atomic.Pointer[workload.Row]
+	configMu      sync.Mutex
+	conductor     atomic.Pointer[conductor]
+	stopping      atomic.Bool
+	// background ends the duties that outlive the lease at a stop.
+	background context.CancelFunc
+	leaseOver  context.CancelFunc
+	duties     sync.WaitGroup
+	leaseDuty  sync.WaitGroup
+}
+
+// callsAtOnce bounds the calls to peers under way; more are dropped, because
+// each carries news that comes again.
+const callsAtOnce = 128
+
+// peerLimits keeps a peer that went silent from holding calls for long.
+var peerLimits = peer.Limits{DialTimeout: 500 * time.Millisecond, CallTimeout: 2 * time.Second, IOTimeout: time.Second}
+
+// New returns an instance that does nothing until Run.
+func New(o Options) *Instance {
+	s := o.Settings
+	i := &Instance{
+		settings: s, logger: o.Logger, decoder: o.Decoder, workerClient: o.Workers,
+		replica: newReplica(o.Logger), peers: &peers{views: make(map[string]peerView)},
+		calls: pond.NewPool(callsAtOnce, pond.WithQueueSize(callsAtOnce), pond.WithNonBlocking(true)),
+	}
+	i.node = peer.New(peer.Options{
+		Instance: s.Listen.Peers, Incarnation: time.Now().UnixMilli(), Listen: s.Listen.Peers, Handler: i, Logger: o.Logger,
+		Resolve: func(id string) (string, bool) { return id, true }, Limits: peerLimits,
+	})
+	i.reach = &reach{direct: o.Store, caller: i.node, logger: o.Logger, helpers: func() []string {
+		return i.peers.fresh(func(v peerView) bool { return v.storeReachable })
+	}}
+	i.store = i.reach
+	kept := 2 * s.bounds().LongestLease
+	i.workers = newRoster(o.Decoder, kept, o.Logger)
+	i.lease = &lease{
+		self: s.Listen.Peers, store: i.store, replica: i.replica, logger: o.Logger, eligible: i.eligible, hold: i.hold,
+	}
+	i.replica.changed = i.jobChanged
+	i.workers.changed = i.workersChanged
+	return i
+}
+
+// eligible reports whether this instance may take the lease: it knows the
+// table, the configuration and the workers, reaches the store, and stays.
+func (i *Instance) eligible() bool {
+	reachable, _ := i.reach.reachable()
+	return reachable && i.replica.isLoaded() && i.configuration.Load() != nil && !i.stopping.Load()
+}
+
+// jobChanged tells the core, if this instance conducts, of a new job or cancel.
+func (i *Instance) jobChanged(c change) {
+	conductor := i.conductor.Load()
+	known, ok := i.replica.get(c.job)
+	if conductor == nil || !ok {
+		return
+	}
+	conductor.post(func(core *dispatch.Core, now time.Time, wallMS int64) {
+		core.AddJob(known.job, known.record, known.cancelled, false, now, wallMS)
+		if known.cancelled {
+			core.Cancel(c.job, now, wallMS)
+		}
+	})
+}
+
+func (i *Instance) workersChanged() {
+	if conductor := i.conductor.Load(); conductor != nil {
+		conductor.post(func(core *dispatch.Core, now time.Time, wallMS int64) {
+			core.Listed(i.workers.list(), now, wallMS)
+		})
+	}
+}
+
+// configVersion is the version in force here; zero for none.
+func (i *Instance) configVersion() int64 {
+	if config := i.configuration.Load(); config != nil {
+		return config.Version
+	}
+	return 0
+}
+
+// takeConfiguration puts a newer configuration in force; an older one, which a
+// slow path may bring later, changes nothing.
+func (i *Instance) takeConfiguration(rows []workload.Row) {
+	for _, row := range rows {
+		if row.Deleted || !i.decoder.IsConfiguration(row.Key) {
+			continue
+		}
+		config, err := i.decoder.Configuration(row.Value)
+		if err != nil {
+			i.logger.Error("configuration cannot be read", zap.Error(err))
+			continue
+		}
+		i.force(config, row)
+	}
+}
+
+func (i *Instance) force(config *workload.Configuration, row workload.Row) {
+	i.configMu.Lock()
+	defer i.configMu.Unlock()
+	if config.Version <= i.configVersion() {
+		return
+	}
+	i.configuration.Store(config)
+	i.configRow.Store(&row)
+	i.logger.Info("configuration in force", zap.Int64("config_version", config.Version),
+		zap.Int("queues", len(config.Queues)), zap.Int("client_accounts", len(config.Accounts)))
+	if i.life != nil {
+		i.life.Configured()
+	}
+	if conductor := i.conductor.Load(); conductor != nil {
+		conductor.post(func(core *dispatch.Core, _ time.Time, _ int64) { core.Configure(config) })
+	}
+}
+
+// Ready reports whether callers should come here.
+func (i *Instance) Ready() bool {
+	if i.stopping.Load() || i.configuration.Load() == nil {
+		return false
+	}
+	return !i.cutOff()
+}
+
+// cutOff reports whether the instance reaches neither the store nor any
+// instance of another zone: callers are served better elsewhere. When the store
+// is away for all of them, nobody is better off elsewhere.
+func (i *Instance) cutOff() bool {
+	if reachable, _ := i.reach.reachable(); reachable {
+		return false
+	}
+	others := i.replica.otherZones(i.settings.AvailabilityZone)
+	if !others {
+		return false
+	}
+	return len(i.peers.fresh(func(v peerView) bool { return v.zone != i.settings.AvailabilityZone })) == 0
+}
+
+// Run starts to take callers by serve and runs until a signal, then shuts down
+// gracefully.
+func (i *Instance) Run(serve func(*Instance) (Servers, error), signals <-chan os.Signal) error {
+	started := time.Now()
+	if err := i.node.Start(); err != nil {
+		return err
+	}
+	servers, err := serve(i)
+	if err != nil {
+		return err
+	}
+	i.life = lifecycle.New(lifecycle.Options{
+		StopWithin: time.Duration(i.settings.StopWithinMS) * time.Millisecond, Linger: stopLinger, Logger: i.logger,
+		Announce: func(context.Context) error { servers.Announce(); return nil },
+		HandOver: i.handOver,
+		Drain:    servers.Drain,
+		Close:    func(context.Context) error { i.close(servers); return nil },
+	})
+	i.startDuties()
+	i.logger.Info("started", zap.Duration("took", time.Since(started)), zap.Int("pid", os.Getpid()))
+	first := <-signals
+	i.logger.Info("signal", zap.Stringer("signal", first))
+	i.stopping.Store(true)
+	return i.life.Stop()
+}
+
+// stopLinger covers a balancer that looks once a second and takes an instance
+// out after two misses.
+const stopLinger = 2200 * time.Millisecond
+
+func (i *Instance) startDuties() {
+	ctx, cancel := context.WithCancel(context.Background())
+	i.background = cancel
+	duty := func(run func(context.Context)) {
+		i.duties.Add(1)
+		go func() {
+			defer i.duties.Done()
+			run(ctx)
+		}()
+	}
+	own := &follower{store: i.store, source: workload.SourceOwn, logger: i.logger, whole: i.replica.reload, changes: i.replica.apply, gap: i.gap(holderGap, othersGap)}
+	config := &follower{
+		store: i.store, source: workload.SourceConfiguration, logger: i.logger, changes: i.takeConfiguration, gap: i.gap(configurationGap, configurationGap),
+		whole: func(rows []workload.Row, _ int64) { i.takeConfiguration(rows) },
+	}
+	workers := &follower{store: i.store, source: workload.SourceWorkers, logger: i.logger, whole: i.workers.reload, changes: i.workers.apply, gap: i.gap(workersHolderGap, workersOthersGap)}
+	duty(own.run)
+	duty(config.run)
+	duty(workers.run)
+	duty(i.rereadConfiguration)
+	duty(i.register)
+	duty(i.gossip)
+	leasing, over := context.WithCancel(ctx)
+	i.leaseOver = over
+	i.leaseDuty.Add(1)
+	go func() {
+		defer i.leaseDuty.Done()
+		i.lease.run(leasing)
+	}()
+	i.registerMetrics()
+}
+
+// gap is one pause for the holder of the lease and another for the others.
+func (i *Instance) gap(holder, others time.Duration) func() time.Duration {
+	return func() time.Duration {
+		if i.lease.current() != nil {
+			return holder
+		}
+		return others
+	}
+}
+
+// rereadConfiguration reads the configuration beside its feed, which may be
+// silent while there are changes.
+func (i *Instance) rereadConfiguration(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, readEvery)
+		page, err := i.store.Read(ctx, workload.SourceConfiguration, "", "")
+		if err == nil {
+			i.takeConfiguration(page.Rows)
+		}
+	}
+}
+
+// registerPause is the pause between two tries to register.
+const registerPause = 500 * time.Millisecond
+
+// register writes this instance's row, by which the others find it.
+func (i *Instance) register(ctx context.Context) {
+	key := instancePrefix + i.settings.Listen.Peers
+	row := workload.Row{Key: key, Value: encode(instanceRow{Name: i.settings.Instance, Zone: i.settings.AvailabilityZone})}
+	for ctx.Err() == nil {
+		written, err := i.store.Write(ctx, workload.Write{Put: []workload.Row{row}})
+		if err == nil {
+			row.Version = written.Version
+			i.replica.apply([]workload.Row{row})
+			return
+		}
+		i.logger.Debug("registering failed", zap.Error(err))
+		pause(ctx, registerPause)
+	}
+}
+
+// handOver gives the lease up, so that another instance schedules while
+// requests finish here.
+func (i *Instance) handOver(context.Context) error {
+	i.leaseOver()
+	i.leaseDuty.Wait()
+	return nil
+}
+
+func (i *Instance) close(servers Servers) {
+	i.background()
+	servers.Close()
+	i.node.Close()
+	i.duties.Wait()
+	i.calls.Stop()
+}
+
+func (i *Instance) registerMetrics() {
+	gauge := func(name string, value func() float64) { metrics.GetOrCreateGauge(name, value) }
+	gauge("corianderbank_deployment_config_version", func() float64 { return float64(i.configVersion()) })
+	gauge("corianderbank_deployment_epoch", func() float64 {
+		if g := i.lease.current(); g != nil {
+			return float64(g.epoch)
+		}
+		return 0
+	})
+	gauge("corianderbank_deployment_store_reachable", func() float64 {
+		if _, directly := i.reach.reachable(); directly {
+			return 1
+		}
+		return 0
+	})
+}
--- /dev/null
+++ b/internal/deployment/lease.go
@@ -0,0 +1,276 @@
+package deployment
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+const (
+	// leaseLength is how long a lease holds without a renewal. It is short,
+	// because nothing starts between the death of a holder and its end, and
+	// long enough for three renewals on a slow store.
+	leaseLength = 2 * time.Second
+	// renewEvery is the time between renewals.
+	renewEvery = 500 * time.Millisecond
+	// leaseMargin separates the end of a lease by its holder's clock from the
+	// moment others may take it: two steady clocks differ by at most 2 %, and an
+	// order under way is bounded by it too.
+	leaseMargin = 300 * time.Millisecond
+	// campaignEvery is how often an instance looks whether the lease is free.
+	campaignEvery = 50 * time.Millisecond
+	// candidateStep spreads the candidates, so that one of them is first.
+	candidateStep = 60 * time.Millisecond
+)
+
+// grant is a lease that this instance holds.
+type grant struct {
+	epoch int64
+	// epochVersion is the version of the epoch row: every write of the holder
+	// expects it, so that the store refuses a holder that was replaced.
+	epochVersion int64
+	// earlier says that there was an epoch before this one.
+	earlier bool
+
+	mu      sync.Mutex
+	version int64
+	until   time.Time
+	over    bool
+}
+
+// valid reports whether the lease still holds.
+func (g *grant) valid() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.over && bootTime().Before(g.until)
+}
+
+// end gives the lease up locally.
+func (g *grant) end() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.over = true
+}
+
+func (g *grant) renewed(version int64, until time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.version = version
+	if until.After(g.until) {
+		g.until = until
+	}
+}
+
+// lease is the duty that takes, renews and gives up the right to schedule.
+type lease struct {
+	self    string
+	store   workload.Store
+	replica *replica
+	logger  *zap.Logger
+	// eligible reports whether this instance may take the lease now.
+	eligible func() bool
+	// hold runs while the lease is held; it returns when the context ends.
+	hold func(ctx context.Context, g *grant)
+
+	// holding is the grant under way, for others to read.
+	mu      sync.Mutex
+	holding *grant
+}
+
+func (l *lease) current() *grant {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holding
+}
+
+func (l *lease) set(g *grant) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holding = g
+}
+
+// run campaigns and holds until the context ends; then it releases the lease.
+func (l *lease) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !l.free() {
+			pause(ctx, campaignEvery)
+			continue
+		}
+		g := l.take(ctx)
+		if g == nil {
+			pause(ctx, campaignEvery)
+			continue
+		}
+		l.serve(ctx, g)
+	}
+}
+
+// serve holds a lease until it is lost or the context ends.
+func (l *lease) serve(ctx context.Context, g *grant) {
+	l.logger.Info("lease won", zap.Int64("epoch", g.epoch))
+	l.set(g)
+	holding, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.hold(holding, g)
+	}()
+	reason := l.renew(ctx, g)
+	g.end()
+	cancel()
+	<-done
+	l.set(nil)
+	l.logger.Info("lease lost", zap.Int64("epoch", g.epoch), zap.String("reason", reason))
+	if ctx.Err() != nil {
+		l.release(g)
+	}
+}
+
+// free reports whether the lease may be taken, as far as this instance knows.
+func (l *lease) free() bool {
+	if !l.eligible() {
+		return false
+	}
+	seen := l.replica.seenLeader()
+	if seen.version == 0 || seen.Released {
+		return true
+	}
+	wait := leaseLength + leaseMargin + time.Duration(l.place())*candidateStep
+	return bootTime().Sub(seen.since) >= wait
+}
+
+// place is this instance's place among the known ones.
+func (l *lease) place() int {
+	for i, addr := range l.replica.instances() {
+		if addr == l.self {
+			return i
+		}
+	}
+	return 0
+}
+
+// take tries to become the holder. It reads the row first: a feed that fell
+// behind must not make a living holder look dead.
+func (l *lease) take(ctx context.Context) *grant {
+	page, err := l.store.Read(ctx, workload.SourceOwn, epochKey, leaderKey+"\x00")
+	if err != nil {
+		return nil
+	}
+	l.replica.apply(page.Rows)
+	if !l.free() {
+		return nil
+	}
+	seen := l.replica.seenLeader()
+	epochVersion := l.replica.version(epochKey)
+	g := &grant{epoch: seen.Epoch + 1, earlier: seen.version != 0}
+	sent := bootTime()
+	row := leaderRow{Holder: l.self, Epoch: g.epoch}
+	written, err := l.store.Write(ctx, workload.Write{
+		Expect: []workload.Row{{Key: leaderKey, Version: seen.version}, {Key: epochKey, Version: epochVersion}},
+		Put:    []workload.Row{{Key: leaderKey, Value: encode(row)}, {Key: epochKey, Value: encode(g.epoch)}},
+	})
+	if err != nil {
+		l.logger.Warn("taking the lease failed", zap.Error(err))
+		return nil
+	}
+	if written.Conflict {
+		if !l.mine(written.Rows, g) {
+			l.replica.apply(written.Rows)
+			return nil
+		}
+	} else {
+		g.version, g.epochVersion = written.Version, written.Version
+	}
+	g.until = sent.Add(leaseLength)
+	l.replica.apply([]workload.Row{{Key: leaderKey, Value: encode(row), Version: g.version}})
+	return g
+}
+
+// mine reports whether a conflict is with this instance's own write, whose
+// answer was lost on another path.
+func (l *lease) mine(rows []workload.Row, g *grant) bool {
+	for _, row := range rows {
+		switch row.Key {
+		case leaderKey:
+			var leader leaderRow
+			if json.Unmarshal(row.Value, &leader) != nil || leader.Holder != l.self || leader.Epoch != g.epoch || leader.Released {
+				return false
+			}
+			g.version = row.Version
+		case epochKey:
+			g.epochVersion = row.Version
+		}
+	}
+	return g.version != 0 && g.epochVersion != 0
+}
+
+// renew extends the lease until it is lost; it returns why.
+func (l *lease) renew(ctx context.Context, g *grant) string {
+	for beat := int64(1); ; beat++ {
+		pause(ctx, renewEvery)
+		if ctx.Err() != nil {
+			return "released"
+		}
+		if !g.valid() {
+			return "not renewed in time"
+		}
+		if !l.renewOnce(ctx, g, beat) {
+			return "another instance holds it"
+		}
+	}
+}
+
+// renewOnce tries one renewal; false if another instance took the lease.
+func (l *lease) renewOnce(ctx context.Context, g *grant, beat int64) bool {
+	sent := bootTime()
+	row := encode(leaderRow{Holder: l.self, Epoch: g.epoch, Beat: beat})
+	written, err := l.store.Write(ctx, workload.Write{
+		Expect: []workload.Row{{Key: leaderKey, Version: g.version}},
+		Put:    []workload.Row{{Key: leaderKey, Value: row}},
+	})
+	if err != nil {
+		l.logger.Debug("renewal failed", zap.Error(err))
+		return true // tried again until the lease is over
+	}
+	if written.Conflict {
+		again := &grant{epoch: g.epoch, epochVersion: g.epochVersion}
+		if !l.mine(written.Rows, again) {
+			return false
+		}
+		g.renewed(again.version, time.Time{})
+		return true
+	}
+	g.renewed(written.Version, sent.Add(leaseLength))
+	l.replica.apply([]workload.Row{{Key: leaderKey, Value: row, Version: written.Version}})
+	return true
+}
+
+// releaseTimeout bounds giving the lease up at a planned stop.
+const releaseTimeout = 1 * time.Second
+
+// release lets others take the lease at once.
+func (l *lease) release(g *grant) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	row := leaderRow{Holder: l.self, Epoch: g.epoch, Released: true}
+	_, err := l.store.Write(ctx, workload.Write{
+		Expect: []workload.Row{{Key: leaderKey, Version: g.version}},
+		Put:    []workload.Row{{Key: leaderKey, Value: encode(row)}},
+	})
+	if err != nil {
+		l.logger.Warn("releasing the lease failed", zap.Error(err))
+	}
+}
+
+func encode(value any) []byte {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // plain structs and numbers always encode
+	}
+	return data
+}
--- /dev/null
+++ b/internal/deployment/reach.go
@@ -0,0 +1,232 @@
+package deployment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	peerpb "github.com/corianderbank/corianderbank/api/peer"
+	"github.com/corianderbank/corianderbank/internal/peer"
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+const (
+	// pathTimeout bounds one attempt on one path. The store answers within
+	// milliseconds; when it is slow, within a few hundred.
+	pathTimeout = 900 * time.Millisecond
+	// directAgainAfter is how soon the direct path is tried first again after it
+	// failed, while a peer has one.
+	directAgainAfter = 1 * time.Second
+	// followSlack is added to the time that the store may wait.
+	followSlack = 900 * time.Millisecond
+	// reachableFor is how long an answer of the store counts as a sign that it
+	// can be reached.
+	reachableFor = 1500 * time.Millisecond
+)
+
+// reach is the store by whatever path works: directly, or through a peer that
+// reaches it. Often the store turns away only some instances. It implements
+// workload.Store.
+type reach struct {
+	direct workload.Store
+	caller peer.Caller
+	logger *zap.Logger
+	// helpers lists the peers that said that they reach the store.
+	helpers func() []string
+
+	mu sync.Mutex
+	// failedAt is when the direct path failed last; zero after a success.
+	failedAt time.Time
+	// answeredAt is when the store answered last, directly and by any path.
+	directAt, answeredAt time.Time
+	lost                 bool
+}
+
+// step is one attempt by one path.
+type attempt[T any] func(ctx context.Context, store workload.Store) (T, error)
+
+// byAnyPath tries the paths in turn. An error wraps workload.ErrUnknown if any
+// attempt may have been performed.
+func byAnyPath[T any](ctx context.Context, r *reach, limit time.Duration, try attempt[T]) (T, error) {
+	var zero T
+	var failures []error
+	unknown := false
+	for _, path := range r.paths() {
+		if ctx.Err() != nil {
+			break
+		}
+		within, cancel := context.WithTimeout(ctx, limit)
+		got, err := try(within, path)
+		cancel()
+		if errors.Is(err, workload.ErrHistoryGone) {
+			r.note(path, nil)
+			return zero, err
+		}
+		if ctx.Err() == nil || err == nil {
+			r.note(path, err)
+		}
+		if err == nil {
+			return got, nil
+		}
+		unknown = unknown || errors.Is(err, workload.ErrUnknown)
+		failures = append(failures, err)
+	}
+	if unknown {
+		return zero, fmt.Errorf("%w: %w", workload.ErrUnknown, errors.Join(failures...))
+	}
+	return zero, fmt.Errorf("%w: %w", workload.ErrNotDone, errors.Join(failures...))
+}
+
+// mostHelpers bounds the peers that are asked for one call.
+const mostHelpers = 2
+
+// paths lists the ways to the store, the likeliest first.
+func (r *reach) paths() []workload.Store {
+	r.mu.Lock()
+	failed := !r.failedAt.IsZero() && bootTime().Sub(r.failedAt) < directAgainAfter
+	r.mu.Unlock()
+	var helpers []workload.Store
+	for _, id := range r.helpers() {
+		if len(helpers) < mostHelpers {
+			helpers = append(helpers, &relay{peer: id, caller: r.caller})
+		}
+	}
+	if failed && len(helpers) > 0 {
+		return append(helpers, r.direct)
+	}
+	return append([]workload.Store{r.direct}, helpers...)
+}
+
+// note keeps the result of an attempt, and logs when the store is lost and
+// when it is back.
+func (r *reach) note(path workload.Store, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := bootTime()
+	if err == nil {
+		r.answeredAt = now
+	}
+	if path != r.direct {
+		return
+	}
+	if err == nil {
+		r.directAt, r.failedAt = now, time.Time{}
+	} else {
+		r.failedAt = now
+	}
+	if lost := err != nil; lost != r.lost {
+		r.lost = lost
+		if lost {
+			r.logger.Warn("dependency lost", zap.String("dependency", "store"), zap.Error(err))
+		} else {
+			r.logger.Info("dependency regained", zap.String("dependency", "store"))
+		}
+	}
+}
+
+// reachable reports whether the store answered lately by any path, and directly.
+func (r *reach) reachable() (any, directly bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := bootTime()
+	return now.Sub(r.answeredAt) < reachableFor, now.Sub(r.directAt) < reachableFor && r.failedAt.IsZero()
+}
+
+// Write implements workload.Store.
+func (r *reach) Write(ctx context.Context, write workload.Write) (workload.Written, error) {
+	return byAnyPath(ctx, r, pathTimeout, func(ctx context.Context, store workload.Store) (workload.Written, error) {
+		return store.Write(ctx, write)
+	})
+}
+
+// Read implements workload.Store.
+func (r *reach) Read(ctx context.Context, source workload.Source, from, to string) (workload.Page, error) {
+	return byAnyPath(ctx, r, pathTimeout, func(ctx context.Context, store workload.Store) (workload.Page, error) {
+		return store.Read(ctx, source, from, to)
+	})
+}
+
+// Follow implements workload.Store.
+func (r *reach) Follow(ctx context.Context, source workload.Source, after int64, wait time.Duration) (workload.Page, error) {
+	return byAnyPath(ctx, r, wait+followSlack, func(ctx context.Context, store workload.Store) (workload.Page, error) {
+		return store.Follow(ctx, source, after, wait)
+	})
+}
+
+// readAll reads a whole range, page by page. The version is that of the first
+// page: what changed since then is in the feed.
+func readAll(ctx context.Context, store workload.Store, source workload.Source, from, to string) ([]workload.Row, int64, error) {
+	var rows []workload.Row
+	version := int64(-1)
+	for {
+		page, err := store.Read(ctx, source, from, to)
+		if err != nil {
+			return nil, 0, err
+		}
+		if version < 0 {
+			version = page.Version
+		}
+		rows = append(rows, page.Rows...)
+		if !page.More || len(page.Rows) == 0 {
+			return rows, version, nil
+		}
+		from = page.Rows[len(page.Rows)-1].Key + "\x00"
+	}
+}
+
+// relay is the store through one peer. It implements workload.Store.
+type relay struct {
+	peer   string
+	caller peer.Caller
+}
+
+func (s *relay) call(ctx context.Context, call *peerpb.StoreCall) (*peerpb.StoreAnswer, error) {
+	response, err := s.caller.Call(ctx, s.peer, &peerpb.Request{Body: &peerpb.Request_Store{Store: call}})
+	if err != nil {
+		return nil, relayError(err)
+	}
+	answer := response.GetStore()
+	switch answer.GetFailure() {
+	case "":
+		return answer, nil
+	case failureNotDone:
+		return nil, fmt.Errorf("%w: %s", workload.ErrNotDone, answer.GetMessage())
+	case failureHistoryGone:
+		return nil, fmt.Errorf("%w: %s", workload.ErrHistoryGone, answer.GetMessage())
+	}
+	return nil, fmt.Errorf("%w: %s", workload.ErrUnknown, answer.GetMessage())
+}
+
+// Write implements workload.Store.
+func (s *relay) Write(ctx context.Context, write workload.Write) (workload.Written, error) {
+	answer, err := s.call(ctx, &peerpb.StoreCall{
+		Op: opWrite, Expect: packRows(write.Expect), Put: packRows(write.Put), Remove: write.Remove,
+	})
+	if err != nil {
+		return workload.Written{}, err
+	}
+	return workload.Written{Version: answer.GetVersion(), Conflict: answer.GetConflict(), Rows: unpackRows(answer.GetRows())}, nil
+}
+
+// Read implements workload.Store.
+func (s *relay) Read(ctx context.Context, source workload.Source, from, to string) (workload.Page, error) {
+	answer, err := s.call(ctx, &peerpb.StoreCall{Op: opRead, Source: string(source), From: from, To: to})
+	return relayPage(answer, err)
+}
+
+// Follow implements workload.Store.
+func (s *relay) Follow(ctx context.Context, source workload.Source, after int64, wait time.Duration) (workload.Page, error) {
+	answer, err := s.call(ctx, &peerpb.StoreCall{Op: opFollow, Source: string(source), After: after, WaitMs: wait.Milliseconds()})
+	return relayPage(answer, err)
+}
+
+func relayPage(answer *peerpb.StoreAnswer, err error) (workload.Page, error) {
+	if err != nil {
+		return workload.Page{}, err
+	}
+	return workload.Page{Rows: unpackRows(answer.GetRows()), Version: answer.GetVersion(), More: answer.GetMore()}, nil
+}
--- /dev/null
+++ b/internal/deployment/replica.go
@@ -0,0 +1,374 @@
+package deployment
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/corianderbank/corianderbank/internal/dispatch"
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+// The keys of the product's table. All rows lie in one part, so that one
+// transaction can hold any of them.
+const (
+	epochKey       = "a/epoch"
+	leaderKey      = "a/leader"
+	cancelPrefix   = "c/"
+	recordPrefix   = "e/"
+	jobPrefix      = "j/"
+	instancePrefix = "n/"
+)
+
+// knownJob is what an instance knows of one job.
+type knownJob struct {
+	job       *workload.Job
+	cancelled bool
+	record    dispatch.Record
+}
+
+// leaderRow says who holds the lease.
+type leaderRow struct {
+	Holder string `json:"holder"`
+	Epoch  int64  `json:"epoch"`
+	// Released leases can be taken at once.
+	Released bool `json:"released,omitempty"`
+	// Beat changes with each renewal.
+	Beat int64 `json:"beat"`
+}
+
+// seenLeader is the leader row as an instance has seen it.
+type seenLeader struct {
+	leaderRow
+	version int64
+	// since is when this version was first seen.
+	since time.Time
+}
+
+// change is something new in the replica that the holder's core must know.
+type change struct {
+	job       string
+	cancelled bool
+}
+
+// replica is the product's table as this instance knows it. Rows come from the
+// feed, from reads and from peers, in any order; a row's version decides which
+// is newer. It is safe for concurrent use.
+type replica struct {
+	logger *zap.Logger
+	// changed is called, without the lock, for new jobs and cancels.
+	changed func(change)
+
+	mu       sync.Mutex
+	versions map[string]int64
+	jobs     map[string]*knownJob
+	began    map[string]bool
+	// beganEpoch is the epoch that began comes from.
+	beganEpoch int64
+	leader     seenLeader
+	peers      map[string]instanceRow
+	// loaded says that the table was read whole at least once.
+	loaded bool
+}
+
+// instanceRow is what an instance writes of itself; its key is its address for
+// peers.
+type instanceRow struct {
+	Name string `json:"name"`
+	Zone string `json:"zone"`
+}
+
+func newReplica(logger *zap.Logger) *replica {
+	return &replica{
+		logger: logger, versions: make(map[string]int64), jobs: make(map[string]*knownJob),
+		began: make(map[string]bool), peers: make(map[string]instanceRow), changed: func(change) {},
+	}
+}
+
+// apply takes rows in.
+func (r *replica) apply(rows []workload.Row) {
+	var changes []change
+	r.mu.Lock()
+	for _, row := range rows {
+		if row.Version <= r.versions[row.Key] {
+			continue
+		}
+		r.versions[row.Key] = row.Version
+		if c, ok := r.take(row); ok {
+			changes = append(changes, c)
+		}
+	}
+	changed := r.changed
+	r.mu.Unlock()
+	for _, c := range changes {
+		changed(c)
+	}
+}
+
+func (r *replica) take(row workload.Row) (change, bool) {
+	prefix, id := row.Key[:min(2, len(row.Key))], row.Key[min(2, len(row.Key)):]
+	if row.Deleted {
+		r.drop(prefix, id, row.Key)
+		return change{}, false
+	}
+	switch prefix {
+	case jobPrefix:
+		return change{job: id}, r.takeJob(id, row)
+	case cancelPrefix:
+		r.known(id).cancelled = true
+		return change{job: id, cancelled: true}, true
+	case recordPrefix:
+		record, err := dispatch.DecodeRecord(row.Value)
+		if err != nil {
+			r.logger.Error("record cannot be read", zap.String("job", id), zap.Error(err))
+			return change{}, false
+		}
+		r.known(id).record = record
+	case instancePrefix:
+		var peer instanceRow
+		if json.Unmarshal(row.Value, &peer) == nil {
+			r.peers[id] = peer
+		}
+	default:
+		r.takeLeader(row)
+	}
+	return change{}, false
+}
+
+func (r *replica) takeJob(id string, row workload.Row) bool {
+	var job workload.Job
+	if err := json.Unmarshal(row.Value, &job); err != nil {
+		r.logger.Error("job cannot be read", zap.String("job", id), zap.Error(err))
+		return false
+	}
+	known := r.known(id)
+	if known.job != nil {
+		return false
+	}
+	known.job = &job
+	return true
+}
+
+func (r *replica) takeLeader(row workload.Row) {
+	if row.Key != leaderKey {
+		return
+	}
+	seen := seenLeader{version: row.Version, since: bootTime()}
+	if err := json.Unmarshal(row.Value, &seen.leaderRow); err != nil {
+		r.logger.Error("leader row cannot be read", zap.Error(err))
+		return
+	}
+	r.leader = seen
+}
+
+func (r *replica) drop(prefix, id, key string) {
+	switch prefix {
+	case jobPrefix:
+		delete(r.jobs, id)
+		delete(r.began, id)
+	case instancePrefix:
+		delete(r.peers, id)
+	}
+	if prefix != "a/" {
+		delete(r.versions, key)
+	}
+}
+
+func (r *replica) known(id string) *knownJob {
+	known := r.jobs[id]
+	if known == nil {
+		known = &knownJob{}
+		r.jobs[id] = known
+	}
+	return known
+}
+
+// version returns the version of a row; zero if it is not known.
+func (r *replica) version(key string) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.versions[key]
+}
+
+// reload brings the replica in line with a whole read, taken at a version:
+// rows that are missing there and not newer were removed.
+func (r *replica) reload(rows []workload.Row, at int64) {
+	r.apply(rows)
+	present := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		present[row.Key] = true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for key, version := range r.versions {
+		if !present[key] && version <= at {
+			r.drop(key[:2], key[2:], key)
+		}
+	}
+	r.loaded = true
+}
+
+func (r *replica) isLoaded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.loaded
+}
+
+func (r *replica) seenLeader() seenLeader {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leader
+}
+
+// instances returns the addresses for peers of all known instances.
+func (r *replica) instances() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]string, 0, len(r.peers))
+	for addr := range r.peers {
+		list = append(list, addr)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// setBegan takes the holder's word on which jobs have begun.
+func (r *replica) setBegan(epoch int64, ids []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if epoch < r.beganEpoch {
+		return
+	}
+	if epoch > r.beganEpoch {
+		r.beganEpoch = epoch
+	}
+	for _, id := range ids {
+		r.began[id] = true
+	}
+}
+
+// JobState is a job's state as callers see it.
+type JobState string
+
+// The states of a job.
+const (
+	StateQueued    JobState = "queued"
+	StateRunning   JobState = "running"
+	StateCompleted JobState = "completed"
+	StateFailed    JobState = "failed"
+	StateCancelled JobState = "cancelled"
+)
+
+var stateOfFinal = map[dispatch.Final]JobState{
+	dispatch.FinalCompleted: StateCompleted,
+	dispatch.FinalFailed:    StateFailed,
+	dispatch.FinalCancelled: StateCancelled,
+}
+
+// state returns a job's state and the job; false if it is not known.
+func (r *replica) state(id string) (JobState, *workload.Job, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.jobs[id]
+	if known == nil || known.job == nil {
+		return "", nil, false
+	}
+	return r.stateOf(id, known), known.job, true
+}
+
+func (r *replica) stateOf(id string, known *knownJob) JobState {
+	switch {
+	case known.record.Final != "":
+		return stateOfFinal[known.record.Final]
+	case known.cancelled:
+		return StateCancelled
+	case r.began[id]:
+		return StateRunning
+	}
+	return StateQueued
+}
+
+// pending counts the jobs of a queue of which no task has started.
+func (r *replica) pending(queue string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for id, known := range r.jobs {
+		if known.job != nil && known.job.Queue == queue && r.stateOf(id, known) == StateQueued {
+			count++
+		}
+	}
+	return count
+}
+
+// snapshot returns all jobs, oldest first, for a new holder's core.
+func (r *replica) snapshot() []knownJob {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]knownJob, 0, len(r.jobs))
+	for _, known := range r.jobs {
+		if known.job != nil {
+			list = append(list, *known)
+		}
+	}
+	slices.SortFunc(list, func(a, b knownJob) int {
+		if a.job.AcceptedMS != b.job.AcceptedMS {
+			return int(a.job.AcceptedMS - b.job.AcceptedMS)
+		}
+		return strings.Compare(a.job.ID, b.job.ID)
+	})
+	return list
+}
+
+// get returns what is known of one job.
+func (r *replica) get(id string) (knownJob, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.jobs[id]
+	if known == nil || known.job == nil {
+		return knownJob{}, false
+	}
+	return *known, true
+}
+
+// expired lists jobs that ended before a time, in milliseconds since 1970.
+func (r *replica) expired(beforeMS int64, limit int) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ids []string
+	for id, known := range r.jobs {
+		if known.job != nil && known.record.Final != "" && known.record.EndedMS < beforeMS && len(ids) < limit {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// beganList lists the jobs that have begun and are not final.
+func (r *replica) beganList() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ids []string
+	for id := range r.began {
+		if known := r.jobs[id]; known != nil && known.record.Final == "" && !known.cancelled {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// otherZones reports whether there is any instance in another zone.
+func (r *replica) otherZones(zone string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, peer := range r.peers {
+		if peer.Zone != zone {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/deployment/settings.go
@@ -0,0 +1,113 @@
+package deployment
+
+import (
+	_ "embed"
+	"os"
+	"time"
+
+	"github.com/corianderbank/corianderbank/internal/strictjson"
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+// Settings are the settings of one instance of a deployment-wide scheduler.
+type Settings struct {
+	// Instance is the name of this instance.
+	Instance string `json:"instance"`
+	// AvailabilityZone is where this instance runs.
+	AvailabilityZone string `json:"availability_zone"`
+	// Listen holds the addresses to listen on, IP number and port.
+	Listen Listen `json:"listen"`
+	// Seeds are addresses for peers of some instances; they may be stale.
+	Seeds []string `json:"seeds"`
+	// Store is the address of the platform's store.
+	Store string `json:"store"`
+	// Advisor is the address of the placement advisor, if there is one.
+	Advisor string `json:"advisor"`
+	// LogLevel is the lowest level that is logged: debug, info, warn or error.
+	LogLevel string `json:"log_level"`
+	// MemoryMB is what the process may use, in megabytes.
+	MemoryMB int64 `json:"memory_mb"`
+	// StopWithinMS is how long a planned stop may take, in milliseconds.
+	StopWithinMS int64 `json:"stop_within_ms"`
+	// Bounds are the deployment's fixed times and factors.
+	Bounds BoundSettings `json:"bounds"`
+}
+
+// Listen holds the addresses that an instance listens on.
+type Listen struct {
+	// Callers is for callers.
+	Callers string `json:"callers"`
+	// Ready is for the balancer's readiness checks.
+	Ready string `json:"ready"`
+	// Peers is for other instances. It also identifies this instance to them.
+	Peers string `json:"peers"`
+	// Metrics is for metrics; empty serves none.
+	Metrics string `json:"metrics"`
+}
+
+// BoundSettings are the deployment's fixed times and factors, times in
+// milliseconds. A bound that is missing takes a cautious default.
+type BoundSettings struct {
+	// LongestLeaseMS is the longest lease that a worker grants.
+	LongestLeaseMS int64 `json:"longest_lease_ms"`
+	// StopMS is how long a worker takes to stop a task at most.
+	StopMS int64 `json:"stop_ms"`
+	// GangWaitMS is how long a member waits for the rest of its gang.
+	GangWaitMS int64 `json:"gang_wait_ms"`
+	// ReclaimMS is the bound within which guaranteed capacity is there.
+	ReclaimMS int64 `json:"reclaim_ms"`
+	// EarlyMS is how much earlier than due an occurrence may start.
+	EarlyMS int64 `json:"early_ms"`
+	// StatusKeptS is how long the state of an ended job is kept, in seconds.
+	StatusKeptS float64 `json:"status_kept_s"`
+	// RemoteFactor is how much longer tasks take away from their rack.
+	RemoteFactor float64 `json:"remote_factor"`
+	// RestoreMS is how long a task takes to resume from a checkpoint.
+	RestoreMS int64 `json:"restore_ms"`
+}
+
+//go:embed settings.schema.json
+var settingsSchema []byte
+
+var compiledSettings = strictjson.MustCompile("deployment-settings.schema.json", settingsSchema)
+
+// defaultSettings are used for what a file does not say. The bounds err to the
+// side that keeps promises: long leases, quick reclaim.
+func defaultSettings() Settings {
+	return Settings{
+		LogLevel: "info", MemoryMB: 256, StopWithinMS: 4500,
+		Bounds: BoundSettings{
+			LongestLeaseMS: 10_000, StopMS: 1000, GangWaitMS: 2000, ReclaimMS: 2000, EarlyMS: 0,
+			StatusKeptS: 120, RemoteFactor: 3, RestoreMS: 500,
+		},
+	}
+}
+
+// LoadSettings reads and checks a settings file. The error names every problem
+// with its line and path.
+func LoadSettings(file string) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return DecodeSettings(file, data)
+}
+
+// DecodeSettings checks and decodes settings.
+func DecodeSettings(file string, data []byte) (*Settings, error) {
+	s := defaultSettings()
+	if err := compiledSettings.Decode(file, data, &s); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+func (s *Settings) bounds() workload.Bounds {
+	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+	b := s.Bounds
+	return workload.Bounds{
+		LongestLease: ms(b.LongestLeaseMS), StopTime: ms(b.StopMS), GangWait: ms(b.GangWaitMS), Reclaim: ms(b.ReclaimMS),
+		Early: ms(b.EarlyMS), StatusKept: time.Duration(b.StatusKeptS * float64(time.Second)),
+		RemoteFactor: b.RemoteFactor, Restore: ms(b.RestoreMS),
+	}
+}
--- /dev/null
+++ b/internal/dispatch/doc.go
@@ -0,0 +1,16 @@
+// Package dispatch decides, for a whole deployment, which task runs where and
+// when. It is pure: events and the time go in, actions come out; it has no
+// clock, no network, no goroutine and no randomness, so that a whole day can be
+// replayed in a test. Whoever drives it calls it from one goroutine.
+//
+//	core.go    the state, and the events that change it
+//	sight.go   what workers report
+//	ends.go    what an end means for its task, gang and job
+//	order.go   which work comes first
+//	fit.go     which workers it fits on
+//	reserve.go room kept for large work, and what may run beside it
+//	victims.go what is stopped for guaranteed work
+//	health.go  which workers are trusted
+//	leases.go  when a silent worker has surely stopped
+//	record.go  what of a job is stored
+package dispatch
--- /dev/null
+++ b/internal/dispatch/fit.go
@@ -0,0 +1,300 @@
+package dispatch
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+// slot is a place for one task.
+type slot struct {
+	worker *room
+}
+
+// room is a worker's room during one round of decisions.
+type room struct {
+	*worker
+	// free is free now, soon will be once what is being stopped has ended.
+	free, soon workload.Resources
+	// kept is what a large unit waits for from keptFrom on; shorter work may
+	// use it before.
+	kept     workload.Resources
+	keptFrom time.Time
+	// guarded is what protected work uses.
+	guarded workload.Resources
+	order   int
+}
+
+// place decides on all work that could run now.
+func (c *Core) place() {
+	units := c.units()
+	if len(units) == 0 {
+		return
+	}
+	rooms := c.rooms()
+	blocked := 0
+	for _, u := range units {
+		if c.placeUnit(u, rooms[u.queue.Pool], blocked < maxBlocked) {
+			continue
+		}
+		blocked++
+		if blocked >= maxConsidered {
+			return
+		}
+	}
+}
+
+const (
+	// maxBlocked units keep room for themselves. More would leave most of the
+	// room to work that cannot start for long.
+	maxBlocked = 4
+	// maxConsidered units that do not fit end a round: it bounds the time of a
+	// round when hundreds of jobs wait.
+	maxConsidered = 40
+)
+
+func (c *Core) rooms() map[string][]*room {
+	pools := make(map[string][]*room)
+	for _, w := range c.workers {
+		if !w.usable(c.now) {
+			continue
+		}
+		free := w.Room.Sub(w.used)
+		r := &room{worker: w, free: free, soon: free}
+		for _, run := range w.runs {
+			if run.stopping && run.state == runStopping {
+				r.soon = r.soon.Add(run.need)
+			}
+			if run.task.step.job.protected {
+				r.guarded = r.guarded.Add(run.need)
+			}
+		}
+		pools[w.Pool] = append(pools[w.Pool], r)
+	}
+	for _, rooms := range pools {
+		slices.SortFunc(rooms, func(a, b *room) int { return cmp.Compare(a.ID, b.ID) })
+		for i, r := range rooms {
+			r.order = i
+		}
+	}
+	return pools
+}
+
+// placeUnit starts what fits of a unit. What does not fit waits for room that
+// is being freed, has lower work stopped if it is protected, or keeps room for
+// later. It returns false if the unit, or a part of it, waits.
+func (c *Core) placeUnit(u *unit, rooms []*room, mayKeep bool) bool {
+	rooms = eligible(u, rooms)
+	whole := u.step.spec.Gang
+	now := c.find(u, rooms, len(u.tasks), func(r *room) workload.Resources { return r.open(c.now.Add(u.length)) })
+	if len(now) == len(u.tasks) || !whole && len(now) > 0 {
+		c.startAt(u, now)
+		u.tasks = u.tasks[len(now):]
+	}
+	if len(u.tasks) == 0 {
+		return true
+	}
+	soon := c.find(u, rooms, len(u.tasks), func(r *room) workload.Resources { return r.soon })
+	if len(soon) < len(u.tasks) && u.rank.class <= 1 {
+		c.makeRoom(u, rooms, soon)
+	} else if len(soon) == len(u.tasks) {
+		hold(u, soon)
+	} else if mayKeep && whole {
+		c.keep(u, rooms)
+	}
+	return false
+}
+
+// hold takes room that is free or being freed for a unit that waits for it.
+func hold(u *unit, slots []slot) {
+	need := u.step.spec.Counted()
+	for _, s := range slots {
+		s.worker.soon = s.worker.soon.Sub(need)
+		s.worker.free = s.worker.free.Sub(need)
+	}
+}
+
+// open is the room that work ending at a time may use.
+func (r *room) open(ends time.Time) workload.Resources {
+	free := r.free
+	if !r.keptFrom.IsZero() && ends.After(r.keptFrom) {
+		free = free.Sub(r.kept)
+	}
+	return free
+}
+
+// eligible filters the workers that may run the unit at all.
+func eligible(u *unit, rooms []*room) []*room {
+	var list []*room
+	for _, r := range rooms {
+		if r.Has(u.step.spec.Label) && !r.health.suspect() && r.Room.Holds(u.step.spec.Counted()) {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// find returns up to n slots. Tasks that belong on one rack get one if any rack
+// can take them all; tasks with data on a rack go there first.
+func (c *Core) find(u *unit, rooms []*room, n int, roomOf func(*room) workload.Resources) []slot {
+	counts := make([]int64, len(rooms))
+	for i, r := range rooms {
+		counts[i] = c.slots(u, r, roomOf(r))
+	}
+	if u.step.spec.OneRack {
+		if rack, ok := c.bestRack(u, rooms, counts, n); ok {
+			return pick(u, rooms, counts, n, func(r *room) bool { return r.Rack == rack })
+		}
+		if c.waitsForRack(u, rooms) {
+			return nil
+		}
+	}
+	if rack := u.step.spec.DataRack; rack != "" {
+		near := pick(u, rooms, counts, n, func(r *room) bool { return r.Rack == rack })
+		if len(near) == n || c.waitsForRack(u, rooms) {
+			return near
+		}
+	}
+	return pick(u, rooms, counts, n, func(*room) bool { return true })
+}
+
+// slots is how many tasks of the unit a worker can take.
+func (c *Core) slots(u *unit, r *room, free workload.Resources) int64 {
+	limit := int64(len(u.tasks))
+	if most := u.step.spec.MaxPerWorker; most > 0 {
+		limit = min(limit, int64(most-c.runsOf(u.step, r.worker)))
+	}
+	return max(free.Fits(u.step.spec.Counted(), limit), 0)
+}
+
+func (c *Core) runsOf(s *step, w *worker) int {
+	count := 0
+	for _, r := range w.runs {
+		if r.task.step == s {
+			count++
+		}
+	}
+	return count
+}
+
+// rackPatience is how long work waits for its rack, as a share of its run time:
+// away from it it takes remoteFactor times as long, so waiting up to the
+// difference is no loss; half of it leaves a reserve for wrong estimates.
+const rackPatience = 0.5
+
+// waitsForRack reports whether it is better to wait for the rack than to start
+// away from it. Work inside a guarantee does not wait: its start is promised.
+func (c *Core) waitsForRack(u *unit, rooms []*room) bool {
+	if u.rank.class == 0 || !c.rackCouldHold(u, rooms) {
+		return false
+	}
+	extra := float64(u.length) * (c.bounds.RemoteFactor - 1) * rackPatience
+	return float64(c.now.Sub(u.step.readySince)) < extra
+}
+
+// rackCouldHold reports whether the unit would fit on its rack, if that were
+// empty.
+func (c *Core) rackCouldHold(u *unit, rooms []*room) bool {
+	sums := make(map[string]int64)
+	for _, r := range rooms {
+		sums[r.Rack] += c.slots(u, r, r.Room)
+	}
+	if rack := u.step.spec.DataRack; rack != "" {
+		return sums[rack] > 0
+	}
+	for _, sum := range sums {
+		if sum >= int64(len(u.tasks)) {
+			return true
+		}
+	}
+	return false
+}
+
+// bestRack is the rack that can take all n tasks and is left with the fewest
+// slots, or the data's rack.
+func (c *Core) bestRack(u *unit, rooms []*room, counts []int64, n int) (string, bool) {
+	sums := make(map[string]int64)
+	for i, r := range rooms {
+		sums[r.Rack] += counts[i]
+	}
+	best, found := "", false
+	for rack, sum := range sums {
+		if sum < int64(n) {
+			continue
+		}
+		if rack == u.step.spec.DataRack && rack != "" {
+			return rack, true
+		}
+		if !found || sum < sums[best] || sum == sums[best] && rack < best {
+			best, found = rack, true
+		}
+	}
+	return best, found
+}
+
+// pick takes up to n slots of the workers that match, fullest first, so that
+// whole workers stay free for tasks that need one.
+func pick(u *unit, rooms []*room, counts []int64, n int, match func(*room) bool) []slot {
+	order := make([]int, 0, len(rooms))
+	for i, r := range rooms {
+		if counts[i] > 0 && match(r) {
+			order = append(order, i)
+		}
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Or(compareFullness(u, rooms[a], rooms[b]), cmp.Compare(a, b))
+	})
+	var slots []slot
+	for _, i := range order {
+		for range counts[i] {
+			if len(slots) == n {
+				return slots
+			}
+			slots = append(slots, slot{rooms[i]})
+		}
+	}
+	return slots
+}
+
+// compareFullness puts the worker with the least left first. Work inside a
+// guarantee looks only at what other such work uses: the rest can be stopped,
+// and packed together it leaves workers that can be freed whole.
+func compareFullness(u *unit, a, b *room) int {
+	if u.rank.class == 0 {
+		left := func(r *room) int64 { return r.Room.Accelerators - r.guarded.Accelerators }
+		if c := cmp.Compare(left(a), left(b)); c != 0 {
+			return c
+		}
+	}
+	return cmp.Or(
+		cmp.Compare(a.free.Accelerators, b.free.Accelerators),
+		cmp.Compare(a.free.MilliCPU, b.free.MilliCPU),
+	)
+}
+
+// startAt starts the first tasks of a unit in the slots.
+func (c *Core) startAt(u *unit, slots []slot) {
+	var g *gang
+	attempt := c.nextAttempt()
+	if u.step.spec.Gang {
+		g = &gang{attempt: attempt}
+		u.step.gang = g
+	}
+	reason := fmt.Sprintf("rank %d, due in %d ms, waited %d ms", u.rank.class,
+		u.dueBy.Sub(c.now).Milliseconds(), c.now.Sub(u.step.readySince).Milliseconds())
+	for i, s := range slots {
+		if g == nil && i > 0 {
+			attempt = c.nextAttempt()
+		}
+		need := u.step.spec.Counted()
+		s.worker.free = s.worker.free.Sub(need)
+		s.worker.soon = s.worker.soon.Sub(need)
+		if u.step.job.protected {
+			s.worker.guarded = s.worker.guarded.Add(need)
+		}
+		c.start(u.tasks[i], s.worker.worker, attempt, g, reason)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/leases.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import (
+	"time"
+)
+
+// clockSkew is by how much a worker's clock may run slow.
+const clockSkew = 0.02
+
+// slowest is how long d may take on a clock that runs slow.
+func slowest(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / (1 - clockSkew))
+}
+
+// sample notes the worker's clock as of an answer.
+func (w *worker) sample(clockMS int64, now time.Time) {
+	if clockMS > w.clockMS {
+		w.clockMS, w.clockAt = clockMS, now
+	}
+}
+
+// clock estimates the worker's clock, at a steady rate of one.
+func (w *worker) clock(now time.Time) int64 {
+	return w.clockMS + now.Sub(w.clockAt).Milliseconds()
+}
+
+// lease notes that something was told to run until a time on the worker's clock.
+func (w *worker) lease(untilMS int64) { w.leaseMS = max(w.leaseMS, untilMS) }
+
+// surelyLapsed reports whether everything on the worker has been ended by its
+// own lease, even if its clock runs slow and every order sent to it counted.
+func (w *worker) surelyLapsed(now time.Time, slack time.Duration) bool {
+	left := time.Duration(w.leaseMS-w.clockMS) * time.Millisecond
+	return now.Sub(w.clockAt) > slowest(max(left, 0))+slack
+}
+
+// expireLeases ends the runs on workers that have been silent for longer than
+// any lease, and forgets workers that are no longer listed and run nothing.
+func (c *Core) expireLeases() {
+	for id, w := range c.workers {
+		if w.misses > 0 && len(w.runs) > 0 && w.surelyLapsed(c.now, c.bounds.StopTime) {
+			c.lapse(w)
+		}
+		if !w.unlistedSince.IsZero() && len(w.runs) == 0 && c.now.Sub(w.unlistedSince) > slowest(c.bounds.LongestLease) {
+			delete(c.workers, id)
+		}
+	}
+}
+
+func (c *Core) lapse(w *worker) {
+	for _, r := range w.runs {
+		c.ended(r, "lapsed")
+	}
+}
+
+// lostWorker takes that another life of the worker answered: this one is over.
+func (c *Core) lostWorker(w *worker) {
+	c.lapse(w)
+	w.known = true
+	w.unlistedSince = c.now
+	w.holdOff = c.now.Add(time.Hour)
+	w.nextLook = c.now.Add(time.Hour)
+}
+
+// mayRunUnseen reports whether a job's tasks may still run, by an earlier
+// epoch's order, on a worker that has not answered this one.
+func (c *Core) mayRunUnseen(j *job) bool {
+	if !j.old || !c.now.Before(c.surelyQuiet) {
+		return false
+	}
+	for _, w := range c.workers {
+		if !w.known {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/dispatch/order.go
@@ -0,0 +1,177 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+// unit is what is placed as a whole: all tasks of a gang step, or the waiting
+// tasks of any other step.
+type unit struct {
+	step  *step
+	queue *workload.Queue
+	tasks []*task
+	// dueBy is when the job misses its latency objective, lostBy when it earns
+	// nothing any more.
+	dueBy, lostBy time.Time
+	// length is the estimated run time of a task.
+	length time.Duration
+	rank   rank
+}
+
+// rank orders classes of work; within one class time decides.
+type rank struct {
+	// class is 0 for work inside a guarantee, else 1 + the queue's priority.
+	class int
+	// lost says that the objective cannot be met any more, even late.
+	lost bool
+}
+
+func (r rank) compare(other rank) int {
+	if c := cmp.Compare(r.class, other.class); c != 0 {
+		return c
+	}
+	if r.lost != other.lost {
+		if r.lost {
+			return 1
+		}
+		return -1
+	}
+	return 0
+}
+
+// lateFactor: a job is worth something until this many times its objective.
+const lateFactor = 3
+
+// units lists what could run now, most important first.
+func (c *Core) units() []*unit {
+	c.protect()
+	var list []*unit
+	for _, j := range c.queue {
+		if j.record.Final != "" || c.mayRunUnseen(j) {
+			continue
+		}
+		q := c.config.Queue(j.Queue)
+		if q == nil {
+			continue // its queue was dropped: nothing says where it may run
+		}
+		list = c.unitsOf(list, j, q)
+	}
+	slices.SortStableFunc(list, func(a, b *unit) int {
+		if r := a.rank.compare(b.rank); r != 0 {
+			return r
+		}
+		return a.dueBy.Compare(b.dueBy)
+	})
+	return list
+}
+
+func (c *Core) unitsOf(list []*unit, j *job, q *workload.Queue) []*unit {
+	for _, s := range j.steps {
+		if s.open == 0 || !c.ready(s) {
+			continue
+		}
+		u := &unit{step: s, queue: q, length: c.estimates.of(s)}
+		for i := range s.tasks {
+			if t := &s.tasks[i]; !t.done && len(t.runs) == 0 {
+				u.tasks = append(u.tasks, t)
+			}
+		}
+		if len(u.tasks) == 0 || s.spec.Gang && (s.gang != nil || len(u.tasks) < s.open) {
+			continue
+		}
+		if s.readySince.IsZero() {
+			s.readySince = c.now
+		}
+		c.rankUnit(u)
+		list = append(list, u)
+	}
+	return list
+}
+
+func (c *Core) rankUnit(u *unit) {
+	j := u.step.job
+	objective := time.Duration(u.queue.Stretch*float64(c.chain(j))) + time.Duration(u.queue.GraceMS)*time.Millisecond
+	begins := c.begins(u.step)
+	u.dueBy = begins.Add(objective)
+	u.lostBy = begins.Add(lateFactor * objective)
+	u.rank.class = 1 + u.queue.Priority
+	if j.protected {
+		u.rank.class = 0
+	}
+	u.rank.lost = !j.protected && c.now.Add(u.length).After(u.lostBy) && !u.step.spec.Lasting
+}
+
+// begins is when the clock of the latency objective starts: when the job was
+// received, or when the occurrence is due.
+func (c *Core) begins(s *step) time.Time {
+	j := s.job
+	if j.Times == 0 {
+		return j.received
+	}
+	due := j.FirstMS + int64(s.occurrence)*j.EveryMS
+	return c.now.Add(time.Duration(due-c.wallMS) * time.Millisecond)
+}
+
+// chain is the estimated length of the job's longest chain of steps.
+func (c *Core) chain(j *job) time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	longest := time.Duration(0)
+	for i := range j.Steps {
+		before := time.Duration(0)
+		for _, earlier := range j.Steps[i].After {
+			if earlier < i {
+				before = max(before, ends[earlier])
+			}
+		}
+		ends[i] = before + c.estimates.of(j.steps[i])
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// ready reports whether a step may start: its time has come and the steps
+// before it are done.
+func (c *Core) ready(s *step) bool {
+	j := s.job
+	if j.Times > 0 && c.begins(s).After(c.now) {
+		return false
+	}
+	first := s.occurrence * len(j.Steps)
+	for _, before := range s.spec.After {
+		if j.steps[first+before].open > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// protect marks the jobs that lie within their client account's guarantee: the
+// most urgent ones, in the order of acceptance, as long as their sum fits.
+func (c *Core) protect() {
+	taken := make(map[string]int64)
+	for _, j := range c.queue {
+		j.protected = false
+		q := c.config.Queue(j.Queue)
+		if j.record.Final != "" || q == nil || q.Priority != 0 {
+			continue
+		}
+		sum := taken[j.Account] + j.accelerators()
+		if sum <= c.config.Guaranteed(j.Account).Accelerators {
+			j.protected = true
+			taken[j.Account] = sum
+		}
+	}
+}
+
+// accelerators is what the open steps of a job need at once at most.
+func (j *job) accelerators() int64 {
+	var sum int64
+	for _, s := range j.steps {
+		sum += int64(s.open) * s.spec.Need.Accelerators
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/dispatch/record.go
@@ -0,0 +1,110 @@
+package dispatch
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// Final is how a job ended, empty while it has not.
+type Final string
+
+// The final states of a job.
+const (
+	FinalCompleted Final = "completed"
+	FinalFailed    Final = "failed"
+	FinalCancelled Final = "cancelled"
+)
+
+// Record is what the store keeps of a job's progress. It is written before the
+// ends that it holds are acknowledged to a worker, so it is all that a new
+// holder of the lease needs besides what workers still list.
+type Record struct {
+	Final Final `json:"final,omitempty"`
+	// EndedMS is when it became final, in milliseconds since 1970.
+	EndedMS int64 `json:"ended_ms,omitempty"`
+	// Done holds, by occurrence and step ("0.1"), the bits of the done tasks in
+	// hexadecimal.
+	Done map[string]string `json:"done,omitempty"`
+	// Failed holds, by occurrence, step and task ("0.1.7"; a gang has no
+	// task: "0.1"), the attempts that ended failed.
+	Failed map[string][]int64 `json:"failed,omitempty"`
+	// Saved holds, by the same names, the last checkpoint.
+	Saved map[string]string `json:"saved,omitempty"`
+}
+
+// Encode returns the stored form.
+func (r *Record) Encode() []byte {
+	data, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // maps of strings and numbers always encode
+	}
+	return data
+}
+
+// DecodeRecord reads the stored form.
+func DecodeRecord(data []byte) (Record, error) {
+	var r Record
+	err := json.Unmarshal(data, &r)
+	return r, err
+}
+
+func (r *Record) clone() Record {
+	c := *r
+	c.Done, c.Saved, c.Failed = maps.Clone(r.Done), maps.Clone(r.Saved), maps.Clone(r.Failed)
+	return c
+}
+
+func stepName(occurrence, step int) string { return fmt.Sprintf("%d.%d", occurrence, step) }
+
+func taskName(occurrence, step, index int) string {
+	return fmt.Sprintf("%d.%d.%d", occurrence, step, index)
+}
+
+// doneBits returns which of count tasks are done.
+func (r *Record) doneBits(name string, count int) []bool {
+	bits := make([]bool, count)
+	raw, err := hex.DecodeString(r.Done[name])
+	if err != nil {
+		return bits
+	}
+	for i := range bits {
+		if i/8 < len(raw) {
+			bits[i] = raw[i/8]&(1<<(i%8)) != 0
+		}
+	}
+	return bits
+}
+
+func (r *Record) setDone(name string, index, count int) {
+	raw, err := hex.DecodeString(r.Done[name])
+	if err != nil || len(raw) != (count+7)/8 {
+		raw = make([]byte, (count+7)/8)
+	}
+	raw[index/8] |= 1 << (index % 8)
+	if r.Done == nil {
+		r.Done = make(map[string]string)
+	}
+	r.Done[name] = hex.EncodeToString(raw)
+}
+
+// addFailed notes a failed attempt; false if it was noted before.
+func (r *Record) addFailed(name string, attempt int64) bool {
+	if slices.Contains(r.Failed[name], attempt) {
+		return false
+	}
+	if r.Failed == nil {
+		r.Failed = make(map[string][]int64)
+	}
+	r.Failed[name] = append(slices.Clone(r.Failed[name]), attempt)
+	return true
+}
+
+func (r *Record) setSaved(name, checkpoint string) {
+	if r.Saved == nil {
+		r.Saved = make(map[string]string)
+	}
+	r.Saved[name] = checkpoint
+}
--- /dev/null
+++ b/internal/dispatch/sight.go
@@ -0,0 +1,245 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+type runKey struct {
+	task    workload.TaskID
+	attempt int64
+}
+
+// worker is one life of a worker, as this epoch knows it.
+type worker struct {
+	workload.Worker
+	// known workers have answered in this epoch: they refuse older epochs, and
+	// all that runs there is in runs.
+	known bool
+	used  workload.Resources
+	runs  map[runKey]*run
+	// clockMS was read off the worker no later than clockAt.
+	clockMS int64
+	clockAt time.Time
+	// leaseMS is the latest time, on the worker's clock, until which anything
+	// was told to run there.
+	leaseMS int64
+	// heard is the last end that was taken in, noted the last one that may be
+	// acknowledged, told the last one that was.
+	heard, noted, told int64
+	unrecorded         []unrecordedEnd
+	looking            bool
+	quick              bool
+	wantLook           bool
+	nextLook           time.Time
+	lastLook           uint64
+	// unlistedSince is when the platform ceased to list the worker.
+	unlistedSince time.Time
+	holdOff       time.Time
+	misses        int
+	health        health
+}
+
+// unrecordedEnd is an end that must not be acknowledged before its job's
+// record has reached a change.
+type unrecordedEnd struct {
+	number int64
+	job    *job
+	change uint64
+}
+
+const (
+	// lookWait is how long a worker may wait for an end before it answers. It
+	// leaves a lease most of its length when one look is lost.
+	lookWait = 1000 * time.Millisecond
+	// lookAgain is the pause after a look without an answer.
+	lookAgain = 300 * time.Millisecond
+	// holdOffAfter is how long a worker that refused a start gets no other.
+	holdOffAfter = 300 * time.Millisecond
+)
+
+// Listed takes the platform's list of workers: all of them.
+func (c *Core) Listed(list []workload.Worker, now time.Time, wallMS int64) {
+	c.tick(now, wallMS)
+	seen := make(map[string]bool, len(list))
+	for _, listed := range list {
+		seen[listed.ID] = true
+		w := c.workers[listed.ID]
+		if w == nil {
+			w = &worker{Worker: listed, runs: make(map[runKey]*run)}
+			c.workers[listed.ID] = w
+		}
+		w.Worker = listed
+		w.unlistedSince = time.Time{}
+	}
+	for id, w := range c.workers {
+		if !seen[id] && w.unlistedSince.IsZero() {
+			w.unlistedSince = now
+		}
+	}
+}
+
+// usable reports whether a worker may get new work.
+func (w *worker) usable(now time.Time) bool {
+	return w.known && !w.Leaving && w.unlistedSince.IsZero() && !now.Before(w.holdOff) && w.misses == 0
+}
+
+func (w *worker) refused(now time.Time) { w.holdOff = now.Add(holdOffAfter) }
+
+func (w *worker) missed(now time.Time) {
+	w.misses++
+	w.nextLook = now.Add(lookAgain)
+	w.wantLook = true
+}
+
+// looks emits the looks that are due: one waits at each worker that runs
+// something, and a quick one beside it settles stops.
+func (c *Core) looks() {
+	for _, w := range c.workers {
+		switch {
+		case w.looking:
+			if w.wantLook && !w.quick && !c.now.Before(w.nextLook) {
+				w.quick, w.wantLook = true, false
+				c.look(w, 0, true)
+			}
+		case c.now.Before(w.nextLook):
+		case w.wantLook || !w.known:
+			w.wantLook = false
+			c.look(w, 0, false)
+		case len(w.unrecorded) > 0:
+			// Ends are listed again until they are acknowledged, which the
+			// store's answer comes before: waiting would not wait.
+			w.nextLook = c.now.Add(lookAgain)
+		case len(w.runs) > 0:
+			c.look(w, lookWait, false)
+		case w.noted > w.told:
+			c.look(w, 0, false)
+		}
+	}
+}
+
+func (c *Core) look(w *worker, wait time.Duration, quick bool) {
+	look := workload.Look{Worker: w.ID, Addr: w.Addr, Epoch: c.epoch, Noted: w.noted, Wait: wait}
+	if w.clockMS > 0 && len(w.runs) > 0 {
+		look.UntilMS = w.clock(c.now) + c.bounds.LongestLease.Milliseconds()
+		w.lease(look.UntilMS)
+	}
+	if !quick {
+		w.looking = true
+	}
+	c.actions = append(c.actions, Action{Kind: ActLook, Look: look, Sequence: c.sequence, Quick: quick})
+}
+
+// Saw takes a worker's answer to a look, sent as the action says.
+func (c *Core) Saw(sent Action, sight workload.Sight, now time.Time, wallMS int64) {
+	c.tick(now, wallMS)
+	w := c.workers[sent.Look.Worker]
+	if w == nil {
+		return
+	}
+	if sent.Quick {
+		w.quick = false
+	} else {
+		w.looking = false
+	}
+	switch sight.Verdict {
+	case workload.VerdictDone:
+	case workload.VerdictFenced:
+		c.fenced = true
+		return
+	case workload.VerdictGone:
+		c.lostWorker(w)
+		return
+	default:
+		w.missed(now)
+		return
+	}
+	w.misses, w.nextLook, w.known = 0, time.Time{}, true
+	w.sample(sight.ClockMS, now)
+	w.told = max(w.told, sent.Look.Noted)
+	c.takeEnds(w, sight.Ended)
+	if sent.Sequence < w.lastLook {
+		return // a later look was answered first
+	}
+	w.lastLook = sent.Sequence
+	c.takeRunning(w, sight.Running, sent.Sequence)
+}
+
+// takeRunning brings the runs of a worker in line with what it lists.
+func (c *Core) takeRunning(w *worker, list []workload.Running, sent uint64) {
+	listed := make(map[runKey]bool, len(list))
+	for _, running := range list {
+		key := runKey{running.Task, running.Attempt}
+		listed[key] = true
+		r := w.runs[key]
+		if r == nil {
+			r = c.adopt(w, running)
+		}
+		if r != nil {
+			c.progress(r, running)
+		}
+	}
+	for key, r := range w.runs {
+		if listed[key] || sent < r.settledBy || r.settledBy == 0 {
+			continue
+		}
+		if r.stopping {
+			if r.stopAcked {
+				c.ended(r, workload.EndStopped)
+			}
+			continue
+		}
+		c.unclear(r, "the worker no longer lists it")
+	}
+}
+
+// adopt takes over a run that an earlier epoch started. A run that must not go
+// on, or that nobody knows, is stopped.
+func (c *Core) adopt(w *worker, running workload.Running) *run {
+	t := c.task(running.Task)
+	if t == nil {
+		c.actions = append(c.actions, Action{Kind: ActStop, Reason: "of no known job", Order: workload.Order{
+			Worker: w.ID, Addr: w.Addr, Task: running.Task, Attempt: running.Attempt, Epoch: c.epoch,
+		}})
+		return nil
+	}
+	r := &run{
+		task: t, worker: w, attempt: running.Attempt, state: runRunning, need: t.step.spec.Counted(),
+		since: c.now, movedAt: c.now, settledBy: c.sequence, percent: running.Percent, startedPct: running.Percent,
+	}
+	if t.step.spec.Gang {
+		r.gang = c.gangOf(t.step, running.Attempt)
+	}
+	surplus := t.done || len(t.runs) > 0 || t.step.job.record.Final != "" || running.Attempt > c.epoch*attemptsPerEpoch
+	c.attach(r)
+	if surplus {
+		c.stop(r, "surplus run")
+	}
+	return r
+}
+
+// gangOf returns the gang of an attempt that is being adopted.
+func (c *Core) gangOf(s *step, attempt int64) *gang {
+	if s.gang == nil || s.gang.attempt != attempt {
+		g := &gang{attempt: attempt}
+		if s.gang == nil {
+			s.gang = g
+		}
+		return g
+	}
+	return s.gang
+}
+
+func (c *Core) progress(r *run, running workload.Running) {
+	if r.state == runOrdered {
+		r.state = runRunning
+		r.settledBy = c.sequence
+	}
+	if running.Percent > r.percent {
+		r.percent, r.movedAt = running.Percent, c.now
+	}
+	if running.Checkpoint != "" {
+		r.checkpoint = running.Checkpoint
+	}
+}
--- /dev/null
+++ b/internal/dispatch/victims.go
@@ -0,0 +1,183 @@
+package dispatch
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// acceleratorCores is what one accelerator counts in cores when work lost is
+// weighed.
+const acceleratorCores = 8
+
+// makeRoom stops lower work so that the unit fits. It answers a burst of urgent
+// work on a full deployment: without it guaranteed capacity would be there only
+// once others have ended. It stops as little work as it can, and nothing unless
+// the whole unit will fit.
+func (c *Core) makeRoom(u *unit, rooms []*room, soon []slot) {
+	if u.rank.class > 0 && !u.step.spec.Gang && len(soon) > 0 {
+		hold(u, soon)
+		return
+	}
+	plan := c.cheapest(u, rooms)
+	if plan == nil {
+		hold(u, soon)
+		return
+	}
+	for _, p := range plan {
+		for _, victim := range p.victims {
+			if !victim.stopping {
+				c.stop(victim, fmt.Sprintf("makes room for %s", u.step.job.ID))
+				p.room.soon = p.room.soon.Add(victim.need)
+			}
+		}
+		need := u.step.spec.Counted().Times(p.slots)
+		p.room.soon = p.room.soon.Sub(need)
+		p.room.free = p.room.free.Sub(need)
+	}
+}
+
+// offer is what it costs to have slots on one worker.
+type offer struct {
+	room    *room
+	slots   int64
+	victims []*run
+	cost    float64
+}
+
+// cheapest returns the offers that make the unit fit at the least cost, on one
+// rack if the unit belongs on one and some rack can give them; nil if nothing
+// can.
+func (c *Core) cheapest(u *unit, rooms []*room) []offer {
+	if u.step.spec.OneRack {
+		var best []offer
+		bestCost := 0.0
+		for _, members := range byRack(rooms) {
+			plan, cost := c.cheapestOf(u, members)
+			if plan != nil && (best == nil || cost < bestCost) {
+				best, bestCost = plan, cost
+			}
+		}
+		if best != nil {
+			return best
+		}
+	}
+	plan, _ := c.cheapestOf(u, rooms)
+	return plan
+}
+
+func byRack(rooms []*room) map[string][]*room {
+	racks := make(map[string][]*room)
+	for _, r := range rooms {
+		racks[r.Rack] = append(racks[r.Rack], r)
+	}
+	return racks
+}
+
+func (c *Core) cheapestOf(u *unit, rooms []*room) ([]offer, float64) {
+	var offers []offer
+	for _, r := range rooms {
+		offers = append(offers, c.offers(u, r)...)
+	}
+	slices.SortStableFunc(offers, func(a, b offer) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.room.order, b.room.order))
+	})
+	// Each offer is for one more slot of its worker and holds the victims of
+	// the ones before it, so the last one taken of a worker stands for all.
+	taken := make(map[*room]offer)
+	left := int64(len(u.tasks))
+	for _, o := range offers {
+		if left == 0 {
+			break
+		}
+		if o.slots == taken[o.room].slots+1 {
+			taken[o.room] = o
+			left--
+		}
+	}
+	if left > 0 {
+		return nil, 0
+	}
+	var plan []offer
+	cost := 0.0
+	for _, o := range taken {
+		plan = append(plan, o)
+		cost += o.cost
+	}
+	slices.SortFunc(plan, func(a, b offer) int { return cmp.Compare(a.room.order, b.room.order) })
+	return plan, cost
+}
+
+// offers lists what one, two, and more slots on a worker cost.
+func (c *Core) offers(u *unit, r *room) []offer {
+	victims := c.victims(u, r)
+	free := r.soon
+	var list []offer
+	cost := 0.0
+	next := 0
+	most := c.slots(u, r, r.Room)
+	for n := int64(1); n <= most; n++ {
+		for c.slots(u, r, free) < n && next < len(victims) {
+			free = free.Add(victims[next].need)
+			cost += c.workLost(victims[next])
+			next++
+		}
+		if c.slots(u, r, free) < n {
+			break
+		}
+		list = append(list, offer{room: r, slots: n, victims: victims[:next], cost: cost / float64(n)})
+	}
+	return list
+}
+
+// victims lists the runs on a worker that may be stopped for the unit, those
+// that lose the least work first.
+func (c *Core) victims(u *unit, r *room) []*run {
+	var list []*run
+	for _, run := range r.runs {
+		if !run.stopping && c.yields(run, u) {
+			list = append(list, run)
+		}
+	}
+	slices.SortFunc(list, func(a, b *run) int {
+		return cmp.Or(
+			cmp.Compare(c.workLost(a)/float64(max(a.need.Accelerators, 1)), c.workLost(b)/float64(max(b.need.Accelerators, 1))),
+			cmp.Compare(a.attempt, b.attempt), cmp.Compare(a.task.index, b.task.index),
+		)
+	})
+	return list
+}
+
+// yields reports whether a run may be stopped for the unit: lower priority for
+// urgent work, and anything outside a guarantee for work inside one.
+func (c *Core) yields(victim *run, u *unit) bool {
+	s := victim.task.step
+	q := c.config.Queue(s.job.Queue)
+	if s.job.protected || q == nil {
+		return false
+	}
+	if s.spec.Lasting && s.spec.MaxAway > 0 {
+		return false
+	}
+	return u.rank.class == 0 || q.Priority > u.queue.Priority
+}
+
+// workLost is the work, in core-seconds, that stopping a run throws away; all
+// of a gang is thrown away with one member.
+func (c *Core) workLost(r *run) float64 {
+	s := r.task.step
+	ran := c.now.Sub(r.since)
+	if s.spec.Checkpoints {
+		ran = min(ran, checkpointLoss)
+	}
+	cores := float64(s.spec.Need.MilliCPU)/1000 + acceleratorCores*float64(s.spec.Need.Accelerators)
+	lost := ran.Seconds() * cores
+	if r.gang != nil {
+		lost *= float64(max(r.gang.runs, 1))
+	}
+	return lost
+}
+
+// checkpointLoss is what a task with checkpoints loses at a stop: it saves then.
+const checkpointLoss = 200 * time.Millisecond
