Room of runs of jobs that are over is counted; SIGHUP and changed settings are taken up

Ruled out: ends taken in twice, overtaking looks (their order is kept by sequence). SIGHUP ended the process (code 129).

--- a/internal/deployment/accept.go
+++ b/internal/deployment/accept.go
@@ -18,8 +18,6 @@
 	// retryPause is the pause between two tries of a store call that may have
 	// been performed.
 	retryPause = 60 * time.Millisecond
-	// answerReserve is kept of a caller's deadline to send the answer.
-	answerReserve = 80 * time.Millisecond
 	// comeBack is when to come back while the store is away: outages of some
 	// seconds are the usual ones, and a caller's few tries should outlast them.
 	comeBack = 1 * time.Second
--- a/internal/deployment/conduct.go
+++ b/internal/deployment/conduct.go
@@ -95,7 +95,7 @@
 
 func (c *conductor) fill() {
 	now, wallMS := bootTime(), time.Now().UnixMilli()
-	c.core = dispatch.New(c.instance.settings.bounds(), c.grant.epoch, now, c.grant.earlier)
+	c.core = dispatch.New(c.instance.live.Load().bounds(), c.grant.epoch, now, c.grant.earlier)
 	c.core.Configure(c.instance.configuration.Load())
 	for _, w := range c.instance.workers.recent(now) {
 		c.core.Listed([]workload.Worker{w}, now, wallMS)
@@ -332,7 +332,7 @@
 		return
 	}
 	c.collectedAt = now
-	kept := keptTimes * c.instance.settings.bounds().StatusKept
+	kept := keptTimes * c.instance.live.Load().bounds().StatusKept
 	ids := c.instance.replica.expired(time.Now().Add(-kept).UnixMilli(), recordsAtOnce/2)
 	if len(ids) == 0 {
 		return
--- a/internal/deployment/gossip.go
+++ b/internal/deployment/gossip.go
@@ -62,7 +62,7 @@
 func (i *Instance) peerIDs() []string {
 	seen := map[string]bool{i.settings.Listen.Peers: true}
 	var ids []string
-	for _, list := range [][]string{i.replica.instances(), i.settings.Seeds} {
+	for _, list := range [][]string{i.replica.instances(), i.live.Load().Seeds} {
 		for _, id := range list {
 			if !seen[id] {
 				seen[id] = true
--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"os"
+	"reflect"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -33,6 +35,9 @@
 	Workers  workload.Workers
 	Decoder  Decoder
 	Logger   *zap.Logger
+	// Reload reads the settings again. Changed is told of new ones.
+	Reload  func() (*Settings, error)
+	Changed func(*Settings)
 }
 
 // Servers is what takes callers.
@@ -46,9 +51,13 @@
 
 // Instance is one instance of a deployment-wide scheduler.
 type Instance struct {
+	// settings are those of the start; its addresses and names stay.
 	settings *Settings
-	logger   *zap.Logger
-	decoder  Decoder
+	// live are the newest ones: seeds and bounds are taken from here.
+	live    atomic.Pointer[Settings]
+	options Options
+	logger  *zap.Logger
+	decoder Decoder
 	// store is the store by any path.
 	store         *reach
 	reach         *reach
@@ -83,10 +92,11 @@
 func New(o Options) *Instance {
 	s := o.Settings
 	i := &Instance{
-		settings: s, logger: o.Logger, decoder: o.Decoder, workerClient: o.Workers,
+		settings: s, options: o, logger: o.Logger, decoder: o.Decoder, workerClient: o.Workers,
 		replica: newReplica(o.Logger), peers: &peers{views: make(map[string]peerView)},
 		calls: pond.NewPool(callsAtOnce, pond.WithQueueSize(callsAtOnce), pond.WithNonBlocking(true)),
 	}
+	i.live.Store(s)
 	i.node = peer.New(peer.Options{
 		Instance: s.Listen.Peers, Incarnation: time.Now().UnixMilli(), Listen: s.Listen.Peers, Handler: i, Logger: o.Logger,
 		Resolve: func(id string) (string, bool) { return id, true }, Limits: peerLimits,
@@ -219,12 +229,52 @@
 	})
 	i.startDuties()
 	i.logger.Info("started", zap.Duration("took", time.Since(started)), zap.Int("pid", os.Getpid()))
-	first := <-signals
-	i.logger.Info("signal", zap.Stringer("signal", first))
+	i.awaitStop(signals)
 	i.stopping.Store(true)
 	return i.life.Stop()
 }
 
+// awaitStop returns at the first signal to stop. SIGHUP, and a file that
+// changed without one, make new settings take effect.
+func (i *Instance) awaitStop(signals <-chan os.Signal) {
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case signal := <-signals:
+			i.logger.Info("signal", zap.Stringer("signal", signal))
+			if signal != syscall.SIGHUP {
+				return
+			}
+		case <-ticker.C:
+		}
+		i.reload()
+	}
+}
+
+// settingsEvery is how often the settings file is looked at.
+const settingsEvery = 1 * time.Second
+
+// reload puts changed settings in force. Settings with problems change nothing.
+func (i *Instance) reload() {
+	if i.options.Reload == nil {
+		return
+	}
+	settings, err := i.options.Reload()
+	if err != nil {
+		i.logger.Error("settings not taken", zap.Error(err))
+		return
+	}
+	if reflect.DeepEqual(settings, i.live.Load()) {
+		return
+	}
+	i.live.Store(settings)
+	if i.options.Changed != nil {
+		i.options.Changed(settings)
+	}
+	i.logger.Info("settings in force", zap.String("store", settings.Store), zap.Strings("seeds", settings.Seeds))
+}
+
 // stopLinger covers a balancer that looks once a second and takes an instance
 // out after two misses.
 const stopLinger = 2200 * time.Millisecond
--- /dev/null
+++ b/internal/dispatch/core_test.go
@@ -0,0 +1,247 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+// bench drives a core against workers that do as they are told.
+type bench struct {
+	t       *testing.T
+	core    *Core
+	now     time.Time
+	wallMS  int64
+	workers map[string]*fakeWorker
+	// silent workers answer nothing; what is sent to them is not carried out.
+	silent map[string]bool
+	// lost starts are carried out, or not, without an answer.
+	starts, stops int
+}
+
+type fakeWorker struct {
+	room    workload.Resources
+	running map[runKey]*fakeRun
+	ended   []workload.Ended
+	number  int64
+	fence   int64
+	closed  map[workload.TaskID]int64
+}
+
+type fakeRun struct {
+	need       workload.Resources
+	began      time.Time
+	checkpoint string
+}
+
+var testBounds = workload.Bounds{
+	LongestLease: 6 * time.Second, StopTime: 200 * time.Millisecond, GangWait: 3 * time.Second, Reclaim: 2700 * time.Millisecond,
+	StatusKept: 2 * time.Minute, RemoteFactor: 3, Restore: 100 * time.Millisecond,
+}
+
+var epochStart = time.Unix(1_000_000, 0)
+
+func newBench(t *testing.T, workers int, earlier bool) *bench {
+	b := &bench{t: t, now: epochStart, wallMS: 1_700_000_000_000, workers: make(map[string]*fakeWorker), silent: make(map[string]bool)}
+	b.core = New(testBounds, 2, b.now, earlier)
+	b.core.Configure(testConfig())
+	for n := range workers {
+		b.addWorker(fmt.Sprintf("w%02d", n))
+	}
+	b.list()
+	return b
+}
+
+func testConfig() *workload.Configuration {
+	config := &workload.Configuration{
+		Version: 1, Pools: map[string]workload.Pool{"pool": {}},
+		Queues: []workload.Queue{
+			{Name: "urgent", Pool: "pool", Priority: 0, Attempts: 2, Stretch: 1.5, GraceMS: 250},
+			{Name: "batch", Pool: "pool", Priority: 2, Attempts: 2, Stretch: 3, GraceMS: 3000},
+		},
+		Accounts: []workload.Account{{Name: "acme", Guaranteed: workload.Resources{Accelerators: 16}}, {Name: "other"}},
+	}
+	config.Index()
+	return config
+}
+
+func (b *bench) addWorker(id string) {
+	b.workers[id] = &fakeWorker{
+		room: workload.Resources{MilliCPU: 32000, MemoryMB: 64000, Accelerators: 8}, running: make(map[runKey]*fakeRun),
+		closed: make(map[workload.TaskID]int64),
+	}
+}
+
+func (b *bench) list() {
+	var list []workload.Worker
+	for id, w := range b.workers {
+		list = append(list, workload.Worker{ID: id, Addr: id, Pool: "pool", Rack: "r" + id[1:2], Room: w.room})
+	}
+	b.core.Listed(list, b.now, b.wallMS)
+}
+
+func (b *bench) clock() int64 { return b.now.UnixMilli() }
+
+// round lets the core decide and carries out everything at once.
+func (b *bench) round() {
+	for range 6 {
+		actions := b.core.Decide(b.now, b.wallMS)
+		if len(actions) == 0 {
+			return
+		}
+		for _, a := range actions {
+			b.carryOut(a)
+		}
+		if list := b.core.Unwritten(50); len(list) > 0 {
+			b.core.Recorded(list, b.now, b.wallMS)
+		}
+	}
+}
+
+func (b *bench) carryOut(a Action) {
+	id := a.Order.Worker + a.Look.Worker
+	w := b.workers[id]
+	if w == nil || b.silent[id] {
+		b.unanswered(a)
+		return
+	}
+	switch a.Kind {
+	case ActStart:
+		b.starts++
+		b.core.StartAnswered(a.Order, b.begin(w, a.Order), b.now, b.wallMS)
+	case ActStop:
+		b.stops++
+		b.end(w, a.Order.Task, a.Order.Attempt, workload.EndStopped)
+		w.closed[a.Order.Task] = max(w.closed[a.Order.Task], a.Order.Attempt)
+		b.core.StopAnswered(a.Order, workload.Receipt{ClockMS: b.clock()}, b.now, b.wallMS)
+	case ActLook:
+		b.core.Saw(a, b.sight(w, a.Look), b.now, b.wallMS)
+	}
+}
+
+func (b *bench) unanswered(a Action) {
+	switch a.Kind {
+	case ActStart:
+		b.core.StartAnswered(a.Order, workload.Receipt{Verdict: workload.VerdictUnknown}, b.now, b.wallMS)
+	case ActStop:
+		b.core.StopAnswered(a.Order, workload.Receipt{Verdict: workload.VerdictUnknown}, b.now, b.wallMS)
+	case ActLook:
+		b.core.Saw(a, workload.Sight{Verdict: workload.VerdictUnknown}, b.now, b.wallMS)
+	}
+}
+
+// begin starts a run; it fails the test if the room is not there.
+func (b *bench) begin(w *fakeWorker, o workload.Order) workload.Receipt {
+	if o.Attempt <= w.closed[o.Task] {
+		return workload.Receipt{Verdict: workload.VerdictOld, ClockMS: b.clock()}
+	}
+	need := b.core.task(o.Task).step.spec.Counted()
+	w.running[runKey{o.Task, o.Attempt}] = &fakeRun{need: need, began: b.now, checkpoint: o.Checkpoint}
+	var used workload.Resources
+	for _, r := range w.running {
+		used = used.Add(r.need)
+	}
+	assert.Assert(b.t, w.room.Holds(used), "%s is over its room: %+v", o.Worker, used)
+	return workload.Receipt{ClockMS: b.clock()}
+}
+
+func (b *bench) end(w *fakeWorker, task workload.TaskID, attempt int64, kind workload.EndKind) {
+	key := runKey{task, attempt}
+	if w.running[key] == nil {
+		return
+	}
+	delete(w.running, key)
+	w.number++
+	w.ended = append(w.ended, workload.Ended{Number: w.number, Task: task, Attempt: attempt, Kind: kind})
+}
+
+func (b *bench) sight(w *fakeWorker, look workload.Look) workload.Sight {
+	sight := workload.Sight{ClockMS: b.clock()}
+	for key := range w.running {
+		sight.Running = append(sight.Running, workload.Running{Task: key.task, Attempt: key.attempt})
+	}
+	kept := w.ended[:0]
+	for _, e := range w.ended {
+		if e.Number > look.Noted {
+			kept = append(kept, e)
+		}
+	}
+	w.ended = kept
+	sight.Ended = append(sight.Ended, kept...)
+	return sight
+}
+
+// endAll ends everything that runs on every worker.
+func (b *bench) endAll(kind workload.EndKind) {
+	for _, w := range b.workers {
+		for key := range w.running {
+			b.end(w, key.task, key.attempt, kind)
+		}
+	}
+}
+
+func (b *bench) pass(d time.Duration) {
+	for until := b.now.Add(d); b.now.Before(until); {
+		b.now = b.now.Add(50 * time.Millisecond)
+		b.wallMS += 50
+		b.round()
+	}
+}
+
+func (b *bench) add(job *workload.Job) {
+	job.AcceptedMS = b.wallMS
+	b.core.AddJob(job, Record{}, false, false, b.now, b.wallMS)
+}
+
+func (b *bench) running() int {
+	count := 0
+	for _, w := range b.workers {
+		count += len(w.running)
+	}
+	return count
+}
+
+func gangJob(id, queue, account string, tasks int, accelerators int64) *workload.Job {
+	return &workload.Job{ID: id, Queue: queue, Account: account, Steps: []workload.Step{{
+		Count: tasks, Gang: true, EstimateMS: 3000, Need: workload.Resources{MilliCPU: 1000, MemoryMB: 1000, Accelerators: accelerators},
+	}}}
+}
+
+func (b *bench) state(id string) Final { return b.core.jobs[id].record.Final }
+
+func TestAGangRunsWholeAndEndsTogether(t *testing.T) {
+	b := newBench(t, 3, false)
+	b.add(gangJob("a", "batch", "other", 3, 8))
+	b.add(gangJob("b", "batch", "other", 2, 8))
+	b.pass(200 * time.Millisecond)
+	assert.Equal(t, b.running(), 3, "the second gang must wait whole")
+	b.endAll(workload.EndDone)
+	b.pass(2 * time.Second)
+	assert.Equal(t, b.state("a"), FinalCompleted)
+	assert.Equal(t, b.running(), 2)
+}
+
+func TestWhatRunsOfAJobThatIsOverTakesRoomUntilItIsGone(t *testing.T) {
+	b := newBench(t, 1, true)
+	w := b.workers["w00"]
+	over := gangJob("over", "batch", "other", 1, 8)
+	stuck := runKey{workload.TaskID{Job: "over"}, 1_000_001}
+	w.running[stuck] = &fakeRun{need: workload.Resources{Accelerators: 8}}
+	b.core.AddJob(over, Record{}, true, true, b.now, b.wallMS)
+	b.core.settle() // the job is over and has no run that this epoch knows of
+	actions := b.core.Decide(b.now, b.wallMS)
+	assert.Equal(t, len(actions), 1)
+	b.carryOut(actions[0])
+	b.add(gangJob("next", "batch", "other", 1, 8))
+	for _, a := range b.core.Decide(b.now, b.wallMS) {
+		assert.Assert(t, a.Kind != ActStart, "started beside a run that is still being stopped")
+		b.carryOut(a)
+	}
+	b.pass(time.Second)
+	assert.Assert(t, w.running[stuck] == nil)
+	assert.Equal(t, b.running(), 1)
+}
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -58,10 +58,10 @@
 	case workload.EndDone:
 		c.done(t, r)
 	case workload.EndFailed:
-		c.failed(t, r, e.Attempt)
+		c.failed(t, e.Attempt)
 	}
 	if r != nil {
-		w.health.ended(e, r, c.now)
+		w.health.ended(e, c.now)
 		c.ended(r, e.Kind)
 	}
 }
@@ -141,7 +141,7 @@
 }
 
 // failed counts a failed attempt of a task, or of a gang once for all members.
-func (c *Core) failed(t *task, r *run, attempt int64) {
+func (c *Core) failed(t *task, attempt int64) {
 	s := t.step
 	j := s.job
 	if s.spec.Lasting || t.done || j.record.Final != "" {
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -62,7 +62,7 @@
 		if !w.usable(c.now) {
 			continue
 		}
-		free := w.Room.Sub(w.used)
+		free := w.Room.Sub(w.used).Sub(w.foreign)
 		r := &room{worker: w, free: free, soon: free}
 		for _, run := range w.runs {
 			if run.stopping && run.state == runStopping {
@@ -87,7 +87,7 @@
 // is being freed, has lower work stopped if it is protected, or keeps room for
 // later. It returns false if the unit, or a part of it, waits.
 func (c *Core) placeUnit(u *unit, rooms []*room, mayKeep bool) bool {
-	rooms = eligible(u, rooms)
+	rooms = c.eligible(u, rooms)
 	whole := u.step.spec.Gang
 	now := c.find(u, rooms, len(u.tasks), func(r *room) workload.Resources { return r.open(c.now.Add(u.length)) })
 	if len(now) == len(u.tasks) || !whole && len(now) > 0 {
@@ -127,10 +127,10 @@
 }
 
 // eligible filters the workers that may run the unit at all.
-func eligible(u *unit, rooms []*room) []*room {
+func (c *Core) eligible(u *unit, rooms []*room) []*room {
 	var list []*room
 	for _, r := range rooms {
-		if r.Has(u.step.spec.Label) && !r.health.suspect() && r.Room.Holds(u.step.spec.Counted()) {
+		if r.Has(u.step.spec.Label) && !r.health.suspect(c.now) && r.Room.Holds(u.step.spec.Counted()) {
 			list = append(list, r)
 		}
 	}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/corianderbank/corianderbank/internal/workload"
@@ -14,34 +15,32 @@
 	// failedJobs are the jobs that failed here since the last success.
 	failedJobs []string
 	lastFailed time.Time
-	// probing is the time of the last probe task.
-	probing time.Time
 }
 
 const (
 	// suspectAfter failures of different jobs in a row, a worker is suspect.
 	// One may be the job's own fault.
 	suspectAfter = 2
-	// probeEvery is how often a suspect worker gets a task to prove itself.
-	probeEvery = 2500 * time.Millisecond
+	// distrustFor is how long a suspect worker gets nothing new: faults that
+	// pass do so within some seconds. After it one more failure renews it.
+	distrustFor = 5 * time.Second
 )
 
-func (h *health) ended(e workload.Ended, r *run, now time.Time) {
+func (h *health) ended(e workload.Ended, now time.Time) {
 	switch e.Kind {
 	case workload.EndDone:
 		h.failedJobs = nil
 	case workload.EndFailed:
-		for _, id := range h.failedJobs {
-			if id == e.Task.Job {
-				return
-			}
-		}
-		h.failedJobs = append(h.failedJobs, e.Task.Job)
 		h.lastFailed = now
+		if !slices.Contains(h.failedJobs, e.Task.Job) {
+			h.failedJobs = append(h.failedJobs, e.Task.Job)
+		}
 	}
 }
 
-func (h *health) suspect() bool { return len(h.failedJobs) >= suspectAfter }
+func (h *health) suspect(now time.Time) bool {
+	return len(h.failedJobs) >= suspectAfter && now.Sub(h.lastFailed) < distrustFor
+}
 
 // estimates corrects declared run times by what tasks of the same image, or of
 // the same queue, really took.
--- a/internal/dispatch/sight.go
+++ b/internal/dispatch/sight.go
@@ -19,6 +19,9 @@
 	known bool
 	used  workload.Resources
 	runs  map[runKey]*run
+	// foreign is what runs there of jobs that are over: they were stopped, and
+	// take room until the worker no longer lists them.
+	foreign workload.Resources
 	// clockMS was read off the worker no later than clockAt.
 	clockMS int64
 	clockAt time.Time
@@ -169,6 +172,7 @@
 // takeRunning brings the runs of a worker in line with what it lists.
 func (c *Core) takeRunning(w *worker, list []workload.Running, sent uint64) {
 	listed := make(map[runKey]bool, len(list))
+	w.foreign = workload.Resources{}
 	for _, running := range list {
 		key := runKey{running.Task, running.Attempt}
 		listed[key] = true
@@ -194,14 +198,32 @@
 	}
 }
 
+// stopForeign stops a run of a job that is over or that nobody knows. Its room
+// is taken until the worker no longer lists it; where the job's row is gone,
+// that room is unknown and the worker gets nothing new meanwhile.
+func (c *Core) stopForeign(w *worker, running workload.Running) {
+	w.wantLook = true
+	w.nextLook = c.now.Add(foreignAgain)
+	c.actions = append(c.actions, Action{Kind: ActStop, Reason: "of no job that is open", Order: workload.Order{
+		Worker: w.ID, Addr: w.Addr, Task: running.Task, Attempt: running.Attempt, Epoch: c.epoch,
+	}})
+	j := c.jobs[running.Task.Job]
+	if j == nil || running.Task.Step < 0 || running.Task.Step >= len(j.Steps) {
+		w.holdOff = c.now.Add(foreignAgain + holdOffAfter)
+		return
+	}
+	w.foreign = w.foreign.Add(j.Steps[running.Task.Step].Counted())
+}
+
+// foreignAgain is when a worker is looked at again that runs what it should not.
+const foreignAgain = 250 * time.Millisecond
+
 // adopt takes over a run that an earlier epoch started. A run that must not go
 // on, or that nobody knows, is stopped.
 func (c *Core) adopt(w *worker, running workload.Running) *run {
 	t := c.task(running.Task)
 	if t == nil {
-		c.actions = append(c.actions, Action{Kind: ActStop, Reason: "of no known job", Order: workload.Order{
-			Worker: w.ID, Addr: w.Addr, Task: running.Task, Attempt: running.Attempt, Epoch: c.epoch,
-		}})
+		c.stopForeign(w, running)
 		return nil
 	}
 	r := &run{
