--- a/internal/deployment/conduct.go
+++ b/internal/deployment/conduct.go
@@ -61,12 +61,13 @@
 		orders: pond.NewPool(ordersAtOnce), logger: i.logger.Named("conduct"), recordVersions: make(map[string]int64),
 	}
 	defer func() { c.orders.Stop() }()
-	if !c.load() {
-		return
-	}
+	// Events are taken from here on, before the table is read: what comes while
+	// it is read waits in the ring, and adding a job twice changes nothing.
 	i.conductor.Store(c)
 	defer i.conductor.Store(nil)
-	c.run()
+	if c.load() {
+		c.run()
+	}
 }
 
 // load fills the core with what the store has. The read comes after the lease
--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -101,14 +101,14 @@
 		Instance: s.Listen.Peers, Incarnation: time.Now().UnixMilli(), Listen: s.Listen.Peers, Handler: i, Logger: o.Logger,
 		Resolve: func(id string) (string, bool) { return id, true }, Limits: peerLimits,
 	})
-	i.reach = &reach{direct: o.Store, caller: i.node, logger: o.Logger, helpers: func() []string {
+	i.reach = &reach{limit: pathTimeout, reachState: &reachState{direct: o.Store, caller: i.node, logger: o.Logger, helpers: func() []string {
 		return i.peers.fresh(func(v peerView) bool { return v.storeReachable })
-	}}
+	}}}
 	i.store = i.reach
 	kept := 2 * s.bounds().LongestLease
 	i.workers = newRoster(o.Decoder, kept, o.Logger)
 	i.lease = &lease{
-		self: s.Listen.Peers, store: i.store, replica: i.replica, logger: o.Logger, eligible: i.eligible, hold: i.hold,
+		self: s.Listen.Peers, store: i.store.within(leasePathTimeout), replica: i.replica, logger: o.Logger, eligible: i.eligible, hold: i.hold,
 	}
 	i.replica.changed = i.jobChanged
 	i.workers.changed = i.workersChanged
--- a/internal/deployment/lease.go
+++ b/internal/deployment/lease.go
@@ -17,7 +17,11 @@
 	// long enough for three renewals on a slow store.
 	leaseLength = 2 * time.Second
 	// renewEvery is the time between renewals.
-	renewEvery = 500 * time.Millisecond
+	renewEvery = 400 * time.Millisecond
+	// leasePathTimeout bounds one attempt at the lease's row on one path: two
+	// paths must fit into what is left of the lease after a renewal was due. The
+	// store answers within 4 ms, and within half a second when it is slow.
+	leasePathTimeout = 550 * time.Millisecond
 	// leaseMargin separates the end of a lease by its holder's clock from the
 	// moment others may take it: two steady clocks differ by at most 2 %, and an
 	// order under way is bounded by it too.
@@ -43,11 +47,14 @@
 	over    bool
 }
 
-// valid reports whether the lease still holds.
+// valid reports whether the lease still holds. Once it did not, it never does
+// again: whoever was told so has stopped, and a renewal that was under way must
+// not leave a holder that does nothing.
 func (g *grant) valid() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.over && bootTime().Before(g.until)
+	g.over = g.over || !bootTime().Before(g.until)
+	return !g.over
 }
 
 // end gives the lease up locally.
@@ -61,14 +68,15 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.version = version
-	if until.After(g.until) {
+	if until.After(g.until) && !g.over {
 		g.until = until
 	}
 }
 
 // lease is the duty that takes, renews and gives up the right to schedule.
 type lease struct {
-	self    string
+	self string
+	// store bounds an attempt on one path by leasePathTimeout.
 	store   workload.Store
 	replica *replica
 	logger  *zap.Logger
--- a/internal/deployment/reach.go
+++ b/internal/deployment/reach.go
@@ -32,6 +32,18 @@
 // reaches it. Often the store turns away only some instances. It implements
 // workload.Store.
 type reach struct {
+	*reachState
+	// limit bounds one attempt on one path.
+	limit time.Duration
+}
+
+// within returns the same reach with another bound for an attempt.
+func (r *reach) within(limit time.Duration) *reach {
+	return &reach{reachState: r.reachState, limit: limit}
+}
+
+// reachState is what all uses of the reach share.
+type reachState struct {
 	direct workload.Store
 	caller peer.Caller
 	logger *zap.Logger
@@ -138,14 +150,14 @@
 
 // Write implements workload.Store.
 func (r *reach) Write(ctx context.Context, write workload.Write) (workload.Written, error) {
-	return byAnyPath(ctx, r, pathTimeout, func(ctx context.Context, store workload.Store) (workload.Written, error) {
+	return byAnyPath(ctx, r, r.limit, func(ctx context.Context, store workload.Store) (workload.Written, error) {
 		return store.Write(ctx, write)
 	})
 }
 
 // Read implements workload.Store.
 func (r *reach) Read(ctx context.Context, source workload.Source, from, to string) (workload.Page, error) {
-	return byAnyPath(ctx, r, pathTimeout, func(ctx context.Context, store workload.Store) (workload.Page, error) {
+	return byAnyPath(ctx, r, r.limit, func(ctx context.Context, store workload.Store) (workload.Page, error) {
 		return store.Read(ctx, source, from, to)
 	})
 }
