Urgent work of one rack has others stopped there; late work comes behind

Cause: work inside a guarantee did not wait for a rack and so started across racks, where it takes three times as long, though lower work on one rack could be stopped; and jobs that were late (worth a quarter or less) still had others stopped and came before work of the next priority that could be on time. Ruled out: store and orders (half of the jobs start within 35 ms).

--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -84,25 +84,26 @@
 }
 
 // placeUnit starts what fits of a unit. What does not fit waits for room that
-// is being freed, has lower work stopped if it is protected, or keeps room for
+// is being freed, has lower work stopped if it is urgent, or keeps room for
 // later. It returns false if the unit, or a part of it, waits.
 func (c *Core) placeUnit(u *unit, rooms []*room, mayKeep bool) bool {
 	rooms = c.eligible(u, rooms)
-	whole := u.step.spec.Gang
-	now := c.find(u, rooms, len(u.tasks), func(r *room) workload.Resources { return r.open(c.now.Add(u.length)) })
-	if len(now) == len(u.tasks) || !whole && len(now) > 0 {
+	far := c.mayGoFar(u, rooms)
+	now := c.find(u, rooms, far, func(r *room) workload.Resources { return r.open(c.now.Add(u.length)) })
+	if len(now) == len(u.tasks) || !u.step.spec.Gang && len(now) > 0 {
 		c.startAt(u, now)
 		u.tasks = u.tasks[len(now):]
 	}
 	if len(u.tasks) == 0 {
 		return true
 	}
-	soon := c.find(u, rooms, len(u.tasks), func(r *room) workload.Resources { return r.soon })
-	if len(soon) < len(u.tasks) && u.rank.class <= 1 {
-		c.makeRoom(u, rooms, soon)
-	} else if len(soon) == len(u.tasks) {
+	soon := c.find(u, rooms, far, func(r *room) workload.Resources { return r.soon })
+	switch {
+	case len(soon) == len(u.tasks):
 		hold(u, soon)
-	} else if mayKeep && whole {
+	case u.rank.urgent():
+		c.makeRoom(u, rooms, far, soon)
+	case mayKeep && u.step.spec.Gang:
 		c.keep(u, rooms)
 	}
 	return false
@@ -137,9 +138,11 @@
 	return list
 }
 
-// find returns up to n slots. Tasks that belong on one rack get one if any rack
-// can take them all; tasks with data on a rack go there first.
-func (c *Core) find(u *unit, rooms []*room, n int, roomOf func(*room) workload.Resources) []slot {
+// find returns slots for the unit's tasks, or for as many as there are. Tasks
+// that belong on one rack get one that can take them all; tasks with data on a
+// rack go there first. Only if far is set do they go elsewhere.
+func (c *Core) find(u *unit, rooms []*room, far bool, roomOf func(*room) workload.Resources) []slot {
+	n := len(u.tasks)
 	counts := make([]int64, len(rooms))
 	for i, r := range rooms {
 		counts[i] = c.slots(u, r, roomOf(r))
@@ -148,13 +151,13 @@
 		if rack, ok := c.bestRack(u, rooms, counts, n); ok {
 			return pick(u, rooms, counts, n, func(r *room) bool { return r.Rack == rack })
 		}
-		if c.waitsForRack(u, rooms) {
+		if !far {
 			return nil
 		}
 	}
 	if rack := u.step.spec.DataRack; rack != "" {
 		near := pick(u, rooms, counts, n, func(r *room) bool { return r.Rack == rack })
-		if len(near) == n || c.waitsForRack(u, rooms) {
+		if len(near) == n || !far {
 			return near
 		}
 	}
@@ -180,19 +183,28 @@
 	return count
 }
 
-// rackPatience is how long work waits for its rack, as a share of its run time:
-// away from it it takes remoteFactor times as long, so waiting up to the
-// difference is no loss; half of it leaves a reserve for wrong estimates.
+// rackPatience is how long work waits for its rack, as a share of the time that
+// it would take longer elsewhere: waiting up to all of it is no loss; half of it
+// leaves a reserve for wrong estimates.
 const rackPatience = 0.5
 
-// waitsForRack reports whether it is better to wait for the rack than to start
-// away from it. Work inside a guarantee does not wait: its start is promised.
-func (c *Core) waitsForRack(u *unit, rooms []*room) bool {
-	if u.rank.class == 0 || !c.rackCouldHold(u, rooms) {
-		return false
+// reclaimReserve is kept of the reclaim bound: stopping others, the orders, and
+// one order that has to be repeated.
+const reclaimReserve = 1200 * time.Millisecond
+
+// mayGoFar reports whether the unit may start away from its rack: because no
+// rack could hold it, or because it has waited long enough. Work inside a
+// guarantee waits as long as its start is still in time.
+func (c *Core) mayGoFar(u *unit, rooms []*room) bool {
+	s := u.step.spec
+	if !s.OneRack && s.DataRack == "" || !c.rackCouldHold(u, rooms) {
+		return true
+	}
+	waited := c.now.Sub(u.step.readySince)
+	if u.rank.class == 0 {
+		return waited > c.bounds.Reclaim-c.bounds.StopTime-reclaimReserve
 	}
-	extra := float64(u.length) * (c.bounds.RemoteFactor - 1) * rackPatience
-	return float64(c.now.Sub(u.step.readySince)) < extra
+	return float64(waited) > float64(u.length)*(c.bounds.RemoteFactor-1)*rackPatience
 }
 
 // rackCouldHold reports whether the unit would fit on its rack, if that were
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -26,23 +26,39 @@
 type rank struct {
 	// class is 0 for work inside a guarantee, else 1 + the queue's priority.
 	class int
-	// lost says that the objective cannot be met any more, even late.
-	lost bool
+	// hope says whether the latency objective can still be met.
+	hope hope
 }
 
-func (r rank) compare(other rank) int {
-	if c := cmp.Compare(r.class, other.class); c != 0 {
-		return c
-	}
-	if r.lost != other.lost {
-		if r.lost {
-			return 1
-		}
-		return -1
+// hope is what a job can still earn.
+type hope int
+
+const (
+	// onTime jobs can meet their objective.
+	onTime hope = iota
+	// late jobs can only end before three times their objective: they are worth
+	// a quarter or less of what they were.
+	late
+	// lost jobs cannot even do that. They run when nothing else wants the room.
+	lost
+)
+
+// place orders ranks. A late job comes behind jobs of the next priority that
+// can be on time: in an overload the room would otherwise go to jobs that are
+// worth little any more, and make the next ones late as well.
+func (r rank) place() int {
+	if r.class == 0 {
+		return 0
 	}
-	return 0
+	return 2*r.class + 3*int(r.hope)
 }
 
+func (r rank) compare(other rank) int { return cmp.Compare(r.place(), other.place()) }
+
+// urgent work may have others stopped: inside a guarantee always, else only of
+// the first priority and if that makes it on time.
+func (r rank) urgent() bool { return r.class == 0 || r.class == 1 && r.hope == onTime }
+
 // lateFactor: a job is worth something until this many times its objective.
 const lateFactor = 3
 
@@ -102,7 +118,13 @@
 	if j.protected {
 		u.rank.class = 0
 	}
-	u.rank.lost = !j.protected && c.now.Add(u.length).After(u.lostBy) && !u.step.spec.Lasting
+	switch ends := c.now.Add(u.length); {
+	case u.step.spec.Lasting:
+	case ends.After(u.lostBy):
+		u.rank.hope = lost
+	case ends.After(u.dueBy):
+		u.rank.hope = late
+	}
 }
 
 // begins is when the clock of the latency objective starts: when the job was
--- /dev/null
+++ b/internal/dispatch/place_test.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+func singleJob(id, queue, account string, tasks int, accelerators int64) *workload.Job {
+	job := gangJob(id, queue, account, tasks, accelerators)
+	job.Steps[0].Gang = false
+	return job
+}
+
+// racksUsed counts the racks (the second letter of a worker's name) on which
+// tasks of a job run.
+func (b *bench) racksUsed(job string) int {
+	racks := make(map[byte]bool)
+	for id, w := range b.workers {
+		for key := range w.running {
+			if key.task.Job == job {
+				racks[id[1]] = true
+			}
+		}
+	}
+	return len(racks)
+}
+
+func (b *bench) runningOf(job string) int {
+	count := 0
+	for _, w := range b.workers {
+		for key := range w.running {
+			if key.task.Job == job {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func TestUrgentWorkOfOneRackHasOthersStoppedThereRatherThanSpreading(t *testing.T) {
+	for name, account := range map[string]string{"inside the guarantee": "acme", "outside of any": "other"} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 20, false) // two racks of ten
+			b.add(singleJob("filler", "batch", "other", 18, 8))
+			b.pass(time.Second)
+			urgent := gangJob("urgent", "urgent", account, 2, 8)
+			urgent.Steps[0].OneRack = true
+			// One worker is free in each rack: the gang would fit across both.
+			b.add(urgent)
+			b.pass(time.Second)
+			assert.Equal(t, b.runningOf("urgent"), 2)
+			assert.Equal(t, b.racksUsed("urgent"), 1)
+		})
+	}
+}
+
+func TestLateWorkHasNothingStoppedAndComesBehindWorkThatCanBeOnTime(t *testing.T) {
+	b := newBench(t, 1, false)
+	b.add(singleJob("filler", "batch", "other", 8, 1))
+	b.pass(time.Second)
+	late := gangJob("late", "urgent", "other", 1, 8)
+	late.AcceptedMS = b.wallMS - 6000 // its objective is 1.5 x 3 s + 0.25 s
+	b.core.AddJob(late, Record{}, false, false, b.now, b.wallMS)
+	b.pass(time.Second)
+	assert.Equal(t, b.runningOf("filler"), 8, "work was stopped for a job that is late all the same")
+	assert.Equal(t, b.stops, 0)
+}
+
+func TestABurstOfUrgentWorkInsideTheGuaranteeBeginsWithinItsBound(t *testing.T) {
+	b := newBench(t, 4, false)
+	b.add(singleJob("filler", "batch", "other", 32, 1))
+	b.pass(time.Second)
+	b.add(gangJob("first", "urgent", "acme", 1, 8))
+	b.add(singleJob("second", "urgent", "acme", 8, 1))
+	b.pass(testBounds.Reclaim)
+	assert.Equal(t, b.runningOf("first"), 1)
+	assert.Equal(t, b.runningOf("second"), 8)
+	assert.Equal(t, b.runningOf("filler"), 16, "no more is stopped than is needed")
+}
--- a/internal/dispatch/victims.go
+++ b/internal/dispatch/victims.go
@@ -15,14 +15,12 @@
 // work on a full deployment: without it guaranteed capacity would be there only
 // once others have ended. It stops as little work as it can, and nothing unless
 // the whole unit will fit.
-func (c *Core) makeRoom(u *unit, rooms []*room, soon []slot) {
-	if u.rank.class > 0 && !u.step.spec.Gang && len(soon) > 0 {
-		hold(u, soon)
-		return
-	}
-	plan := c.cheapest(u, rooms)
+func (c *Core) makeRoom(u *unit, rooms []*room, far bool, soon []slot) {
+	plan := c.cheapest(u, rooms, far)
 	if plan == nil {
-		hold(u, soon)
+		if !u.step.spec.Gang {
+			hold(u, soon)
+		}
 		return
 	}
 	for _, p := range plan {
@@ -47,24 +45,24 @@
 }
 
 // cheapest returns the offers that make the unit fit at the least cost, on one
-// rack if the unit belongs on one and some rack can give them; nil if nothing
-// can.
-func (c *Core) cheapest(u *unit, rooms []*room) []offer {
-	if u.step.spec.OneRack {
-		var best []offer
-		bestCost := 0.0
-		for _, members := range byRack(rooms) {
-			plan, cost := c.cheapestOf(u, members)
-			if plan != nil && (best == nil || cost < bestCost) {
-				best, bestCost = plan, cost
-			}
-		}
-		if best != nil {
-			return best
+// rack if the unit belongs on one, unless it may go far; nil if nothing can.
+func (c *Core) cheapest(u *unit, rooms []*room, far bool) []offer {
+	if !u.step.spec.OneRack {
+		plan, _ := c.cheapestOf(u, rooms)
+		return plan
+	}
+	var best []offer
+	bestCost := 0.0
+	for _, members := range byRack(rooms) {
+		plan, cost := c.cheapestOf(u, members)
+		if plan != nil && (best == nil || cost < bestCost) {
+			best, bestCost = plan, cost
 		}
 	}
-	plan, _ := c.cheapestOf(u, rooms)
-	return plan
+	if best == nil && far {
+		best, _ = c.cheapestOf(u, rooms)
+	}
+	return best
 }
 
 func byRack(rooms []*room) map[string][]*room {
