Urgent work waits for what ends at once by itself; silent workers lapse

Cause: every repeated look at a silent worker carried a longer lease and counted as granted, so its runs never counted as lapsed. A look after an unanswered one extends nothing now.

Also: orders that found no connection are known not to be carried out; a worker that was leaving, is no longer listed and refuses connections has left.

Urgent work that will have room within 0.7 s by others' ends stops nobody.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -480,6 +480,10 @@
 		c.fenced = true
 	case workload.VerdictGone:
 		c.lostWorker(w)
+	case workload.VerdictUnsent, workload.VerdictClosed:
+		w.missed(now)
+		c.rejected(r, "start not sent: "+receipt.Verdict.String())
+		c.closedWorker(w, receipt.Verdict)
 	default:
 		w.refused(now)
 		c.rejected(r, "start rejected: "+receipt.Verdict.String())
@@ -522,5 +526,6 @@
 		c.lostWorker(w)
 	default:
 		w.missed(now)
+		c.closedWorker(w, receipt.Verdict)
 	}
 }
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -102,9 +102,11 @@
 	case len(soon) == len(u.tasks):
 		hold(u, soon)
 	case u.rank.urgent():
-		c.makeRoom(u, rooms, far, soon)
+		if !c.waitOut(u, rooms, far) {
+			c.makeRoom(u, rooms, far, soon)
+		}
 	case mayKeep && u.step.spec.Gang:
-		c.keep(u, rooms)
+		c.keep(u, rooms, far)
 	}
 	return false
 }
--- a/internal/dispatch/leases.go
+++ b/internal/dispatch/leases.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
 // clockSkew is by how much a worker's clock may run slow.
@@ -62,6 +64,15 @@
 	w.nextLook = c.now.Add(time.Hour)
 }
 
+// closedWorker takes that nobody listens at a worker's address. If it was
+// leaving and is no longer listed either, it has left, and what ran there ended
+// with it. Otherwise it may be cut off: a connection is refused then as well.
+func (c *Core) closedWorker(w *worker, verdict workload.Verdict) {
+	if verdict == workload.VerdictClosed && w.Leaving && !w.unlistedSince.IsZero() {
+		c.lostWorker(w)
+	}
+}
+
 // mayRunUnseen reports whether a job's tasks may still run, by an earlier
 // epoch's order, on a worker that has not answered this one.
 func (c *Core) mayRunUnseen(j *job) bool {
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -15,37 +15,95 @@
 	need workload.Resources
 }
 
+// reservation is room that a unit will have by the ends of what runs.
+type reservation struct {
+	rooms  []*room
+	future map[*room]workload.Resources
+	at     time.Time
+}
+
 // keep reserves room in time for a unit that does not fit: the earliest moment
 // at which enough of its workers will have room, by the estimated ends of what
 // runs. Without it large gangs starve behind small work, which fills every gap
 // as soon as it opens.
-func (c *Core) keep(u *unit, rooms []*room) {
-	var candidates []*room
-	for _, r := range rooms {
-		if r.keptFrom.IsZero() {
-			candidates = append(candidates, r)
+func (c *Core) keep(u *unit, rooms []*room, far bool) {
+	if r := c.earliest(u, rooms, far); r != nil {
+		c.reserve(u, r)
+	}
+}
+
+// stopReserve is what is kept of an urgent unit's time when it waits for others
+// to end by themselves: if they do not, they still have to be stopped.
+const stopReserve = 400 * time.Millisecond
+
+// waitOutAhead bounds how far ahead ends are believed when urgent work waits for
+// them: an estimate of a second is off by less than one of five.
+const waitOutAhead = 700 * time.Millisecond
+
+// waitOut reserves room for an urgent unit that will have it in time without
+// stopping anyone; false if it will not. What is stopped is lost, and a unit
+// that has time to spare saves it. Estimates are wrong at times: the decision is
+// made anew in every round.
+func (c *Core) waitOut(u *unit, rooms []*room, far bool) bool {
+	latest := u.dueBy.Add(-u.length)
+	if u.rank.class == 0 {
+		if bound := u.step.readySince.Add(c.bounds.Reclaim - reclaimReserve); bound.Before(latest) || u.rank.hope != onTime {
+			latest = bound
+		}
+	}
+	latest = latest.Add(-c.bounds.StopTime - stopReserve)
+	if !c.now.Before(latest) {
+		return false
+	}
+	r := c.earliest(u, rooms, far)
+	if r == nil || r.at.After(latest) || r.at.Sub(c.now) > waitOutAhead {
+		return false
+	}
+	c.reserve(u, r)
+	return true
+}
+
+// earliest is the first moment at which the unit fits, on one rack if it belongs
+// on one.
+func (c *Core) earliest(u *unit, rooms []*room, far bool) *reservation {
+	if !u.step.spec.OneRack || far {
+		return c.earliestOn(u, rooms)
+	}
+	var best *reservation
+	for _, members := range byRack(rooms) {
+		r := c.earliestOn(u, members)
+		if r != nil && (best == nil || r.at.Before(best.at) || r.at.Equal(best.at) && r.rooms[0].order < best.rooms[0].order) {
+			best = r
 		}
 	}
-	future := make(map[*room]workload.Resources, len(candidates))
+	return best
+}
+
+func (c *Core) earliestOn(u *unit, rooms []*room) *reservation {
+	r := &reservation{at: c.now, future: make(map[*room]workload.Resources, len(rooms))}
 	total := int64(0)
-	for _, r := range candidates {
-		future[r] = r.soon
-		total += c.slots(u, r, r.soon)
+	for _, candidate := range rooms {
+		if !candidate.keptFrom.IsZero() {
+			continue
+		}
+		r.rooms = append(r.rooms, candidate)
+		r.future[candidate] = candidate.soon
+		total += c.slots(u, candidate, candidate.soon)
 	}
-	at := c.now
-	for _, end := range c.releases(candidates) {
-		if total >= int64(len(u.tasks)) {
+	wanted := int64(len(u.tasks))
+	for _, end := range c.releases(r.rooms) {
+		if total >= wanted {
 			break
 		}
-		before := c.slots(u, end.room, future[end.room])
-		future[end.room] = future[end.room].Add(end.need)
-		total += c.slots(u, end.room, future[end.room]) - before
-		at = end.at
+		before := c.slots(u, end.room, r.future[end.room])
+		r.future[end.room] = r.future[end.room].Add(end.need)
+		total += c.slots(u, end.room, r.future[end.room]) - before
+		r.at = end.at
 	}
-	if total < int64(len(u.tasks)) {
-		return
+	if total < wanted {
+		return nil
 	}
-	c.reserve(u, candidates, future, at)
+	return r
 }
 
 // releases lists the coming ends on workers, earliest first.
@@ -66,13 +124,13 @@
 
 // reserve keeps slots for a unit on the workers that will have them, those with
 // the least room to spare first.
-func (c *Core) reserve(u *unit, rooms []*room, future map[*room]workload.Resources, at time.Time) {
-	counts := make([]int64, len(rooms))
-	for i, r := range rooms {
-		counts[i] = c.slots(u, r, future[r])
+func (c *Core) reserve(u *unit, res *reservation) {
+	counts := make([]int64, len(res.rooms))
+	for i, r := range res.rooms {
+		counts[i] = c.slots(u, r, res.future[r])
 	}
-	for _, s := range pick(u, rooms, counts, len(u.tasks), func(*room) bool { return true }) {
+	for _, s := range pick(u, res.rooms, counts, len(u.tasks), func(*room) bool { return true }) {
 		s.worker.kept = s.worker.kept.Add(u.step.spec.Counted())
-		s.worker.keptFrom = at
+		s.worker.keptFrom = res.at
 	}
 }
--- a/internal/dispatch/sight.go
+++ b/internal/dispatch/sight.go
@@ -124,7 +124,10 @@
 
 func (c *Core) look(w *worker, wait time.Duration, quick bool) {
 	look := workload.Look{Worker: w.ID, Addr: w.Addr, Epoch: c.epoch, Noted: w.noted, Wait: wait}
-	if w.clockMS > 0 && len(w.runs) > 0 {
+	// A worker that does not answer gets no longer lease: a look that it never
+	// received would count as an extension, and its runs would never be taken for
+	// lapsed.
+	if w.clockMS > 0 && len(w.runs) > 0 && w.misses == 0 {
 		look.UntilMS = w.clock(c.now) + c.bounds.LongestLease.Milliseconds()
 		w.lease(look.UntilMS)
 	}
@@ -156,6 +159,7 @@
 		return
 	default:
 		w.missed(now)
+		c.closedWorker(w, sight.Verdict)
 		return
 	}
 	w.misses, w.nextLook, w.known = 0, time.Time{}, true
--- a/internal/workload/ports.go
+++ b/internal/workload/ports.go
@@ -116,9 +116,13 @@
 	VerdictUnwell
 	// VerdictRejected means that the worker calls the order malformed.
 	VerdictRejected
+	// VerdictUnsent means that there was no connection: nothing was carried out.
+	VerdictUnsent
+	// VerdictClosed means the same, because nobody listens at the address.
+	VerdictClosed
 )
 
-var verdictNames = [...]string{"done", "unknown", "fenced", "old", "late", "no_room", "no_ticket", "gone", "unwell", "rejected"}
+var verdictNames = [...]string{"done", "unknown", "fenced", "old", "late", "no_room", "no_ticket", "gone", "unwell", "rejected", "unsent", "closed"}
 
 // String implements fmt.Stringer.
 func (v Verdict) String() string { return verdictNames[v] }
