A holder that neither renews nor answers is replaced early

Now an instance that sees no renewal for 1.1 s asks the holder, and takes the lease if it does not answer or does not hold it; a restarted holder takes its own row at once. Safe because a new epoch starts nothing that could run unseen: until the lease before is surely over, jobs count as old, and old jobs wait for every worker's answer (which fences the holder before) or for the longest lease.

--- a/internal/deployment/conduct.go
+++ b/internal/deployment/conduct.go
@@ -96,17 +96,28 @@
 
 func (c *conductor) fill() {
 	now, wallMS := bootTime(), time.Now().UnixMilli()
-	c.core = dispatch.New(c.instance.live.Load().bounds(), c.grant.epoch, now, c.grant.earlier)
+	c.core = dispatch.New(c.instance.live.Load().bounds(), c.grant.epoch, now, c.earlier(now))
 	c.core.Configure(c.instance.configuration.Load())
 	for _, w := range c.instance.workers.recent(now) {
 		c.core.Listed([]workload.Worker{w}, now, wallMS)
 	}
 	c.core.Listed(c.instance.workers.list(), now, wallMS)
 	for _, known := range c.instance.replica.snapshot() {
-		c.core.AddJob(known.job, known.record, known.cancelled, c.grant.earlier, now, wallMS)
+		c.core.AddJob(known.job, known.record, known.cancelled, now, wallMS)
 	}
 }
 
+// earlier is until when a holder before this one may have given orders.
+func (c *conductor) earlier(now time.Time) time.Time {
+	if !c.grant.earlier {
+		return time.Time{}
+	}
+	if c.grant.overlap.After(now) {
+		return c.grant.overlap
+	}
+	return now
+}
+
 // post hands an event to the loop; it waits while the ring is full, and gives
 // up when the lease is over.
 func (c *conductor) post(e event) {
--- a/internal/deployment/gossip.go
+++ b/internal/deployment/gossip.go
@@ -107,6 +107,15 @@
 	i.heard(id, response.GetHello())
 }
 
+// holdsLease asks an instance whether it holds the lease.
+func (i *Instance) holdsLease(ctx context.Context, id string) (bool, error) {
+	response, err := i.node.Call(ctx, id, &peerpb.Request{Body: &peerpb.Request_Hello{Hello: i.hello()}})
+	if err != nil {
+		return false, err
+	}
+	return response.GetHello().GetEpoch() > 0, nil
+}
+
 // heard takes a peer's hello, and passes the configuration on to a peer that
 // has an older one.
 func (i *Instance) heard(id string, hello *peerpb.Hello) {
--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -108,7 +108,7 @@
 	kept := 2 * s.bounds().LongestLease
 	i.workers = newRoster(o.Decoder, kept, o.Logger)
 	i.lease = &lease{
-		self: s.Listen.Peers, store: i.store.within(leasePathTimeout), replica: i.replica, logger: o.Logger, eligible: i.eligible, hold: i.hold,
+		self: s.Listen.Peers, store: i.store.within(leasePathTimeout), replica: i.replica, logger: o.Logger, eligible: i.eligible, hold: i.hold, holds: i.holdsLease,
 	}
 	i.replica.changed = i.jobChanged
 	i.workers.changed = i.workersChanged
@@ -130,7 +130,7 @@
 		return
 	}
 	conductor.post(func(core *dispatch.Core, now time.Time, wallMS int64) {
-		core.AddJob(known.job, known.record, known.cancelled, false, now, wallMS)
+		core.AddJob(known.job, known.record, known.cancelled, now, wallMS)
 		if known.cancelled {
 			core.Cancel(c.job, now, wallMS)
 		}
--- a/internal/deployment/lease.go
+++ b/internal/deployment/lease.go
@@ -26,6 +26,12 @@
 	// moment others may take it: two steady clocks differ by at most 2 %, and an
 	// order under way is bounded by it too.
 	leaseMargin = 300 * time.Millisecond
+	// suspectAfter is how long a holder may go without a renewal being seen before
+	// it is asked whether it is still there: two renewals and what the feed takes.
+	// Most holders that die are missed so, in half the time of the lease.
+	suspectAfter = 2*renewEvery + othersGap + 100*time.Millisecond
+	// probeTimeout bounds that question.
+	probeTimeout = 250 * time.Millisecond
 	// campaignEvery is how often an instance looks whether the lease is free.
 	campaignEvery = 50 * time.Millisecond
 	// candidateStep spreads the candidates, so that one of them is first.
@@ -40,6 +46,8 @@
 	epochVersion int64
 	// earlier says that there was an epoch before this one.
 	earlier bool
+	// overlap is until when the holder before may still believe in its lease.
+	overlap time.Time
 
 	mu      sync.Mutex
 	version int64
@@ -80,6 +88,9 @@
 	store   workload.Store
 	replica *replica
 	logger  *zap.Logger
+	// holds asks an instance whether it holds the lease; an error means that it
+	// did not answer.
+	holds func(ctx context.Context, instance string) (bool, error)
 	// eligible reports whether this instance may take the lease now.
 	eligible func() bool
 	// hold runs while the lease is held; it returns when the context ends.
@@ -105,7 +116,7 @@
 // run campaigns and holds until the context ends; then it releases the lease.
 func (l *lease) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !l.free() {
+		if !l.free(ctx) {
 			pause(ctx, campaignEvery)
 			continue
 		}
@@ -139,17 +150,33 @@
 	}
 }
 
-// free reports whether the lease may be taken, as far as this instance knows.
-func (l *lease) free() bool {
+// free reports whether the lease may be taken, as far as this instance knows:
+// it was released, or it is over, or its holder does not hold it any more. A
+// holder that answers nobody may believe in its lease yet; whoever takes it
+// early must reckon with that (grant.overlap).
+func (l *lease) free(ctx context.Context) bool {
 	if !l.eligible() {
 		return false
 	}
 	seen := l.replica.seenLeader()
-	if seen.version == 0 || seen.Released {
+	if seen.version == 0 || seen.Released || seen.Holder == l.self {
+		// Its own row is from an earlier process at this address, which is gone.
 		return true
 	}
-	wait := leaseLength + leaseMargin + time.Duration(l.place())*candidateStep
-	return bootTime().Sub(seen.since) >= wait
+	age := bootTime().Sub(seen.since)
+	turn := time.Duration(l.place()) * candidateStep
+	if age >= leaseLength+leaseMargin+turn {
+		return true
+	}
+	return age >= suspectAfter+turn && !l.answers(ctx, seen.Holder)
+}
+
+// answers reports whether an instance says that it holds the lease.
+func (l *lease) answers(ctx context.Context, instance string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	holds, err := l.holds(ctx, instance)
+	return err == nil && holds
 }
 
 // place is this instance's place among the known ones.
@@ -170,12 +197,15 @@
 		return nil
 	}
 	l.replica.apply(page.Rows)
-	if !l.free() {
+	if !l.free(ctx) {
 		return nil
 	}
 	seen := l.replica.seenLeader()
 	epochVersion := l.replica.version(epochKey)
 	g := &grant{epoch: seen.Epoch + 1, earlier: seen.version != 0}
+	if !seen.Released {
+		g.overlap = seen.since.Add(leaseLength)
+	}
 	sent := bootTime()
 	row := leaderRow{Holder: l.self, Epoch: g.epoch}
 	written, err := l.store.Write(ctx, workload.Write{
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -47,6 +47,8 @@
 	workers map[string]*worker
 	// sequence counts events; it tells which of two things came first.
 	sequence uint64
+	// earlier is until when an earlier epoch may have given orders.
+	earlier time.Time
 	// surelyQuiet is when nothing that an earlier epoch started can run on a
 	// worker that has not answered yet.
 	surelyQuiet time.Time
@@ -58,15 +60,17 @@
 	wallMS      int64
 }
 
-// New returns the core of an epoch that begins now. earlier says that there
-// was an epoch before, which may have left work on workers.
-func New(bounds workload.Bounds, epoch int64, now time.Time, earlier bool) *Core {
+// New returns the core of an epoch that begins now. earlier is until when a
+// holder before may have given orders, which may even be later than now; zero if
+// there was none.
+func New(bounds workload.Bounds, epoch int64, now, earlier time.Time) *Core {
 	c := &Core{
 		bounds: bounds, epoch: epoch, jobs: make(map[string]*job), workers: make(map[string]*worker),
 		dirty: make(map[string]*job), estimates: newEstimates(), now: now,
 	}
-	if earlier {
-		c.surelyQuiet = now.Add(slowest(bounds.LongestLease) + bounds.StopTime)
+	if !earlier.IsZero() {
+		c.earlier = earlier
+		c.surelyQuiet = earlier.Add(slowest(bounds.LongestLease) + bounds.StopTime)
 	}
 	return c
 }
@@ -158,14 +162,14 @@
 	received  time.Time
 }
 
-// AddJob adds an accepted job with its record. old says that an earlier epoch
-// may have started it. Adding a known job again changes nothing.
-func (c *Core) AddJob(accepted *workload.Job, record Record, cancelled, old bool, now time.Time, wallMS int64) {
+// AddJob adds an accepted job with its record. Adding a known job again changes
+// nothing.
+func (c *Core) AddJob(accepted *workload.Job, record Record, cancelled bool, now time.Time, wallMS int64) {
 	c.tick(now, wallMS)
 	if c.jobs[accepted.ID] != nil {
 		return
 	}
-	j := &job{Job: accepted, record: record.clone(), old: old && c.surelyQuiet.After(now), received: now}
+	j := &job{Job: accepted, record: record.clone(), old: !c.earlier.IsZero() && !now.After(c.earlier), received: now}
 	if age := wallMS - accepted.AcceptedMS; age > 0 && age < maxJobAge.Milliseconds() {
 		j.received = now.Add(-time.Duration(age) * time.Millisecond)
 	}
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -47,7 +47,11 @@
 
 func newBench(t *testing.T, workers int, earlier bool) *bench {
 	b := &bench{t: t, now: epochStart, wallMS: 1_700_000_000_000, workers: make(map[string]*fakeWorker), silent: make(map[string]bool)}
-	b.core = New(testBounds, 2, b.now, earlier)
+	var before time.Time
+	if earlier {
+		before = b.now
+	}
+	b.core = New(testBounds, 2, b.now, before)
 	b.core.Configure(testConfig())
 	for n := range workers {
 		b.addWorker(fmt.Sprintf("w%02d", n))
@@ -194,7 +198,7 @@
 
 func (b *bench) add(job *workload.Job) {
 	job.AcceptedMS = b.wallMS
-	b.core.AddJob(job, Record{}, false, false, b.now, b.wallMS)
+	b.core.AddJob(job, Record{}, false, b.now, b.wallMS)
 }
 
 func (b *bench) running() int {
@@ -231,7 +235,7 @@
 	over := gangJob("over", "batch", "other", 1, 8)
 	stuck := runKey{workload.TaskID{Job: "over"}, 1_000_001}
 	w.running[stuck] = &fakeRun{need: workload.Resources{Accelerators: 8}}
-	b.core.AddJob(over, Record{}, true, true, b.now, b.wallMS)
+	b.core.AddJob(over, Record{}, true, b.now, b.wallMS)
 	b.core.settle() // the job is over and has no run that this epoch knows of
 	actions := b.core.Decide(b.now, b.wallMS)
 	assert.Equal(t, len(actions), 1)
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -70,7 +70,7 @@
 	b.pass(time.Second)
 	late := gangJob("late", "urgent", "other", 1, 8)
 	late.AcceptedMS = b.wallMS - 6000 // its objective is 1.5 x 3 s + 0.25 s
-	b.core.AddJob(late, Record{}, false, false, b.now, b.wallMS)
+	b.core.AddJob(late, Record{}, false, b.now, b.wallMS)
 	b.pass(time.Second)
 	assert.Equal(t, b.runningOf("filler"), 8, "work was stopped for a job that is late all the same")
 	assert.Equal(t, b.stops, 0)
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -36,9 +36,10 @@
 // to end by themselves: if they do not, they still have to be stopped.
 const stopReserve = 400 * time.Millisecond
 
-// waitOutAhead bounds how far ahead ends are believed when urgent work waits for
-// them: an estimate of a second is off by less than one of five.
-const waitOutAhead = 700 * time.Millisecond
+// waitOutAhead, added to the time that a stop takes, bounds how far ahead ends
+// are believed when urgent work waits for them: stopping takes time as well, and
+// an estimate of half a second is off by little.
+const waitOutAhead = 500 * time.Millisecond
 
 // waitOut reserves room for an urgent unit that will have it in time without
 // stopping anyone; false if it will not. What is stopped is lost, and a unit
@@ -56,7 +57,7 @@
 		return false
 	}
 	r := c.earliest(u, rooms, far)
-	if r == nil || r.at.After(latest) || r.at.Sub(c.now) > waitOutAhead {
+	if r == nil || r.at.After(latest) || r.at.Sub(c.now) > c.bounds.StopTime+waitOutAhead {
 		return false
 	}
 	c.reserve(u, r)
--- /dev/null
+++ b/internal/dispatch/takeover_test.go
@@ -0,0 +1,46 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// takeover is a bench whose holder before may give orders for a while yet.
+func takeover(t *testing.T, overlap time.Duration) *bench {
+	b := newBench(t, 2, true)
+	b.core = New(testBounds, 3, b.now, b.now.Add(overlap))
+	b.core.Configure(testConfig())
+	b.silent["w01"] = true
+	b.list()
+	return b
+}
+
+func TestWorkThatMayRunUnseenWaitsForEveryWorkerOrForTheLongestLease(t *testing.T) {
+	b := takeover(t, 0)
+	b.add(gangJob("old", "batch", "other", 1, 8))
+	b.pass(testBounds.LongestLease)
+	assert.Equal(t, b.runningOf("old"), 0, "the silent worker may run it")
+	b.pass(time.Second)
+	assert.Equal(t, b.runningOf("old"), 1)
+}
+
+func TestWorkAcceptedWhileTheHolderBeforeMayGiveOrdersWaitsAsWell(t *testing.T) {
+	b := takeover(t, time.Second)
+	b.pass(500 * time.Millisecond)
+	b.add(gangJob("between", "batch", "other", 1, 8))
+	b.pass(time.Second)
+	assert.Equal(t, b.runningOf("between"), 0, "the holder before may have started it on the silent worker")
+	b.add(gangJob("after", "batch", "other", 1, 8))
+	b.pass(time.Second)
+	assert.Equal(t, b.runningOf("after"), 1)
+}
+
+func TestOnceEveryWorkerHasAnsweredNothingWaits(t *testing.T) {
+	b := takeover(t, time.Second)
+	b.silent["w01"] = false
+	b.add(gangJob("old", "batch", "other", 1, 8))
+	b.pass(200 * time.Millisecond)
+	assert.Equal(t, b.runningOf("old"), 1)
+}
