Tickets of the placement advisor; leaving workers are emptied

Queues with an advisor were started without a ticket and so never ran. A step now asks about the emptiest workers, starts with a ticket that holds yet, and remembers refusals, which do not change. What a leaving worker will not finish is stopped in time, with its checkpoint, and goes on elsewhere.

--- a/internal/deployment/accept.go
+++ b/internal/deployment/accept.go
@@ -75,7 +75,7 @@
 func (i *Instance) Submit(ctx context.Context, caller Caller, job *workload.Job) error {
 	job.Queue, job.Account = caller.Queue.Name, caller.Account
 	job.AcceptedMS = time.Now().UnixMilli()
-	err := i.submit(ctx, job)
+	err := i.submit(ctx, caller, job)
 	i.logger.Info("submit", zap.String("job", job.ID), zap.String("queue", job.Queue), zap.String("client_account", job.Account),
 		zap.Int64("config_version", i.configVersion()), zap.String("error_kind", kindName(err)), zap.Error(err))
 	metrics.GetOrCreateCounter(`corianderbank_deployment_submits_total{error_kind="` + kindName(err) + `"}`).Inc()
@@ -89,7 +89,10 @@
 	return string(api.KindOf(err))
 }
 
-func (i *Instance) submit(ctx context.Context, job *workload.Job) error {
+func (i *Instance) submit(ctx context.Context, caller Caller, job *workload.Job) error {
+	if caller.Queue.Advice != nil && i.options.Advisor == nil {
+		return api.NewError(api.KindNotReady, "queue %s needs a placement advisor and the settings name none", caller.Queue.Name)
+	}
 	if known, ok := i.replica.get(job.ID); ok {
 		return sameJob(known.job, job)
 	}
--- a/internal/deployment/conduct.go
+++ b/internal/deployment/conduct.go
@@ -192,9 +192,21 @@
 		c.orders.Submit(func() { c.stop(action) })
 	case dispatch.ActLook:
 		c.orders.Submit(func() { c.look(action) })
+	case dispatch.ActAsk:
+		c.orders.Submit(func() { c.ask(action.Ask) })
 	}
 }
 
+// ask puts a question to the placement advisor.
+func (c *conductor) ask(question workload.Question) {
+	ctx, cancel := context.WithTimeout(c.ctx, question.Within)
+	defer cancel()
+	counsel := c.instance.options.Advisor.Advise(ctx, question)
+	c.logger.Info("advice", zap.String("job", question.Step.Job), zap.Int("step", question.Step.Step),
+		zap.Int("asked", len(question.Workers)), zap.Int("allowed", len(counsel.Allowed)), zap.Error(counsel.Err))
+	c.post(func(core *dispatch.Core, now time.Time, wallMS int64) { core.Advised(question, counsel, now, wallMS) })
+}
+
 func (c *conductor) logOrder(what string, action dispatch.Action) {
 	o := action.Order
 	c.logger.Info("order", zap.String("order", what), zap.String("job", o.Task.Job), zap.Int("occurrence", o.Task.Occurrence),
--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -33,8 +33,10 @@
 	Settings *Settings
 	Store    workload.Store
 	Workers  workload.Workers
-	Decoder  Decoder
-	Logger   *zap.Logger
+	// Advisor is the placement advisor, or nil.
+	Advisor workload.Advisor
+	Decoder Decoder
+	Logger  *zap.Logger
 	// Reload reads the settings again. Changed is told of new ones.
 	Reload  func() (*Settings, error)
 	Changed func(*Settings)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -19,6 +19,8 @@
 	ActStart ActionKind = iota
 	ActStop
 	ActLook
+	// ActAsk asks the placement advisor.
+	ActAsk
 )
 
 // Action is something for the driver to do. Its answer comes back as an event.
@@ -26,6 +28,7 @@
 	Kind  ActionKind
 	Order workload.Order
 	Look  workload.Look
+	Ask   workload.Question
 	// Sequence identifies a look: what was ordered before it was sent.
 	Sequence uint64
 	// Quick looks run beside the waiting one.
@@ -55,9 +58,11 @@
 	dirty       map[string]*job
 	fenced      bool
 	estimates   estimates
-	actions     []Action
-	now         time.Time
-	wallMS      int64
+	// asking counts the questions to the advisor under way.
+	asking  int
+	actions []Action
+	now     time.Time
+	wallMS  int64
 }
 
 // New returns the core of an epoch that begins now. earlier is until when a
@@ -93,6 +98,8 @@
 	// readySince is when it could first have run; zero while it could not.
 	readySince time.Time
 	began      bool
+	// advice is what the advisor said of workers, on queues that have one.
+	advice advice
 }
 
 type task struct {
@@ -343,6 +350,7 @@
 		c.place()
 	}
 	c.resendStops()
+	c.evacuate()
 	c.looks()
 	actions := c.actions
 	c.actions = nil
@@ -374,7 +382,7 @@
 	w.lease(until)
 	c.actions = append(c.actions, Action{Kind: ActStart, Reason: reason, Order: workload.Order{
 		Worker: w.ID, Addr: w.Addr, Task: t.id(), Attempt: attempt, Epoch: c.epoch, UntilMS: until,
-		Spec: t.step.job.Spec, Checkpoint: r.checkpoint,
+		Spec: t.step.job.Spec, Checkpoint: r.checkpoint, Ticket: t.step.advice.tickets[w.ID].ticket,
 	}})
 }
 
@@ -484,6 +492,9 @@
 		c.fenced = true
 	case workload.VerdictGone:
 		c.lostWorker(w)
+	case workload.VerdictNoTicket:
+		delete(r.task.step.advice.tickets, w.ID)
+		c.rejected(r, "start rejected: "+receipt.Verdict.String())
 	case workload.VerdictUnsent, workload.VerdictClosed:
 		w.missed(now)
 		c.rejected(r, "start not sent: "+receipt.Verdict.String())
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -18,9 +18,13 @@
 	wallMS  int64
 	workers map[string]*fakeWorker
 	// silent workers answer nothing; what is sent to them is not carried out.
-	silent map[string]bool
-	// lost starts are carried out, or not, without an answer.
+	silent        map[string]bool
 	starts, stops int
+	// leaving holds how long workers have left that leave.
+	leaving map[string]time.Duration
+	// answer is the placement advisor.
+	answer  func(workload.Question) workload.Counsel
+	tickets map[string]bool
 }
 
 type fakeWorker struct {
@@ -47,6 +51,7 @@
 
 func newBench(t *testing.T, workers int, earlier bool) *bench {
 	b := &bench{t: t, now: epochStart, wallMS: 1_700_000_000_000, workers: make(map[string]*fakeWorker), silent: make(map[string]bool)}
+	b.leaving, b.tickets = make(map[string]time.Duration), make(map[string]bool)
 	var before time.Time
 	if earlier {
 		before = b.now
@@ -83,7 +88,10 @@
 func (b *bench) list() {
 	var list []workload.Worker
 	for id, w := range b.workers {
-		list = append(list, workload.Worker{ID: id, Addr: id, Pool: "pool", Rack: "r" + id[1:2], Room: w.room})
+		left, leaving := b.leaving[id]
+		list = append(list, workload.Worker{
+			ID: id, Addr: id, Pool: "pool", Rack: "r" + id[1:2], Room: w.room, Leaving: leaving, LeavesInMS: left.Milliseconds(),
+		})
 	}
 	b.core.Listed(list, b.now, b.wallMS)
 }
@@ -107,6 +115,10 @@
 }
 
 func (b *bench) carryOut(a Action) {
+	if a.Kind == ActAsk {
+		b.core.Advised(a.Ask, b.answer(a.Ask), b.now, b.wallMS)
+		return
+	}
 	id := a.Order.Worker + a.Look.Worker
 	w := b.workers[id]
 	if w == nil || b.silent[id] {
@@ -116,6 +128,9 @@
 	switch a.Kind {
 	case ActStart:
 		b.starts++
+		if a.Order.Ticket != "" {
+			b.tickets[a.Order.Ticket] = true
+		}
 		b.core.StartAnswered(a.Order, b.begin(w, a.Order), b.now, b.wallMS)
 	case ActStop:
 		b.stops++
@@ -209,6 +224,24 @@
 	return count
 }
 
+// leave makes a worker say that it leaves.
+func (b *bench) leave(id string, left time.Duration) {
+	b.leaving[id] = left
+	b.list()
+}
+
+// hostOf returns a worker that a job runs on.
+func (b *bench) hostOf(job string) string {
+	for id, w := range b.workers {
+		for key := range w.running {
+			if key.task.Job == job {
+				return id
+			}
+		}
+	}
+	return ""
+}
+
 func gangJob(id, queue, account string, tasks int, accelerators int64) *workload.Job {
 	return &workload.Job{ID: id, Queue: queue, Account: account, Steps: []workload.Step{{
 		Count: tasks, Gang: true, EstimateMS: 3000, Need: workload.Resources{MilliCPU: 1000, MemoryMB: 1000, Accelerators: accelerators},
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -10,6 +10,8 @@
 //	fit.go     which workers it fits on
 //	reserve.go room kept for large work, and what may run beside it
 //	victims.go what is stopped for guaranteed work
+//	advice.go  tickets of the placement advisor
+//	evacuate.go what leaves a worker before the worker does
 //	health.go  which workers are trusted
 //	leases.go  when a silent worker has surely stopped
 //	record.go  what of a job is stored
--- a/internal/dispatch/sight.go
+++ b/internal/dispatch/sight.go
@@ -39,9 +39,11 @@
 	lastLook           uint64
 	// unlistedSince is when the platform ceased to list the worker.
 	unlistedSince time.Time
-	holdOff       time.Time
-	misses        int
-	health        health
+	// leavesAt is the earliest time at which a leaving worker goes.
+	leavesAt time.Time
+	holdOff  time.Time
+	misses   int
+	health   health
 }
 
 // unrecordedEnd is an end that must not be acknowledged before its job's
@@ -73,6 +75,9 @@
 			w = &worker{Worker: listed, runs: make(map[runKey]*run)}
 			c.workers[listed.ID] = w
 		}
+		if listed.Leaving && listed.LeavesInMS > 0 && (!w.Leaving || w.leavesAt.IsZero() || listed.LeavesInMS != w.LeavesInMS) {
+			w.leavesAt = now.Add(time.Duration(listed.LeavesInMS) * time.Millisecond)
+		}
 		w.Worker = listed
 		w.unlistedSince = time.Time{}
 	}
--- a/internal/workload/ports.go
+++ b/internal/workload/ports.go
@@ -202,3 +202,32 @@
 	// Forget closes what is kept for a worker that is gone.
 	Forget(worker string)
 }
+
+// Question asks the placement advisor which workers may run a step.
+type Question struct {
+	// Step names the step; its Index says nothing.
+	Step    TaskID
+	Workers []string
+	// Within bounds the answer: the advisor takes a while for each worker.
+	Within time.Duration
+}
+
+// Ticket is the advisor's word that a worker may run a step.
+type Ticket struct {
+	Worker string
+	Ticket string
+}
+
+// Counsel is the advisor's answer.
+type Counsel struct {
+	// Allowed are the workers named that may run the step.
+	Allowed []Ticket
+	// ValidFor is how long the tickets hold.
+	ValidFor time.Duration
+	Err      error
+}
+
+// Advisor answers which workers a queue's policy allows.
+type Advisor interface {
+	Advise(ctx context.Context, question Question) Counsel
+}
