--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -32,7 +32,6 @@
 	running map[runKey]*fakeRun
 	ended   []workload.Ended
 	number  int64
-	fence   int64
 	closed  map[workload.TaskID]int64
 }
 
