--- a/internal/deployment/reach.go
+++ b/internal/deployment/reach.go
@@ -161,7 +161,7 @@
 }
 
 // reachable reports whether the store answered lately by any path, and directly.
-func (r *reach) reachable() (any, directly bool) {
+func (r *reach) reachable() (byAnyPath, directly bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := bootTime()
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -12,7 +12,7 @@
 
 // bench drives a core against workers that do as they are told.
 type bench struct {
-	t       *testing.T
+	t       testing.TB
 	core    *Core
 	now     time.Time
 	wallMS  int64
@@ -48,7 +48,7 @@
 
 var epochStart = time.Unix(1_000_000, 0)
 
-func newBench(t *testing.T, workers int, earlier bool) *bench {
+func newBench(t testing.TB, workers int, earlier bool) *bench {
 	b := &bench{t: t, now: epochStart, wallMS: 1_700_000_000_000, workers: make(map[string]*fakeWorker), silent: make(map[string]bool)}
 	b.leaving, b.tickets = make(map[string]time.Duration), make(map[string]bool)
 	var before time.Time
@@ -89,7 +89,7 @@
 	for id, w := range b.workers {
 		left, leaving := b.leaving[id]
 		list = append(list, workload.Worker{
-			ID: id, Addr: id, Pool: "pool", Rack: "r" + id[1:2], Room: w.room, Leaving: leaving, LeavesInMS: left.Milliseconds(),
+			ID: id, Addr: id, Pool: "pool", Rack: "r" + id[1:len(id)-1], Room: w.room, Leaving: leaving, LeavesInMS: left.Milliseconds(),
 		})
 	}
 	b.core.Listed(list, b.now, b.wallMS)
--- a/test/docs/docs_test.go
+++ b/test/docs/docs_test.go
@@ -25,7 +25,7 @@
 
 const (
 	apiPage       = "docs/API.md"
-	operatingPage = "docs/OPERATING.md"
+	operatingPage = "docs/OPERATIONS.md"
 )
 
 func TestErrorKindsOfThePageAreThoseOfTheTable(t *testing.T) {
