--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -94,6 +94,8 @@
 		"an unknown job":                  {refuse(api.KindNotFound), []string{"job", "show", "j-1"}, ExitFailed, "GET /v1/jobs/j-1", "not_found"},
 		"list jobs":                       {accept(api.JobList{Jobs: []api.JobAnswer{{ID: "j-1"}}}), []string{"job", "list", "--account", "a b"}, ExitDone, "GET /v1/jobs?account=a+b", "j-1"},
 		"cancel a job":                    {accept(api.JobAnswer{ID: "j-1"}), []string{"job", "cancel", "j-1"}, ExitDone, "DELETE /v1/jobs/j-1", "j-1"},
+		"explain from logs":               {accept(nil), []string{"explain", "ab12", "--log", file(t, "ts=2 msg=submit job=ab12 queue=q\nts=1 msg=order order=start job=ab12 step=0\nts=3 msg=submit job=ab123\n")}, ExitDone, "", "ts=1 msg=order order=start job=ab12 step=0\nts=2 msg=submit job=ab12 queue=q\nnot found in 1 files: an end of a task"},
+		"explain from no log":             {accept(nil), []string{"explain", "ab12", "--log", "/nowhere/log"}, ExitUsage, "", "/nowhere"},
 		"explain":                         {accept(api.Explanation{Decisions: []api.Decision{{Step: "admit"}}}), []string{"explain", "r-1"}, ExitDone, "GET /v1/explain/r-1", "admit"},
 		"status":                          {accept(api.Status{Zones: []api.ZoneStatus{{AvailabilityZone: "z"}}}), []string{"status"}, ExitDone, "GET /v1/status", "z"},
 		"come back later":                 {refuse(api.KindStopping), []string{"status"}, ExitFailed, "GET /v1/status", "come back in 3 s"},
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -19,7 +19,13 @@
 	s.add(s.app.Command("status", "Print instances, zones and client accounts."), s.status)
 	explain := s.app.Command("explain", "Print every decision on a request or a job, in order.")
 	id := explain.Arg("id", "Request or job.").Required().String()
-	s.add(explain, func() error { return s.explain(*id) })
+	logs := explain.Flag("log", "Log file to read instead of asking the instances; may be repeated.").PlaceHolder("FILE").Strings()
+	s.add(explain, func() error {
+		if len(*logs) > 0 {
+			return s.trace(*id, *logs)
+		}
+		return s.explain(*id)
+	})
 }
 
 func (s *shell) status() error {
