--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -57,7 +57,9 @@
 	surelyQuiet time.Time
 	dirty       map[string]*job
 	fenced      bool
-	estimates   estimates
+	// urgentAt is when the last job of the first priority came.
+	urgentAt  time.Time
+	estimates estimates
 	// asking counts the questions to the advisor under way.
 	asking  int
 	actions []Action
@@ -190,6 +192,11 @@
 		}
 	}
 	c.queue = append(c.queue, j)
+	if c.config != nil {
+		if q := c.config.Queue(j.Queue); q != nil && q.Priority == 0 {
+			c.urgentAt = now
+		}
+	}
 	if cancelled {
 		c.cancel(j)
 		return
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -87,6 +87,9 @@
 // is being freed, has lower work stopped if it is urgent, or keeps room for
 // later. It returns false if the unit, or a part of it, waits.
 func (c *Core) placeUnit(u *unit, rooms []*room, mayKeep bool) bool {
+	if c.keepsOut(u) {
+		rooms = withoutHeadroom(rooms)
+	}
 	rooms = c.allowed(u, c.eligible(u, rooms))
 	far := c.mayGoFar(u, rooms)
 	now := c.find(u, rooms, far, func(r *room) workload.Resources { return r.open(c.now.Add(u.length)) })
