Room kept for urgent work follows its use of late

Instead of a fixed share of whole workers: workers that run nothing but urgent work stay closed to batch work that would lose what it did, as many as urgent work used on average over 8 s, and 0.3 more.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -57,7 +57,9 @@
 	surelyQuiet time.Time
 	dirty       map[string]*job
 	fenced      bool
-	// urgentAt is when the last job of the first priority came.
+	// urgentUse is the average number of accelerators that work of the first
+	// priority used of late, by pool, as of urgentAt.
+	urgentUse map[string]float64
 	urgentAt  time.Time
 	estimates estimates
 	// asking counts the questions to the advisor under way.
@@ -73,7 +75,7 @@
 func New(bounds workload.Bounds, epoch int64, now, earlier time.Time) *Core {
 	c := &Core{
 		bounds: bounds, epoch: epoch, jobs: make(map[string]*job), workers: make(map[string]*worker),
-		dirty: make(map[string]*job), estimates: newEstimates(), now: now,
+		dirty: make(map[string]*job), estimates: newEstimates(), now: now, urgentUse: make(map[string]float64), urgentAt: now,
 	}
 	if !earlier.IsZero() {
 		c.earlier = earlier
@@ -192,11 +194,6 @@
 		}
 	}
 	c.queue = append(c.queue, j)
-	if c.config != nil {
-		if q := c.config.Queue(j.Queue); q != nil && q.Priority == 0 {
-			c.urgentAt = now
-		}
-	}
 	if cancelled {
 		c.cancel(j)
 		return
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -25,7 +25,11 @@
 	keptFrom time.Time
 	// guarded is what protected work uses.
 	guarded workload.Resources
-	order   int
+	// urgentOnly workers run nothing but work of the first priority, or nothing.
+	urgentOnly bool
+	// urgent is the number of accelerators that work of the first priority uses.
+	urgent int64
+	order  int
 }
 
 // place decides on all work that could run now.
@@ -35,6 +39,7 @@
 		return
 	}
 	rooms := c.rooms()
+	c.noteUrgent(rooms)
 	blocked := 0
 	for _, u := range units {
 		if c.placeUnit(u, rooms[u.queue.Pool], blocked < maxBlocked) {
@@ -63,11 +68,9 @@
 			continue
 		}
 		free := w.Room.Sub(w.used).Sub(w.foreign)
-		r := &room{worker: w, free: free, soon: free}
+		r := &room{worker: w, free: free, soon: free, urgentOnly: true}
 		for _, run := range w.runs {
-			if run.stopping && run.state == runStopping {
-				r.soon = r.soon.Add(run.need)
-			}
+			r.count(run, c.config.Queue(run.task.step.job.Queue))
 			if run.task.step.job.protected {
 				r.guarded = r.guarded.Add(run.need)
 			}
@@ -83,12 +86,24 @@
 	return pools
 }
 
+// count takes a run into account.
+func (r *room) count(run *run, q *workload.Queue) {
+	switch {
+	case run.stopping && run.state == runStopping:
+		r.soon = r.soon.Add(run.need)
+	case q != nil && q.Priority == 0:
+		r.urgent += run.need.Accelerators
+	default:
+		r.urgentOnly = false
+	}
+}
+
 // placeUnit starts what fits of a unit. What does not fit waits for room that
 // is being freed, has lower work stopped if it is urgent, or keeps room for
 // later. It returns false if the unit, or a part of it, waits.
 func (c *Core) placeUnit(u *unit, rooms []*room, mayKeep bool) bool {
-	if c.keepsOut(u) {
-		rooms = withoutHeadroom(rooms)
+	if keepsOut(u) {
+		rooms = c.withoutHeadroom(u.queue.Pool, rooms)
 	}
 	rooms = c.allowed(u, c.eligible(u, rooms))
 	far := c.mayGoFar(u, rooms)
--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 )
 
@@ -11,32 +12,47 @@
 // starts ended so. Some whole workers stay free for urgent work instead, as long
 // as there is any.
 const (
-	// headroomShare of a pool's workers is kept whole. The number of urgent gangs
-	// under way varies by about two, of two whole workers each.
-	headroomShare = 0.08
-	// headroomFor is how long after the last urgent job room is kept: about twice
-	// the time between bursts.
-	headroomFor = 5 * time.Second
+	// headroomOver is how much more than the urgent work of late is kept room
+	// for: its use varies by about a third from burst to burst.
+	headroomOver = 1.3
+	// headroomMost bounds the share of a pool's workers that is kept.
+	headroomMost = 0.35
+	// headroomMemory is the time over which the use by urgent work is averaged:
+	// some bursts.
+	headroomMemory = 8 * time.Second
 )
 
-// keepsOut reports whether the unit may not use the workers that are kept whole:
-// work that is not urgent, loses what it did when it is stopped, and has time.
-func (c *Core) keepsOut(u *unit) bool {
-	if u.queue.Priority == 0 || c.now.Sub(c.urgentAt) > headroomFor || c.urgentAt.IsZero() {
-		return false
+// noteUrgent averages what urgent work uses in each pool.
+func (c *Core) noteUrgent(pools map[string][]*room) {
+	weight := 1 - math.Exp(-c.now.Sub(c.urgentAt).Seconds()/headroomMemory.Seconds())
+	c.urgentAt = c.now
+	for pool, rooms := range pools {
+		used := int64(0)
+		for _, r := range rooms {
+			used += r.urgent
+		}
+		c.urgentUse[pool] += weight * (float64(used) - c.urgentUse[pool])
 	}
+}
+
+// keepsOut reports whether the unit may not use the workers that are kept for
+// urgent work: work that is not urgent and loses what it did when it is stopped.
+func keepsOut(u *unit) bool {
 	s := u.step.spec
-	return !s.Checkpoints && !s.Lasting
+	return u.queue.Priority > 0 && !s.Checkpoints && !s.Lasting
 }
 
-// withoutHeadroom drops the whole workers that are kept for urgent work.
-func withoutHeadroom(rooms []*room) []*room {
-	kept := int(headroomShare * float64(len(rooms)))
+// withoutHeadroom drops workers that are kept for urgent work, of those that run
+// nothing else.
+func (c *Core) withoutHeadroom(pool string, rooms []*room) []*room {
+	most := int(headroomMost * float64(len(rooms)))
+	wanted := headroomOver * c.urgentUse[pool]
 	var list []*room
 	for i := len(rooms) - 1; i >= 0; i-- {
 		r := rooms[i]
-		if kept > 0 && r.soon == r.Room {
-			kept--
+		if most > 0 && wanted > 0 && r.urgentOnly {
+			most--
+			wanted -= float64(r.Room.Accelerators)
 			continue
 		}
 		list = append(list, r)
--- /dev/null
+++ b/internal/dispatch/headroom_test.go
@@ -0,0 +1,47 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+// burst plays urgent gangs of whole workers that come every two seconds into a
+// backlog of small batch tasks, and returns how many tasks were stopped.
+func burst(t *testing.T, saves bool) (stops, urgentDone int) {
+	b := newBench(t, 12, false)
+	for n := range 40 {
+		job := singleJob(fmt.Sprintf("batch-%d", n), "batch", "other", 16, 1)
+		job.Steps[0].Checkpoints = saves
+		b.add(job)
+	}
+	for n := range 20 {
+		b.add(gangJob(fmt.Sprintf("urgent-%d", n), "urgent", "other", 2, 8))
+		b.pass(2 * time.Second)
+		for id, w := range b.workers {
+			_ = id
+			for key, r := range w.running {
+				if b.now.Sub(r.began) > 2900*time.Millisecond {
+					b.end(w, key.task, key.attempt, workload.EndDone)
+				}
+			}
+		}
+	}
+	for n := range 20 {
+		if b.state(fmt.Sprintf("urgent-%d", n)) == FinalCompleted {
+			urgentDone++
+		}
+	}
+	return b.stops, urgentDone
+}
+
+func TestBurstsOfUrgentWorkOverABacklogStopFewTasksOnceTheyAreKnown(t *testing.T) {
+	stops, done := burst(t, false)
+	// 20 gangs of two whole workers would each have 16 tasks stopped.
+	assert.Assert(t, stops < 20*16/4, "%d tasks were stopped", stops)
+	assert.Assert(t, done >= 18, "%d urgent jobs of 20 are done", done)
+}
