A new epoch reckons with leases it did not grant, and with runs of unknown jobs

Three causes, each with a test that failed first but for the lease row's, which needs the race: 1. The lease was taken from a row that changed while its old holder was being asked, so candidates replaced each other. Only the row that was judged can be replaced now. 2. An adopted run whose worker missed one answer counted as lapsed at once: the new epoch knew only of leases it had granted itself. 3. A run of a job that was not known yet was stopped, and the job started elsewhere once it was known, before that run was gone. Ruled out: fences (every worker had answered the new epoch).

--- a/internal/deployment/lease.go
+++ b/internal/deployment/lease.go
@@ -168,12 +168,13 @@
 // holder that answers nobody may believe in its lease yet; whoever takes it
 // early must reckon with that (grant.overlap).
 func (l *lease) free(ctx context.Context) bool {
-	return l.eligible() && l.whyFree(ctx) != ""
+	return l.eligible() && l.whyFree(ctx, l.replica.seenLeader()) != ""
 }
 
-// whyFree says why the lease may be taken; empty if it may not.
-func (l *lease) whyFree(ctx context.Context) string {
-	seen := l.replica.seenLeader()
+// whyFree says why the lease may be taken from the holder that was seen; empty if
+// it may not. Only that row may then be replaced: while the holder is asked, the
+// row may become another's.
+func (l *lease) whyFree(ctx context.Context, seen seenLeader) string {
 	switch {
 	case seen.version == 0:
 		return "nobody had it"
@@ -225,11 +226,11 @@
 		return nil
 	}
 	l.replica.apply(page.Rows)
-	why := l.whyFree(ctx)
+	seen := l.replica.seenLeader()
+	why := l.whyFree(ctx, seen)
 	if why == "" {
 		return nil
 	}
-	seen := l.replica.seenLeader()
 	epochVersion := l.replica.version(epochKey)
 	g := &grant{why: why, epoch: seen.Epoch + 1, earlier: seen.version != 0}
 	if !seen.Released {
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -22,6 +22,8 @@
 	starts, stops int
 	// leaving holds how long workers have left that leave.
 	leaving map[string]time.Duration
+	// ignoreStops, if it says so, leaves stops unanswered and undone.
+	ignoreStops func() bool
 	// answer is the placement advisor.
 	answer  func(workload.Question) workload.Counsel
 	tickets map[string]bool
@@ -120,7 +122,7 @@
 	}
 	id := a.Order.Worker + a.Look.Worker
 	w := b.workers[id]
-	if w == nil || b.silent[id] {
+	if w == nil || b.silent[id] || a.Kind == ActStop && b.ignoreStops != nil && b.ignoreStops() {
 		b.unanswered(a)
 		return
 	}
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -67,7 +67,7 @@
 		if !w.usable(c.now) {
 			continue
 		}
-		free := w.Room.Sub(w.used).Sub(w.foreign)
+		free := w.Room.Sub(w.used).Sub(w.foreignNeed())
 		r := &room{worker: w, free: free, soon: free, urgentOnly: true}
 		for _, run := range w.runs {
 			r.count(run, c.config.Queue(run.task.step.job.Queue))
--- a/internal/dispatch/leases.go
+++ b/internal/dispatch/leases.go
@@ -40,7 +40,7 @@
 // any lease, and forgets workers that are no longer listed and run nothing.
 func (c *Core) expireLeases() {
 	for id, w := range c.workers {
-		if w.misses > 0 && len(w.runs) > 0 && w.surelyLapsed(c.now, c.bounds.StopTime) {
+		if w.misses > 0 && len(w.runs)+len(w.foreign) > 0 && w.surelyLapsed(c.now, c.bounds.StopTime) {
 			c.lapse(w)
 		}
 		if !w.unlistedSince.IsZero() && len(w.runs) == 0 && c.now.Sub(w.unlistedSince) > slowest(c.bounds.LongestLease) {
@@ -50,6 +50,7 @@
 }
 
 func (c *Core) lapse(w *worker) {
+	w.foreign = nil
 	for _, r := range w.runs {
 		c.ended(r, "lapsed")
 	}
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -66,8 +66,9 @@
 func (c *Core) units() []*unit {
 	c.protect()
 	var list []*unit
+	foreign := c.foreignJobs()
 	for _, j := range c.queue {
-		if j.record.Final != "" || c.mayRunUnseen(j) {
+		if j.record.Final != "" || foreign[j.ID] || c.mayRunUnseen(j) {
 			continue
 		}
 		q := c.config.Queue(j.Queue)
--- a/internal/dispatch/sight.go
+++ b/internal/dispatch/sight.go
@@ -19,9 +19,9 @@
 	known bool
 	used  workload.Resources
 	runs  map[runKey]*run
-	// foreign is what runs there of jobs that are over: they were stopped, and
-	// take room until the worker no longer lists them.
-	foreign workload.Resources
+	// foreign is what runs there of jobs that are over or not known: it was told
+	// to stop, and takes room until the worker no longer lists it.
+	foreign map[runKey]workload.Resources
 	// clockMS was read off the worker no later than clockAt.
 	clockMS int64
 	clockAt time.Time
@@ -167,8 +167,13 @@
 		c.closedWorker(w, sight.Verdict)
 		return
 	}
-	w.misses, w.nextLook, w.known = 0, time.Time{}, true
 	w.sample(sight.ClockMS, now)
+	if !w.known {
+		// Earlier epochs may have granted the longest lease until this moment;
+		// from now on the worker refuses them.
+		w.lease(w.clockMS + c.bounds.LongestLease.Milliseconds())
+	}
+	w.misses, w.nextLook, w.known = 0, time.Time{}, true
 	w.told = max(w.told, sent.Look.Noted)
 	c.takeEnds(w, sight.Ended)
 	if sent.Sequence < w.lastLook {
@@ -181,13 +186,17 @@
 // takeRunning brings the runs of a worker in line with what it lists.
 func (c *Core) takeRunning(w *worker, list []workload.Running, sent uint64) {
 	listed := make(map[runKey]bool, len(list))
-	w.foreign = workload.Resources{}
+	told := w.foreign
+	w.foreign = nil
 	for _, running := range list {
 		key := runKey{running.Task, running.Attempt}
 		listed[key] = true
 		r := w.runs[key]
 		if r == nil {
 			r = c.adopt(w, running)
+			if _, stopped := told[key]; r != nil && stopped {
+				c.stop(r, "was told to stop before its job was known")
+			}
 		}
 		if r != nil {
 			c.progress(r, running)
@@ -216,12 +225,39 @@
 	c.actions = append(c.actions, Action{Kind: ActStop, Reason: "of no job that is open", Order: workload.Order{
 		Worker: w.ID, Addr: w.Addr, Task: running.Task, Attempt: running.Attempt, Epoch: c.epoch,
 	}})
+	var need workload.Resources
 	j := c.jobs[running.Task.Job]
 	if j == nil || running.Task.Step < 0 || running.Task.Step >= len(j.Steps) {
 		w.holdOff = c.now.Add(foreignAgain + holdOffAfter)
-		return
+	} else {
+		need = j.Steps[running.Task.Step].Counted()
+	}
+	if w.foreign == nil {
+		w.foreign = make(map[runKey]workload.Resources)
+	}
+	w.foreign[runKey{running.Task, running.Attempt}] = need
+}
+
+// foreignNeed is the room that foreign runs take.
+func (w *worker) foreignNeed() workload.Resources {
+	var sum workload.Resources
+	for _, need := range w.foreign {
+		sum = sum.Add(need)
+	}
+	return sum
+}
+
+// foreignJobs are the jobs of which a foreign run may not have ended yet. A job
+// can become known after a run of it was met, when another epoch started it in
+// the moment of its acceptance: nothing of it starts until that run is gone.
+func (c *Core) foreignJobs() map[string]bool {
+	jobs := make(map[string]bool)
+	for _, w := range c.workers {
+		for key := range w.foreign {
+			jobs[key.task.Job] = true
+		}
 	}
-	w.foreign = w.foreign.Add(j.Steps[running.Task.Step].Counted())
+	return jobs
 }
 
 // foreignAgain is when a worker is looked at again that runs what it should not.
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
 // takeover is a bench whose holder before may give orders for a while yet.
@@ -44,3 +46,36 @@
 	b.pass(200 * time.Millisecond)
 	assert.Equal(t, b.runningOf("old"), 1)
 }
+
+func TestAJobThatBecomesKnownAfterARunOfItWasMetWaitsUntilThatIsGone(t *testing.T) {
+	b := newBench(t, 2, true)
+	w := b.workers["w00"]
+	met := runKey{workload.TaskID{Job: "job"}, 1_000_001}
+	w.running[met] = &fakeRun{need: workload.Resources{Accelerators: 8}}
+	stopping := true
+	b.ignoreStops = func() bool { return stopping }
+	b.pass(100 * time.Millisecond) // the run is met, its job is not known
+	b.add(gangJob("job", "batch", "other", 1, 8))
+	b.pass(time.Second)
+	assert.Equal(t, b.starts, 0, "a second run beside the one that is being stopped")
+	stopping = false
+	b.pass(3 * time.Second)
+	assert.Assert(t, w.running[met] == nil)
+	assert.Equal(t, b.starts, 1)
+}
+
+func TestARunOfAnEarlierEpochMayGoOnForTheLongestLeaseOnceItsWorkerFallsSilent(t *testing.T) {
+	b := newBench(t, 2, true)
+	w := b.workers["w00"]
+	met := runKey{workload.TaskID{Job: "job"}, 1_000_001}
+	w.running[met] = &fakeRun{need: workload.Resources{Accelerators: 8}}
+	b.add(gangJob("job", "batch", "other", 1, 8))
+	for _, a := range b.core.Decide(b.now, b.wallMS) {
+		b.carryOut(a)
+	}
+	b.silent["w00"] = true
+	b.pass(testBounds.LongestLease - 500*time.Millisecond)
+	assert.Equal(t, b.starts, 0, "its lease, by an earlier epoch, is not over")
+	b.pass(2 * time.Second)
+	assert.Equal(t, b.starts, 1)
+}
