--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/corianderbank/corianderbank/internal/workload"
@@ -107,7 +106,7 @@
 		rooms = c.withoutHeadroom(u.queue.Pool, rooms)
 	}
 	rooms = c.allowed(u, c.eligible(u, rooms))
-	far := sync.OnceValue(func() bool { return c.mayGoFar(u, rooms, mayKeep) })
+	far := c.mayGoFar(u, rooms)
 	now := c.find(u, rooms, far, func(r *room) workload.Resources { return r.open(c.now.Add(u.length)) })
 	if len(now) == len(u.tasks) || !u.step.spec.Gang && len(now) > 0 {
 		c.startAt(u, now)
@@ -175,8 +174,8 @@
 
 // find returns slots for the unit's tasks, or for as many as there are. Tasks
 // that belong on one rack get one that can take them all; tasks with data on a
-// rack go there first. Only if far says so do they go elsewhere.
-func (c *Core) find(u *unit, rooms []*room, far func() bool, roomOf func(*room) workload.Resources) []slot {
+// rack go there first. Only if far is set do they go elsewhere.
+func (c *Core) find(u *unit, rooms []*room, far bool, roomOf func(*room) workload.Resources) []slot {
 	n := len(u.tasks)
 	counts := make([]int64, len(rooms))
 	for i, r := range rooms {
@@ -186,13 +185,13 @@
 		if rack, ok := c.bestRack(u, rooms, counts, n); ok {
 			return pick(u, rooms, counts, n, func(r *room) bool { return r.Rack == rack })
 		}
-		if !far() {
+		if !far {
 			return nil
 		}
 	}
 	if rack := u.step.spec.DataRack; rack != "" {
 		near := pick(u, rooms, counts, n, func(r *room) bool { return r.Rack == rack })
-		if len(near) == n || !far() {
+		if len(near) == n || !far {
 			return near
 		}
 	}
@@ -218,20 +217,19 @@
 	return count
 }
 
-// rackPatience bounds how long work waits for its rack in all, in multiples of
-// the time that it would take longer elsewhere: room that was to come may be
-// taken by more urgent work again and again.
-const rackPatience = 2
+// rackPatience is how long work waits for its rack, as a share of the time that
+// it would take longer elsewhere: waiting up to all of it is no loss; half of it
+// leaves a reserve for wrong estimates.
+const rackPatience = 0.5
 
 // reclaimReserve is kept of the reclaim bound: stopping others, the orders, and
 // one order that has to be repeated.
 const reclaimReserve = 1200 * time.Millisecond
 
 // mayGoFar reports whether the unit may start away from its rack: because no
-// rack could hold it, or because it would end sooner there than on a rack whose
-// room it has to wait for, or because it has waited long enough. Work inside a
+// rack could hold it, or because it has waited long enough. Work inside a
 // guarantee waits as long as its start is still in time.
-func (c *Core) mayGoFar(u *unit, rooms []*room, look bool) bool {
+func (c *Core) mayGoFar(u *unit, rooms []*room) bool {
 	s := u.step.spec
 	if !s.OneRack && s.DataRack == "" || !c.rackCouldHold(u, rooms) {
 		return true
@@ -240,15 +238,7 @@
 	if u.rank.class == 0 {
 		return waited > c.bounds.Reclaim-c.bounds.StopTime-reclaimReserve
 	}
-	longer := time.Duration(float64(u.length) * (c.bounds.RemoteFactor - 1))
-	if waited > rackPatience*longer {
-		return true
-	}
-	if !look {
-		return false // too many wait before it to reckon with room to come
-	}
-	near := c.earliestNear(u, rooms)
-	return near == nil || near.at.Sub(c.now) > longer
+	return float64(waited) > float64(u.length)*(c.bounds.RemoteFactor-1)*rackPatience
 }
 
 // rackCouldHold reports whether the unit would fit on its rack, if that were
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -26,7 +26,7 @@
 // at which enough of its workers will have room, by the estimated ends of what
 // runs. Without it large gangs starve behind small work, which fills every gap
 // as soon as it opens.
-func (c *Core) keep(u *unit, rooms []*room, far func() bool) {
+func (c *Core) keep(u *unit, rooms []*room, far bool) {
 	if r := c.earliest(u, rooms, far); r != nil {
 		c.reserve(u, r)
 	}
@@ -45,7 +45,7 @@
 // stopping anyone; false if it will not. What is stopped is lost, and a unit
 // that has time to spare saves it. Estimates are wrong at times: the decision is
 // made anew in every round.
-func (c *Core) waitOut(u *unit, rooms []*room, far func() bool) bool {
+func (c *Core) waitOut(u *unit, rooms []*room, far bool) bool {
 	latest := u.dueBy.Add(-u.length)
 	if u.rank.class == 0 {
 		if bound := u.step.readySince.Add(c.bounds.Reclaim - reclaimReserve); bound.Before(latest) || u.rank.hope != onTime {
@@ -64,23 +64,14 @@
 	return true
 }
 
-// earliest is the first moment at which the unit fits, where it belongs unless
-// it may go far.
-func (c *Core) earliest(u *unit, rooms []*room, far func() bool) *reservation {
-	if !u.step.spec.OneRack && u.step.spec.DataRack == "" || far() {
+// earliest is the first moment at which the unit fits, on one rack if it belongs
+// on one.
+func (c *Core) earliest(u *unit, rooms []*room, far bool) *reservation {
+	if !u.step.spec.OneRack || far {
 		return c.earliestOn(u, rooms)
 	}
-	return c.earliestNear(u, rooms)
-}
-
-// earliestNear is the first moment at which the unit fits on one rack, or on the
-// rack of its data.
-func (c *Core) earliestNear(u *unit, rooms []*room) *reservation {
 	var best *reservation
-	for rack, members := range byRack(rooms) {
-		if wanted := u.step.spec.DataRack; wanted != "" && rack != wanted {
-			continue
-		}
+	for _, members := range byRack(rooms) {
 		r := c.earliestOn(u, members)
 		if r != nil && (best == nil || r.at.Before(best.at) || r.at.Equal(best.at) && r.rooms[0].order < best.rooms[0].order) {
 			best = r
--- a/internal/dispatch/victims.go
+++ b/internal/dispatch/victims.go
@@ -15,7 +15,7 @@
 // work on a full deployment: without it guaranteed capacity would be there only
 // once others have ended. It stops as little work as it can, and nothing unless
 // the whole unit will fit.
-func (c *Core) makeRoom(u *unit, rooms []*room, far func() bool, soon []slot) {
+func (c *Core) makeRoom(u *unit, rooms []*room, far bool, soon []slot) {
 	plan := c.cheapest(u, rooms, far)
 	if plan == nil {
 		if !u.step.spec.Gang {
@@ -46,7 +46,7 @@
 
 // cheapest returns the offers that make the unit fit at the least cost, on one
 // rack if the unit belongs on one, unless it may go far; nil if nothing can.
-func (c *Core) cheapest(u *unit, rooms []*room, far func() bool) []offer {
+func (c *Core) cheapest(u *unit, rooms []*room, far bool) []offer {
 	if !u.step.spec.OneRack {
 		plan, _ := c.cheapestOf(u, rooms)
 		return plan
@@ -59,7 +59,7 @@
 			best, bestCost = plan, cost
 		}
 	}
-	if best == nil && far() {
+	if best == nil && far {
 		best, _ = c.cheapestOf(u, rooms)
 	}
 	return best
