--- /dev/null
+++ b/internal/deployment/fake_test.go
@@ -0,0 +1,83 @@
+package deployment
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+// memoryStore is a store in memory, of one table.
+type memoryStore struct {
+	mu   sync.Mutex
+	ver  int64
+	rows map[string]workload.Row
+	// fail, if set, is asked before each call.
+	fail  func() error
+	calls int
+}
+
+func newMemoryStore() *memoryStore { return &memoryStore{rows: make(map[string]workload.Row)} }
+
+func (s *memoryStore) begin() error {
+	s.calls++
+	if s.fail != nil {
+		return s.fail()
+	}
+	return nil
+}
+
+// Write implements workload.Store.
+func (s *memoryStore) Write(_ context.Context, write workload.Write) (workload.Written, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.begin(); err != nil {
+		return workload.Written{}, err
+	}
+	var current []workload.Row
+	conflict := false
+	for _, e := range write.Expect {
+		now := s.rows[e.Key]
+		conflict = conflict || now.Version != e.Version
+		if now.Version != 0 {
+			current = append(current, now)
+		}
+	}
+	if conflict {
+		return workload.Written{Conflict: true, Rows: current}, nil
+	}
+	s.ver++
+	for _, row := range write.Put {
+		row.Version = s.ver
+		s.rows[row.Key] = row
+	}
+	for _, key := range write.Remove {
+		delete(s.rows, key)
+	}
+	return workload.Written{Version: s.ver}, nil
+}
+
+// Read implements workload.Store.
+func (s *memoryStore) Read(_ context.Context, _ workload.Source, from, to string) (workload.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.begin(); err != nil {
+		return workload.Page{}, err
+	}
+	page := workload.Page{Version: s.ver}
+	for key, row := range s.rows {
+		if key >= from && (to == "" || key < to) {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	sort.Slice(page.Rows, func(a, b int) bool { return page.Rows[a].Key < page.Rows[b].Key })
+	return page, nil
+}
+
+// Follow implements workload.Store.
+func (s *memoryStore) Follow(context.Context, workload.Source, int64, time.Duration) (workload.Page, error) {
+	return workload.Page{}, fmt.Errorf("%w: not played", workload.ErrNotDone)
+}
--- a/internal/deployment/lease_test.go
+++ b/internal/deployment/lease_test.go
@@ -1,10 +1,15 @@
 package deployment
 
 import (
+	"context"
+	"errors"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
+
+	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
 func TestALeaseThatRanOutIsValidAgainOnceItIsRenewed(t *testing.T) {
@@ -22,3 +27,88 @@
 	assert.Assert(t, !g.valid())
 	assert.Assert(t, g.ended())
 }
+
+// candidate is a lease duty over a store that holds the row of another holder.
+func candidate(t *testing.T, self string, store *memoryStore) *lease {
+	t.Helper()
+	return &lease{
+		self: self, store: store, replica: newReplica(zap.NewNop()), logger: zap.NewNop(),
+		eligible: func() bool { return true }, steady: func(time.Duration) bool { return true },
+		holds: func(context.Context, string) (bool, error) { return true, nil },
+	}
+}
+
+// sees writes the row of a holder, and lets the candidate have seen it a while ago.
+func (l *lease) sees(t *testing.T, row leaderRow, ago time.Duration) {
+	t.Helper()
+	store := l.store.(*memoryStore)
+	_, err := store.Write(t.Context(), workload.Write{Put: []workload.Row{
+		{Key: leaderKey, Value: encode(row)}, {Key: epochKey, Value: encode(row.Epoch)},
+	}})
+	assert.NilError(t, err)
+	page, err := store.Read(t.Context(), workload.SourceOwn, "", "")
+	assert.NilError(t, err)
+	l.replica.apply(page.Rows)
+	l.replica.leader.since = bootTime().Add(-ago)
+}
+
+func TestWhenTheLeaseMayBeTaken(t *testing.T) {
+	held := leaderRow{Holder: "other", Epoch: 4}
+	silent := func(context.Context, string) (bool, error) { return false, errors.New("no answer") }
+	steppedDown := func(context.Context, string) (bool, error) { return false, nil }
+	holds := func(context.Context, string) (bool, error) { return true, nil }
+	for name, c := range map[string]struct {
+		row    leaderRow
+		ago    time.Duration
+		holds  func(context.Context, string) (bool, error)
+		steady bool
+		free   bool
+	}{
+		"renewed just now, whatever the holder says": {held, 0, silent, true, false},
+		"released":                                    {leaderRow{Holder: "other", Epoch: 4, Released: true}, 0, holds, true, true},
+		"of an earlier process at this address":       {leaderRow{Holder: "self", Epoch: 4}, 0, holds, true, true},
+		"two renewals missed and no answer":           {held, suspectAfter + time.Second/2, silent, true, true},
+		"two renewals missed and stepped down":        {held, suspectAfter + time.Second/2, steppedDown, true, true},
+		"two renewals missed but the holder is there": {held, suspectAfter + time.Second/2, holds, true, false},
+		"over, the holder had its chance":             {held, time.Minute, holds, true, true},
+		"over, and the store is only just back":       {held, time.Minute, holds, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := candidate(t, "self", newMemoryStore())
+			l.sees(t, c.row, c.ago)
+			l.holds = c.holds
+			l.steady = func(time.Duration) bool { return c.steady }
+			assert.Equal(t, l.free(t.Context()), c.free)
+			if c.free {
+				g := l.take(t.Context())
+				assert.Assert(t, g != nil)
+				assert.Equal(t, g.epoch, int64(5))
+				assert.Assert(t, g.valid())
+			}
+		})
+	}
+}
+
+func TestOnlyTheRowThatWasJudgedIsReplaced(t *testing.T) {
+	store := newMemoryStore()
+	l := candidate(t, "self", store)
+	l.sees(t, leaderRow{Holder: "dead", Epoch: 4}, time.Minute)
+	l.holds = func(context.Context, string) (bool, error) {
+		// While the dead holder is asked, another candidate takes the lease.
+		l.sees(t, leaderRow{Holder: "quicker", Epoch: 5}, 0)
+		return false, errors.New("no answer")
+	}
+	assert.Assert(t, l.take(t.Context()) == nil, "took the lease of a holder that was not judged")
+}
+
+func TestATakeWhoseAnswerWasLostIsRecognisedAsOnesOwn(t *testing.T) {
+	l := candidate(t, "self", newMemoryStore())
+	own := []workload.Row{
+		{Key: leaderKey, Value: encode(leaderRow{Holder: "self", Epoch: 5}), Version: 9},
+		{Key: epochKey, Value: encode(5), Version: 9},
+	}
+	g := &grant{epoch: 5}
+	assert.Assert(t, l.mine(own, g))
+	assert.Equal(t, g.epochVersion, int64(9))
+	assert.Assert(t, !l.mine(own, &grant{epoch: 6}), "an older one of its own")
+}
--- /dev/null
+++ b/internal/deployment/replica_test.go
@@ -0,0 +1,63 @@
+package deployment
+
+import (
+	"testing"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/corianderbank/corianderbank/internal/dispatch"
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+func jobRow(id string, version int64) workload.Row {
+	job := workload.Job{ID: id, Queue: "q", Steps: []workload.Step{{Count: 1}}}
+	return workload.Row{Key: jobPrefix + id, Value: encode(job), Version: version}
+}
+
+func recordRow(id string, final dispatch.Final, version int64) workload.Row {
+	record := dispatch.Record{Final: final}
+	return workload.Row{Key: recordPrefix + id, Value: record.Encode(), Version: version}
+}
+
+func TestAJobsStateFollowsItsRowsInWhateverOrderTheyCome(t *testing.T) {
+	cancel := workload.Row{Key: cancelPrefix + "a", Value: []byte("1"), Version: 6}
+	for name, c := range map[string]struct {
+		rows []workload.Row
+		want JobState
+	}{
+		"accepted":                          {[]workload.Row{jobRow("a", 1)}, StateQueued},
+		"its record came first":             {[]workload.Row{recordRow("a", dispatch.FinalCompleted, 5), jobRow("a", 1)}, StateCompleted},
+		"an older record changes nothing":   {[]workload.Row{jobRow("a", 1), recordRow("a", dispatch.FinalFailed, 5), recordRow("a", "", 4)}, StateFailed},
+		"cancelled, no record yet":          {[]workload.Row{jobRow("a", 1), cancel}, StateCancelled},
+		"completed before it was cancelled": {[]workload.Row{jobRow("a", 1), cancel, recordRow("a", dispatch.FinalCompleted, 7)}, StateCompleted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newReplica(zap.NewNop())
+			r.apply(c.rows)
+			state, _, ok := r.state("a")
+			assert.Assert(t, ok)
+			assert.Equal(t, state, c.want)
+		})
+	}
+}
+
+func TestPendingCountsWhatHasNotBegun(t *testing.T) {
+	r := newReplica(zap.NewNop())
+	r.apply([]workload.Row{jobRow("a", 1), jobRow("b", 2), jobRow("c", 3), recordRow("c", dispatch.FinalCompleted, 4)})
+	assert.Equal(t, r.pending("q"), 2)
+	r.setBegan(3, []string{"a"})
+	assert.Equal(t, r.pending("q"), 1)
+	r.setBegan(2, []string{"b"})
+	assert.Equal(t, r.pending("q"), 1, "the word of an earlier holder is too late")
+}
+
+func TestAWholeReadDropsWhatWasRemovedButNothingNewer(t *testing.T) {
+	r := newReplica(zap.NewNop())
+	r.apply([]workload.Row{jobRow("gone", 1), jobRow("kept", 2), jobRow("newer", 9)})
+	r.reload([]workload.Row{jobRow("kept", 2)}, 5)
+	for id, want := range map[string]bool{"gone": false, "kept": true, "newer": true} {
+		_, ok := r.get(id)
+		assert.Equal(t, ok, want, id)
+	}
+}
