--- a/internal/deployment/conduct.go
+++ b/internal/deployment/conduct.go
@@ -227,7 +227,9 @@
 	}
 	metricOrder(what, receipt.Verdict).UpdateDuration(sent)
 	c.logReceipt(what, action, receipt)
-	c.post(func(core *dispatch.Core, now time.Time, wallMS int64) { answered(core, action.Order, receipt, now, wallMS) })
+	c.post(func(core *dispatch.Core, now time.Time, wallMS int64) {
+		answered(core, action.Order, receipt, now, wallMS)
+	})
 }
 
 func (c *conductor) look(action dispatch.Action) {
