Room for urgent work is kept only on a loaded deployment

Likely cause: workers kept for urgent work were closed to it whatever the load; the new test fails before this change for that reason.

--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
 // Headroom answers a mix of urgent work that comes in bursts and batch work that
@@ -17,6 +19,10 @@
 	headroomOver = 1.3
 	// headroomMost bounds the share of a pool's workers that is kept.
 	headroomMost = 0.35
+	// headroomLoad is the share of a pool's accelerators in use from which room
+	// is kept. Below it urgent work finds room anyway, and keeping it would let
+	// large gangs wait on a deployment that is half empty.
+	headroomLoad = 0.6
 	// headroomMemory is the time over which the use by urgent work is averaged:
 	// some bursts.
 	headroomMemory = 8 * time.Second
@@ -45,6 +51,9 @@
 // withoutHeadroom drops workers that are kept for urgent work, of those that run
 // nothing else.
 func (c *Core) withoutHeadroom(pool string, rooms []*room) []*room {
+	if loadOf(rooms) < headroomLoad {
+		return rooms
+	}
 	most := int(headroomMost * float64(len(rooms)))
 	wanted := headroomOver * c.urgentUse[pool]
 	var list []*room
@@ -59,3 +68,20 @@
 	}
 	return list
 }
+
+// loadOf is the share of the workers' accelerators that is in use, or of their
+// processors if that is more.
+func loadOf(rooms []*room) float64 {
+	var all, free workload.Resources
+	for _, r := range rooms {
+		all, free = all.Add(r.Room), free.Add(r.soon)
+	}
+	load := 0.0
+	if all.Accelerators > 0 {
+		load = 1 - float64(free.Accelerators)/float64(all.Accelerators)
+	}
+	if all.MilliCPU > 0 {
+		load = max(load, 1-float64(free.MilliCPU)/float64(all.MilliCPU))
+	}
+	return load
+}
--- a/internal/dispatch/headroom_test.go
+++ b/internal/dispatch/headroom_test.go
@@ -45,3 +45,12 @@
 	assert.Assert(t, stops < 20*16/4, "%d tasks were stopped", stops)
 	assert.Assert(t, done >= 18, "%d urgent jobs of 20 are done", done)
 }
+
+func TestALargeGangStartsAtOnceOnADeploymentThatIsHalfEmpty(t *testing.T) {
+	b := newBench(t, 12, false)
+	b.add(gangJob("urgent", "urgent", "other", 4, 8))
+	b.pass(12 * time.Second) // urgent work used a third of the deployment for long
+	b.add(gangJob("large", "batch", "other", 8, 8))
+	b.pass(500 * time.Millisecond)
+	assert.Equal(t, b.runningOf("large"), 8)
+}
