Cleanup as a newcomer reads it: dead fields, one name for the store, shared preludes

Removed what nothing read: bounds and settings of gang wait, early starts and restores, pools' flags, the fifth entry of running rows, percent's last move, a wrapper of one field. One find of worker and run for the answers to starts and stops. Room kept for urgent work leaves the order of workers as it is.

--- a/internal/deployment/accept.go
+++ b/internal/deployment/accept.go
@@ -150,7 +150,7 @@
 		}
 		unknown = unknown || errors.Is(err, workload.ErrUnknown)
 		if !unknown {
-			return api.WithRetryAfter(api.NewError(api.KindStoreUnavailable, "the store was not reached: %w", err), comeBack(i.reach.away()))
+			return api.WithRetryAfter(api.NewError(api.KindStoreUnavailable, "the store was not reached: %w", err), comeBack(i.store.away()))
 		}
 		if pause(ctx, retryPause); ctx.Err() != nil {
 			return api.NewError(api.KindResultUnknown, "the store's answer is missing: %w", err)
@@ -180,7 +180,7 @@
 	for _, prefix := range []string{jobPrefix, cancelPrefix, recordPrefix} {
 		page, err := i.store.Read(ctx, workload.SourceOwn, prefix+id, prefix+id+"\x00")
 		if err != nil {
-			return api.WithRetryAfter(api.NewError(api.KindStoreUnavailable, "the store was not reached: %w", err), comeBack(i.reach.away()))
+			return api.WithRetryAfter(api.NewError(api.KindStoreUnavailable, "the store was not reached: %w", err), comeBack(i.store.away()))
 		}
 		i.replica.apply(page.Rows)
 		if len(page.Rows) == 0 && prefix == jobPrefix {
--- a/internal/deployment/gossip.go
+++ b/internal/deployment/gossip.go
@@ -27,7 +27,6 @@
 // peerView is what a peer said last.
 type peerView struct {
 	zone           string
-	configVersion  int64
 	storeReachable bool
 	at             time.Time
 }
@@ -74,7 +73,7 @@
 }
 
 func (i *Instance) hello() *peerpb.Hello {
-	_, directly := i.reach.reachable()
+	_, directly := i.store.reachable()
 	h := &peerpb.Hello{
 		AvailabilityZone: i.settings.AvailabilityZone, ConfigVersion: i.configVersion(), StoreReachable: directly,
 		Leaving: i.stopping.Load(),
@@ -123,8 +122,7 @@
 		return
 	}
 	i.peers.set(id, peerView{
-		zone: hello.GetAvailabilityZone(), configVersion: hello.GetConfigVersion(),
-		storeReachable: hello.GetStoreReachable() && !hello.GetLeaving(), at: bootTime(),
+		zone: hello.GetAvailabilityZone(), storeReachable: hello.GetStoreReachable() && !hello.GetLeaving(), at: bootTime(),
 	})
 	if hello.GetEpoch() > 0 {
 		i.replica.setBegan(hello.GetEpoch(), hello.GetBegan())
@@ -170,7 +168,7 @@
 		i.takeRows(body.Rows)
 		return &peerpb.Response{}, nil
 	case *peerpb.Request_Store:
-		answer := serveStore(ctx, i.reach.direct, body.Store)
+		answer := serveStore(ctx, i.store.direct, body.Store)
 		return &peerpb.Response{Body: &peerpb.Response_Store{Store: answer}}, nil
 	}
 	return nil, api.NewError(api.KindMethodNotAllowed, "a deployment-wide instance does not take this call")
--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -62,7 +62,6 @@
 	decoder Decoder
 	// store is the store by any path.
 	store         *reach
-	reach         *reach
 	workerClient  workload.Workers
 	replica       *replica
 	workers       *roster
@@ -103,14 +102,14 @@
 		Instance: s.Listen.Peers, Incarnation: time.Now().UnixMilli(), Listen: s.Listen.Peers, Handler: i, Logger: o.Logger,
 		Resolve: func(id string) (string, bool) { return id, true }, Limits: peerLimits,
 	})
-	i.reach = &reach{limit: pathTimeout, reachState: &reachState{direct: o.Store, caller: i.node, logger: o.Logger, helpers: func() []string {
+	i.store = &reach{limit: pathTimeout, reachState: &reachState{direct: o.Store, caller: i.node, logger: o.Logger, helpers: func() []string {
 		return i.peers.fresh(func(v peerView) bool { return v.storeReachable })
 	}}}
-	i.store = i.reach
 	kept := 2 * s.bounds().LongestLease
 	i.workers = newRoster(o.Decoder, kept, o.Logger)
 	i.lease = &lease{
-		self: s.Listen.Peers, store: i.store.within(leasePathTimeout), replica: i.replica, logger: o.Logger, eligible: i.eligible, hold: i.hold, holds: i.holdsLease, steady: i.reach.steady,
+		self: s.Listen.Peers, store: i.store.within(leasePathTimeout), replica: i.replica, logger: o.Logger,
+		eligible: i.eligible, steady: i.store.steady, holds: i.holdsLease, hold: i.hold,
 	}
 	i.replica.changed = i.jobChanged
 	i.workers.changed = i.workersChanged
@@ -120,7 +119,7 @@
 // eligible reports whether this instance may take the lease: it knows the
 // table, the configuration and the workers, reaches the store, and stays.
 func (i *Instance) eligible() bool {
-	reachable, _ := i.reach.reachable()
+	reachable, _ := i.store.reachable()
 	return reachable && i.replica.isLoaded() && i.configuration.Load() != nil && !i.stopping.Load()
 }
 
@@ -201,7 +200,7 @@
 // instance of another zone: callers are served better elsewhere. When the store
 // is away for all of them, nobody is better off elsewhere.
 func (i *Instance) cutOff() bool {
-	if reachable, _ := i.reach.reachable(); reachable {
+	if reachable, _ := i.store.reachable(); reachable {
 		return false
 	}
 	others := i.replica.otherZones(i.settings.AvailabilityZone)
@@ -380,7 +379,7 @@
 		return 0
 	})
 	gauge("corianderbank_deployment_store_reachable", func() float64 {
-		if _, directly := i.reach.reachable(); directly {
+		if _, directly := i.store.reachable(); directly {
 			return 1
 		}
 		return 0
--- a/internal/deployment/reach.go
+++ b/internal/deployment/reach.go
@@ -60,7 +60,7 @@
 	lost     bool
 }
 
-// step is one attempt by one path.
+// attempt is one try of a call on one path.
 type attempt[T any] func(ctx context.Context, store workload.Store) (T, error)
 
 // byAnyPath tries the paths in turn. An error wraps workload.ErrUnknown if any
--- a/internal/deployment/settings.go
+++ b/internal/deployment/settings.go
@@ -52,18 +52,12 @@
 	LongestLeaseMS int64 `json:"longest_lease_ms"`
 	// StopMS is how long a worker takes to stop a task at most.
 	StopMS int64 `json:"stop_ms"`
-	// GangWaitMS is how long a member waits for the rest of its gang.
-	GangWaitMS int64 `json:"gang_wait_ms"`
 	// ReclaimMS is the bound within which guaranteed capacity is there.
 	ReclaimMS int64 `json:"reclaim_ms"`
-	// EarlyMS is how much earlier than due an occurrence may start.
-	EarlyMS int64 `json:"early_ms"`
 	// StatusKeptS is how long the state of an ended job is kept, in seconds.
 	StatusKeptS float64 `json:"status_kept_s"`
 	// RemoteFactor is how much longer tasks take away from their rack.
 	RemoteFactor float64 `json:"remote_factor"`
-	// RestoreMS is how long a task takes to resume from a checkpoint.
-	RestoreMS int64 `json:"restore_ms"`
 }
 
 //go:embed settings.schema.json
@@ -77,8 +71,7 @@
 	return Settings{
 		LogLevel: "info", MemoryMB: 256, StopWithinMS: 4500,
 		Bounds: BoundSettings{
-			LongestLeaseMS: 10_000, StopMS: 1000, GangWaitMS: 2000, ReclaimMS: 2000, EarlyMS: 0,
-			StatusKeptS: 120, RemoteFactor: 3, RestoreMS: 500,
+			LongestLeaseMS: 10_000, StopMS: 1000, ReclaimMS: 2000, StatusKeptS: 120, RemoteFactor: 3,
 		},
 	}
 }
@@ -106,8 +99,7 @@
 	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 	b := s.Bounds
 	return workload.Bounds{
-		LongestLease: ms(b.LongestLeaseMS), StopTime: ms(b.StopMS), GangWait: ms(b.GangWaitMS), Reclaim: ms(b.ReclaimMS),
-		Early: ms(b.EarlyMS), StatusKept: time.Duration(b.StatusKeptS * float64(time.Second)),
-		RemoteFactor: b.RemoteFactor, Restore: ms(b.RestoreMS),
+		LongestLease: ms(b.LongestLeaseMS), StopTime: ms(b.StopMS), Reclaim: ms(b.ReclaimMS),
+		StatusKept: time.Duration(b.StatusKeptS * float64(time.Second)), RemoteFactor: b.RemoteFactor,
 	}
 }
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -44,8 +44,8 @@
 }
 
 var testBounds = workload.Bounds{
-	LongestLease: 6 * time.Second, StopTime: 200 * time.Millisecond, GangWait: 3 * time.Second, Reclaim: 2700 * time.Millisecond,
-	StatusKept: 2 * time.Minute, RemoteFactor: 3, Restore: 100 * time.Millisecond,
+	LongestLease: 6 * time.Second, StopTime: 200 * time.Millisecond, Reclaim: 2700 * time.Millisecond,
+	StatusKept: 2 * time.Minute, RemoteFactor: 3,
 }
 
 var epochStart = time.Unix(1_000_000, 0)
@@ -68,7 +68,7 @@
 
 func testConfig() *workload.Configuration {
 	config := &workload.Configuration{
-		Version: 1, Pools: map[string]workload.Pool{"pool": {}},
+		Version: 1,
 		Queues: []workload.Queue{
 			{Name: "urgent", Pool: "pool", Priority: 0, Attempts: 2, Stretch: 1.5, GraceMS: 250},
 			{Name: "batch", Pool: "pool", Priority: 2, Attempts: 2, Stretch: 3, GraceMS: 3000},
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -94,7 +94,7 @@
 		return
 	}
 	if r != nil && !t.done {
-		c.estimates.learn(s, c.now.Sub(r.since), r.startedPct)
+		c.estimates.learn(s, c.now.Sub(r.since), r.percentAtStart)
 	}
 	if !s.spec.Gang {
 		c.taskDone(t, r)
@@ -173,7 +173,7 @@
 	if g == nil || g.broken || g.done {
 		return
 	}
-	g.broken, g.brokenAt = true, c.now
+	g.broken = true
 	s := r.task.step
 	for i := range s.tasks {
 		for _, other := range s.tasks[i].runs {
--- a/internal/dispatch/evacuate.go
+++ b/internal/dispatch/evacuate.go
@@ -18,17 +18,17 @@
 		}
 		left := w.leavesAt.Sub(c.now)
 		for _, r := range w.runs {
-			if r.state == runRunning && !r.stopping && c.goes(r, left) {
+			if r.state == runRunning && !r.stopping && c.mustLeave(r, left) {
 				c.stop(r, "its worker leaves")
 			}
 		}
 	}
 }
 
-// goes reports whether a run should be stopped now on a worker that leaves in a
+// mustLeave reports whether a run should be stopped now on a worker that leaves in a
 // while. What can be saved is, at the last moment if it may still end; what
 // cannot is started anew elsewhere at once if it surely will not end here.
-func (c *Core) goes(r *run, left time.Duration) bool {
+func (c *Core) mustLeave(r *run, left time.Duration) bool {
 	s := r.task.step.spec
 	last := left <= c.bounds.StopTime+evacuateReserve
 	if s.Lasting {
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -9,11 +9,6 @@
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
-// slot is a place for one task.
-type slot struct {
-	worker *room
-}
-
 // room is a worker's room during one round of decisions.
 type room struct {
 	*worker
@@ -130,11 +125,11 @@
 }
 
 // hold takes room that is free or being freed for a unit that waits for it.
-func hold(u *unit, slots []slot) {
+func hold(u *unit, places []*room) {
 	need := u.step.spec.Counted()
-	for _, s := range slots {
-		s.worker.soon = s.worker.soon.Sub(need)
-		s.worker.free = s.worker.free.Sub(need)
+	for _, r := range places {
+		r.soon = r.soon.Sub(need)
+		r.free = r.free.Sub(need)
 	}
 }
 
@@ -158,10 +153,10 @@
 	return list
 }
 
-// disturbs reports whether a task of the step would share the worker with tasks
-// of the other sort: those that serve users, and slow down beside others by
-// amounts that nobody knows beforehand, and those that fill. They are kept on
-// workers of their own, so that no serving task misses its target by our doing.
+// disturbs reports whether a serving task would share the worker with a batch
+// task. Interference differs by image and changes within seconds, so neither sort
+// is put beside the other: no serving task then misses its latency target because
+// of where something was placed.
 func (r *room) disturbs(spec *workload.Step) bool {
 	serves := spec.TargetMS > 0
 	for _, run := range r.runs {
@@ -172,10 +167,10 @@
 	return false
 }
 
-// find returns slots for the unit's tasks, or for as many as there are. Tasks
+// find returns a room for each of the unit's tasks, or for as many as there are. Tasks
 // that belong on one rack get one that can take them all; tasks with data on a
 // rack go there first. Only if far is set do they go elsewhere.
-func (c *Core) find(u *unit, rooms []*room, far bool, roomOf func(*room) workload.Resources) []slot {
+func (c *Core) find(u *unit, rooms []*room, far bool, roomOf func(*room) workload.Resources) []*room {
 	n := len(u.tasks)
 	counts := make([]int64, len(rooms))
 	for i, r := range rooms {
@@ -283,7 +278,7 @@
 
 // pick takes up to n slots of the workers that match, fullest first, so that
 // whole workers stay free for tasks that need one.
-func pick(u *unit, rooms []*room, counts []int64, n int, match func(*room) bool) []slot {
+func pick(u *unit, rooms []*room, counts []int64, n int, match func(*room) bool) []*room {
 	order := make([]int, 0, len(rooms))
 	for i, r := range rooms {
 		if counts[i] > 0 && match(r) {
@@ -293,16 +288,16 @@
 	slices.SortFunc(order, func(a, b int) int {
 		return cmp.Or(compareFullness(u, rooms[a], rooms[b]), cmp.Compare(a, b))
 	})
-	var slots []slot
+	var places []*room
 	for _, i := range order {
 		for range counts[i] {
-			if len(slots) == n {
-				return slots
+			if len(places) == n {
+				return places
 			}
-			slots = append(slots, slot{rooms[i]})
+			places = append(places, rooms[i])
 		}
 	}
-	return slots
+	return places
 }
 
 // compareFullness puts the worker with the least left first. Work inside a
@@ -321,8 +316,8 @@
 	)
 }
 
-// startAt starts the first tasks of a unit in the slots.
-func (c *Core) startAt(u *unit, slots []slot) {
+// startAt starts the first tasks of a unit in the rooms, one in each entry.
+func (c *Core) startAt(u *unit, places []*room) {
 	var g *gang
 	attempt := c.nextAttempt()
 	if u.step.spec.Gang {
@@ -331,16 +326,16 @@
 	}
 	reason := fmt.Sprintf("rank %d, due in %d ms, waited %d ms", u.rank.class,
 		u.dueBy.Sub(c.now).Milliseconds(), c.now.Sub(u.step.readySince).Milliseconds())
-	for i, s := range slots {
+	for i, r := range places {
 		if g == nil && i > 0 {
 			attempt = c.nextAttempt()
 		}
 		need := u.step.spec.Counted()
-		s.worker.free = s.worker.free.Sub(need)
-		s.worker.soon = s.worker.soon.Sub(need)
+		r.free = r.free.Sub(need)
+		r.soon = r.soon.Sub(need)
 		if u.step.job.protected {
-			s.worker.guarded = s.worker.guarded.Add(need)
+			r.guarded = r.guarded.Add(need)
 		}
-		c.start(u.tasks[i], s.worker.worker, attempt, g, reason)
+		c.start(u.tasks[i], r.worker, attempt, g, reason)
 	}
 }
--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/corianderbank/corianderbank/internal/workload"
@@ -56,17 +57,14 @@
 	}
 	most := int(headroomMost * float64(len(rooms)))
 	wanted := headroomOver * c.urgentUse[pool]
-	var list []*room
-	for i := len(rooms) - 1; i >= 0; i-- {
-		r := rooms[i]
-		if most > 0 && wanted > 0 && r.urgentOnly {
+	return slices.DeleteFunc(slices.Clone(rooms), func(r *room) bool {
+		kept := most > 0 && wanted > 0 && r.urgentOnly
+		if kept {
 			most--
 			wanted -= float64(r.Room.Accelerators)
-			continue
 		}
-		list = append(list, r)
-	}
-	return list
+		return kept
+	})
 }
 
 // loadOf is the share of the workers' accelerators that is in use, or of their
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -65,8 +65,8 @@
 	return "queue " + s.job.Queue
 }
 
-func (e *estimates) learn(s *step, took time.Duration, startedPct int) {
-	if s.spec.EstimateMS <= 0 || took <= 0 || startedPct > 0 {
+func (e *estimates) learn(s *step, took time.Duration, percentAtStart int) {
+	if s.spec.EstimateMS <= 0 || took <= 0 || percentAtStart > 0 {
 		return
 	}
 	seen := math.Log(float64(took.Milliseconds()+1) / float64(s.spec.EstimateMS))
@@ -84,7 +84,7 @@
 // left is how long a run will take yet.
 func (e *estimates) left(r *run, now time.Time) time.Duration {
 	ran := now.Sub(r.since)
-	if done := r.percent - r.startedPct; done >= minProgress {
+	if done := r.percent - r.percentAtStart; done >= minProgress {
 		return time.Duration(float64(ran) * float64(100-r.percent) / float64(done))
 	}
 	return max(e.of(r.task.step)-ran, minLeft)
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -34,9 +34,8 @@
 	attempt int64
 	runs    int
 	// broken gangs are being stopped.
-	broken   bool
-	brokenAt time.Time
-	done     bool
+	broken bool
+	done   bool
 }
 
 type job struct {
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -37,7 +37,7 @@
 	// onTime jobs can meet their objective.
 	onTime hope = iota
 	// late jobs can only end before three times their objective: they are worth
-	// a quarter or less of what they were.
+	// a third or less of what they were.
 	late
 	// lost jobs cannot even do that. They run when nothing else wants the room.
 	lost
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -39,16 +39,16 @@
 	stopping  bool
 	reason    string
 	percent   int
-	// movedAt is when percent last grew.
-	movedAt    time.Time
-	startedPct int
-	checkpoint string
+	// percentAtStart is above zero for a run that was met under way: how long it
+	// has run in all is not known.
+	percentAtStart int
+	checkpoint     string
 }
 
 // start orders a run of a task.
 func (c *Core) start(t *task, w *worker, attempt int64, g *gang, reason string) {
 	r := &run{
-		task: t, worker: w, attempt: attempt, gang: g, need: t.step.spec.Counted(), since: c.now, movedAt: c.now,
+		task: t, worker: w, attempt: attempt, gang: g, need: t.step.spec.Counted(), since: c.now,
 		checkpoint: t.step.job.record.Saved[t.name()],
 	}
 	c.attach(r)
@@ -141,15 +141,22 @@
 	}
 }
 
-// StartAnswered takes the answer to a start.
-func (c *Core) StartAnswered(order workload.Order, receipt workload.Receipt, now time.Time, wallMS int64) {
+// answered finds the worker and the run that an answer is about, and takes the
+// worker's clock from it. Both are nil where the worker is forgotten, the run
+// alone where it is.
+func (c *Core) answered(order workload.Order, receipt workload.Receipt, now time.Time, wallMS int64) (*worker, *run) {
 	c.tick(now, wallMS)
 	w := c.workers[order.Worker]
 	if w == nil {
-		return
+		return nil, nil
 	}
 	w.sample(receipt.ClockMS, now)
-	r := w.runs[runKey{order.Task, order.Attempt}]
+	return w, w.runs[runKey{order.Task, order.Attempt}]
+}
+
+// StartAnswered takes the answer to a start.
+func (c *Core) StartAnswered(order workload.Order, receipt workload.Receipt, now time.Time, wallMS int64) {
+	w, r := c.answered(order, receipt, now, wallMS)
 	if r == nil {
 		return
 	}
@@ -195,13 +202,10 @@
 
 // StopAnswered takes the answer to a stop.
 func (c *Core) StopAnswered(order workload.Order, receipt workload.Receipt, now time.Time, wallMS int64) {
-	c.tick(now, wallMS)
-	w := c.workers[order.Worker]
+	w, r := c.answered(order, receipt, now, wallMS)
 	if w == nil {
 		return
 	}
-	w.sample(receipt.ClockMS, now)
-	r := w.runs[runKey{order.Task, order.Attempt}]
 	switch receipt.Verdict {
 	case workload.VerdictDone, workload.VerdictOld:
 		if r != nil {
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -116,7 +116,7 @@
 	assert.Equal(t, b.runningOf("urgent"), 1, "waited until it was late")
 }
 
-func TestTasksThatServeShareNoWorkerWithTasksThatFill(t *testing.T) {
+func TestServingTasksShareNoWorkerWithBatchTasks(t *testing.T) {
 	b := newBench(t, 3, false)
 	serving := singleJob("serving", "batch", "other", 2, 1)
 	serving.Steps[0].TargetMS, serving.Steps[0].Lasting = 50, true
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -130,8 +130,8 @@
 	for i, r := range res.rooms {
 		counts[i] = c.slots(u, r, res.future[r])
 	}
-	for _, s := range pick(u, res.rooms, counts, len(u.tasks), func(*room) bool { return true }) {
-		s.worker.kept = s.worker.kept.Add(u.step.spec.Counted())
-		s.worker.keptFrom = res.at
+	for _, r := range pick(u, res.rooms, counts, len(u.tasks), func(*room) bool { return true }) {
+		r.kept = r.kept.Add(u.step.spec.Counted())
+		r.keptFrom = res.at
 	}
 }
--- a/internal/dispatch/sight.go
+++ b/internal/dispatch/sight.go
@@ -273,7 +273,7 @@
 	}
 	r := &run{
 		task: t, worker: w, attempt: running.Attempt, state: runRunning, need: t.step.spec.Counted(),
-		since: c.now, movedAt: c.now, settledBy: c.sequence, percent: running.Percent, startedPct: running.Percent,
+		since: c.now, settledBy: c.sequence, percent: running.Percent, percentAtStart: running.Percent,
 	}
 	if t.step.spec.Gang {
 		r.gang = c.gangOf(t.step, running.Attempt)
@@ -303,9 +303,7 @@
 		r.state = runRunning
 		r.settledBy = c.sequence
 	}
-	if running.Percent > r.percent {
-		r.percent, r.movedAt = running.Percent, c.now
-	}
+	r.percent = max(r.percent, running.Percent)
 	if running.Checkpoint != "" {
 		r.checkpoint = running.Checkpoint
 	}
--- a/internal/dispatch/victims.go
+++ b/internal/dispatch/victims.go
@@ -15,7 +15,7 @@
 // work on a full deployment: without it guaranteed capacity would be there only
 // once others have ended. It stops as little work as it can, and nothing unless
 // the whole unit will fit.
-func (c *Core) makeRoom(u *unit, rooms []*room, far bool, soon []slot) {
+func (c *Core) makeRoom(u *unit, rooms []*room, far bool, soon []*room) {
 	plan := c.cheapest(u, rooms, far)
 	if plan == nil {
 		if !u.step.spec.Gang {
--- a/internal/workload/ports.go
+++ b/internal/workload/ports.go
@@ -142,9 +142,6 @@
 	Checkpoint string
 	// Percent is how much of its work is done.
 	Percent int
-	// Use is, for a lasting task, its tail response time in milliseconds; for
-	// any other, the processor time in use in thousandths of a core.
-	Use int64
 }
 
 // EndKind says how a run ended.
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -165,22 +165,12 @@
 	Version  int64
 	Queues   []Queue
 	Accounts []Account
-	// Pools are the pools of workers by name.
-	Pools map[string]Pool
 	// MaxBodyBytes bounds a request body; zero is no bound of its own.
 	MaxBodyBytes int64
 	accountByKey map[string]string
 	queueByName  map[string]*Queue
 }
 
-// Pool is a set of workers that run the same queues.
-type Pool struct {
-	// GuardsRoom says that the workers themselves refuse what does not fit.
-	GuardsRoom bool
-	// Standby pools are off.
-	Standby bool
-}
-
 // Index prepares look-ups. Call it once, before the configuration is shared.
 func (c *Configuration) Index() {
 	c.accountByKey = make(map[string]string)
@@ -250,16 +240,10 @@
 	LongestLease time.Duration
 	// StopTime is how long a stop takes at most.
 	StopTime time.Duration
-	// GangWait is how long a member waits for the rest of its gang.
-	GangWait time.Duration
 	// Reclaim is the bound within which guaranteed capacity is there.
 	Reclaim time.Duration
-	// Early is how much earlier than due an occurrence may start.
-	Early time.Duration
 	// StatusKept is how long the state of an ended job can be asked for.
 	StatusKept time.Duration
 	// RemoteFactor is how much longer a task takes away from its rack.
 	RemoteFactor float64
-	// Restore is how long a task takes to resume from a checkpoint.
-	Restore time.Duration
 }
