The log says why a step waits

A step that could run and does not now has a line when the reason changes, and each two seconds at most.

--- a/internal/deployment/conduct.go
+++ b/internal/deployment/conduct.go
@@ -192,6 +192,10 @@
 		c.orders.Submit(func() { c.give("stop", action, c.instance.workerClient.Stop, (*dispatch.Core).StopAnswered) })
 	case dispatch.ActLook:
 		c.orders.Submit(func() { c.look(action) })
+	case dispatch.ActTell:
+		o := action.Order
+		c.logger.Info("wait", zap.String("job", o.Task.Job), zap.Int("occurrence", o.Task.Occurrence), zap.Int("step", o.Task.Step),
+			zap.Int64("epoch", o.Epoch), zap.String("reason", action.Reason))
 	case dispatch.ActAsk:
 		c.orders.Submit(func() { c.ask(action.Ask) })
 	}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -16,6 +16,8 @@
 	ActLook
 	// ActAsk asks the placement advisor.
 	ActAsk
+	// ActTell is for the log only: why a step waits.
+	ActTell
 )
 
 // Action is something for the driver to do. Its answer comes back as an event.
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -27,6 +27,8 @@
 	// answer is the placement advisor.
 	answer  func(workload.Question) workload.Counsel
 	tickets map[string]bool
+	// told is what the core said of waiting steps.
+	told []string
 }
 
 type fakeWorker struct {
@@ -116,6 +118,10 @@
 }
 
 func (b *bench) carryOut(a Action) {
+	if a.Kind == ActTell {
+		b.told = append(b.told, a.Reason)
+		return
+	}
 	if a.Kind == ActAsk {
 		b.core.Advised(a.Ask, b.answer(a.Ask), b.now, b.wallMS)
 		return
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -110,18 +110,48 @@
 	if len(u.tasks) == 0 {
 		return true
 	}
+	c.tell(u, c.await(u, rooms, far, mayKeep))
+	return false
+}
+
+// await makes sure that a unit that does not fit will, and says how.
+func (c *Core) await(u *unit, rooms []*room, far, mayKeep bool) string {
 	soon := c.find(u, rooms, far, func(r *room) workload.Resources { return r.soon })
 	switch {
 	case len(soon) == len(u.tasks):
 		hold(u, soon)
+		return "room is being freed"
 	case u.rank.urgent():
-		if !c.waitOut(u, rooms, far) {
-			c.makeRoom(u, rooms, far, soon)
+		if c.waitOut(u, rooms, far) {
+			return "others end in time"
 		}
-	case mayKeep && u.step.spec.Gang:
-		c.keep(u, rooms, far)
+		if c.makeRoom(u, rooms, far, soon) {
+			return "others are stopped"
+		}
+		return "nothing may be stopped for it"
+	case len(rooms) == 0:
+		return "no worker that may run it"
+	case mayKeep && u.step.spec.Gang && c.keep(u, rooms, far):
+		return "room is kept for it"
+	case !far:
+		return "no room where it belongs"
 	}
-	return false
+	return "no room"
+}
+
+// tellEvery bounds the lines about one step that waits.
+const tellEvery = 2 * time.Second
+
+// tell says why a step waits, if that changed or has lasted.
+func (c *Core) tell(u *unit, why string) {
+	s := u.step
+	if why == s.told && c.now.Sub(s.toldAt) < tellEvery || c.now.Sub(s.readySince) < tellEvery/4 {
+		return
+	}
+	s.told, s.toldAt = why, c.now
+	reason := fmt.Sprintf("%s; rank %d, due in %d ms, waited %d ms, %d tasks of about %d ms", why, u.rank.class,
+		u.dueBy.Sub(c.now).Milliseconds(), c.now.Sub(s.readySince).Milliseconds(), len(u.tasks), u.length.Milliseconds())
+	c.actions = append(c.actions, Action{Kind: ActTell, Reason: reason, Order: workload.Order{Task: u.tasks[0].id(), Epoch: c.epoch}})
 }
 
 // hold takes room that is free or being freed for a unit that waits for it.
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -18,6 +18,9 @@
 	// readySince is when it could first have run; zero while it could not.
 	readySince time.Time
 	began      bool
+	// told is why it waits, as of toldAt.
+	told   string
+	toldAt time.Time
 	// advice is what the advisor said of workers, on queues that have one.
 	advice advice
 }
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -26,10 +26,13 @@
 // at which enough of its workers will have room, by the estimated ends of what
 // runs. Without it large gangs starve behind small work, which fills every gap
 // as soon as it opens.
-func (c *Core) keep(u *unit, rooms []*room, far bool) {
-	if r := c.earliest(u, rooms, far); r != nil {
+// False if its workers will never have room by those ends.
+func (c *Core) keep(u *unit, rooms []*room, far bool) bool {
+	r := c.earliest(u, rooms, far)
+	if r != nil {
 		c.reserve(u, r)
 	}
+	return r != nil
 }
 
 // stopReserve is what is kept of an urgent unit's time when it waits for others
--- a/internal/dispatch/victims.go
+++ b/internal/dispatch/victims.go
@@ -14,14 +14,14 @@
 // makeRoom stops lower work so that the unit fits. It answers a burst of urgent
 // work on a full deployment: without it guaranteed capacity would be there only
 // once others have ended. It stops as little work as it can, and nothing unless
-// the whole unit will fit.
-func (c *Core) makeRoom(u *unit, rooms []*room, far bool, soon []*room) {
+// the whole unit will fit; false if nothing can.
+func (c *Core) makeRoom(u *unit, rooms []*room, far bool, soon []*room) bool {
 	plan := c.cheapest(u, rooms, far)
 	if plan == nil {
 		if !u.step.spec.Gang {
 			hold(u, soon)
 		}
-		return
+		return false
 	}
 	for _, p := range plan {
 		for _, victim := range p.victims {
@@ -34,6 +34,7 @@
 		p.room.soon = p.room.soon.Sub(need)
 		p.room.free = p.room.free.Sub(need)
 	}
+	return true
 }
 
 // offer is what it costs to have slots on one worker.
