--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -14,6 +14,7 @@
 //	victims.go what is stopped for guaranteed work
 //	advice.go  tickets of the placement advisor
 //	evacuate.go what leaves a worker before the worker does
+//	estimate.go how long tasks take
 //	health.go  which workers are trusted
 //	leases.go  when a silent worker has surely stopped
 //	record.go  what of a job is stored
