A new epoch stops gangs of which only some members were started

Cause: the holder was replaced between the orders to two members; the next holder adopted the one and waited for a gang that nobody would complete. Ruled out: an order without an answer (then the same holder stops the rest). Such a gang is stopped now once every worker has answered.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -98,6 +98,7 @@
 func (c *Core) Decide(now time.Time, wallMS int64) []Action {
 	c.tick(now, wallMS)
 	c.expireLeases()
+	c.breakPartial()
 	c.settle()
 	if c.config != nil {
 		c.place()
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -169,16 +169,34 @@
 // breakGang stops the rest of a gang after one member did not start, ended
 // without being done, or may not run.
 func (c *Core) breakGang(r *run, reason string) {
-	g := r.gang
-	if g == nil || g.broken || g.done {
-		return
+	if g := r.gang; g != nil && !g.broken && !g.done {
+		c.stopGang(r.task.step, g, r, reason)
 	}
+}
+
+// stopGang stops all members of a gang but one, which may be nil.
+func (c *Core) stopGang(s *step, g *gang, but *run, reason string) {
 	g.broken = true
-	s := r.task.step
 	for i := range s.tasks {
-		for _, other := range s.tasks[i].runs {
-			if other.gang == g && other != r {
-				c.stop(other, "gang broken: "+reason)
+		for _, r := range s.tasks[i].runs {
+			if r.gang == g && r != but {
+				c.stop(r, "gang broken: "+reason)
+			}
+		}
+	}
+}
+
+// breakPartial stops gangs of which an earlier epoch started only some members:
+// its holder was replaced between two orders. Once no other member can run
+// unseen, the ones that wait would only wait for ever.
+func (c *Core) breakPartial() {
+	for _, j := range c.queue {
+		if !j.old || j.runs == 0 || c.mayRunUnseen(j) {
+			continue
+		}
+		for _, s := range j.steps {
+			if g := s.gang; g != nil && g.runs < s.open && !g.broken && !g.done {
+				c.stopGang(s, g, nil, "members are missing")
 			}
 		}
 	}
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -79,3 +79,23 @@
 	b.pass(2 * time.Second)
 	assert.Equal(t, b.starts, 1)
 }
+
+func TestAGangOfWhichAnEarlierEpochStartedSomeMembersIsStoppedAtOnce(t *testing.T) {
+	for name, silent := range map[string]bool{"all workers answer": false, "one worker answers later": true} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 2, true)
+			alone := runKey{workload.TaskID{Job: "gang", Index: 1}, 1_000_001}
+			b.workers["w00"].running[alone] = &fakeRun{need: workload.Resources{Accelerators: 8}}
+			b.silent["w01"] = silent
+			b.add(gangJob("gang", "batch", "other", 2, 8))
+			b.pass(time.Second)
+			if silent {
+				assert.Assert(t, b.workers["w00"].running[alone] != nil, "the silent worker may run the other member")
+				b.silent["w01"] = false
+				b.pass(time.Second)
+			}
+			assert.Assert(t, b.workers["w00"].running[alone] == nil, "it would wait until it gives up")
+			assert.Equal(t, b.runningOf("gang"), 2, "started again whole")
+		})
+	}
+}
