--- a/internal/deployment/conduct.go
+++ b/internal/deployment/conduct.go
@@ -174,12 +174,20 @@
 	for _, action := range c.core.Decide(started, time.Now().UnixMilli()) {
 		c.carryOut(action)
 	}
-	metricRound.UpdateDuration(started)
+	took := bootTime().Sub(started)
+	metricRound.Update(took.Seconds())
+	if took > slowRound {
+		c.logger.Warn("slow round", zap.Duration("took", took), zap.Int64("epoch", c.grant.epoch))
+	}
 	c.write()
 	c.collect()
 	c.instance.replica.setBegan(c.grant.epoch, c.core.Began())
 }
 
+// slowRound is what a round may take before a line says so: a fifth of the time
+// between two renewals, which wait for the processor as well.
+const slowRound = renewEvery / 5
+
 var metricRound = metrics.NewHistogram("corianderbank_deployment_round_seconds")
 
 func (c *conductor) carryOut(action dispatch.Action) {
