--- a/internal/deployment/conduct.go
+++ b/internal/deployment/conduct.go
@@ -214,9 +214,7 @@
 	case dispatch.ActLook:
 		c.orders.Submit(func() { c.look(action) })
 	case dispatch.ActTell:
-		o := action.Order
-		c.logger.Info("wait", zap.String("job", o.Task.Job), zap.Int("occurrence", o.Task.Occurrence), zap.Int("step", o.Task.Step),
-			zap.Int64("epoch", o.Epoch), zap.String("reason", action.Reason))
+		c.logger.Info("wait", append(taskFields(action.Order.Task), zap.Int64("epoch", action.Order.Epoch), zap.String("reason", action.Reason))...)
 	case dispatch.ActAsk:
 		c.orders.Submit(func() { c.ask(action.Ask) })
 	}
@@ -226,17 +224,32 @@
 func (c *conductor) ask(question workload.Question) {
 	ctx, cancel := context.WithTimeout(c.ctx, question.Within)
 	defer cancel()
-	counsel := c.instance.options.Advisor.Advise(ctx, question)
-	c.logger.Info("advice", zap.String("job", question.Step.Job), zap.Int("step", question.Step.Step),
-		zap.Int("asked", len(question.Workers)), zap.Int("allowed", len(counsel.Allowed)), zap.Error(counsel.Err))
+	counsel := workload.Counsel{Err: errNoAdvisor}
+	if advisor := c.instance.options.Advisor; advisor != nil {
+		counsel = advisor.Advise(ctx, question)
+	}
+	c.logger.Info("advice", zap.String("job", question.Step.Job), zap.Int("occurrence", question.Step.Occurrence),
+		zap.Int("step", question.Step.Step), zap.Int("asked", len(question.Workers)), zap.Int("allowed", len(counsel.Allowed)), zap.Error(counsel.Err))
 	c.post(func(core *dispatch.Core, now time.Time, wallMS int64) { core.Advised(question, counsel, now, wallMS) })
 }
 
 func (c *conductor) logOrder(what string, action dispatch.Action) {
-	o := action.Order
-	c.logger.Info("order", zap.String("order", what), zap.String("job", o.Task.Job), zap.Int("occurrence", o.Task.Occurrence),
-		zap.Int("step", o.Task.Step), zap.Int("task", o.Task.Index), zap.Int64("attempt", o.Attempt),
-		zap.String("worker", o.Worker), zap.Int64("epoch", o.Epoch), zap.String("reason", action.Reason))
+	c.logger.Info("order", orderFields(what, action.Order,
+		zap.Int64("epoch", action.Order.Epoch), zap.String("reason", action.Reason))...)
+}
+
+// orderFields name an order in a log line.
+func orderFields(what string, o workload.Order, more ...zap.Field) []zap.Field {
+	fields := append([]zap.Field{zap.String("order", what)}, taskFields(o.Task)...)
+	fields = append(fields, zap.Int64("attempt", o.Attempt), zap.String("worker", o.Worker))
+	return append(fields, more...)
+}
+
+// taskFields name a task in a log line.
+func taskFields(t workload.TaskID) []zap.Field {
+	return []zap.Field{
+		zap.String("job", t.Job), zap.Int("occurrence", t.Occurrence), zap.Int("step", t.Step), zap.Int("task", t.Index),
+	}
 }
 
 // give gives an order, if the lease still holds at the moment it leaves, and
@@ -264,15 +277,19 @@
 	}
 	for _, e := range sight.Ended {
 		if e.Number > action.Look.Noted {
-			c.logger.Info("end", zap.String("job", e.Task.Job), zap.Int("occurrence", e.Task.Occurrence), zap.Int("step", e.Task.Step),
-				zap.Int("task", e.Task.Index), zap.Int64("attempt", e.Attempt), zap.String("worker", action.Look.Worker),
-				zap.String("kind", string(e.Kind)), zap.Int64("number", e.Number))
+			c.logger.Info("end", append(taskFields(e.Task), zap.Int64("attempt", e.Attempt), zap.String("worker", action.Look.Worker),
+				zap.String("kind", string(e.Kind)), zap.Int64("number", e.Number))...)
 		}
 	}
 	c.post(func(core *dispatch.Core, now time.Time, wallMS int64) { core.Saw(action, sight, now, wallMS) })
 }
 
-var errLeaseOver = errors.New("the lease is over")
+var (
+	errLeaseOver = errors.New("the lease is over")
+	// errNoAdvisor meets jobs that were accepted before their queue got an advisor
+	// that the settings do not name.
+	errNoAdvisor = errors.New("the settings name no placement advisor")
+)
 
 func metricOrder(kind string, verdict workload.Verdict) *metrics.Histogram {
 	return metrics.GetOrCreateHistogram(`corianderbank_deployment_order_seconds{order="` + kind + `",verdict="` + verdict.String() + `"}`)
@@ -282,10 +299,8 @@
 	if receipt.Verdict == workload.VerdictDone {
 		return
 	}
-	o := action.Order
-	c.logger.Warn("order not carried out", zap.String("order", what), zap.String("job", o.Task.Job), zap.Int("step", o.Task.Step),
-		zap.Int("task", o.Task.Index), zap.Int64("attempt", o.Attempt), zap.String("worker", o.Worker),
-		zap.Stringer("verdict", receipt.Verdict), zap.Error(receipt.Err))
+	c.logger.Warn("order not carried out", orderFields(what, action.Order,
+		zap.Stringer("verdict", receipt.Verdict), zap.Error(receipt.Err))...)
 }
 
 // write stores what the store does not have yet; one write is under way at a
