A command says from the logs alone what late and lost jobs waited for

Where most jobs lost their time could not be said.

Change: `corianderbank losses FILE...` reads the logs of all instances and shares each job's time among accept, holder, lease, room, stop, start, again, run and record, moment by moment, then sums the late, lost and refused ones by cause and by the moment of submission.

Ruled out: putting the account into the core. A new holder does not know what a job waited for before, and the lines of all instances do.

Tests: a table of one case a cause, keyed by a sentence; lines that cannot be read are counted.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -112,6 +112,7 @@
 	s.addStored(serve)
 	s.addJob()
 	s.addStatus()
+	s.addLosses()
 	s.addVersion()
 	return s
 }
--- a/internal/deployment/conduct.go
+++ b/internal/deployment/conduct.go
@@ -109,9 +109,11 @@
 	}
 	c.core.Listed(c.instance.workers.list(), now, wallMS)
 	c.core.Stored(noted)
-	for _, known := range c.instance.replica.snapshot() {
+	jobs := c.instance.replica.snapshot()
+	for _, known := range jobs {
 		c.core.AddJob(known.job, known.record, known.cancelled, now, wallMS)
 	}
+	c.logger.Info("conducting", zap.Int64("epoch", c.grant.epoch), zap.Int("jobs", len(jobs)), zap.Int("workers_noted", len(noted)))
 }
 
 // earlier is until when a holder before this one may have given orders.
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -182,19 +182,43 @@
 	return whyNoRoom
 }
 
-// tellEvery bounds the lines about one step that waits.
-const tellEvery = 2 * time.Second
+const (
+	// tellAfter is how long a step waits before a line says so: most start sooner.
+	tellAfter = 150 * time.Millisecond
+	// tellEvery and tellChange bound the lines about one step that waits, for one
+	// reason and for changing ones.
+	tellEvery  = 2 * time.Second
+	tellChange = 300 * time.Millisecond
+)
 
 // tell says why a step waits, if that changed or has lasted.
 func (c *Core) tell(u *unit, why string) {
 	s := u.step
-	if why == s.told && c.now.Sub(s.toldAt) < tellEvery || c.now.Sub(s.readySince) < tellEvery/4 {
+	if !c.worthTelling(s, why) || c.now.Sub(s.readySince) < tellAfter {
 		return
 	}
-	s.told, s.toldAt = why, c.now
 	reason := fmt.Sprintf("%s; rank %d, due in %d ms, waited %d ms, %d tasks of about %d ms", why, u.rank.class,
 		u.dueBy.Sub(c.now).Milliseconds(), c.now.Sub(s.readySince).Milliseconds(), len(u.tasks), u.length.Milliseconds())
-	c.actions = append(c.actions, Action{Kind: ActTell, Reason: reason, Order: workload.Order{Task: u.tasks[0].id(), Epoch: c.epoch}})
+	c.tellOf(s, why, reason)
+}
+
+// tellHeld says why no step of a job may start.
+func (c *Core) tellHeld(j *job, why string) {
+	if j.runs > 0 || len(j.steps) == 0 || !c.worthTelling(j.steps[0], why) {
+		return
+	}
+	c.tellOf(j.steps[0], why, fmt.Sprintf("%s; waited %d ms", why, c.now.Sub(j.received).Milliseconds()))
+}
+
+func (c *Core) worthTelling(s *step, why string) bool {
+	since := c.now.Sub(s.toldAt)
+	return since >= tellEvery || why != s.told && since >= tellChange
+}
+
+func (c *Core) tellOf(s *step, why, reason string) {
+	s.told, s.toldAt = why, c.now
+	task := workload.TaskID{Job: s.job.ID, Occurrence: s.occurrence, Step: s.number}
+	c.actions = append(c.actions, Action{Kind: ActTell, Reason: reason, Order: workload.Order{Task: task, Epoch: c.epoch}})
 }
 
 // hold takes room that is free or being freed for a unit that waits for it.
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -74,7 +74,11 @@
 	var list []*unit
 	foreign := c.foreignJobs()
 	for _, j := range c.queue {
-		if j.record.Final != "" || foreign[j.ID] || c.mayRunUnseen(j) {
+		if j.record.Final != "" {
+			continue
+		}
+		if why := c.heldBack(j, foreign); why != "" {
+			c.tellHeld(j, why)
 			continue
 		}
 		q := c.config.Queue(j.Queue)
@@ -92,6 +96,18 @@
 	return list
 }
 
+// heldBack says why nothing of a job may start although it could run: a run of it
+// that this epoch does not know may not be over. Empty if nothing holds it.
+func (c *Core) heldBack(j *job, foreign map[string]bool) string {
+	switch {
+	case foreign[j.ID]:
+		return "a run of it may not be over yet"
+	case c.mayRunUnseen(j):
+		return "workers that have not answered"
+	}
+	return ""
+}
+
 func (c *Core) unitsOf(list []*unit, j *job, q *workload.Queue) []*unit {
 	for _, s := range j.steps {
 		if s.open == 0 || !c.ready(s) {
