Larger instances schedule first, and a planned change of holders lets orders end

In the first burst its rounds took 0.3 to 1.4 s, no renewal was seen for 1.1 s, the next small instance took the lease and had every worker to ask first: 13 epochs in 60 s.

Change: instances say in their row how much of the processor they may use. The turn of a candidate is its place among those that said lately that they reach the store, larger ones first; a lease that nobody ever had waits for two hellos; a released lease keeps the turns as well; a small holder hands the lease on once a larger one is there and no worker is waited for. A holder that gives the lease up decides nothing more and lets its orders and writes end (0.4 s at most), so that no gang is left half started.

--- a/internal/deployment/conduct.go
+++ b/internal/deployment/conduct.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -51,7 +52,13 @@
 	unseenAt time.Time
 	// priorities are those of which steps have waited.
 	priorities map[int]bool
-	ctx        context.Context
+	// calm says, for the lease, that no worker is waited for.
+	calm atomic.Bool
+	// closing conductors decide nothing any more; underWay counts the orders and
+	// writes that are not answered.
+	closing  atomic.Bool
+	underWay atomic.Int64
+	ctx      context.Context
 }
 
 // hold conducts until the context ends or the lease is over.
@@ -156,7 +163,7 @@
 		if c.grant.ended() {
 			return
 		}
-		if !c.grant.valid() {
+		if !c.grant.valid() || c.closing.Load() {
 			continue // nothing is decided until the lease is renewed
 		}
 		c.round()
@@ -202,6 +209,26 @@
 	c.write()
 	c.collect()
 	c.instance.replica.setBegan(c.grant.epoch, c.core.Began())
+	c.calm.Store(c.core.Calm())
+}
+
+const (
+	// finishWithin bounds how long a holder that gives the lease up lets its orders
+	// end: a gang of which some members were started would be broken by the next one.
+	// Workers answer within milliseconds; a planned stop has seconds.
+	finishWithin = 400 * time.Millisecond
+	finishPoll   = 5 * time.Millisecond
+)
+
+// finish decides nothing any more and waits for what is under way.
+func (c *conductor) finish() {
+	c.closing.Store(true)
+	ctx, cancel := context.WithTimeout(c.ctx, finishWithin)
+	defer cancel()
+	pause(ctx, finishPoll) // a round may be under way
+	for ctx.Err() == nil && c.underWay.Load() > 0 {
+		pause(ctx, finishPoll)
+	}
 }
 
 // unseenEvery is how often a line says which workers a new holder waits for.
@@ -250,9 +277,11 @@
 	case dispatch.ActStart:
 		c.logOrder("start", action)
 		measureStart(action.First)
+		c.underWay.Add(1)
 		c.orders.Submit(func() { c.give("start", action, c.instance.workerClient.Start, (*dispatch.Core).StartAnswered) })
 	case dispatch.ActStop:
 		c.logOrder("stop", action)
+		c.underWay.Add(1)
 		c.orders.Submit(func() { c.give("stop", action, c.instance.workerClient.Stop, (*dispatch.Core).StopAnswered) })
 	case dispatch.ActLook:
 		c.orders.Submit(func() { c.look(action) })
@@ -301,6 +330,7 @@
 	what string, action dispatch.Action, send func(context.Context, workload.Order) workload.Receipt,
 	answered func(*dispatch.Core, workload.Order, workload.Receipt, time.Time, int64),
 ) {
+	defer c.underWay.Add(-1)
 	receipt := workload.Receipt{Verdict: workload.VerdictUnsent, Err: errLeaseOver}
 	sent := time.Now()
 	if c.grant.valid() {
--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -110,6 +110,7 @@
 	i.lease = &lease{
 		self: s.Listen.Peers, store: i.store.within(leasePathTimeout), replica: i.replica, logger: o.Logger,
 		eligible: i.eligible, steady: i.store.steady, holds: i.holdsLease, hold: i.hold,
+		cores: s.Processor.cores(), rivals: i.rivals, known: i.otherInstances, calm: i.calm, finish: i.finish,
 	}
 	i.replica.changed = i.jobChanged
 	i.workers.changed = i.workersChanged
@@ -123,6 +124,34 @@
 	return reachable && i.replica.isLoaded() && i.configuration.Load() != nil && !i.stopping.Load()
 }
 
+// otherInstances are all others in the table, with their sizes.
+func (i *Instance) otherInstances() []peerSize {
+	return i.replica.sizes(func(addr string) bool { return addr != i.settings.Listen.Peers })
+}
+
+// rivals are the other instances that could take the lease now, as far as they said
+// lately.
+func (i *Instance) rivals() []peerSize {
+	ready := make(map[string]bool)
+	for _, addr := range i.peers.fresh(func(v peerView) bool { return v.storeReachable }) {
+		ready[addr] = true
+	}
+	return i.replica.sizes(func(addr string) bool { return ready[addr] })
+}
+
+// calm reports whether this holder could hand the lease on now.
+func (i *Instance) calm() bool {
+	conductor := i.conductor.Load()
+	return conductor != nil && conductor.calm.Load()
+}
+
+// finish lets the orders and writes of this holder end before it gives up the lease.
+func (i *Instance) finish() {
+	if conductor := i.conductor.Load(); conductor != nil {
+		conductor.finish()
+	}
+}
+
 // jobChanged tells the core, if this instance conducts, of a new job or cancel.
 func (i *Instance) jobChanged(c change) {
 	conductor := i.conductor.Load()
@@ -340,7 +369,7 @@
 // register writes this instance's row, by which the others find it.
 func (i *Instance) register(ctx context.Context) {
 	key := instancePrefix + i.settings.Listen.Peers
-	row := workload.Row{Key: key, Value: encode(instanceRow{Name: i.settings.Instance, Zone: i.settings.AvailabilityZone})}
+	row := workload.Row{Key: key, Value: encode(instanceRow{Name: i.settings.Instance, Zone: i.settings.AvailabilityZone, Cores: i.settings.Processor.cores()})}
 	for ctx.Err() == nil {
 		written, err := i.store.Write(ctx, workload.Write{Put: []workload.Row{row}})
 		if err == nil {
--- a/internal/deployment/lease.go
+++ b/internal/deployment/lease.go
@@ -38,7 +38,8 @@
 	probeTimeout = 250 * time.Millisecond
 	// campaignEvery is how often an instance looks whether the lease is free.
 	campaignEvery = 50 * time.Millisecond
-	// candidateStep spreads the candidates, so that one of them is first.
+	// candidateStep spreads the candidates, so that one of them is first: a write to
+	// the store, and the look for its result.
 	candidateStep = 60 * time.Millisecond
 )
 
@@ -106,6 +107,16 @@
 	holds func(ctx context.Context, instance string) (bool, error)
 	// eligible reports whether this instance may take the lease now.
 	eligible func() bool
+	// cores is what this instance may use of the processor. rivals are the others
+	// that could take the lease now, known all that are in the table.
+	cores         float64
+	rivals, known func() []peerSize
+	// calm reports whether the lease could change hands without work waiting for it;
+	// finish lets what is under way end, before the lease is given up.
+	calm   func() bool
+	finish func()
+	// since is when the duty began.
+	since time.Time
 	// hold runs while the lease is held; it returns when the context ends.
 	hold func(ctx context.Context, g *grant)
 
@@ -128,6 +139,7 @@
 
 // run campaigns and holds until the context ends; then it releases the lease.
 func (l *lease) run(ctx context.Context) {
+	l.since = bootTime()
 	for ctx.Err() == nil {
 		if !l.free(ctx) {
 			pause(ctx, campaignEvery)
@@ -146,23 +158,31 @@
 func (l *lease) serve(ctx context.Context, g *grant) {
 	l.logger.Info("lease won", zap.Int64("epoch", g.epoch), zap.String("reason", g.why))
 	l.set(g)
-	holding, cancel := context.WithCancel(ctx)
+	// What is under way ends in its own time when the duty is told to end.
+	holding, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		l.hold(holding, g)
 	}()
 	reason := l.renew(ctx, g)
+	givenUp := ctx.Err() != nil || reason == reasonYielded
+	if givenUp {
+		l.finish()
+	}
 	g.end()
 	cancel()
 	<-done
 	l.set(nil)
 	l.logger.Info("lease lost", zap.Int64("epoch", g.epoch), zap.String("reason", reason))
-	if ctx.Err() != nil {
+	if givenUp {
 		l.release(g)
 	}
 }
 
+// reasonYielded says that the lease was handed to a larger instance.
+const reasonYielded = "a larger instance takes it"
+
 // free reports whether the lease may be taken, as far as this instance knows:
 // it was released, or it is over, or its holder does not hold it any more. A
 // holder that answers nobody may believe in its lease yet; whoever takes it
@@ -175,16 +195,23 @@
 // it may not. Only that row may then be replaced: while the holder is asked, the
 // row may become another's.
 func (l *lease) whyFree(ctx context.Context, seen seenLeader) string {
+	now := bootTime()
+	turn := l.turn()
+	age := now.Sub(seen.since)
 	switch {
 	case seen.version == 0:
+		if now.Sub(l.since) < firstWait+turn {
+			return ""
+		}
 		return "nobody had it"
 	case seen.Released:
+		if age < turn {
+			return ""
+		}
 		return "released"
-	case seen.Holder == l.self:
+	case seen.Holder == l.self && !anyLarger(l.size(), l.known(), yieldFactor):
 		return "held by an earlier process at this address"
 	}
-	age := bootTime().Sub(seen.since)
-	turn := time.Duration(l.place()) * candidateStep
 	if age < suspectAfter+turn {
 		return ""
 	}
@@ -208,14 +235,16 @@
 	return l.holds(ctx, instance)
 }
 
-// place is this instance's place among the known ones.
-func (l *lease) place() int {
-	for i, addr := range l.replica.instances() {
-		if addr == l.self {
-			return i
-		}
-	}
-	return 0
+func (l *lease) size() peerSize { return peerSize{l.self, l.cores} }
+
+// turn is how long this instance leaves the lease to those that come before it.
+func (l *lease) turn() time.Duration {
+	return time.Duration(placeAmong(l.size(), l.rivals())) * candidateStep
+}
+
+// yields reports whether the holder should hand the lease on now.
+func (l *lease) yields(since time.Time) bool {
+	return bootTime().Sub(since) >= yieldAfter && anyLarger(l.size(), l.rivals(), yieldFactor) && l.calm()
 }
 
 // take tries to become the holder. It reads the row first: a feed that fell
@@ -279,6 +308,7 @@
 
 // renew extends the lease until it is lost; it returns why.
 func (l *lease) renew(ctx context.Context, g *grant) string {
+	since := bootTime()
 	for beat := int64(1); ; beat++ {
 		if g.valid() {
 			pause(ctx, renewEvery)
@@ -294,6 +324,9 @@
 		if !l.renewOnce(ctx, g, beat) {
 			return "another instance holds it"
 		}
+		if g.valid() && l.yields(since) {
+			return reasonYielded
+		}
 	}
 }
 
--- a/internal/deployment/lease_test.go
+++ b/internal/deployment/lease_test.go
@@ -34,7 +34,9 @@
 	return &lease{
 		self: self, store: store, replica: newReplica(zap.NewNop()), logger: zap.NewNop(),
 		eligible: func() bool { return true }, steady: func(time.Duration) bool { return true },
-		holds: func(context.Context, string) (bool, error) { return true, nil },
+		holds:  func(context.Context, string) (bool, error) { return true, nil },
+		rivals: func() []peerSize { return nil }, known: func() []peerSize { return nil },
+		calm: func() bool { return true }, finish: func() {},
 	}
 }
 
--- a/internal/deployment/records.go
+++ b/internal/deployment/records.go
@@ -54,6 +54,7 @@
 		return
 	}
 	c.writing = true
+	c.underWay.Add(1)
 	c.orders.Submit(func() { c.writeBatch(&b) })
 }
 
@@ -82,6 +83,7 @@
 
 // writeBatch tries one write.
 func (c *conductor) writeBatch(b *batch) {
+	defer c.underWay.Add(-1)
 	tx := c.transaction(b)
 	written, err := c.instance.store.Write(c.ctx, tx)
 	switch {
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -84,6 +84,8 @@
 type instanceRow struct {
 	Name string `json:"name"`
 	Zone string `json:"zone"`
+	// Cores is what it may use of the processor.
+	Cores float64 `json:"cores,omitempty"`
 }
 
 func newReplica(logger *zap.Logger) *replica {
@@ -249,6 +251,19 @@
 	return list
 }
 
+// sizes lists the known instances that match with their sizes.
+func (r *replica) sizes(match func(addr string) bool) []peerSize {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []peerSize
+	for addr, peer := range r.peers {
+		if match(addr) {
+			list = append(list, peerSize{addr, peer.Cores})
+		}
+	}
+	return list
+}
+
 // setBegan takes the holder's word on which jobs have begun.
 func (r *replica) setBegan(epoch int64, ids []string) {
 	r.mu.Lock()
--- a/internal/deployment/settings.go
+++ b/internal/deployment/settings.go
@@ -25,6 +25,9 @@
 	Advisor string `json:"advisor"`
 	// LogLevel is the lowest level that is logged: debug, info, warn or error.
 	LogLevel string `json:"log_level"`
+	// Processor is what the process may use of the processor. Larger instances
+	// schedule first.
+	Processor Processor `json:"processor"`
 	// MemoryMB is what the process may use, in megabytes.
 	MemoryMB int64 `json:"memory_mb"`
 	// StopWithinMS is how long a planned stop may take, in milliseconds.
@@ -33,6 +36,15 @@
 	Bounds BoundSettings `json:"bounds"`
 }
 
+// Processor is a share of some cores. Zero where it is not known: then all
+// instances count as equal.
+type Processor struct {
+	Share float64 `json:"share"`
+	Cores float64 `json:"cores"`
+}
+
+func (p Processor) cores() float64 { return p.Share * p.Cores }
+
 // Listen holds the addresses that an instance listens on.
 type Listen struct {
 	// Callers is for callers.
--- a/internal/dispatch/leases.go
+++ b/internal/dispatch/leases.go
@@ -96,6 +96,18 @@
 	return list
 }
 
+// Calm reports whether no worker is waited for: each that is listed has answered, and
+// what runs is known.
+func (c *Core) Calm() bool {
+	for _, w := range c.fleet {
+		listed := w.unlistedSince.IsZero()
+		if listed && !w.known || w.misses > 0 && (listed || len(w.runs) > 0) || len(w.foreign) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // mayRunUnseen reports whether a job's tasks may still run, by an earlier
 // epoch's order, on a worker that has not answered this one.
 func (c *Core) mayRunUnseen(j *job) bool {
