A zone that is cut off is noticed in 0.9 s, and its callers are told at once

An instance there sent the job to the store on a connection that had gone silent, could not say that it never runs, and held the caller for its whole 2.9 s; and it was ready for two seconds more, because silence was only noticed from gossip.

Change: each instance pings one instance of another zone every 0.3 s; a lost ping has two more and the store asked at once. If nobody answers the instance is not ready, work under way is answered (504, it may be in the store), and new work is refused with a time to come back without being sent. `losses` counts runs that failed or were saved as a job's own work, and the time of an accept from its begin.

Ruled out: answering 503 to what was sent already (it may run), and a shorter deadline for all (a store that is slow takes 0.35 s).

--- a/internal/deployment/accept.go
+++ b/internal/deployment/accept.go
@@ -90,7 +90,7 @@
 	metrics.GetOrCreateHistogram(`corianderbank_deployment_accept_seconds{error_kind="` + kindName(err) + `"}`).UpdateDuration(began)
 	q := caller.Queue
 	i.logger.Info("submit", zap.String("job", job.ID), zap.String("queue", job.Queue), zap.String("client_account", job.Account),
-		zap.Int("priority", q.Priority), zap.Float64("stretch", q.Stretch), zap.Int64("grace_ms", q.GraceMS),
+		zap.Int("priority", q.Priority), zap.Float64("stretch", q.Stretch), zap.Int64("grace_ms", q.GraceMS), zap.Int64("took_ms", time.Since(began).Milliseconds()),
 		zap.Int64("config_version", i.configVersion()), zap.String("error_kind", kindName(err)), zap.Error(err))
 	metrics.GetOrCreateCounter(`corianderbank_deployment_submits_total{error_kind="` + kindName(err) + `"}`).Inc()
 	return err
@@ -133,10 +133,16 @@
 	return nil
 }
 
-// writeOnce makes a conditional write until its result is known or the caller's
-// time is up. An answer that is missing is no refusal: the write is repeated,
-// and its own effect is met as a conflict.
+// writeOnce makes a conditional write until its result is known, the caller's time
+// is up, or this instance is cut off: the caller can ask another one. An answer that
+// is missing is no refusal: the write is repeated, and its own effect is met as a
+// conflict.
 func (i *Instance) writeOnce(ctx context.Context, write workload.Write, conflict func([]workload.Row) error) error {
+	if i.cut.cut() {
+		return refuseCutOff()
+	}
+	ctx, cancel := i.cut.guard(ctx)
+	defer cancel()
 	unknown := false
 	for {
 		written, err := i.store.Write(ctx, write)
@@ -153,11 +159,14 @@
 			return nil
 		}
 		unknown = unknown || errors.Is(err, workload.ErrUnknown)
+		if !unknown && errors.Is(context.Cause(ctx), errCutOff) {
+			return refuseCutOff()
+		}
 		if !unknown {
 			return api.WithRetryAfter(api.NewError(api.KindStoreUnavailable, "the store was not reached: %w", err), comeBack(i.store.away()))
 		}
 		if pause(ctx, retryPause); ctx.Err() != nil {
-			return api.NewError(api.KindResultUnknown, "the store's answer is missing: %w", err)
+			return api.NewError(api.KindResultUnknown, "the store's answer is missing: %w: %w", context.Cause(ctx), err)
 		}
 	}
 }
--- a/internal/deployment/conduct.go
+++ b/internal/deployment/conduct.go
@@ -275,7 +275,7 @@
 func (c *conductor) carryOut(action dispatch.Action) {
 	switch action.Kind {
 	case dispatch.ActStart:
-		c.logOrder("start", action)
+		c.logOrder("start", action, zap.Bool("resumes", action.Order.Checkpoint != ""))
 		measureStart(action.First)
 		c.underWay.Add(1)
 		c.orders.Submit(func() { c.give("start", action, c.instance.workerClient.Start, (*dispatch.Core).StartAnswered) })
@@ -305,9 +305,9 @@
 	c.post(func(core *dispatch.Core, now time.Time, wallMS int64) { core.Advised(question, counsel, now, wallMS) })
 }
 
-func (c *conductor) logOrder(what string, action dispatch.Action) {
-	c.logger.Info("order", orderFields(what, action.Order,
-		zap.Int64("epoch", action.Order.Epoch), zap.String("reason", action.Reason))...)
+func (c *conductor) logOrder(what string, action dispatch.Action, more ...zap.Field) {
+	fields := orderFields(what, action.Order, zap.Int64("epoch", action.Order.Epoch), zap.String("reason", action.Reason))
+	c.logger.Info("order", append(fields, more...)...)
 }
 
 // orderFields name an order in a log line.
--- a/internal/deployment/gossip.go
+++ b/internal/deployment/gossip.go
@@ -124,6 +124,9 @@
 	i.peers.set(id, peerView{
 		zone: hello.GetAvailabilityZone(), storeReachable: hello.GetStoreReachable() && !hello.GetLeaving(), at: bootTime(),
 	})
+	if hello.GetAvailabilityZone() != i.settings.AvailabilityZone {
+		i.reconnected(bootTime())
+	}
 	if hello.GetEpoch() > 0 {
 		i.replica.setBegan(hello.GetEpoch(), hello.GetBegan())
 	}
--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -66,6 +66,7 @@
 	replica       *replica
 	workers       *roster
 	lease         *lease
+	cut           *cutWatch
 	node          *peer.Node
 	peers         *peers
 	calls         pond.Pool
@@ -94,7 +95,7 @@
 	s := o.Settings
 	i := &Instance{
 		settings: s, options: o, logger: o.Logger, decoder: o.Decoder, workerClient: o.Workers,
-		replica: newReplica(o.Logger), peers: &peers{views: make(map[string]peerView)},
+		replica: newReplica(o.Logger), cut: newCutWatch(), peers: &peers{views: make(map[string]peerView)},
 		calls: pond.NewPool(callsAtOnce, pond.WithQueueSize(callsAtOnce), pond.WithNonBlocking(true)),
 	}
 	i.live.Store(s)
@@ -105,6 +106,7 @@
 	i.store = &reach{limit: pathTimeout, reachState: &reachState{direct: o.Store, caller: i.node, logger: o.Logger, helpers: func() []string {
 		return i.peers.fresh(func(v peerView) bool { return v.storeReachable })
 	}}}
+	i.store.answered = i.reconnected
 	kept := 2 * s.bounds().LongestLease
 	i.workers = newRoster(o.Decoder, kept, o.Logger)
 	i.lease = &lease{
@@ -222,21 +224,9 @@
 	if i.stopping.Load() || i.configuration.Load() == nil {
 		return false
 	}
-	return !i.cutOff()
-}
-
-// cutOff reports whether the instance reaches neither the store nor any
-// instance of another zone: callers are served better elsewhere. When the store
-// is away for all of them, nobody is better off elsewhere.
-func (i *Instance) cutOff() bool {
-	if reachable, _ := i.store.reachable(); reachable {
-		return false
-	}
-	others := i.replica.otherZones(i.settings.AvailabilityZone)
-	if !others {
-		return false
-	}
-	return len(i.peers.fresh(func(v peerView) bool { return v.zone != i.settings.AvailabilityZone })) == 0
+	// Cut off, callers are served better elsewhere. When the store is away for all
+	// instances, nobody is better off elsewhere.
+	return !i.cut.cut()
 }
 
 // Run starts to take callers by serve and runs until a signal, then shuts down
@@ -331,6 +321,7 @@
 	duty(i.rereadConfiguration)
 	duty(i.register)
 	duty(i.gossip)
+	duty(i.watchCut)
 	leasing, over := context.WithCancel(ctx)
 	i.leaseOver = over
 	i.leaseDuty.Add(1)
--- a/internal/deployment/reach.go
+++ b/internal/deployment/reach.go
@@ -50,6 +50,8 @@
 	logger *zap.Logger
 	// helpers lists the peers that said that they reach the store.
 	helpers func() []string
+	// answered is told when a call that the store answered had begun.
+	answered func(began time.Time)
 
 	mu sync.Mutex
 	// failedAt is when the direct path failed last; zero after a success.
@@ -87,6 +89,7 @@
 			r.note(path, began, err)
 		}
 		if err == nil {
+			r.noteAnswer(began)
 			return got, nil
 		}
 		unknown = unknown || errors.Is(err, workload.ErrUnknown)
@@ -165,6 +168,12 @@
 	metrics.GetOrCreateHistogram(name).Update(bootTime().Sub(began).Seconds())
 }
 
+func (r *reach) noteAnswer(began time.Time) {
+	if r.answered != nil {
+		r.answered(began)
+	}
+}
+
 func (r *reach) noteSilence() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -396,14 +396,16 @@
 	return ids
 }
 
-// otherZones reports whether there is any instance in another zone.
-func (r *replica) otherZones(zone string) bool {
+// inOtherZones lists the known instances of other zones.
+func (r *replica) inOtherZones(zone string) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, peer := range r.peers {
+	var list []string
+	for addr, peer := range r.peers {
 		if peer.Zone != zone {
-			return true
+			list = append(list, addr)
 		}
 	}
-	return false
+	slices.Sort(list)
+	return list
 }
--- a/internal/losses/report.go
+++ b/internal/losses/report.go
@@ -110,14 +110,14 @@
 	return j
 }
 
-// chain is the work of the longest task of each step that ended done, one step
-// after the other. It stands in for the job's longest chain of work: steps that run
-// beside each other count twice, and a slow worker's time counts as the job's.
+// chain is the work of the longest task of each step, one step after the other. It
+// stands in for the job's longest chain of work: steps that run beside each other
+// count twice, and a slow worker's time counts as the job's.
 func (h *history) chain() time.Duration {
 	longest := make(map[string]time.Duration)
 	for _, r := range h.order {
 		if r.kind == "done" {
-			longest[r.step] = max(longest[r.step], r.to.Sub(r.from))
+			longest[r.step] = max(longest[r.step], h.work(r))
 		}
 	}
 	sum := time.Duration(0)
@@ -127,6 +127,21 @@
 	return sum
 }
 
+// work is what the task of a run that ended done took: that run, those that it went
+// on from, and those that failed, which may be the task's own fault.
+func (h *history) work(done *run) time.Duration {
+	sum := done.to.Sub(done.from)
+	for _, r := range h.order {
+		if r == done || r.task != done.task || r.kind == "" {
+			continue
+		}
+		if r.kind == "failed" || done.resumes && r.from.Before(done.from) && r.kind != "not started" {
+			sum += r.to.Sub(r.from)
+		}
+	}
+	return sum
+}
+
 // spend shares the job's time among the causes, moment by moment.
 func (h *history) spend(j *Job, gaps []span, ended time.Time) {
 	j.Spent[CauseAccept] = h.accepted.Sub(h.sent)
--- a/internal/losses/timeline.go
+++ b/internal/losses/timeline.go
@@ -68,7 +68,10 @@
 	span
 	// kind is how it ended; empty while it has not.
 	kind string
-	step string
+	// task and step name what ran; all members of a gang end together.
+	task, step string
+	// resumes says that it went on where an earlier run was saved.
+	resumes bool
 }
 
 // wait is a reason to wait from a moment on.
@@ -141,7 +144,7 @@
 
 func (h *history) submit(l *line) {
 	if h.sent.IsZero() {
-		h.sent = l.at
+		h.sent = l.at.Add(-milliseconds(l.fields["took_ms"]))
 	}
 	if h.accepted.IsZero() {
 		h.refused = l.fields["error_kind"]
@@ -171,7 +174,8 @@
 	if l.fields["order"] != "start" || h.runs[runName(l)] != nil {
 		return
 	}
-	r := &run{span: span{from: l.at}, step: l.fields["occurrence"] + "." + l.fields["step"]}
+	step := l.fields["occurrence"] + "." + l.fields["step"]
+	r := &run{span: span{from: l.at}, step: step, task: step + "." + l.fields["task"], resumes: l.fields["resumes"] == "true"}
 	h.runs[runName(l)] = r
 	h.order = append(h.order, r)
 }
