Racks and zones of which somebody does not answer get nothing new until they do

A worker in doubt is looked at and gets nothing until it has answered.

Ruled out: shorter leases. They would free a stuck gang two seconds sooner, and it is late either way.

--- a/internal/deployment/cut.go
+++ b/internal/deployment/cut.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/corianderbank/corianderbank/api"
 	peerpb "github.com/corianderbank/corianderbank/api/peer"
+	"github.com/corianderbank/corianderbank/internal/dispatch"
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
@@ -20,7 +22,7 @@
 // first three seconds of a cut were not served at all.
 
 const (
-	// pingEvery is how often one instance of another zone is pinged. With it a cut is
+	// pingEvery is how often one instance of each other zone is pinged. With it a cut is
 	// noticed within 0.9 s at most, before the second of the balancer's checks.
 	pingEvery = 300 * time.Millisecond
 	// pingTimeout bounds a ping, and each call of the check that follows a lost one.
@@ -101,34 +103,80 @@
 	return api.WithRetryAfter(api.NewError(api.KindStoreUnavailable, "%v", errCutOff), comeBackSoonest)
 }
 
-// watchCut pings the other zones, one instance at a time, and checks all ways out
-// when one does not answer.
+// watchCut pings the other zones, one instance of each at a time, and checks all ways
+// out when none answers.
 func (i *Instance) watchCut(ctx context.Context) {
 	for turn := 0; ctx.Err() == nil; turn++ {
 		pause(ctx, pingEvery)
-		others := i.elsewhere()
-		if len(others) == 0 {
+		zones := i.elsewhere()
+		if len(zones) == 0 {
 			continue // there is nobody to be cut off from
 		}
 		began := bootTime()
-		if i.ping(ctx, others[turn%len(others)]) || i.anyAnswers(ctx, others, turn) {
+		silent := i.silentZones(ctx, zones, turn)
+		if ctx.Err() != nil {
+			return
+		}
+		if len(silent) < len(zones) || i.anyAnswers(ctx, slices.Concat(zones...), turn) {
 			i.reconnected(began)
+			i.doubtZones(silent)
 			continue
 		}
-		if ctx.Err() == nil && i.cut.notice(bootTime()) {
-			i.logger.Warn("cut off", zap.Int("instances_elsewhere", len(others)))
+		if i.cut.notice(bootTime()) {
+			i.logger.Warn("cut off", zap.Int("zones_elsewhere", len(zones)))
+		}
+	}
+}
+
+// silentZones pings one instance of each zone and returns the first ones of the
+// zones that do not answer.
+func (i *Instance) silentZones(ctx context.Context, zones [][]string, turn int) []string {
+	silent := make(chan string, len(zones))
+	for _, members := range zones {
+		go func() {
+			if i.ping(ctx, members[turn%len(members)]) {
+				silent <- ""
+				return
+			}
+			silent <- members[0]
+		}()
+	}
+	var list []string
+	for range zones {
+		if id := <-silent; id != "" {
+			list = append(list, id)
 		}
 	}
+	return list
 }
 
-// elsewhere lists the instances of other zones, those that said something lately if
-// there are any: rows of instances that are gone stay for a while.
-func (i *Instance) elsewhere() []string {
-	own := i.settings.AvailabilityZone
-	if fresh := i.peers.fresh(func(v peerView) bool { return v.zone != own }); len(fresh) > 0 {
-		return fresh
+// doubtZones lets the core look at the workers of zones of which an instance does
+// not answer, before it starts anything there.
+func (i *Instance) doubtZones(members []string) {
+	conductor := i.conductor.Load()
+	if conductor == nil {
+		return
+	}
+	for _, id := range members {
+		zone := i.replica.zoneOf(id)
+		conductor.post(func(core *dispatch.Core, now time.Time, wallMS int64) { core.Doubt(zone, now, wallMS) })
+	}
+}
+
+// elsewhere lists the instances of each other zone. Those that said something lately
+// come first: rows of instances that are gone stay for a while.
+func (i *Instance) elsewhere() [][]string {
+	lately := make(map[string]bool)
+	for _, id := range i.peers.fresh(func(peerView) bool { return true }) {
+		lately[id] = true
+	}
+	zones := i.replica.otherZones(i.settings.AvailabilityZone)
+	for n, members := range zones {
+		if fresh := slices.DeleteFunc(slices.Clone(members), func(id string) bool { return !lately[id] }); len(fresh) > 0 {
+			zones[n] = fresh
+		}
 	}
-	return i.replica.inOtherZones(own)
+	return zones
 }
 
 // ping reports whether an instance answers.
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -396,16 +396,27 @@
 	return ids
 }
 
-// inOtherZones lists the known instances of other zones.
-func (r *replica) inOtherZones(zone string) []string {
+// otherZones lists the known instances of each zone but one.
+func (r *replica) otherZones(own string) [][]string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var list []string
+	members := make(map[string][]string)
 	for addr, peer := range r.peers {
-		if peer.Zone != zone {
-			list = append(list, addr)
+		if peer.Zone != own {
+			members[peer.Zone] = append(members[peer.Zone], addr)
 		}
 	}
-	slices.Sort(list)
-	return list
+	var zones [][]string
+	for _, zone := range slices.Sorted(maps.Keys(members)) {
+		slices.Sort(members[zone])
+		zones = append(zones, members[zone])
+	}
+	return zones
+}
+
+// zoneOf is the zone of a known instance.
+func (r *replica) zoneOf(id string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.peers[id].Zone
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -69,7 +69,11 @@
 	// worker that has not answered yet.
 	surelyQuiet time.Time
 	dirty       map[string]*job
-	fenced      bool
+	// doubts are racks and zones of which somebody does not answer, by since when.
+	doubts map[domain]time.Time
+	// ordered are the runs whose start is not answered, in the order of their starts.
+	ordered []*run
+	fenced  bool
 	// urgentUse is the average number of accelerators that work of the first
 	// priority used of late, by pool, as of urgentAt.
 	urgentUse map[string]float64
@@ -95,7 +99,7 @@
 	c := &Core{
 		bounds: bounds, epoch: epoch, jobs: make(map[string]*job), workers: make(map[string]*worker),
 		dirty: make(map[string]*job), estimates: newEstimates(), now: now, urgentUse: make(map[string]float64), quietSince: make(map[string]time.Time),
-		waiting: make(map[int]int), urgentAt: now,
+		waiting: make(map[int]int), urgentAt: now, doubts: make(map[domain]time.Time),
 	}
 	if !earlier.IsZero() {
 		c.earlier = earlier
@@ -121,6 +125,7 @@
 func (c *Core) Decide(now time.Time, wallMS int64) []Action {
 	c.tick(now, wallMS)
 	c.expireLeases()
+	c.spreadDoubts()
 	c.breakPartial()
 	c.settle()
 	if c.config != nil {
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -20,6 +20,10 @@
 	// silent workers answer nothing; what is sent to them is not carried out.
 	silent        map[string]bool
 	starts, stops int
+	// startedAt are the workers of all starts, answered or not, in their order.
+	startedAt []string
+	// zones names the zones of racks that have one.
+	zones map[string]string
 	// leaving holds how long workers have left that leave.
 	leaving map[string]time.Duration
 	// ignoreStops, if it says so, leaves stops unanswered and undone.
@@ -96,8 +100,9 @@
 	var list []workload.Worker
 	for id, w := range b.workers {
 		left, leaving := b.leaving[id]
+		rack := "r" + id[1:len(id)-1]
 		list = append(list, workload.Worker{
-			ID: id, Addr: id, Pool: "pool", Rack: "r" + id[1:len(id)-1], Room: w.room, Leaving: leaving, LeavesInMS: left.Milliseconds(),
+			ID: id, Addr: id, Pool: "pool", Zone: b.zones[rack], Rack: rack, Room: w.room, Leaving: leaving, LeavesInMS: left.Milliseconds(),
 		})
 	}
 	b.core.Listed(list, b.now, b.wallMS)
@@ -132,6 +137,9 @@
 		return
 	}
 	id := a.Order.Worker + a.Look.Worker
+	if a.Kind == ActStart {
+		b.startedAt = append(b.startedAt, id)
+	}
 	w := b.workers[id]
 	if w == nil || b.silent[id] || a.Kind == ActStop && b.ignoreStops != nil && b.ignoreStops() {
 		b.unanswered(a)
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -20,6 +20,7 @@
 //	estimate.go how long tasks take
 //	health.go  which workers are trusted
 //	stored.go  which workers the table has to have
+//	doubt.go   racks and zones of which somebody does not answer
 //	leases.go  when a silent worker has surely stopped
 //	record.go  what of a job is stored
 package dispatch
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -63,7 +63,7 @@
 func (c *Core) rooms() map[string][]*room {
 	pools := make(map[string][]*room)
 	for _, w := range c.fleet {
-		if !w.usable(c.now) {
+		if !w.usable(c.now) || c.inDoubt(w) {
 			continue
 		}
 		free := w.Room.Sub(w.used).Sub(w.foreignNeed())
--- a/internal/dispatch/leases.go
+++ b/internal/dispatch/leases.go
@@ -17,6 +17,9 @@
 
 // sample notes the worker's clock as of an answer.
 func (w *worker) sample(clockMS int64, now time.Time) {
+	if clockMS > 0 {
+		w.heardAt = now
+	}
 	if clockMS > w.clockMS {
 		w.clockMS, w.clockAt = clockMS, now
 	}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -40,6 +40,7 @@
 		checkpoint: t.step.job.record.Saved[t.name()],
 	}
 	c.attach(r)
+	c.ordered = append(c.ordered, r)
 	until := w.clock(c.now) + startWithin.Milliseconds()
 	w.lease(until)
 	c.actions = append(c.actions, Action{Kind: ActStart, Reason: reason, Order: workload.Order{
@@ -151,7 +152,7 @@
 		r.step(runStarted)
 		r.settledBy = c.sequence
 	case workload.VerdictUnknown:
-		w.missed(now)
+		c.missed(w)
 		c.unclear(r, "start without an answer")
 	case workload.VerdictFenced:
 		c.fenced = true
@@ -161,7 +162,7 @@
 		delete(r.task.step.advice.tickets, w.ID)
 		c.rejected(r, "start rejected: "+receipt.Verdict.String())
 	case workload.VerdictUnsent, workload.VerdictClosed:
-		w.missed(now)
+		c.missed(w)
 		c.rejected(r, "start not sent: "+receipt.Verdict.String())
 		c.closedWorker(w, receipt.Verdict)
 	default:
@@ -206,7 +207,7 @@
 	case workload.VerdictGone:
 		c.lostWorker(w)
 	default:
-		w.missed(now)
+		c.missed(w)
 		c.closedWorker(w, receipt.Verdict)
 	}
 }
--- a/internal/dispatch/sight.go
+++ b/internal/dispatch/sight.go
@@ -37,11 +37,13 @@
 	// acknowledged, told the last one that was.
 	heard, noted, told int64
 	unrecorded         []unrecordedEnd
-	looking            bool
-	quick              bool
-	wantLook           bool
-	nextLook           time.Time
-	lastLook           uint64
+	// heardAt is when it answered last.
+	heardAt  time.Time
+	looking  bool
+	quick    bool
+	wantLook bool
+	nextLook time.Time
+	lastLook uint64
 	// unlistedSince is when the platform ceased to list the worker.
 	unlistedSince time.Time
 	// leavesAt is the earliest time at which a leaving worker goes.
@@ -114,12 +116,12 @@
 	for _, w := range c.fleet {
 		switch {
 		case w.looking:
-			if w.wantLook && !w.quick && !c.now.Before(w.nextLook) {
+			if (w.wantLook || c.inDoubt(w)) && !w.quick && !c.now.Before(w.nextLook) {
 				w.quick, w.wantLook = true, false
 				c.look(w, 0, true)
 			}
 		case c.now.Before(w.nextLook):
-		case w.wantLook || !w.known:
+		case w.wantLook || !w.known || c.inDoubt(w):
 			w.wantLook = false
 			c.look(w, 0, false)
 		case len(w.unrecorded) > 0:
@@ -170,7 +172,7 @@
 		c.lostWorker(w)
 		return
 	default:
-		w.missed(now)
+		c.missed(w)
 		c.closedWorker(w, sight.Verdict)
 		return
 	}
