Ends that the store cannot take are announced, and looked for while it is away

A holder whose lease ran out goes on looking at its workers, without deciding anything and without extending a lease, so that it learns of ends all the while. The workers list the ends until they are stored, as before: an announcement that is lost costs nothing.

Ruled out: letting the holder go on deciding for as long as its peers say that they do not reach the store either. An instance that nobody knows yet could take the lease meanwhile; it is not needed for this.

--- a/internal/deployment/conduct.go
+++ b/internal/deployment/conduct.go
@@ -47,7 +47,9 @@
 	writing bool
 	// recordVersions are the versions of the record rows.
 	recordVersions map[string]int64
-	collectedAt    time.Time
+	// announced are the jobs whose end was announced before it was stored.
+	announced   map[string]bool
+	collectedAt time.Time
 	// unseenAt is when a line last said which workers are waited for.
 	unseenAt time.Time
 	// priorities are those of which steps have waited.
@@ -68,6 +70,7 @@
 	c := &conductor{
 		instance: i, grant: g, events: make(chan event, eventCapacity), ctx: ctx,
 		orders: pond.NewPool(ordersAtOnce), logger: i.logger.Named("conduct"), recordVersions: make(map[string]int64),
+		announced:  make(map[string]bool),
 		priorities: make(map[int]bool),
 	}
 	defer func() { c.orders.Stop() }()
@@ -119,6 +122,9 @@
 	jobs := c.instance.replica.snapshot()
 	for _, known := range jobs {
 		c.core.AddJob(known.job, known.record, known.cancelled, now, wallMS)
+		if known.announced {
+			c.core.Rewrite(known.job.ID)
+		}
 	}
 	c.logger.Info("conducting", zap.Int64("epoch", c.grant.epoch), zap.Int("jobs", len(jobs)), zap.Int("workers_noted", len(noted)))
 }
@@ -163,8 +169,12 @@
 		if c.grant.ended() {
 			return
 		}
-		if !c.grant.valid() || c.closing.Load() {
-			continue // nothing is decided until the lease is renewed
+		if c.closing.Load() {
+			continue
+		}
+		if !c.grant.valid() {
+			c.watch() // nothing is decided until the lease is renewed
+			continue
 		}
 		c.round()
 		if c.core.Fenced() {
@@ -193,6 +203,15 @@
 	}
 }
 
+// watch looks at the workers without deciding or extending anything, and announces
+// what has ended: ends are true whoever schedules.
+func (c *conductor) watch() {
+	for _, action := range c.core.Watch(bootTime(), time.Now().UnixMilli()) {
+		c.carryOut(action)
+	}
+	c.announce()
+}
+
 // round decides and carries out.
 func (c *conductor) round() {
 	started := bootTime()
@@ -207,6 +226,7 @@
 	c.measureWaiting()
 	c.logUnseen(started)
 	c.write()
+	c.announce()
 	c.collect()
 	c.instance.replica.setBegan(c.grant.epoch, c.core.Began())
 	c.calm.Store(c.core.Calm())
@@ -345,7 +365,7 @@
 
 func (c *conductor) look(action dispatch.Action) {
 	sight := workload.Sight{Verdict: workload.VerdictUnsent, Err: errLeaseOver}
-	if c.grant.valid() {
+	if action.Look.UntilMS == 0 || c.grant.valid() {
 		sight = c.instance.workerClient.Look(c.ctx, action.Look)
 	}
 	for _, e := range sight.Ended {
--- a/internal/deployment/gossip.go
+++ b/internal/deployment/gossip.go
@@ -145,9 +145,9 @@
 }
 
 // passOn sends rows to every peer: a peer whose feed is silent has them too.
-func (i *Instance) passOn(rows []workload.Row) {
+func (i *Instance) passOn(source workload.Source, rows []workload.Row) {
 	for _, id := range i.peers.fresh(func(peerView) bool { return true }) {
-		i.calls.Go(func() { i.sendRows(id, workload.SourceOwn, rows) })
+		i.calls.Go(func() { i.sendRows(id, source, rows) })
 	}
 }
 
@@ -184,5 +184,7 @@
 		i.replica.apply(rows)
 	case workload.SourceConfiguration:
 		i.takeConfiguration(rows)
+	case sourceAnnounced:
+		i.replica.announce(rows)
 	}
 }
--- a/internal/deployment/records.go
+++ b/internal/deployment/records.go
@@ -113,7 +113,7 @@
 		c.recordVersions[tx.Put[n].Key] = version
 	}
 	c.instance.replica.apply(tx.Put)
-	c.instance.passOn(tx.Put)
+	c.instance.passOn(workload.SourceOwn, tx.Put)
 	c.logFinals(b.records)
 }
 
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -31,6 +31,8 @@
 	job       *workload.Job
 	cancelled bool
 	record    dispatch.Record
+	// announced says that the record comes from a holder that could not store it yet.
+	announced bool
 }
 
 // leaderRow says who holds the lease.
@@ -133,7 +135,11 @@
 			r.logger.Error("record cannot be read", zap.String("job", id), zap.Error(err))
 			return change{}, false
 		}
-		r.known(id).record = record
+		known := r.known(id)
+		if known.announced && record.Final == "" {
+			break // an older record that came late: the announced end stands
+		}
+		known.record, known.announced = record, false
 	case instancePrefix:
 		var peer instanceRow
 		if json.Unmarshal(row.Value, &peer) == nil {
@@ -166,6 +172,24 @@
 	return true
 }
 
+// announce takes the final records of jobs that a holder could not store yet. What
+// the store has goes before.
+func (r *replica) announce(rows []workload.Row) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, row := range rows {
+		known := r.jobs[row.Key]
+		record, err := dispatch.DecodeRecord(row.Value)
+		if err != nil || record.Final == "" {
+			r.logger.Error("announced record cannot be read", zap.String("job", row.Key), zap.Error(err))
+			continue
+		}
+		if known != nil && known.job != nil && known.record.Final == "" {
+			known.record, known.announced = record, true
+		}
+	}
+}
+
 func (r *replica) takeLeader(row workload.Row) {
 	if row.Key != leaderKey {
 		return
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -86,10 +86,12 @@
 	waiting   map[int]int
 	estimates estimates
 	// asking counts the questions to the advisor under way.
-	asking  int
-	actions []Action
-	now     time.Time
-	wallMS  int64
+	asking int
+	// watching looks extend no lease.
+	watching bool
+	actions  []Action
+	now      time.Time
+	wallMS   int64
 }
 
 // New returns the core of an epoch that begins now. earlier is until when a
@@ -139,6 +141,18 @@
 	return actions
 }
 
+// Watch returns looks that extend no lease, for a holder whose own lease ran out: it
+// must not decide, but it may learn what has ended.
+func (c *Core) Watch(now time.Time, wallMS int64) []Action {
+	c.tick(now, wallMS)
+	waiting := c.actions // what events led to waits for the lease
+	c.actions, c.watching = nil, true
+	c.looks()
+	looks := c.actions
+	c.actions, c.watching = waiting, false
+	return looks
+}
+
 // settle drops final jobs without runs from the queue.
 func (c *Core) settle() {
 	kept := c.queue[:0]
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -191,6 +192,26 @@
 	return list
 }
 
+// EndedUnwritten returns the jobs that are final, for some time already, and whose
+// record the store does not have.
+func (c *Core) EndedUnwritten(since time.Duration) []Unwritten {
+	var list []Unwritten
+	for _, j := range c.dirty {
+		if j.record.Final != "" && c.wallMS-j.record.EndedMS >= since.Milliseconds() {
+			list = append(list, Unwritten{Job: j.ID, Change: j.changed, Record: j.record.Encode(), Final: j.record.Final})
+		}
+	}
+	slices.SortFunc(list, func(a, b Unwritten) int { return cmp.Compare(a.Job, b.Job) })
+	return list
+}
+
+// Rewrite has a job's record written: the store may not have it as it is.
+func (c *Core) Rewrite(id string) {
+	if j := c.jobs[id]; j != nil {
+		c.change(j)
+	}
+}
+
 // Recorded notes that the store has the records of a list.
 func (c *Core) Recorded(list []Unwritten, now time.Time, wallMS int64) {
 	c.tick(now, wallMS)
--- a/internal/dispatch/sight.go
+++ b/internal/dispatch/sight.go
@@ -141,7 +141,7 @@
 	// A worker that does not answer gets no longer lease: a look that it never
 	// received would count as an extension, and its runs would never be taken for
 	// lapsed.
-	if w.clockMS > 0 && len(w.runs) > 0 && w.misses == 0 {
+	if w.clockMS > 0 && len(w.runs) > 0 && w.misses == 0 && !c.watching {
 		look.UntilMS = w.clock(c.now) + c.bounds.LongestLease.Milliseconds()
 		w.lease(look.UntilMS)
 	}
--- /dev/null
+++ b/internal/dispatch/watch_test.go
@@ -0,0 +1,39 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+func TestAHolderWhoseLeaseRanOutLearnsOfEndsAndExtendsNothing(t *testing.T) {
+	b := newBench(t, 2, false)
+	b.add(gangJob("ends", "batch", "other", 1, 8))
+	b.pass(time.Second)
+	b.add(gangJob("waits", "batch", "other", 2, 8))
+	b.pass(100 * time.Millisecond)
+	for _, w := range b.workers {
+		for key := range w.running {
+			b.end(w, key.task, key.attempt, workload.EndDone)
+		}
+	}
+	starts := b.starts
+	for range 40 {
+		b.now, b.wallMS = b.now.Add(50*time.Millisecond), b.wallMS+50
+		for _, a := range b.core.Watch(b.now, b.wallMS) {
+			assert.Equal(t, a.Kind, ActLook)
+			assert.Equal(t, a.Look.UntilMS, int64(0))
+			b.carryOut(a)
+		}
+	}
+	assert.Equal(t, b.starts, starts)
+	ended := b.core.EndedUnwritten(time.Second)
+	assert.Equal(t, len(ended), 1)
+	assert.Equal(t, ended[0].Job, "ends")
+	assert.Equal(t, ended[0].Final, FinalCompleted)
+	b.pass(100 * time.Millisecond)
+	assert.Equal(t, b.runningOf("waits"), 2, "the lease is back")
+}
