A session of peers ends from its reader's side: nothing spins while it closes

Between the moment at which a session is shut down and the one at which its streams are closed, Read goes round a loop that does not block. Our Close of the connection waited in between for the last bytes to be written, up to a second towards a silent peer and without end if the writer was already blocked; a session closed from elsewhere waited for its reader as well. So each call under way on a connection that was given up took a whole core for that time.

Ruled out: a loop in decisions or looks (none is in the traces), and GC.

Change: writes to a connection never fail but end its reading; Close does not wait; a session is ended by making its reader fail, which closes all streams in one go.

--- a/internal/peer/coalesce.go
+++ b/internal/peer/coalesce.go
@@ -28,13 +28,13 @@
 	// something was written.
 	wake, room chan struct{}
 	closing    chan struct{}
-	done       chan struct{}
 	once       sync.Once
 
-	// mu guards pending and err.
+	// mu guards the rest.
 	mu      sync.Mutex
 	pending []byte
-	err     error
+	// failed connections take nothing more.
+	failed bool
 }
 
 func newCoalescing(conn net.Conn) *coalescing {
@@ -43,43 +43,44 @@
 		wake:    make(chan struct{}, 1),
 		room:    make(chan struct{}, 1),
 		closing: make(chan struct{}),
-		done:    make(chan struct{}),
 	}
 	go c.run()
 	return c
 }
 
-// Write takes data over. An error of an earlier write comes back from a later
-// one, and closes the connection, which the reader notices.
+// Write takes data over. It never fails: a write that fails ends the reading, and
+// what comes after it is dropped. So a session always ends from its reader's side,
+// in one go: ended from elsewhere, it waits for its reader, and meanwhile each reader
+// of a stream goes round a loop that does not block.
 func (c *coalescing) Write(data []byte) (int, error) {
-	for {
-		taken, err := c.take(data)
-		if taken || err != nil {
-			return len(data), err
-		}
+	for !c.take(data) {
 		select {
 		case <-c.room:
 		case <-c.closing:
-			return 0, net.ErrClosed
+			return len(data), nil
 		}
 	}
+	return len(data), nil
 }
 
 // take adds data to what is pending; false if there is no room.
-func (c *coalescing) take(data []byte) (bool, error) {
+func (c *coalescing) take(data []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.err != nil {
-		return false, c.err
+	if c.failed {
+		return true
 	}
 	if len(c.pending) > 0 && len(c.pending)+len(data) > coalesceBytes {
-		return false, nil
+		return false
 	}
 	c.pending = append(c.pending, data...)
 	signal(c.wake)
-	return true, nil
+	return true
 }
 
+// endReading makes the reader fail, now and from now on.
+func (c *coalescing) endReading() { _ = c.Conn.SetReadDeadline(time.Unix(1, 0)) }
+
 func signal(to chan<- struct{}) {
 	select {
 	case to <- struct{}{}:
@@ -89,20 +90,19 @@
 
 // run writes what gathered, until the connection closes or fails.
 func (c *coalescing) run() {
-	defer close(c.done)
+	defer func() { _ = c.Conn.Close() }()
 	for {
 		select {
 		case <-c.wake:
 		case <-c.closing:
-			_ = c.Conn.SetWriteDeadline(time.Now().Add(flushWithin))
 			_ = c.flush()
 			return
 		}
 		for range coalesceYields {
 			runtime.Gosched()
 		}
-		if err := c.flush(); err != nil {
-			_ = c.Conn.Close()
+		if c.flush() != nil {
+			c.endReading()
 			return
 		}
 	}
@@ -120,16 +120,20 @@
 	_, err := c.Conn.Write(data)
 	if err != nil {
 		c.mu.Lock()
-		c.err = err
+		c.failed = true
 		c.mu.Unlock()
 	}
 	signal(c.room)
 	return err
 }
 
-// Close writes what is pending and closes the connection.
+// Close has the duty write what is pending, for a bounded time, and close the
+// connection. It does not wait for that: the peer may be silent.
 func (c *coalescing) Close() error {
-	c.once.Do(func() { close(c.closing) })
-	<-c.done
-	return c.Conn.Close()
+	c.once.Do(func() {
+		c.endReading()
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(flushWithin))
+		close(c.closing)
+	})
+	return nil
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -17,6 +18,7 @@
 // connection is one established session with a peer.
 type connection struct {
 	*yamux.Session
+	conn *coalescing
 	// incarnation is the peer's.
 	incarnation int64
 	// dialedBy is the id of the instance that dialed.
@@ -26,6 +28,16 @@
 	probing atomic.Bool
 }
 
+// end ends the session from its reader's side, and waits until its streams are
+// closed. It is called instead of Close, which would wait for the reader with every
+// stream's reader spinning: up to a second of processor time for each call under way
+// when a peer behind a cut was given up.
+func (c *connection) end() {
+	c.conn.endReading()
+	<-c.CloseChan()
+	_ = c.Close()
+}
+
 // link is what a node knows of the way to one peer.
 type link struct {
 	instance string
@@ -190,7 +202,7 @@
 		defer n.duties.Done()
 		defer c.probing.Store(false)
 		if _, err := c.Ping(); err != nil {
-			_ = c.Close()
+			c.end()
 		}
 	}()
 }
@@ -215,10 +227,21 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	session, err := yamux.Client(newCoalescing(conn), n.sessionConfig())
+	c, err := n.begin(conn, yamux.Client)
 	if err != nil {
-		_ = conn.Close()
 		return nil, err
 	}
-	return &connection{Session: session, incarnation: incarnation, dialedBy: n.options.Instance}, nil
+	c.incarnation, c.dialedBy = incarnation, n.options.Instance
+	return c, nil
+}
+
+// begin begins a session on a connection after its handshake, as client or server.
+func (n *Node) begin(conn net.Conn, as func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error)) (*connection, error) {
+	gathered := newCoalescing(conn)
+	session, err := as(gathered, n.sessionConfig())
+	if err != nil {
+		_ = gathered.Close()
+		return nil, err
+	}
+	return &connection{Session: session, conn: gathered}, nil
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -100,11 +102,11 @@
 	// underWay counts the calls of peers that a shutdown waits for.
 	underWay atomic.Int64
 
-	// mu guards links, sessions and closed.
-	mu       sync.Mutex
-	links    map[string]*link
-	sessions map[*yamux.Session]struct{}
-	closed   bool
+	// mu guards links, conns and closed.
+	mu     sync.Mutex
+	links  map[string]*link
+	conns  map[*connection]struct{}
+	closed bool
 }
 
 var _ Caller = (*Node)(nil)
@@ -118,16 +120,16 @@
 		logger = zap.NewNop()
 	}
 	return &Node{
-		options:  options,
-		limits:   limits,
-		logger:   logger.Named("peer"),
-		control:  newPool(limits.MaxControl),
-		work:     newPool(limits.MaxWork),
-		readers:  newPool(limits.MaxControl + limits.MaxWork),
-		ctx:      ctx,
-		cancel:   cancel,
-		links:    make(map[string]*link),
-		sessions: make(map[*yamux.Session]struct{}),
+		options: options,
+		limits:  limits,
+		logger:  logger.Named("peer"),
+		control: newPool(limits.MaxControl),
+		work:    newPool(limits.MaxWork),
+		readers: newPool(limits.MaxControl + limits.MaxWork),
+		ctx:     ctx,
+		cancel:  cancel,
+		links:   make(map[string]*link),
+		conns:   make(map[*connection]struct{}),
 	}
 }
 
@@ -161,18 +163,15 @@
 		return
 	}
 	n.closed = true
-	sessions := make([]*yamux.Session, 0, len(n.sessions))
-	for session := range n.sessions {
-		sessions = append(sessions, session)
-	}
+	conns := slices.Collect(maps.Keys(n.conns))
 	n.mu.Unlock()
 
 	n.cancel()
 	if n.listener != nil {
 		_ = n.listener.Close()
 	}
-	for _, session := range sessions {
-		_ = session.Close()
+	for _, c := range conns {
+		c.end()
 	}
 	n.duties.Wait()
 	n.readers.StopAndWait()
@@ -218,12 +217,13 @@
 		_ = conn.Close()
 		return
 	}
-	session, err := yamux.Server(newCoalescing(conn), n.sessionConfig())
+	c, err := n.begin(conn, yamux.Server)
 	if err != nil {
-		_ = conn.Close()
+		n.logger.Warn("session", zap.String("peer", from), zap.Error(err))
 		return
 	}
-	n.adopt(from, &connection{Session: session, incarnation: incarnation, dialedBy: from})
+	c.incarnation, c.dialedBy = incarnation, from
+	n.adopt(from, c)
 }
 
 func (n *Node) wrap(conn net.Conn) net.Conn {
@@ -262,8 +262,8 @@
 // adopt registers a new connection, starts serving it, and retires the one
 // that it replaces.
 func (n *Node) adopt(instance string, c *connection) {
-	if !n.track(c.Session) {
-		_ = c.Close()
+	if !n.track(c) {
+		c.end()
 		return
 	}
 	surplus := n.link(instance).register(n.options.Instance, c, time.Now())
@@ -275,21 +275,21 @@
 	}
 }
 
-// track remembers a session for Close; false after Close.
-func (n *Node) track(session *yamux.Session) bool {
+// track remembers a connection for Close; false after Close.
+func (n *Node) track(c *connection) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.closed {
 		return false
 	}
-	n.sessions[session] = struct{}{}
+	n.conns[c] = struct{}{}
 	return true
 }
 
-func (n *Node) untrack(session *yamux.Session) {
+func (n *Node) untrack(c *connection) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	delete(n.sessions, session)
+	delete(n.conns, c)
 }
 
 const (
@@ -308,7 +308,7 @@
 	for n.ctx.Err() == nil && c.NumStreams() > 0 && time.Since(started) < retireLimit {
 		n.pause(retirePoll)
 	}
-	_ = c.Close()
+	c.end()
 }
 
 // errNotReady is the error of a call that never left.
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -16,8 +16,8 @@
 // serveSession takes the peer's streams until the session ends.
 func (n *Node) serveSession(instance string, c *connection) {
 	defer n.duties.Done()
-	defer n.untrack(c.Session)
-	defer func() { _ = c.Close() }()
+	defer n.untrack(c)
+	defer c.end()
 	for {
 		stream, err := c.AcceptStream()
 		if err != nil {
