Entries of other writers name no worker, and hold nothing else up

Cause: the platform's lists may hold entries of other writers: fields missing or of another type, unknown states or services, bytes that cannot be read. An entry without an address was listed as a worker, any state but one counted as ready, a known worker whose entry turned to noise kept its place, a row of a worker's answer that could not be read hid all others, and a job row with a negative count would have ended the process.

Change: a worker's entry needs all that workers write, in its types, a known state and an address; a worker under an entry that cannot be read is no longer listed; workers of pools that no configuration names are not used. Rows of a worker's answer are read one by one; a worker with one that cannot be read gets nothing new. A job whose record cannot be read is not run; a noted worker whose row cannot be read is waited for. One line says so, once.

--- /dev/null
+++ b/internal/deployment/entries_test.go
@@ -0,0 +1,178 @@
+package deployment
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+	"gotest.tools/v3/assert"
+
+	"github.com/corianderbank/corianderbank/internal/dispatch"
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+// plainDecoder reads entries that are just the name of a pool; "?" cannot be read.
+type plainDecoder struct{}
+
+// IsConfiguration implements Decoder.
+func (plainDecoder) IsConfiguration(key string) bool { return key == "config" }
+
+// Configuration implements Decoder.
+func (plainDecoder) Configuration(data []byte) (*workload.Configuration, error) {
+	if strings.Contains(string(data), "?") {
+		return nil, errors.New("played")
+	}
+	return &workload.Configuration{Version: int64(len(data)), Pools: []string{string(data)}}, nil
+}
+
+// Worker implements Decoder.
+func (plainDecoder) Worker(id string, data []byte) (workload.Worker, error) {
+	if strings.Contains(string(data), "?") {
+		return workload.Worker{}, errors.New("played")
+	}
+	return workload.Worker{ID: id, Addr: id, Pool: string(data)}, nil
+}
+
+func entryRow(id, text string, version int64) workload.Row {
+	return workload.Row{Key: id, Value: []byte(text), Version: version}
+}
+
+func ids(list []workload.Worker) map[string]bool {
+	set := make(map[string]bool)
+	for _, w := range list {
+		set[w.ID] = true
+	}
+	return set
+}
+
+func TestAnEntryThatCannotBeReadNamesNoWorkerAndTheOthersHold(t *testing.T) {
+	core, logs := observer.New(zap.ErrorLevel)
+	r := newRoster(plainDecoder{}, time.Minute, zap.New(core))
+	r.reload([]workload.Row{entryRow("a", "pool", 1), entryRow("b", "?", 2), entryRow("c", "pool", 3)}, 3)
+	assert.DeepEqual(t, ids(r.list()), map[string]bool{"a": true, "c": true})
+	for version := int64(4); version < 8; version++ {
+		r.apply([]workload.Row{entryRow("a", "?", version)})
+		r.reload([]workload.Row{entryRow("a", "?", version), entryRow("b", "?", 2), entryRow("c", "pool", 3)}, version)
+	}
+	assert.DeepEqual(t, ids(r.list()), map[string]bool{"c": true})
+	assert.Equal(t, logs.FilterField(zap.String("worker", "a")).Len(), 1, "one line, however often it is repeated")
+	assert.DeepEqual(t, ids(r.recent(bootTime())), map[string]bool{"a": true}) // it may run on: a new holder asks it
+	r.apply([]workload.Row{entryRow("a", "pool", 9)})
+	assert.DeepEqual(t, ids(r.list()), map[string]bool{"a": true, "c": true})
+}
+
+func TestWorkersOfPoolsThatNoConfigurationNamesAreNotListed(t *testing.T) {
+	settings := defaultSettings()
+	i := New(Options{Settings: &settings, Store: newMemoryStore(), Decoder: plainDecoder{}, Logger: zap.NewNop()})
+	i.workers.apply([]workload.Row{entryRow("a", "pool", 1), entryRow("b", "elsewhere", 2)})
+	i.takeConfiguration([]workload.Row{entryRow("config", "pool", 1)})
+	assert.DeepEqual(t, ids(i.listedWorkers()), map[string]bool{"a": true})
+	i.takeConfiguration([]workload.Row{entryRow("config", "elsewhere", 2)})
+	assert.DeepEqual(t, ids(i.listedWorkers()), map[string]bool{"b": true})
+}
+
+func TestAConfigurationThatCannotBeReadLeavesTheOldOneInForceAndSaysSoOnce(t *testing.T) {
+	core, logs := observer.New(zap.ErrorLevel)
+	settings := defaultSettings()
+	i := New(Options{Settings: &settings, Store: newMemoryStore(), Decoder: plainDecoder{}, Logger: zap.New(core)})
+	i.takeConfiguration([]workload.Row{entryRow("config", "pool", 1)})
+	for range 3 {
+		i.takeConfiguration([]workload.Row{entryRow("config", "?", 2), entryRow("wave/1", "?", 3)})
+	}
+	assert.Equal(t, i.configVersion(), int64(len("pool")))
+	assert.Equal(t, logs.Len(), 1)
+}
+
+func TestRowsOfTheTableThatCannotBeReadHoldNothingElseUp(t *testing.T) {
+	sound := func(r *replica) {
+		r.apply([]workload.Row{jobRow("sound", 1)})
+	}
+	for name, c := range map[string]struct {
+		row   workload.Row
+		check func(t *testing.T, r *replica)
+	}{
+		"a job that is no document": {
+			workload.Row{Key: jobPrefix + "bad", Value: []byte("{"), Version: 2},
+			func(t *testing.T, r *replica) { assert.Equal(t, len(r.snapshot()), 1) },
+		},
+		"a job of other types": {
+			workload.Row{Key: jobPrefix + "bad", Value: []byte(`{"id":"bad","steps":"none"}`), Version: 2},
+			func(t *testing.T, r *replica) { assert.Equal(t, len(r.snapshot()), 1) },
+		},
+		"a job with a negative count": {
+			workload.Row{Key: jobPrefix + "bad", Value: []byte(`{"id":"bad","steps":[{"count":-1}]}`), Version: 2},
+			func(t *testing.T, r *replica) { assert.Equal(t, len(r.snapshot()), 1) },
+		},
+		"a job without steps": {
+			workload.Row{Key: jobPrefix + "bad", Value: []byte(`{"id":"bad"}`), Version: 2},
+			func(t *testing.T, r *replica) { assert.Equal(t, len(r.snapshot()), 1) },
+		},
+		"a job under another id": {
+			workload.Row{Key: jobPrefix + "bad", Value: []byte(`{"id":"other","steps":[{"count":1}]}`), Version: 2},
+			func(t *testing.T, r *replica) { assert.Equal(t, len(r.snapshot()), 1) },
+		},
+		"a record that is no document: what of the job is done is not known": {
+			workload.Row{Key: recordPrefix + "sound", Value: []byte("?"), Version: 2},
+			func(t *testing.T, r *replica) { assert.Equal(t, len(r.snapshot()), 0) },
+		},
+		"a record with an end that is not known": {
+			workload.Row{Key: recordPrefix + "sound", Value: []byte(`{"final":"evaporated"}`), Version: 2},
+			func(t *testing.T, r *replica) { assert.Equal(t, len(r.snapshot()), 0) },
+		},
+		"a worker that is no document may run something": {
+			workload.Row{Key: workerPrefix + "w", Value: []byte("?"), Version: 2},
+			func(t *testing.T, r *replica) { assert.DeepEqual(t, ids(r.notedWorkers()), map[string]bool{"w": true}) },
+		},
+		"an instance that is no document": {
+			workload.Row{Key: instancePrefix + "10.0.0.1:1", Value: []byte("7"), Version: 2},
+			func(t *testing.T, r *replica) { assert.Equal(t, len(r.instances()), 0) },
+		},
+		"a leader that is no document": {
+			workload.Row{Key: leaderKey, Value: []byte("[]"), Version: 2},
+			func(t *testing.T, r *replica) { assert.Equal(t, r.seenLeader().version, int64(0)) },
+		},
+		"a key that is too short": {
+			workload.Row{Key: "?", Value: []byte("x"), Version: 2},
+			func(t *testing.T, r *replica) { assert.Equal(t, len(r.snapshot()), 1) },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newReplica(zap.NewNop())
+			sound(r)
+			r.apply([]workload.Row{c.row})
+			c.check(t, r)
+			_, ok := r.get("sound")
+			assert.Assert(t, ok)
+		})
+	}
+}
+
+func TestARecordThatCanBeReadAgainFreesItsJob(t *testing.T) {
+	r := newReplica(zap.NewNop())
+	r.apply([]workload.Row{jobRow("a", 1), {Key: recordPrefix + "a", Value: []byte("?"), Version: 2}})
+	assert.Equal(t, len(r.snapshot()), 0)
+	r.apply([]workload.Row{recordRow("a", "", 3)})
+	assert.Equal(t, len(r.snapshot()), 1)
+	assert.Equal(t, r.snapshot()[0].record.Final, dispatch.Final(""))
+}
+
+func FuzzRowsOfTheTableNeverPanic(f *testing.F) {
+	for _, seed := range []string{"j/a", "e/a", "c/a", "n/a", "w/a", "a/leader", "a/epoch", "", "x"} {
+		f.Add(seed, []byte(`{"id":"a","steps":[{"count":2}]}`), false)
+		f.Add(seed, []byte(`{"final":"completed","done":{"0.0":"zz"}}`), true)
+	}
+	f.Fuzz(func(_ *testing.T, key string, value []byte, deleted bool) {
+		r := newReplica(zap.NewNop())
+		r.apply([]workload.Row{{Key: key, Value: value, Version: 1, Deleted: deleted}})
+		now := time.Unix(1_000_000, 0)
+		core := dispatch.New(workload.Bounds{}, 1, now, now)
+		for _, known := range r.snapshot() {
+			core.AddJob(known.job, known.record, known.cancelled, now, 0)
+		}
+		core.Listed(r.notedWorkers(), now, 0)
+		core.Decide(now.Add(time.Second), 1000)
+	})
+}
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -33,6 +33,8 @@
 	record    dispatch.Record
 	// announced says that the record comes from a holder that could not store it yet.
 	announced bool
+	// unread jobs have a record that cannot be read.
+	unread bool
 }
 
 // leaderRow says who holds the lease.
@@ -133,23 +135,27 @@
 		record, err := dispatch.DecodeRecord(row.Value)
 		if err != nil {
 			r.logger.Error("record cannot be read", zap.String("job", id), zap.Error(err))
+			r.known(id).unread = true // what of it is done is not known: it must not run
 			return change{}, false
 		}
 		known := r.known(id)
 		if known.announced && record.Final == "" {
 			break // an older record that came late: the announced end stands
 		}
-		known.record, known.announced = record, false
+		known.record, known.announced, known.unread = record, false, false
 	case instancePrefix:
 		var peer instanceRow
-		if json.Unmarshal(row.Value, &peer) == nil {
-			r.peers[id] = peer
+		if err := json.Unmarshal(row.Value, &peer); err != nil {
+			r.logger.Error("instance's row cannot be read", zap.String("peer", id), zap.Error(err))
+			return change{}, false
 		}
+		r.peers[id] = peer
 	case workerPrefix:
 		var worker workload.Worker
-		if err := json.Unmarshal(row.Value, &worker); err != nil {
+		if err := json.Unmarshal(row.Value, &worker); err != nil || worker.ID != id {
+			// It may run something all the same: whoever schedules next waits for it.
 			r.logger.Error("noted worker cannot be read", zap.String("worker", id), zap.Error(err))
-			return change{}, false
+			worker = workload.Worker{ID: id}
 		}
 		r.workers[id] = worker
 	default:
@@ -164,6 +170,10 @@
 		r.logger.Error("job cannot be read", zap.String("job", id), zap.Error(err))
 		return false
 	}
+	if err := job.Check(); err != nil || job.ID != id {
+		r.logger.Error("job cannot be read", zap.String("job", id), zap.String("id_inside", job.ID), zap.Error(err))
+		return false
+	}
 	known := r.known(id)
 	if known.job != nil {
 		return false
@@ -363,7 +373,7 @@
 	defer r.mu.Unlock()
 	list := make([]knownJob, 0, len(r.jobs))
 	for _, known := range r.jobs {
-		if known.job != nil {
+		if known.job != nil && !known.unread {
 			list = append(list, *known)
 		}
 	}
--- a/internal/deployment/workers.go
+++ b/internal/deployment/workers.go
@@ -21,6 +21,8 @@
 
 	mu      sync.Mutex
 	entries map[string]*rosterEntry
+	// unread are the entries of which a line said that they cannot be read.
+	unread unreadRows
 }
 
 type rosterEntry struct {
@@ -61,9 +63,10 @@
 	}
 	worker, err := r.decode.Worker(row.Key, row.Value)
 	if err != nil {
-		r.logger.Error("worker's entry cannot be read", zap.String("worker", row.Key), zap.Error(err))
+		r.takeUnread(row, known, err)
 		return
 	}
+	r.unread.forget(row.Key)
 	switch {
 	case known == nil || !known.goneAt.IsZero():
 		r.logger.Info("worker listed", zap.String("worker", worker.ID), zap.String("rack", worker.Rack), zap.String("pool", worker.Pool))
@@ -73,6 +76,17 @@
 	r.entries[row.Key] = &rosterEntry{worker: worker, version: row.Version}
 }
 
+// takeUnread takes an entry that names no worker that can be used: a worker that was
+// listed under it no longer is. One line says so, until the entry can be read again.
+func (r *roster) takeUnread(row workload.Row, known *rosterEntry, err error) {
+	if r.unread.first(row.Key, 0) {
+		r.logger.Error("worker's entry cannot be read", zap.String("worker", row.Key), zap.Error(err))
+	}
+	if known != nil && known.goneAt.IsZero() {
+		known.goneAt, known.version = bootTime(), row.Version
+	}
+}
+
 // reload brings the roster in line with a whole read of the list.
 func (r *roster) reload(rows []workload.Row, _ int64) {
 	present := make(map[string]bool, len(rows))
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -47,8 +47,14 @@
 // DecodeRecord reads the stored form.
 func DecodeRecord(data []byte) (Record, error) {
 	var r Record
-	err := json.Unmarshal(data, &r)
-	return r, err
+	if err := json.Unmarshal(data, &r); err != nil {
+		return Record{}, err
+	}
+	switch r.Final {
+	case "", FinalCompleted, FinalFailed, FinalCancelled:
+		return r, nil
+	}
+	return Record{}, fmt.Errorf("unknown final state %q", r.Final)
 }
 
 func (r *Record) clone() Record {
--- a/internal/dispatch/sight.go
+++ b/internal/dispatch/sight.go
@@ -184,6 +184,9 @@
 	}
 	w.misses, w.nextLook, w.known = 0, time.Time{}, true
 	w.told = max(w.told, sent.Look.Noted)
+	if sight.Unread > 0 {
+		c.lookAgain(w) // its room is not known
+	}
 	c.takeEnds(w, sight.Ended)
 	if sent.Sequence < w.lastLook {
 		return // a later look was answered first
@@ -229,15 +232,14 @@
 // is taken until the worker no longer lists it; where the job's row is gone,
 // that room is unknown and the worker gets nothing new meanwhile.
 func (c *Core) stopForeign(w *worker, running workload.Running) {
-	w.wantLook = true
-	w.nextLook = c.now.Add(foreignAgain)
+	c.lookSoon(w)
 	c.actions = append(c.actions, Action{Kind: ActStop, Reason: "of no job that is open", Order: workload.Order{
 		Worker: w.ID, Addr: w.Addr, Task: running.Task, Attempt: running.Attempt, Epoch: c.epoch,
 	}})
 	var need workload.Resources
 	j := c.jobs[running.Task.Job]
 	if j == nil || running.Task.Step < 0 || running.Task.Step >= len(j.Steps) {
-		w.holdOff = c.now.Add(foreignAgain + holdOffAfter)
+		c.lookAgain(w)
 	} else {
 		need = j.Steps[running.Task.Step].Counted()
 	}
@@ -247,6 +249,19 @@
 	w.foreign[runKey{running.Task, running.Attempt}] = need
 }
 
+// lookSoon has a worker looked at again that runs what it should not.
+func (c *Core) lookSoon(w *worker) {
+	w.wantLook = true
+	w.nextLook = c.now.Add(foreignAgain)
+}
+
+// lookAgain does, and gives it nothing new until then: how much room it has is not
+// known.
+func (c *Core) lookAgain(w *worker) {
+	c.lookSoon(w)
+	w.holdOff = c.now.Add(foreignAgain + holdOffAfter)
+}
+
 // foreignNeed is the room that foreign runs take.
 func (w *worker) foreignNeed() workload.Resources {
 	var sum workload.Resources
--- /dev/null
+++ b/internal/workload/check.go
@@ -0,0 +1,69 @@
+package workload
+
+import (
+	"fmt"
+)
+
+// The bounds of a job. They keep one caller from taking an instance's memory, and a
+// row that somebody else wrote from doing so.
+const (
+	maxSpecBytes   = 4000
+	maxSteps       = 256
+	maxTasks       = 20_000
+	maxOccurrences = 10_000
+)
+
+// Check says why something can be no job; nil if it can.
+func (j *Job) Check() error {
+	switch {
+	case len(j.Spec) > maxSpecBytes:
+		return fmt.Errorf("spec has %d bytes, at most %d are allowed", len(j.Spec), maxSpecBytes)
+	case len(j.Steps) == 0 || len(j.Steps) > maxSteps:
+		return fmt.Errorf("%d steps, 1 to %d are allowed", len(j.Steps), maxSteps)
+	case j.Times < 0 || j.Times > maxOccurrences || j.EveryMS < 0 || j.FirstMS < 0:
+		return fmt.Errorf("%d occurrences each %d ms from %d ms on: out of range", j.Times, j.EveryMS, j.FirstMS)
+	}
+	tasks := 0
+	for i := range j.Steps {
+		if err := j.Steps[i].check(i); err != nil {
+			return err
+		}
+		tasks += j.Steps[i].Count * j.Occurrences()
+		if tasks > maxTasks {
+			return fmt.Errorf("more than %d tasks", maxTasks)
+		}
+	}
+	return nil
+}
+
+func (s *Step) check(number int) error {
+	if s.Count < 1 || s.Count > maxTasks {
+		return fmt.Errorf("step %d has %d tasks, 1 to %d are allowed", number, s.Count, maxTasks)
+	}
+	if !s.Need.valid() || s.EstimateMS < 0 || s.MaxPerWorker < 0 || s.TargetMS < 0 || s.MaxAway < 0 {
+		return fmt.Errorf("step %d has a negative field", number)
+	}
+	for _, before := range s.After {
+		if before < 0 || before >= number {
+			return fmt.Errorf("step %d comes after step %d, which is no earlier one", number, before)
+		}
+	}
+	return nil
+}
+
+func (r Resources) valid() bool { return r.MilliCPU >= 0 && r.MemoryMB >= 0 && r.Accelerators >= 0 }
+
+// Check says why something names no worker that can be used; nil if it does.
+func (w *Worker) Check() error {
+	switch {
+	case w.ID == "":
+		return fmt.Errorf("no id")
+	case w.Addr == "":
+		return fmt.Errorf("no address")
+	case w.Pool == "":
+		return fmt.Errorf("no pool")
+	case !w.Room.valid() || w.LeavesInMS < 0:
+		return fmt.Errorf("a negative field")
+	}
+	return nil
+}
--- a/internal/workload/ports.go
+++ b/internal/workload/ports.go
@@ -188,7 +188,10 @@
 	ClockMS int64
 	Running []Running
 	Ended   []Ended
-	Err     error
+	// Unread counts rows that could not be read: something runs there, or ended, that
+	// nobody here knows.
+	Unread int
+	Err    error
 }
 
 // Workers gives orders to workers.
