A node that closes waits for the last bytes of its connections

Change: the duty that serves a session waits for it, and Close waits for that duty as before. No check was changed; the new test waits for its connection as well.

--- a/internal/peer/coalesce.go
+++ b/internal/peer/coalesce.go
@@ -29,6 +29,8 @@
 	wake, room chan struct{}
 	closing    chan struct{}
 	once       sync.Once
+	// done is closed when the duty ended and the connection is closed.
+	done chan struct{}
 
 	// mu guards the rest.
 	mu      sync.Mutex
@@ -43,6 +45,7 @@
 		wake:    make(chan struct{}, 1),
 		room:    make(chan struct{}, 1),
 		closing: make(chan struct{}),
+		done:    make(chan struct{}),
 	}
 	go c.run()
 	return c
@@ -90,6 +93,7 @@
 
 // run writes what gathered, until the connection closes or fails.
 func (c *coalescing) run() {
+	defer close(c.done)
 	defer func() { _ = c.Conn.Close() }()
 	for {
 		select {
--- a/internal/peer/end_test.go
+++ b/internal/peer/end_test.go
@@ -114,5 +114,6 @@
 	<-c.CloseChan()
 	readers.Wait()
 	used := processorTime(t) - before
+	<-gathered.done
 	assert.Assert(t, used < flushWithin/4, "%v of processor time while the last bytes wait %v", used, flushWithin)
 }
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -16,6 +16,7 @@
 // serveSession takes the peer's streams until the session ends.
 func (n *Node) serveSession(instance string, c *connection) {
 	defer n.duties.Done()
+	defer func() { <-c.conn.done }() // the last bytes are written, or given up
 	defer n.untrack(c)
 	defer c.end()
 	for {
