--- a/cmd/measure/experiment.go
+++ b/cmd/measure/experiment.go
@@ -3,10 +3,8 @@
 import (
 	"fmt"
 	"io"
-	"maps"
 	"os"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -21,9 +19,8 @@
 // experiment plays days of deployments with mechanisms off, and says what each is
 // worth.
 type experiment struct {
-	without     []string
+	specs       []string
 	each        bool
-	numbers     map[string]string
 	plays       int
 	drawn       int
 	seed        uint64
@@ -40,8 +37,8 @@
 )
 
 func (e *experiment) flags(command *kingpin.CmdClause) {
-	command.Flag("without", "Mechanism that is off in the variant; may be repeated.").PlaceHolder("NAME").StringsVar(&e.without)
-	command.Flag("set", "Constant that the variant replaces; may be repeated.").PlaceHolder("NAME=VALUE").StringMapVar(&e.numbers)
+	command.Flag("variant", "Mechanisms that are off (without:NAME) and constants that are others (NAME=VALUE), with commas between; may be repeated.").
+		PlaceHolder("SPEC").StringsVar(&e.specs)
 	command.Flag("each", "Switch every mechanism off, one by one.").BoolVar(&e.each)
 	command.Flag("plays", "Seeds for each day and deployment.").Default(fmt.Sprint(defaultPlays)).IntVar(&e.plays)
 	command.Flag("drawn", "Deployments drawn at random beside the users' own.").Default(fmt.Sprint(defaultDrawn)).IntVar(&e.drawn)
@@ -71,42 +68,37 @@
 	var variants []emulator.Variant
 	if e.each {
 		for _, m := range dispatch.Mechanisms() {
-			variants = append(variants, emulator.Variant{Name: "without " + string(m), Tuning: dispatch.Tuning{Without: []dispatch.Mechanism{m}}})
+			variants = append(variants, emulator.Variant{Name: "without:" + string(m), Tuning: dispatch.Tuning{Without: []dispatch.Mechanism{m}}})
 		}
 	}
-	if len(e.without)+len(e.numbers) > 0 {
-		v, err := e.variant()
+	for _, spec := range e.specs {
+		v, err := variantOf(spec)
 		if err != nil {
 			return nil, err
 		}
 		variants = append(variants, v)
 	}
 	if len(variants) == 0 {
-		return nil, fmt.Errorf("nothing to compare: give --each, --without or --set")
+		return nil, fmt.Errorf("nothing to compare: give --each or --variant")
 	}
 	return variants, nil
 }
 
-// variant is the one that --without and --set describe together.
-func (e *experiment) variant() (emulator.Variant, error) {
-	var v emulator.Variant
-	var parts []string
-	for _, name := range e.without {
-		parts = append(parts, "without "+name)
-		v.Tuning.Without = append(v.Tuning.Without, dispatch.Mechanism(name))
-	}
-	for _, name := range slices.Sorted(maps.Keys(e.numbers)) {
-		value, err := strconv.ParseFloat(e.numbers[name], 64)
-		if err != nil {
-			return v, fmt.Errorf("--set %s: %w", name, err)
+// variantOf reads the description of a variant.
+func variantOf(spec string) (emulator.Variant, error) {
+	v := emulator.Variant{Name: spec, Tuning: dispatch.Tuning{Numbers: make(map[dispatch.Number]float64)}}
+	for _, part := range strings.Split(spec, ",") {
+		if name, off := strings.CutPrefix(part, "without:"); off {
+			v.Tuning.Without = append(v.Tuning.Without, dispatch.Mechanism(name))
+			continue
 		}
-		parts = append(parts, name+"="+e.numbers[name])
-		if v.Tuning.Numbers == nil {
-			v.Tuning.Numbers = make(map[dispatch.Number]float64)
+		name, text, _ := strings.Cut(part, "=")
+		value, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			return v, fmt.Errorf("variant %s: %w", spec, err)
 		}
 		v.Tuning.Numbers[dispatch.Number(name)] = value
 	}
-	v.Name = strings.Join(parts, ", ")
 	return v, v.Tuning.Check()
 }
 
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -389,6 +389,7 @@
 
 // startAt starts the first tasks of a unit in the rooms, one in each entry.
 func (c *Core) startAt(u *unit, places []*room) {
+	delete(c.coming, u.queue.Pool) // these runs will end as well
 	var g *gang
 	attempt := c.nextAttempt()
 	if u.step.spec.Gang {
