Callers with little time left are not told to come back after it is over

Hypothesis: the time to come back grows with the store's outage, up to 3 s; callers whose deadline is 3 s were told to wait for all of it, and never came back although the store did.

Change: the time to come back is at most a third of what the caller's deadline leaves, and a second at least.

Test that failed first: TestACallerWithLittleTimeComesBackSoonAfterTheStore. The test of long outages keeps its demands, for callers with time.

--- a/internal/deployment/accept.go
+++ b/internal/deployment/accept.go
@@ -28,16 +28,26 @@
 // unknown length and callers with few tries: what has lasted for a while will
 // likely last as long again, so the tries are spread over about twice the outage
 // so far. With the same second each time, four tries are over before an outage
-// of five seconds is.
-func comeBack(away time.Duration) time.Duration {
-	return max(comeBackSoonest, min(away, comeBackLatest))
+// of five seconds is. But a caller that has only left so much time to wait comes
+// back often enough to be there soon after the store is: told to wait for three
+// seconds, callers with a deadline of three never came back.
+func comeBack(away, left time.Duration) time.Duration {
+	return max(comeBackSoonest, min(away, comeBackLatest, left/comeBackTries))
 }
 
-func (i *Instance) comeBack() time.Duration {
+// comeBackTries is how often a caller should be able to come back in the time that it
+// has left.
+const comeBackTries = 3
+
+func (i *Instance) comeBack(ctx context.Context) time.Duration {
 	if !i.settings.Tuning.has(mechRetryAfter) {
 		return comeBackSoonest
 	}
-	return comeBack(i.store.away())
+	left := comeBackTries * comeBackLatest
+	if deadline, ok := ctx.Deadline(); ok {
+		left = time.Until(deadline)
+	}
+	return comeBack(i.store.away(), left)
 }
 
 // Caller is who asks, for what queue, and until when.
@@ -170,7 +180,7 @@
 			return refuseCutOff()
 		}
 		if !unknown {
-			return api.WithRetryAfter(api.NewError(api.KindStoreUnavailable, "the store was not reached: %w", err), i.comeBack())
+			return api.WithRetryAfter(api.NewError(api.KindStoreUnavailable, "the store was not reached: %w", err), i.comeBack(ctx))
 		}
 		if pause(ctx, retryPause); ctx.Err() != nil {
 			return api.NewError(api.KindResultUnknown, "the store's answer is missing: %w: %w", context.Cause(ctx), err)
@@ -200,7 +210,7 @@
 	for _, prefix := range []string{jobPrefix, cancelPrefix, recordPrefix} {
 		page, err := i.store.Read(ctx, workload.SourceOwn, prefix+id, prefix+id+"\x00")
 		if err != nil {
-			return api.WithRetryAfter(api.NewError(api.KindStoreUnavailable, "the store was not reached: %w", err), i.comeBack())
+			return api.WithRetryAfter(api.NewError(api.KindStoreUnavailable, "the store was not reached: %w", err), i.comeBack(ctx))
 		}
 		i.replica.apply(page.Rows)
 		if len(page.Rows) == 0 && prefix == jobPrefix {
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -85,7 +85,7 @@
 		pools[w.Pool] = append(pools[w.Pool], r)
 	}
 	for _, rooms := range pools {
-		slices.SortFunc(rooms, func(a, b *room) int { return cmp.Compare(a.ID, b.ID) })
+		slices.SortFunc(rooms, c.compareRooms)
 		for i, r := range rooms {
 			r.order = i
 		}
@@ -93,6 +93,16 @@
 	return pools
 }
 
+// compareRooms orders the workers of a pool where nothing else does: rack by rack, so
+// that what is filled first and what stays free lie together.
+func (c *Core) compareRooms(a, b *room) int {
+	byRack := 0
+	if c.has(MechRackOrder) {
+		byRack = cmp.Compare(a.Rack, b.Rack)
+	}
+	return cmp.Or(byRack, cmp.Compare(a.ID, b.ID))
+}
+
 // count takes a run into account.
 func (r *room) count(run *run, q *workload.Queue) {
 	switch {
--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -78,6 +78,17 @@
 	}
 	most := int(c.number(NumHeadroomMost, headroomMost) * float64(len(rooms)))
 	wanted := c.number(NumHeadroomOver, headroomOver) * c.urgentUse[pool]
+	if c.number(NumHeadroomLast, 0) > 0 {
+		keep := make(map[*room]bool)
+		for _, r := range slices.Backward(rooms) {
+			if most > 0 && wanted > 0 && r.urgentOnly {
+				keep[r] = true
+				most--
+				wanted -= float64(r.Room.Accelerators)
+			}
+		}
+		return slices.DeleteFunc(slices.Clone(rooms), func(r *room) bool { return keep[r] })
+	}
 	return slices.DeleteFunc(slices.Clone(rooms), func(r *room) bool {
 		kept := most > 0 && wanted > 0 && r.urgentOnly
 		if kept {
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -23,13 +23,14 @@
 	MechLateBehind   Mechanism = "late_behind"
 	MechCheapVictims Mechanism = "cheap_victims"
 	MechPacking      Mechanism = "packing"
+	MechRackOrder    Mechanism = "rack_order"
 )
 
 // Mechanisms lists them all.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		MechHeadroom, MechClaims, MechWaitOut, MechReservations, MechRackPatience, MechEstimates, MechSickWorkers,
-		MechEvacuation, MechDoubts, MechLateBehind, MechCheapVictims, MechPacking,
+		MechEvacuation, MechDoubts, MechLateBehind, MechCheapVictims, MechPacking, MechRackOrder,
 	}
 }
 
@@ -51,11 +52,12 @@
 	NumHeadroomLoad   Number = "headroom_load"
 	NumHeadroomMemory Number = "headroom_memory_s"
 	NumHeadroomSlack  Number = "headroom_slack"
+	NumHeadroomLast   Number = "headroom_last"
 )
 
 // Numbers lists them all.
 func Numbers() []Number {
-	return []Number{NumHeadroomOver, NumHeadroomMost, NumHeadroomLoad, NumHeadroomMemory, NumHeadroomSlack}
+	return []Number{NumHeadroomOver, NumHeadroomMost, NumHeadroomLoad, NumHeadroomMemory, NumHeadroomSlack, NumHeadroomLast}
 }
 
 // Check says which mechanism of a tuning there is not.
--- a/internal/emulator/deployment.go
+++ b/internal/emulator/deployment.go
@@ -11,6 +11,8 @@
 	"path"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
@@ -205,7 +207,8 @@
 	for n := range d.workers() {
 		rack := n / d.WorkersPerRack
 		zone := rack / d.RacksPerZone
-		id := fmt.Sprintf("worker-%03d", n)
+		// Ids say nothing of racks, as on a real platform.
+		id := fmt.Sprintf("worker-%08x-%03d", xxhash.Sum64String(fmt.Sprint(n))>>32, n)
 		list = append(list, workload.Worker{
 			ID: id, Addr: id, Pool: pool, Zone: zoneName(zone), Rack: rackName(zone, rack%d.RacksPerZone), Room: d.Room,
 		})
