--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
@@ -43,6 +46,63 @@
 	return places
 }
 
+// claimAgain lets an urgent gang that failed by its own fault start again where it
+// was. Without it the room of each member went to others as its end was heard, some
+// milliseconds before the last one's, and the gang had others stopped a second time.
+// A worker on which other jobs failed as well is not claimed.
+func (c *Core) claimAgain(r *run) {
+	s, g := r.task.step, r.gang
+	if g == nil || g.broken || !c.isUrgent(s) || !c.has(MechRestarts) {
+		return
+	}
+	var rooms []*room
+	byWorker := make(map[*worker]*room)
+	for i := range s.tasks {
+		for _, member := range s.tasks[i].runs {
+			if member.gang != g {
+				continue
+			}
+			w := member.worker
+			if w.health.failedOthers(s.job.ID) {
+				return
+			}
+			if byWorker[w] == nil {
+				byWorker[w] = &room{worker: w}
+			}
+			rooms = append(rooms, byWorker[w])
+		}
+	}
+	slices.SortStableFunc(rooms, func(a, b *room) int { return cmp.Compare(a.ID, b.ID) })
+	s.claim = &claim{places: placesOf(rooms)}
+}
+
+// isUrgent reports whether a step's queue is of the first priority.
+func (c *Core) isUrgent(s *step) bool {
+	if c.config == nil {
+		return false
+	}
+	q := c.config.Queue(s.job.Queue)
+	return q != nil && q.Priority == 0
+}
+
+// holdRestarts takes the room that gangs will start again in, while their members are
+// still ending, out of the rooms.
+func (c *Core) holdRestarts(pools map[string][]*room) {
+	for _, s := range c.restarting {
+		need := s.spec.Counted()
+		for _, r := range pools[c.config.Queue(s.job.Queue).Pool] {
+			for _, place := range s.claim.places {
+				if place.worker != r.worker {
+					continue
+				}
+				ending := int64(c.runsOf(s, r.worker))
+				r.soon = r.soon.Sub(need.Times(place.slots))
+				r.free = r.free.Sub(need.Times(max(place.slots-ending, 0)))
+			}
+		}
+	}
+}
+
 // holdClaims takes what is claimed out of the rooms before any unit looks at them.
 // A claim that will not come true any more is dropped: a worker of it is gone or
 // was taken for work that was met there.
--- a/internal/dispatch/claim_test.go
+++ b/internal/dispatch/claim_test.go
@@ -54,3 +54,57 @@
 	b.pass(100 * time.Millisecond)
 	assert.Equal(t, b.runningOf("gang"), 2, "two workers that are new are free")
 }
+
+func TestAnUrgentGangThatFailedStartsAgainWhereItWas(t *testing.T) {
+	b := newBench(t, 2, false)
+	b.stopTakes = 900 * time.Millisecond
+	b.add(gangJob("urgent", "urgent", "other", 2, 8))
+	b.pass(time.Second)
+	assert.Equal(t, b.runningOf("urgent"), 2)
+	b.add(gangJob("waits-1", "batch", "other", 1, 8))
+	b.add(gangJob("waits-2", "batch", "other", 1, 8))
+	b.pass(time.Second)
+
+	first, second := b.workers["w00"], b.workers["w01"]
+	for key := range first.running {
+		b.end(first, key.task, key.attempt, workload.EndFailed)
+	}
+	b.silent["w01"] = true // its member's end is heard a while later
+	b.pass(100 * time.Millisecond)
+	b.silent["w01"] = false
+	for key := range second.running {
+		b.end(second, key.task, key.attempt, workload.EndBroken)
+	}
+	b.pass(time.Second)
+	assert.Equal(t, b.runningOf("urgent"), 2)
+	assert.Equal(t, b.runningOf("waits-1")+b.runningOf("waits-2"), 0)
+	assert.Equal(t, b.starts, 4, "nothing else was started in its room, to be stopped again")
+}
+
+func TestAnUrgentGangThatFailedOnASickWorkerIsNotKeptThere(t *testing.T) {
+	b := newBench(t, 2, false)
+	b.add(gangJob("other", "batch", "other", 1, 8))
+	b.pass(500 * time.Millisecond)
+	for _, w := range b.workers {
+		for key := range w.running {
+			b.end(w, key.task, key.attempt, workload.EndFailed)
+		}
+	}
+	b.core.Cancel("other", b.now, b.wallMS)
+	b.pass(500 * time.Millisecond)
+	b.add(gangJob("urgent", "urgent", "other", 2, 8))
+	b.pass(500 * time.Millisecond)
+	s := b.core.jobs["urgent"].steps[0]
+	for key := range b.workers["w00"].running {
+		b.end(b.workers["w00"], key.task, key.attempt, workload.EndFailed)
+	}
+	for key := range b.workers["w01"].running {
+		b.end(b.workers["w01"], key.task, key.attempt, workload.EndBroken)
+	}
+	b.core.tick(b.now, b.wallMS)
+	for _, id := range []string{"w00", "w01"} {
+		w := b.core.workers[id]
+		b.core.takeEnds(w, b.sight(b.workers[id], workload.Look{Noted: w.noted}).Ended)
+	}
+	assert.Assert(t, s.claim == nil, "work of two jobs failed on one of its workers")
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -85,6 +85,8 @@
 	urgentSeen  int
 	// quietSince is since when a pool is less than half in use.
 	quietSince map[string]time.Time
+	// restarting are the steps whose gang is ending and will start again in a claim.
+	restarting []*step
 	// noRoom is what found no room in this round.
 	noRoom noRoom
 	// coming are the coming ends of this round, by pool; searches counts those for
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -82,6 +82,9 @@
 		c.save(r.task, r.checkpoint)
 	}
 	if kind != workload.EndDone {
+		if kind == workload.EndFailed {
+			c.claimAgain(r)
+		}
 		c.breakGang(r, "a member ended "+string(kind))
 	}
 	c.detach(r)
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -45,6 +45,7 @@
 	c.pools = rooms
 	c.noteUrgent(rooms)
 	c.noteQuiet(rooms)
+	c.holdRestarts(rooms)
 	c.holdClaims(units, rooms)
 	c.noRoom = make(noRoom)
 	c.coming = nil
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -37,6 +37,11 @@
 	}
 }
 
+// failedOthers reports whether work of other jobs failed since the last success.
+func (h *health) failedOthers(job string) bool {
+	return slices.ContainsFunc(h.failedJobs, func(failed string) bool { return failed != job })
+}
+
 func (h *health) suspect(now time.Time) bool {
 	return len(h.failedJobs) >= suspectAfter && now.Sub(h.lastFailed) < distrustFor
 }
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -77,6 +77,7 @@
 // units lists what could run now, most important first.
 func (c *Core) units() []*unit {
 	c.protect()
+	c.restarting = c.restarting[:0]
 	var list []*unit
 	foreign := c.foreignJobs()
 	for _, j := range c.queue {
@@ -119,6 +120,9 @@
 		if s.open == 0 || !c.ready(s) {
 			continue
 		}
+		if s.claim != nil && s.gang != nil && s.gang.broken {
+			c.restarting = append(c.restarting, s)
+		}
 		u := &unit{step: s, queue: q, length: c.estimates.of(s)}
 		for i := range s.tasks {
 			if t := &s.tasks[i]; !t.done && len(t.runs) == 0 {
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -24,13 +24,14 @@
 	MechCheapVictims Mechanism = "cheap_victims"
 	MechPacking      Mechanism = "packing"
 	MechRackOrder    Mechanism = "rack_order"
+	MechRestarts     Mechanism = "restarts"
 )
 
 // Mechanisms lists them all.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		MechHeadroom, MechClaims, MechWaitOut, MechReservations, MechRackPatience, MechEstimates, MechSickWorkers,
-		MechEvacuation, MechDoubts, MechLateBehind, MechCheapVictims, MechPacking, MechRackOrder,
+		MechEvacuation, MechDoubts, MechLateBehind, MechCheapVictims, MechPacking, MechRackOrder, MechRestarts,
 	}
 }
 
