A try: a rack is made ready ahead of urgent gangs

Hypothesis: where a stop takes a large part of what urgent work can wait (0.9 s of about 1.4 s), room has to be free before it is asked for. Runs that save their work are stopped ahead, so that one rack has as many whole workers as the next urgent gang will want (mean and spread of the sizes seen), and these are kept for it.

--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -57,6 +57,9 @@
 		blocked++
 		c.waiting[u.queue.Priority]++
 	}
+	for pool, list := range rooms {
+		c.makeReady(pool, list)
+	}
 }
 
 const (
