--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -82,11 +82,7 @@
 	// urgentSlack is the average time, in seconds, that urgent work can wait, of
 	// urgentSeen jobs.
 	urgentSlack float64
-	// urgentSize and urgentVaries are mean and variance of the whole workers that they
-	// want; readyAgain is when room may be made ahead again.
-	urgentSize, urgentVaries float64
-	readyAgain               time.Time
-	urgentSeen               int
+	urgentSeen  int
 	// quietSince is since when a pool is less than half in use.
 	quietSince map[string]time.Time
 	// restarting are the steps whose gang is ending and will start again in a claim.
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -57,9 +57,6 @@
 		blocked++
 		c.waiting[u.queue.Priority]++
 	}
-	for pool, list := range rooms {
-		c.makeReady(pool, list)
-	}
 }
 
 const (
--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -29,7 +29,7 @@
 	headroomMemory = 8 * time.Second
 	// headroomSlack: from this share of the time that urgent work can wait, a stop is
 	// too slow to be relied on.
-	headroomSlack = 0.4
+	headroomSlack = 1e9
 	// headroomLearn is the weight of the newest urgent job's time to spare.
 	headroomLearn = 0.1
 )
@@ -78,17 +78,10 @@
 	}
 	most := int(c.number(NumHeadroomMost, headroomMost) * float64(len(rooms)))
 	wanted := c.number(NumHeadroomOver, headroomOver) * c.urgentUse[pool]
-	if c.number(NumHeadroomLast, 0) > 0 || c.has(MechReadyRoom) && c.stopsAreSlow() {
+	if c.number(NumHeadroomLast, 0) > 0 {
 		keep := make(map[*room]bool)
-		if c.has(MechReadyRoom) && c.stopsAreSlow() {
-			keep = c.keptReady(rooms)
-			for range keep {
-				most--
-				wanted -= wholeWorker
-			}
-		}
 		for _, r := range slices.Backward(rooms) {
-			if most > 0 && wanted > 0 && r.urgentOnly && !keep[r] {
+			if most > 0 && wanted > 0 && r.urgentOnly {
 				keep[r] = true
 				most--
 				wanted -= float64(r.Room.Accelerators)
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -139,7 +139,6 @@
 		c.rankUnit(u)
 		if first && q.Priority == 0 {
 			c.noteSlack(u)
-			c.noteSize(u)
 		}
 		list = append(list, u)
 	}
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -25,14 +25,13 @@
 	MechPacking      Mechanism = "packing"
 	MechRackOrder    Mechanism = "rack_order"
 	MechRestarts     Mechanism = "restarts"
-	MechReadyRoom    Mechanism = "ready_room"
 )
 
 // Mechanisms lists them all.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		MechHeadroom, MechClaims, MechWaitOut, MechReservations, MechRackPatience, MechEstimates, MechSickWorkers,
-		MechEvacuation, MechDoubts, MechLateBehind, MechCheapVictims, MechPacking, MechRackOrder, MechRestarts, MechReadyRoom,
+		MechEvacuation, MechDoubts, MechLateBehind, MechCheapVictims, MechPacking, MechRackOrder, MechRestarts,
 	}
 }
 
@@ -55,12 +54,11 @@
 	NumHeadroomMemory Number = "headroom_memory_s"
 	NumHeadroomSlack  Number = "headroom_slack"
 	NumHeadroomLast   Number = "headroom_last"
-	NumReadySpread    Number = "ready_spread"
 )
 
 // Numbers lists them all.
 func Numbers() []Number {
-	return []Number{NumHeadroomOver, NumHeadroomMost, NumHeadroomLoad, NumHeadroomMemory, NumHeadroomSlack, NumHeadroomLast, NumReadySpread}
+	return []Number{NumHeadroomOver, NumHeadroomMost, NumHeadroomLoad, NumHeadroomMemory, NumHeadroomSlack, NumHeadroomLast}
 }
 
 // Check says which mechanism of a tuning there is not.
