Callers of a cut-off zone come back at once as soon as that leads them elsewhere

Change: an instance follows the readiness checks that it answered and so knows when the balancer takes it out. Once that is at most half a second away callers are told to come back at once (Retry-After: 0); before, after a second. An instance that is cut off from the others of its zone as well says so at once, as the next try reaches one of those.

--- a/api/error.go
+++ b/api/error.go
@@ -34,10 +34,16 @@
 	return err != nil && KindOf(err) == kind
 }
 
+// RetryAfterOf returns the time to come back that was attached to err. Zero is at once.
+func RetryAfterOf(err error) (after time.Duration, attached bool) {
+	after, attached = merry.Value(err, retryAfterKey{}).(time.Duration)
+	return after, attached
+}
+
 // RetryAfterS returns the time to come back for err, in seconds: the attached
 // one, else the default of its kind.
 func RetryAfterS(err error) float64 {
-	if after, ok := merry.Value(err, retryAfterKey{}).(time.Duration); ok {
+	if after, ok := RetryAfterOf(err); ok {
 		return after.Seconds()
 	}
 	return AnswerFor(KindOf(err)).RetryAfterS
--- a/internal/deployment/accept.go
+++ b/internal/deployment/accept.go
@@ -156,7 +156,7 @@
 // conflict.
 func (i *Instance) writeOnce(ctx context.Context, write workload.Write, conflict func([]workload.Row) error) error {
 	if i.cut.cut() {
-		return refuseCutOff()
+		return i.refuseCutOff()
 	}
 	ctx, cancel := i.cut.guard(ctx)
 	defer cancel()
@@ -177,7 +177,7 @@
 		}
 		unknown = unknown || errors.Is(err, workload.ErrUnknown)
 		if !unknown && errors.Is(context.Cause(ctx), errCutOff) {
-			return refuseCutOff()
+			return i.refuseCutOff()
 		}
 		if !unknown {
 			return api.WithRetryAfter(api.NewError(api.KindStoreUnavailable, "the store was not reached: %w", err), i.comeBack(ctx))
--- a/internal/deployment/cut.go
+++ b/internal/deployment/cut.go
@@ -45,6 +45,9 @@
 	since time.Time
 	// noticed is closed when a cut is noticed.
 	noticed chan struct{}
+	// alone says that the other instances of the zone did not answer either: they may
+	// be as connected as ever.
+	alone bool
 }
 
 func newCutWatch() *cutWatch { return &cutWatch{noticed: make(chan struct{})} }
@@ -77,10 +80,24 @@
 		return false
 	}
 	c.since = time.Time{}
+	c.alone = false
 	c.noticed = make(chan struct{})
 	return true
 }
 
+// setAlone notes whether the instance is cut off from those of its zone as well.
+func (c *cutWatch) setAlone(alone bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.alone = alone && !c.since.IsZero()
+}
+
+func (c *cutWatch) isAlone() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.alone
+}
+
 // errCutOff ends calls under way once a cut is noticed.
 var errCutOff = errors.New("the availability zone is cut off")
 
@@ -101,10 +118,17 @@
 }
 
 // refuseCutOff is the answer to work that this instance cannot take while it is cut
-// off: nothing of it was sent. The balancer needs about two seconds to lead callers
-// elsewhere.
-func refuseCutOff() error {
-	return api.WithRetryAfter(api.NewError(api.KindStoreUnavailable, "%v", errCutOff), comeBackSoonest)
+// off: nothing of it was sent.
+func (i *Instance) refuseCutOff() error {
+	after := comeBackSoonest
+	switch {
+	case !i.settings.Tuning.has(mechRetryAfter):
+	case i.cut.isAlone():
+		after = 0 // the next try reaches another instance of the zone
+	default:
+		after = comeBackElsewhere(i.rotation.outIn(bootTime()))
+	}
+	return api.WithRetryAfter(api.NewError(api.KindStoreUnavailable, "%v", errCutOff), after)
 }
 
 // watchCut pings the other zones, one instance of each at a time, and checks all ways
@@ -125,9 +149,27 @@
 			i.reconnected(began)
 			i.doubtZones(silent)
 		case i.cut.notice(bootTime()):
-			i.logger.Warn("cut off", zap.Int("zones_elsewhere", len(zones)))
+			alone := i.aloneInZone(ctx)
+			i.cut.setAlone(alone)
+			i.logger.Warn("cut off", zap.Int("zones_elsewhere", len(zones)), zap.Bool("alone", alone))
+		}
+	}
+}
+
+// aloneInZone reports whether none of the other instances of the zone answers that
+// said something lately.
+func (i *Instance) aloneInZone(ctx context.Context) bool {
+	mates := i.peers.fresh(func(v peerView) bool { return v.zone == i.settings.AvailabilityZone })
+	answers := make(chan bool, len(mates))
+	for _, id := range mates {
+		go func() { answers <- i.ping(ctx, id) }()
+	}
+	for range mates {
+		if <-answers {
+			return false
 		}
 	}
+	return len(mates) > 0
 }
 
 // tryWaysOut pings one instance of each zone and returns the first instances of the
--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -68,6 +68,7 @@
 	workers      *roster
 	lease        *lease
 	cut          *cutWatch
+	rotation     rotation
 	// unread are the configuration's rows of which a line said that they cannot be read.
 	unread        unreadRows
 	node          *peer.Node
@@ -259,6 +260,13 @@
 	return !i.cut.cut()
 }
 
+// CheckReady answers a check of the balancer.
+func (i *Instance) CheckReady() bool {
+	ready := i.Ready()
+	i.rotation.checked(ready, bootTime())
+	return ready
+}
+
 // Run starts to take callers by serve and runs until a signal, then shuts down
 // gracefully.
 func (i *Instance) Run(serve func(*Instance) (Servers, error), signals <-chan os.Signal) error {
