Orders without an answer are sent once more after 120 ms

Change: a start or stop that is not answered within 120 ms is sent again, once, with the same attempt and the same latest moment, so a run that is there stays the only one. The missing answer to one copy says nothing once the worker has answered another or lists the run; a refusal of one copy does not say that the other was not carried out, so a stop closes the attempt. A budget (32 at once, a quarter of one for each answer) keeps a cut or an overloaded holder from sending everything twice. The emulator plays lost orders.

Ruled out: a shorter time-out of the call; it would break gangs on slowed workers.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -74,6 +74,7 @@
 	doubts map[domain]time.Time
 	// ordered are the runs whose start is not answered, in the order of their starts.
 	ordered []*run
+	repeats repeatBudget
 	fenced  bool
 	// urgentUse is the average number of accelerators that work of the first
 	// priority used of late, by pool, as of urgentAt.
@@ -113,7 +114,7 @@
 	c := &Core{
 		bounds: bounds, epoch: epoch, jobs: make(map[string]*job), workers: make(map[string]*worker),
 		dirty: make(map[string]*job), estimates: newEstimates(), now: now, urgentUse: make(map[string]float64), quietSince: make(map[string]time.Time),
-		waiting: make(map[int]int), urgentAt: now, doubts: make(map[domain]time.Time),
+		waiting: make(map[int]int), urgentAt: now, doubts: make(map[domain]time.Time), repeats: repeatsMost,
 	}
 	if !earlier.IsZero() {
 		c.earlier = earlier
@@ -140,6 +141,7 @@
 	c.tick(now, wallMS)
 	c.expireLeases()
 	c.spreadDoubts()
+	c.repeatStarts()
 	c.breakPartial()
 	c.settle()
 	if c.config != nil {
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -24,9 +24,14 @@
 	// settledBy is the sequence after which a look is sure to know of the
 	// run's start (running) or of its stop (stopping, unclear).
 	settledBy uint64
-	stopSent  time.Time
-	reason    string
-	percent   int
+	// order is the start, until it is answered, and copies how often it was sent.
+	order  *workload.Order
+	copies int
+	// stops is how often a stop was sent, the last time at stopSent.
+	stops    int
+	stopSent time.Time
+	reason   string
+	percent  int
 	// percentAtStart is above zero for a run that was met under way: how long it
 	// has run in all is not known.
 	percentAtStart int
@@ -43,10 +48,16 @@
 	c.ordered = append(c.ordered, r)
 	until := w.clock(c.now) + startWithin.Milliseconds()
 	w.lease(until)
-	c.actions = append(c.actions, Action{Kind: ActStart, Reason: reason, Order: workload.Order{
+	r.order = &workload.Order{
 		Worker: w.ID, Addr: w.Addr, Task: t.id(), Attempt: attempt, Epoch: c.epoch, UntilMS: until,
 		Spec: t.step.job.Spec, Checkpoint: r.checkpoint, Ticket: t.step.advice.tickets[w.ID].ticket,
-	}})
+	}
+	c.sendStart(r, reason)
+}
+
+func (c *Core) sendStart(r *run, reason string) {
+	r.copies++
+	c.actions = append(c.actions, Action{Kind: ActStart, Reason: reason, Order: *r.order})
 }
 
 // startWithin bounds, on the worker's clock, when a start may be carried out. A
@@ -109,25 +120,12 @@
 
 func (c *Core) sendStop(r *run) {
 	r.stopSent = c.now
+	r.stops++
 	c.actions = append(c.actions, Action{Kind: ActStop, Reason: r.reason, Order: workload.Order{
 		Worker: r.worker.ID, Addr: r.worker.Addr, Task: r.task.id(), Attempt: r.attempt, Epoch: c.epoch,
 	}})
 }
 
-// stopAgainAfter is when a stop without an answer is sent again. It is longer
-// than the time-out of the call.
-const stopAgainAfter = 700 * time.Millisecond
-
-func (c *Core) resendStops() {
-	for _, w := range c.fleet {
-		for _, r := range w.runs {
-			if r.stopping() && r.state != stRunStopped && c.now.Sub(r.stopSent) >= stopAgainAfter {
-				c.sendStop(r)
-			}
-		}
-	}
-}
-
 // answered finds the worker and the run that an answer is about, and takes the
 // worker's clock from it. Both are nil where the worker is forgotten, the run
 // alone where it is.
@@ -149,9 +147,14 @@
 	}
 	switch receipt.Verdict {
 	case workload.VerdictDone:
+		c.repeats.answered()
 		r.step(runStarted)
+		r.order = nil
 		r.settledBy = c.sequence
 	case workload.VerdictUnknown:
+		if r.state == stRunRunning {
+			return // the worker lists it, or has answered another copy
+		}
 		c.missed(w)
 		c.unclear(r, "start without an answer")
 	case workload.VerdictFenced:
@@ -183,10 +186,16 @@
 	}
 }
 
-// rejected drops a run whose start was surely not carried out.
+// rejected drops a run whose start was surely not carried out. Of one that was sent
+// twice the other copy may have been, or may be yet: a stop has to close the attempt.
 func (c *Core) rejected(r *run, reason string) {
-	c.breakGang(r, reason)
-	c.detach(r)
+	switch {
+	case r.copies <= 1:
+		c.breakGang(r, reason)
+		c.detach(r)
+	case r.state == stRunOrdered:
+		c.unclear(r, reason)
+	}
 }
 
 // StopAnswered takes the answer to a stop.
@@ -197,6 +206,7 @@
 	}
 	switch receipt.Verdict {
 	case workload.VerdictDone, workload.VerdictOld:
+		c.repeats.answered()
 		if r != nil {
 			r.step(runStopAnswered)
 			r.settledBy = c.sequence
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -25,13 +25,14 @@
 	MechPacking      Mechanism = "packing"
 	MechRackOrder    Mechanism = "rack_order"
 	MechRestarts     Mechanism = "restarts"
+	MechRepeats      Mechanism = "repeats"
 )
 
 // Mechanisms lists them all.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		MechHeadroom, MechClaims, MechWaitOut, MechReservations, MechRackPatience, MechEstimates, MechSickWorkers,
-		MechEvacuation, MechDoubts, MechLateBehind, MechCheapVictims, MechPacking, MechRackOrder, MechRestarts,
+		MechEvacuation, MechDoubts, MechLateBehind, MechCheapVictims, MechPacking, MechRackOrder, MechRestarts, MechRepeats,
 	}
 }
 
--- a/internal/emulator/day.go
+++ b/internal/emulator/day.go
@@ -48,6 +48,8 @@
 	Stalled bool `json:"stalled,omitempty"`
 	// Fails: every task that starts there ends failed after a moment.
 	Fails bool `json:"fails,omitempty"`
+	// Loses is the share of orders that get no answer and are not carried out in time.
+	Loses float64 `json:"loses,omitempty"`
 	// Silent workers are cut off from everybody and run on.
 	Silent bool `json:"silent,omitempty"`
 }
--- a/internal/emulator/player.go
+++ b/internal/emulator/player.go
@@ -53,6 +53,7 @@
 	table, announced    map[string]dispatch.Record
 	writing             bool
 	handovers, crashes  []float64
+	random              *rand.Rand
 	tally               tally
 }
 
@@ -98,7 +99,7 @@
 	pl := &player{
 		deployment: d, day: day, tuning: tuning, workers: make(map[string]*worker), jobs: make(map[string]*arrival),
 		gangs: make(map[runKey]*gang), table: make(map[string]dispatch.Record), announced: make(map[string]dispatch.Record),
-		handovers: day.Handovers, crashes: day.Crashes, tally: newTally(),
+		handovers: day.Handovers, crashes: day.Crashes, random: random, tally: newTally(),
 	}
 	for i, listed := range d.list() {
 		w := &worker{Worker: listed, zone: i / d.WorkersPerRack / d.RacksPerZone, speed: d.Speeds[random.IntN(len(d.Speeds))]}
@@ -237,6 +238,9 @@
 		verdict, after := p.lost(orderTimeout)
 		return workload.Receipt{Verdict: verdict}, after
 	}
+	if t := w.troubled(pl.now); t != nil && t.Loses > 0 && pl.random.Float64() < t.Loses {
+		return workload.Receipt{Verdict: workload.VerdictUnknown}, orderTimeout
+	}
 	do(w)
 	return workload.Receipt{ClockMS: pl.wall()}, tick
 }
@@ -284,8 +288,12 @@
 }
 
 func (pl *player) start(w *worker, order workload.Order) {
+	key := runKey{order.Task, order.Attempt}
+	if w.find(key) != nil {
+		return // the order was repeated
+	}
 	a := pl.jobs[order.Task.Job]
-	r := &run{key: runKey{order.Task, order.Attempt}, job: a, began: pl.now, from: decodeCheckpoint(order.Checkpoint)}
+	r := &run{key: key, job: a, began: pl.now, from: decodeCheckpoint(order.Checkpoint)}
 	r.done, r.kept = r.from, r.from
 	if r.from > 0 {
 		r.done -= milliseconds(pl.deployment.RestoreMS)
