Emulator: a stop takes 0.3 to 1.0 of its bound, as on the platform

Cause: it took the whole bound always, so plans with few and with many runs to stop were alike. Measured: 3,674 stops of 20 plays with logs, 0.28 s at the first percentile, 0.59 s in the middle, 0.88 s at the 95th, of a bound of 0.9 s, evenly spread between.

--- a/internal/emulator/player.go
+++ b/internal/emulator/player.go
@@ -20,6 +20,9 @@
 	// orderTimeout and lookTimeout bound calls to workers that are cut off.
 	orderTimeout = 500 * time.Millisecond
 	lookTimeout  = 600 * time.Millisecond
+	// stopLeast is the share of its bound that a stop takes at least: 3,674 stops on the
+	// platform took 0.3 to 1.0 of it, evenly spread.
+	stopLeast = 0.3
 	// announceAfter is after how long without the store an end is announced.
 	announceAfter = 150 * time.Millisecond
 )
@@ -324,7 +327,8 @@
 	if r == nil || r.stopAt > 0 {
 		return
 	}
-	r.stopAt = pl.now + pl.deployment.bounds.StopTime
+	took := stopLeast + (1-stopLeast)*pl.random.Float64()
+	r.stopAt = pl.now + time.Duration(took*float64(pl.deployment.bounds.StopTime))
 	if forOthers {
 		pl.tally.preempted++
 	}
