--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -48,6 +48,8 @@
 	// broken gangs are being stopped.
 	broken bool
 	done   bool
+	// far gangs run on several racks although they belong on one.
+	far bool
 }
 
 type job struct {
