--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -147,7 +147,6 @@
 	if c.config != nil {
 		c.place()
 	}
-	c.leaveSlow()
 	c.resendStops()
 	c.evacuate()
 	c.looks()
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -261,19 +261,13 @@
 func (c *Core) eligible(u *unit, rooms []*room) []*room {
 	var list []*room
 	for _, r := range rooms {
-		if r.Has(u.step.spec.Label) && !c.shuns(r.worker, u) && r.Room.Holds(u.step.spec.Counted()) && !r.disturbs(u.step.spec) {
+		if r.Has(u.step.spec.Label) && !(c.has(MechSickWorkers) && r.health.suspect(c.now)) && r.Room.Holds(u.step.spec.Counted()) && !r.disturbs(u.step.spec) {
 			list = append(list, r)
 		}
 	}
 	return list
 }
 
-// shuns reports whether a worker gets nothing of the unit because it fails what it
-// runs, or is slow.
-func (c *Core) shuns(w *worker, u *unit) bool {
-	return c.has(MechSickWorkers) && w.health.suspect(c.now) || c.has(MechPace) && c.slow(&w.health, u.queue.Priority == 0)
-}
-
 // disturbs reports whether a serving task would share the worker with a batch
 // task. Interference differs by image and changes within seconds, so neither sort
 // is put beside the other: no serving task then misses its latency target because
@@ -404,17 +398,13 @@
 	)
 }
 
-func onOneRack(places []*room) bool {
-	return !slices.ContainsFunc(places, func(r *room) bool { return r.Rack != places[0].Rack })
-}
-
 // startAt starts the first tasks of a unit in the rooms, one in each entry.
 func (c *Core) startAt(u *unit, places []*room) {
 	delete(c.coming, u.queue.Pool) // these runs will end as well
 	var g *gang
 	attempt := c.nextAttempt()
 	if u.step.spec.Gang {
-		g = &gang{attempt: attempt, far: u.step.spec.OneRack && !onOneRack(places)}
+		g = &gang{attempt: attempt}
 		u.step.gang, u.step.claim = g, nil
 	}
 	reason := fmt.Sprintf("rank %d, due in %d ms, waited %d ms", u.rank.class,
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -14,9 +14,6 @@
 	// failedJobs are the jobs that failed here since the last success.
 	failedJobs []string
 	lastFailed time.Time
-	// slowAt is when what runs here was last seen to fall behind; zero while it does
-	// not.
-	slowAt time.Time
 }
 
 const (
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -48,8 +48,6 @@
 	// broken gangs are being stopped.
 	broken bool
 	done   bool
-	// far gangs run on several racks although they belong on one.
-	far bool
 }
 
 type job struct {
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -36,13 +36,6 @@
 	// has run in all is not known.
 	percentAtStart int
 	checkpoint     string
-	// seenPercent is the progress at seenMS on the worker's clock. pace is what it made
-	// before that, in percent a millisecond, bestPace the most it ever made; slow says
-	// that it fell behind.
-	seenPercent    int
-	seenMS         int64
-	pace, bestPace float64
-	slow           bool
 }
 
 // start orders a run of a task.
@@ -155,9 +148,6 @@
 	switch receipt.Verdict {
 	case workload.VerdictDone:
 		c.repeats.answered()
-		if r.checkpoint == "" && r.state == stRunOrdered {
-			r.seenMS = receipt.ClockMS
-		}
 		r.step(runStarted)
 		r.order = nil
 		r.settledBy = c.sequence
--- a/internal/dispatch/sight.go
+++ b/internal/dispatch/sight.go
@@ -193,7 +193,6 @@
 	}
 	w.lastLook = sent.Sequence
 	c.takeRunning(w, sight.Running, sent.Sequence)
-	c.takePace(w, sight.Running, sight.ClockMS)
 }
 
 // takeRunning brings the runs of a worker in line with what it lists.
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -26,14 +26,13 @@
 	MechRackOrder    Mechanism = "rack_order"
 	MechRestarts     Mechanism = "restarts"
 	MechRepeats      Mechanism = "repeats"
-	MechPace         Mechanism = "pace"
 )
 
 // Mechanisms lists them all.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		MechHeadroom, MechClaims, MechWaitOut, MechReservations, MechRackPatience, MechEstimates, MechSickWorkers,
-		MechEvacuation, MechDoubts, MechLateBehind, MechCheapVictims, MechPacking, MechRackOrder, MechRestarts, MechRepeats, MechPace,
+		MechEvacuation, MechDoubts, MechLateBehind, MechCheapVictims, MechPacking, MechRackOrder, MechRestarts, MechRepeats,
 	}
 }
 
@@ -56,14 +55,11 @@
 	NumHeadroomMemory Number = "headroom_memory_s"
 	NumHeadroomSlack  Number = "headroom_slack"
 	NumHeadroomLast   Number = "headroom_last"
-	NumSlowMove       Number = "slow_move"
-	NumSlowOthers     Number = "slow_others_s"
-	NumSlowUrgent     Number = "slow_urgent_s"
 )
 
 // Numbers lists them all.
 func Numbers() []Number {
-	return []Number{NumHeadroomOver, NumHeadroomMost, NumHeadroomLoad, NumHeadroomMemory, NumHeadroomSlack, NumHeadroomLast, NumSlowMove, NumSlowOthers, NumSlowUrgent}
+	return []Number{NumHeadroomOver, NumHeadroomMost, NumHeadroomLoad, NumHeadroomMemory, NumHeadroomSlack, NumHeadroomLast}
 }
 
 // Check says which mechanism of a tuning there is not.
