Of two peers one says hello, and only ends are told to all instances

Change: a hello is answered with one, so a peer that said hello within three quarters of the interval is not called. Notes to all instances hold the records of jobs that have ended, for which callers wait; a record that only says which tasks are done is of use to the next holder alone, which reads the table.

--- a/internal/deployment/gossip.go
+++ b/internal/deployment/gossip.go
@@ -16,6 +16,9 @@
 	// helloEvery is the time between two hellos to a peer. A count of waiting
 	// jobs may be two seconds old; half of it leaves one hello to be lost.
 	helloEvery = 700 * time.Millisecond
+	// helloFresh is for how long a peer that said hello is not called: less than the
+	// interval, so that one of the two calls in each.
+	helloFresh = helloEvery * 3 / 4
 	// helloTimeout bounds one hello.
 	helloTimeout = 600 * time.Millisecond
 	// noteTimeout bounds passing rows on.
@@ -57,6 +60,13 @@
 	return ids
 }
 
+// heardSince reports whether a peer has said something since a time.
+func (p *peers) heardSince(id string, since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.views[id].at.After(since)
+}
+
 // peerIDs lists all other instances, from the table and the seeds.
 func (i *Instance) peerIDs() []string {
 	seen := map[string]bool{i.settings.Listen.Peers: true}
@@ -85,11 +95,16 @@
 	return h
 }
 
-// gossip says hello to every peer at an interval.
+// gossip says hello to every peer at an interval. A hello is answered with one, so a
+// peer that has just said hello needs none: of two, one calls. With both calling, 36
+// instances made 1,800 such calls a second.
 func (i *Instance) gossip(ctx context.Context) {
 	for ctx.Err() == nil {
 		hello := i.hello()
 		for _, id := range i.peerIDs() {
+			if i.peers.heardSince(id, bootTime().Add(-helloFresh)) {
+				continue
+			}
 			i.calls.Go(func() { i.sayHello(ctx, id, hello) })
 		}
 		pause(ctx, helloEvery)
--- a/internal/deployment/records.go
+++ b/internal/deployment/records.go
@@ -113,10 +113,25 @@
 		c.recordVersions[tx.Put[n].Key] = version
 	}
 	c.instance.replica.apply(tx.Put)
-	c.instance.passOn(workload.SourceOwn, tx.Put)
+	if finals := finalRows(b, tx.Put); len(finals) > 0 {
+		c.instance.passOn(workload.SourceOwn, finals)
+	}
 	c.logFinals(b.records)
 }
 
+// finalRows are the rows of a write that callers are waiting for: records of jobs that
+// have ended. What else a record holds matters to the next holder alone, which reads the
+// table. A holder of 350 workers wrote 30 times a second and told 35 others each time.
+func finalRows(b *batch, put []workload.Row) []workload.Row {
+	var rows []workload.Row
+	for n, u := range b.records {
+		if u.Final != "" {
+			rows = append(rows, put[n]) // records come first in a write
+		}
+	}
+	return rows
+}
+
 func (c *conductor) logFinals(list []dispatch.Unwritten) {
 	for _, u := range list {
 		if u.Final != "" {
--- a/internal/deployment/records_test.go
+++ b/internal/deployment/records_test.go
@@ -55,3 +55,15 @@
 	assert.Equal(t, c.recordVersion("e/b"), int64(9))
 	assert.Assert(t, !c.grant.ended())
 }
+
+func TestOnlyEndsAreToldToAllInstances(t *testing.T) {
+	b := &batch{
+		records: []dispatch.Unwritten{{Job: "a"}, {Job: "b", Final: dispatch.FinalCompleted}, {Job: "c"}, {Job: "d", Final: dispatch.FinalFailed}},
+		workers: []workload.Worker{{ID: "w"}},
+	}
+	conductor := &conductor{grant: &grant{}, recordVersions: make(map[string]int64), instance: &Instance{replica: newReplica(nil)}}
+	rows := finalRows(b, conductor.transaction(b).Put)
+	assert.Equal(t, len(rows), 2)
+	assert.Equal(t, rows[0].Key, recordPrefix+"b")
+	assert.Equal(t, rows[1].Key, recordPrefix+"d")
+}
