--- a/internal/deployment/gossip.go
+++ b/internal/deployment/gossip.go
@@ -29,7 +29,6 @@
 
 // peerView is what a peer said last.
 type peerView struct {
-	id             string
 	zone           string
 	storeReachable bool
 	at             time.Time
@@ -138,7 +137,7 @@
 		return
 	}
 	i.peers.set(id, peerView{
-		id: id, zone: hello.GetAvailabilityZone(), storeReachable: hello.GetStoreReachable() && !hello.GetLeaving(), at: bootTime(),
+		zone: hello.GetAvailabilityZone(), storeReachable: hello.GetStoreReachable() && !hello.GetLeaving(), at: bootTime(),
 	})
 	if hello.GetAvailabilityZone() != i.settings.AvailabilityZone {
 		i.reconnected(bootTime())
@@ -187,20 +186,12 @@
 		i.takeRows(body.Rows)
 		return &peerpb.Response{}, nil
 	case *peerpb.Request_Store:
-		return &peerpb.Response{Body: &peerpb.Response_Store{Store: i.serveStore(ctx, body.Store)}}, nil
+		answer := serveStore(ctx, i.store.direct, body.Store)
+		return &peerpb.Response{Body: &peerpb.Response_Store{Store: answer}}, nil
 	}
 	return nil, api.NewError(api.KindMethodNotAllowed, "a deployment-wide instance does not take this call")
 }
 
-// serveStore makes a store call for a peer. A store that is slow here is slow for the
-// peer as well: then only the instance that schedules writes for others.
-func (i *Instance) serveStore(ctx context.Context, call *peerpb.StoreCall) *peerpb.StoreAnswer {
-	if call.GetOp() == opWrite && i.lease.current() == nil && i.store.direct.isSlow() {
-		return &peerpb.StoreAnswer{Failure: failureNotDone, Message: "the store is slow here as well"}
-	}
-	return serveStore(ctx, i.store.direct, call)
-}
-
 func (i *Instance) takeRows(note *peerpb.RowsNote) {
 	rows := unpackRows(note.GetRows())
 	switch workload.Source(note.GetSource()) {
--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -107,9 +107,7 @@
 		Instance: s.Listen.Peers, Incarnation: time.Now().UnixMilli(), Listen: s.Listen.Peers, Handler: i, Logger: o.Logger,
 		Resolve: func(id string) (string, bool) { return id, true }, Limits: peerLimits,
 	})
-	i.store = &reach{limit: pathTimeout, patience: pathPatience, reachState: &reachState{
-		direct: &grouping{Store: o.Store}, caller: i.node, logger: o.Logger, helpers: i.helpers, writer: i.writer,
-	}}
+	i.store = &reach{limit: pathTimeout, patience: pathPatience, reachState: &reachState{direct: o.Store, caller: i.node, logger: o.Logger, helpers: i.helpers}}
 	if !s.Tuning.has(mechOvertaking) {
 		i.store.patience = pathTimeout
 	}
@@ -141,21 +139,6 @@
 	return i.peers.fresh(func(v peerView) bool { return v.storeReachable })
 }
 
-// writer is the instance through which others write: the one that schedules, if it said
-// lately that it reaches the store. While the store is slow that it is there is enough:
-// it cannot tell a slow store from a silent one either.
-func (i *Instance) writer() string {
-	leader := i.replica.seenLeader()
-	if leader.Released || leader.Holder == i.settings.Listen.Peers || !i.settings.Tuning.has(mechGroupedWrites) {
-		return ""
-	}
-	slow := i.store.direct.isSlow()
-	if len(i.peers.fresh(func(v peerView) bool { return v.id == leader.Holder && (slow || v.storeReachable) })) == 0 {
-		return ""
-	}
-	return leader.Holder
-}
-
 // cores is what this instance may use of the processor.
 func (i *Instance) cores() float64 {
 	if !i.settings.Tuning.has(mechLargerFirst) {
--- a/internal/deployment/reach.go
+++ b/internal/deployment/reach.go
@@ -23,10 +23,6 @@
 	// Without it each instance that the store does not answer held a job for 0.9 s and
 	// more, of the 1.4 s that an urgent one may wait. A slow store answers within it.
 	pathPatience = 250 * time.Millisecond
-	// slowAttempts and slowPatience are the same times, in answers of a slow store: one
-	// for the group under way, one for the next, and some to spare.
-	slowAttempts = 5
-	slowPatience = 4
 	// directAgainAfter is how soon the direct path is tried first again after it
 	// failed, while a peer has one.
 	directAgainAfter = 1 * time.Second
@@ -53,16 +49,6 @@
 	attempt, patience time.Duration
 }
 
-// limitsNow are the limits of a call, longer while the store is slow: to ask it by more
-// paths at once, or again, makes it slower still.
-func (r *reach) limitsNow() limits {
-	l := limits{r.limit, r.patience}
-	if slowness := r.direct.slowness(); slowness >= slowStore {
-		l.attempt, l.patience = max(l.attempt, slowAttempts*slowness), max(l.patience, slowPatience*slowness)
-	}
-	return l
-}
-
 // within returns the same reach with another bound for an attempt.
 func (r *reach) within(limit time.Duration) *reach {
 	return &reach{reachState: r.reachState, limit: limit, patience: min(r.patience, limit)}
@@ -70,12 +56,9 @@
 
 // reachState is what all uses of the reach share.
 type reachState struct {
-	direct *grouping
+	direct workload.Store
 	caller peer.Caller
 	logger *zap.Logger
-	// writer is the instance through which all others write; empty for none, or for this
-	// one.
-	writer func() string
 	// helpers lists the peers that said that they reach the store.
 	helpers func() []string
 	// answered is told when a call that the store answered had begun.
@@ -106,7 +89,7 @@
 // answered for a while, and takes the first answer. An error wraps
 // workload.ErrUnknown if any attempt may have been performed.
 func byAnyPath[T any](ctx context.Context, r *reach, call string, limits limits, try attempt[T]) (T, error) {
-	paths := r.paths(call)
+	paths := r.paths()
 	within, cancel := context.WithCancel(ctx)
 	defer cancel()
 	outcomes := make(chan outcome[T], len(paths))
@@ -195,15 +178,7 @@
 const mostHelpers = 2
 
 // paths lists the ways to the store, the likeliest first.
-func (r *reach) paths(call string) []workload.Store {
-	writer := r.writer()
-	if call != callWrite || writer == "" {
-		return r.usualPaths()
-	}
-	return append([]workload.Store{&relay{peer: writer, caller: r.caller}}, r.usualPaths()...)
-}
-
-func (r *reach) usualPaths() []workload.Store {
+func (r *reach) paths() []workload.Store {
 	r.mu.Lock()
 	failed := !r.failedAt.IsZero() && bootTime().Sub(r.failedAt) < directAgainAfter
 	r.mu.Unlock()
@@ -297,30 +272,23 @@
 	return now.Sub(r.answeredAt) < reachableFor, now.Sub(r.directAt) < reachableFor && r.failedAt.IsZero()
 }
 
-// The calls, as metrics name them.
-const (
-	callWrite  = "write"
-	callRead   = "read"
-	callFollow = "follow"
-)
-
 // Write implements workload.Store.
 func (r *reach) Write(ctx context.Context, write workload.Write) (workload.Written, error) {
-	return byAnyPath(ctx, r, callWrite, r.limitsNow(), func(ctx context.Context, store workload.Store) (workload.Written, error) {
+	return byAnyPath(ctx, r, "write", limits{r.limit, r.patience}, func(ctx context.Context, store workload.Store) (workload.Written, error) {
 		return store.Write(ctx, write)
 	})
 }
 
 // Read implements workload.Store.
 func (r *reach) Read(ctx context.Context, source workload.Source, from, to string) (workload.Page, error) {
-	return byAnyPath(ctx, r, callRead, r.limitsNow(), func(ctx context.Context, store workload.Store) (workload.Page, error) {
+	return byAnyPath(ctx, r, "read", limits{r.limit, r.patience}, func(ctx context.Context, store workload.Store) (workload.Page, error) {
 		return store.Read(ctx, source, from, to)
 	})
 }
 
 // Follow implements workload.Store.
 func (r *reach) Follow(ctx context.Context, source workload.Source, after int64, wait time.Duration) (workload.Page, error) {
-	return byAnyPath(ctx, r, callFollow, limits{wait + followSlack, wait + r.patience}, func(ctx context.Context, store workload.Store) (workload.Page, error) {
+	return byAnyPath(ctx, r, "follow", limits{wait + followSlack, wait + r.patience}, func(ctx context.Context, store workload.Store) (workload.Page, error) {
 		return store.Follow(ctx, source, after, wait)
 	})
 }
--- a/internal/deployment/reach_test.go
+++ b/internal/deployment/reach_test.go
@@ -29,8 +29,7 @@
 
 func newTestReach(direct workload.Store, by helper) *reach {
 	return &reach{limit: time.Second, patience: pathPatience, reachState: &reachState{
-		direct: &grouping{Store: direct}, caller: by, logger: zap.NewNop(), helpers: func() []string { return []string{"peer"} },
-		writer: func() string { return "" },
+		direct: direct, caller: by, logger: zap.NewNop(), helpers: func() []string { return []string{"peer"} },
 	}}
 }
 
--- a/internal/deployment/tuning.go
+++ b/internal/deployment/tuning.go
@@ -27,14 +27,13 @@
 	mechLargerFirst      dispatch.Mechanism = "larger_first"
 	mechFinishing        dispatch.Mechanism = "finishing"
 	mechSeldomReads      dispatch.Mechanism = "seldom_reads"
-	mechGroupedWrites    dispatch.Mechanism = "grouped_writes"
 )
 
 // Mechanisms lists those of an instance.
 func Mechanisms() []dispatch.Mechanism {
 	return []dispatch.Mechanism{
 		mechEarlyReplacement, mechOutages, mechPeerPaths, mechOvertaking, mechRetryAfter, mechRoundGap, mechCutWatch,
-		mechAnnouncements, mechLargerFirst, mechFinishing, mechSeldomReads, mechGroupedWrites,
+		mechAnnouncements, mechLargerFirst, mechFinishing, mechSeldomReads,
 	}
 }
 
