A process that spins writes the stacks of its goroutines, once

Change: each process looks at its own processor time once a second; four looks in a row over nine tenths of what it may use write one line with the stacks, at most 48 KB, once in its life.

Ruled out: a profile at all times (processor time is dear).

--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -362,6 +362,7 @@
 	}
 	duty(i.register)
 	duty(i.gossip)
+	duty(i.watchSpin)
 	if i.settings.Tuning.has(mechCutWatch) {
 		duty(i.watchCut)
 	}
--- /dev/null
+++ b/internal/deployment/spin.go
@@ -0,0 +1,77 @@
+package deployment
+
+import (
+	"context"
+	"runtime"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+)
+
+// This file answers a process that spins: it takes all of the processor that it may use,
+// for seconds, and what it was doing is gone once it is restarted. So it writes the
+// stacks of its goroutines to the log, once in its life.
+
+const (
+	// spinEvery is how often the process looks at its own processor time.
+	spinEvery = 1 * time.Second
+	// spinShare is the share of what it may use from which it spins; the busiest holder
+	// seen used 0.4 of it in its busiest seconds. spinLasts is how many looks in a row
+	// must say so: a burst or a start is over sooner.
+	spinShare = 0.9
+	spinLasts = 4
+	// spinStacks bounds the stacks that are written, in bytes: some hundred goroutines,
+	// most of which wait in one of a few places.
+	spinStacks = 48 << 10
+)
+
+// spinWatch tells a process that spins from one that is busy for a moment.
+type spinWatch struct {
+	// cores is what the process may use of the processor.
+	cores float64
+	// over counts the looks in a row that were over the share.
+	over int
+	told bool
+}
+
+// sees takes what the process used in a while; true once, when it spins.
+func (w *spinWatch) sees(used, while time.Duration) bool {
+	if used.Seconds() < spinShare*w.cores*while.Seconds() {
+		w.over = 0
+		return false
+	}
+	w.over++
+	spins := w.over >= spinLasts && !w.told
+	w.told = w.told || spins
+	return spins
+}
+
+// watchSpin looks at the process's own processor time.
+func (i *Instance) watchSpin(ctx context.Context) {
+	w := spinWatch{cores: i.settings.Processor.cores()}
+	if w.cores <= 0 {
+		w.cores = float64(runtime.GOMAXPROCS(0))
+	}
+	last, at := processorTime(), bootTime()
+	for ctx.Err() == nil {
+		pause(ctx, spinEvery)
+		used, now := processorTime(), bootTime()
+		if w.sees(used-last, now.Sub(at)) {
+			stacks := make([]byte, spinStacks)
+			stacks = stacks[:runtime.Stack(stacks, true)]
+			i.logger.Error("process spins", zap.Duration("used", used-last), zap.Duration("in", now.Sub(at)),
+				zap.Int("goroutines", runtime.NumGoroutine()), zap.ByteString("stacks", stacks))
+		}
+		last, at = used, now
+	}
+}
+
+// processorTime is what the process has used so far.
+func processorTime() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_PROCESS_CPUTIME_ID, &ts); err != nil {
+		panic(err) // every kernel that runs this has the clock
+	}
+	return time.Duration(ts.Nano())
+}
