--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -80,10 +80,6 @@
 	// priority used of late, by pool, as of urgentAt.
 	urgentUse map[string]float64
 	urgentAt  time.Time
-	// urgentSlack is the average time, in seconds, that urgent work can wait, of
-	// urgentSeen jobs.
-	urgentSlack float64
-	urgentSeen  int
 	// quietSince is since when a pool is less than half in use.
 	quietSince map[string]time.Time
 	// restarting are the steps whose gang is ending and will start again in a claim.
--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -27,11 +27,6 @@
 	// headroomMemory is the time over which the use by urgent work is averaged:
 	// some bursts.
 	headroomMemory = 8 * time.Second
-	// headroomSlack: from this share of the time that urgent work can wait, a stop is
-	// too slow to be relied on.
-	headroomSlack = 1e9
-	// headroomLearn is the weight of the newest urgent job's time to spare.
-	headroomLearn = 0.1
 )
 
 // noteUrgent averages what urgent work uses in each pool.
@@ -51,23 +46,7 @@
 // urgent work: work that is not urgent and loses what it did when it is stopped.
 func (c *Core) keepsOut(u *unit) bool {
 	s := u.step.spec
-	if u.queue.Priority == 0 || s.Lasting {
-		return false
-	}
-	return !s.Checkpoints || c.stopsAreSlow()
-}
-
-// noteSlack averages how long urgent work can wait.
-func (c *Core) noteSlack(u *unit) {
-	slack := max(u.dueBy.Add(-u.length).Sub(c.now), 0).Seconds()
-	c.urgentSeen++
-	c.urgentSlack += max(headroomLearn, 1/float64(c.urgentSeen)) * (slack - c.urgentSlack)
-}
-
-// stopsAreSlow reports whether a stop takes a large part of the time that urgent work
-// can wait.
-func (c *Core) stopsAreSlow() bool {
-	return c.urgentSeen > 0 && c.bounds.StopTime.Seconds() > c.number(NumHeadroomSlack, headroomSlack)*c.urgentSlack
+	return u.queue.Priority != 0 && !s.Lasting && !s.Checkpoints
 }
 
 // withoutHeadroom drops workers that are kept for urgent work, of those that run
@@ -78,17 +57,6 @@
 	}
 	most := int(c.number(NumHeadroomMost, headroomMost) * float64(len(rooms)))
 	wanted := c.number(NumHeadroomOver, headroomOver) * c.urgentUse[pool]
-	if c.number(NumHeadroomLast, 0) > 0 {
-		keep := make(map[*room]bool)
-		for _, r := range slices.Backward(rooms) {
-			if most > 0 && wanted > 0 && r.urgentOnly {
-				keep[r] = true
-				most--
-				wanted -= float64(r.Room.Accelerators)
-			}
-		}
-		return slices.DeleteFunc(slices.Clone(rooms), func(r *room) bool { return keep[r] })
-	}
 	return slices.DeleteFunc(slices.Clone(rooms), func(r *room) bool {
 		kept := most > 0 && wanted > 0 && r.urgentOnly
 		if kept {
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -132,14 +132,10 @@
 		if len(u.tasks) == 0 || s.spec.Gang && (s.gang != nil || len(u.tasks) < s.open) {
 			continue
 		}
-		first := s.readySince.IsZero()
-		if first {
+		if s.readySince.IsZero() {
 			s.readySince = c.now
 		}
 		c.rankUnit(u)
-		if first && q.Priority == 0 {
-			c.noteSlack(u)
-		}
 		list = append(list, u)
 	}
 	return list
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -53,13 +53,11 @@
 	NumHeadroomMost   Number = "headroom_most"
 	NumHeadroomLoad   Number = "headroom_load"
 	NumHeadroomMemory Number = "headroom_memory_s"
-	NumHeadroomSlack  Number = "headroom_slack"
-	NumHeadroomLast   Number = "headroom_last"
 )
 
 // Numbers lists them all.
 func Numbers() []Number {
-	return []Number{NumHeadroomOver, NumHeadroomMost, NumHeadroomLoad, NumHeadroomMemory, NumHeadroomSlack, NumHeadroomLast}
+	return []Number{NumHeadroomOver, NumHeadroomMost, NumHeadroomLoad, NumHeadroomMemory}
 }
 
 // Check says which mechanism of a tuning there is not.
