A leaving worker that refuses connections is not taken for gone

Cause: what ran on a worker that had said it leaves, was no longer listed and refused connections counted as over at once.

Ruled out: telling a real leave from a lapse by when the entry vanished (entries also lapse early while the store is away), asking other workers of the zone or rack (single workers are cut as well).

Change: no connection says that a worker is gone. Its runs wait for the end of its lease like everybody's. So that this is not long, a look extends the lease of a worker that leaves by 2.5 s instead of the longest: one lost look (1.6 s and a pause of 0.3 s) fits in. A worker is also not forgotten while something unknown runs there.

Other places that read "refused" or "not listed", and why each is safe: - expireLeases takes an unlisted worker out of the table: only without runs, and nothing unlisted gets new ones; a start without an answer stays a run until a stop or its lease closes it. - expireLeases forgets it: only after the longest lease, without runs, and known in this epoch or past the time that an earlier epoch can reach (now also without unknown runs). - a start that was refused (Closed, Unsent) was not sent; where a second copy was, the run is unclear until a stop closes it. - an answer of another life at the address (Gone): one address has one life. - a holder that refuses or leaves pings unanswered is replaced early: the epoch fences it at every worker and at the store. - a new holder asks listed workers and those of the table; unlisted ones that are not in it never got work or were taken out once nothing could run there.

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -18,7 +18,12 @@
 	wallMS  int64
 	workers map[string]*fakeWorker
 	// silent workers answer nothing; what is sent to them is not carried out.
-	silent        map[string]bool
+	silent map[string]bool
+	// refusing workers refuse connections: what is sent to them is not carried out, and
+	// what runs there may run on behind a cut.
+	refusing map[string]bool
+	// unlisted workers are missing in the platform's list.
+	unlisted      map[string]bool
 	starts, stops int
 	// startedAt are the workers of all starts, answered or not, in their order.
 	startedAt []string
@@ -43,6 +48,8 @@
 	ended   []workload.Ended
 	number  int64
 	closed  map[workload.TaskID]int64
+	// leaseMS is until when what runs there may, on the worker's clock.
+	leaseMS int64
 }
 
 type fakeRun struct {
@@ -63,6 +70,7 @@
 func newBench(t testing.TB, workers int, earlier bool) *bench {
 	b := &bench{t: t, now: epochStart, wallMS: 1_700_000_000_000, workers: make(map[string]*fakeWorker), silent: make(map[string]bool)}
 	b.leaving, b.tickets = make(map[string]time.Duration), make(map[string]bool)
+	b.refusing, b.unlisted = make(map[string]bool), make(map[string]bool)
 	var before time.Time
 	if earlier {
 		before = b.now
@@ -99,6 +107,9 @@
 func (b *bench) list() {
 	var list []workload.Worker
 	for id, w := range b.workers {
+		if b.unlisted[id] {
+			continue
+		}
 		left, leaving := b.leaving[id]
 		rack := "r" + id[1:len(id)-1]
 		list = append(list, workload.Worker{
@@ -141,8 +152,12 @@
 		b.startedAt = append(b.startedAt, id)
 	}
 	w := b.workers[id]
+	if b.refusing[id] {
+		b.withoutAnswer(a, workload.VerdictClosed)
+		return
+	}
 	if w == nil || b.silent[id] || a.Kind == ActStop && b.ignoreStops != nil && b.ignoreStops() {
-		b.unanswered(a)
+		b.withoutAnswer(a, workload.VerdictUnknown)
 		return
 	}
 	switch a.Kind {
@@ -166,14 +181,14 @@
 	}
 }
 
-func (b *bench) unanswered(a Action) {
+func (b *bench) withoutAnswer(a Action, verdict workload.Verdict) {
 	switch a.Kind {
 	case ActStart:
-		b.core.StartAnswered(a.Order, workload.Receipt{Verdict: workload.VerdictUnknown}, b.now, b.wallMS)
+		b.core.StartAnswered(a.Order, workload.Receipt{Verdict: verdict}, b.now, b.wallMS)
 	case ActStop:
-		b.core.StopAnswered(a.Order, workload.Receipt{Verdict: workload.VerdictUnknown}, b.now, b.wallMS)
+		b.core.StopAnswered(a.Order, workload.Receipt{Verdict: verdict}, b.now, b.wallMS)
 	case ActLook:
-		b.core.Saw(a, workload.Sight{Verdict: workload.VerdictUnknown}, b.now, b.wallMS)
+		b.core.Saw(a, workload.Sight{Verdict: verdict}, b.now, b.wallMS)
 	}
 }
 
@@ -182,6 +197,7 @@
 	if o.Attempt <= w.closed[o.Task] {
 		return workload.Receipt{Verdict: workload.VerdictOld, ClockMS: b.clock()}
 	}
+	w.leaseMS = max(w.leaseMS, o.UntilMS)
 	need := b.core.task(o.Task).step.spec.Counted()
 	w.running[runKey{o.Task, o.Attempt}] = &fakeRun{need: need, began: b.now, checkpoint: o.Checkpoint}
 	var used workload.Resources
@@ -203,6 +219,7 @@
 }
 
 func (b *bench) sight(w *fakeWorker, look workload.Look) workload.Sight {
+	w.leaseMS = max(w.leaseMS, look.UntilMS)
 	sight := workload.Sight{ClockMS: b.clock()}
 	for key := range w.running {
 		sight.Running = append(sight.Running, workload.Running{Task: key.task, Attempt: key.attempt})
--- a/internal/dispatch/leases.go
+++ b/internal/dispatch/leases.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
 // clockSkew is by how much a worker's clock may run slow.
@@ -41,7 +39,9 @@
 }
 
 // expireLeases ends the runs on workers that have been silent for longer than
-// any lease, and forgets workers that are no longer listed and run nothing.
+// any lease, whatever else is known of them: a worker that is no longer listed and
+// refuses connections may run on behind a cut. Then it forgets workers that are no
+// longer listed and run nothing.
 func (c *Core) expireLeases() {
 	for _, w := range slices.Clone(c.fleet) {
 		if w.misses > 0 && len(w.runs)+len(w.foreign) > 0 && w.surelyLapsed(c.now, c.bounds.StopTime) {
@@ -50,7 +50,7 @@
 		if w.known && !w.unlistedSince.IsZero() && len(w.runs)+len(w.foreign) == 0 {
 			c.unstore(w)
 		}
-		if !w.unlistedSince.IsZero() && len(w.runs) == 0 && c.now.Sub(w.unlistedSince) > slowest(c.bounds.LongestLease) &&
+		if !w.unlistedSince.IsZero() && len(w.runs)+len(w.foreign) == 0 && c.now.Sub(w.unlistedSince) > slowest(c.bounds.LongestLease) &&
 			(w.known || !c.now.Before(c.surelyQuiet)) {
 			c.unstore(w)
 			delete(c.workers, w.ID)
@@ -75,15 +75,6 @@
 	w.nextLook = c.now.Add(time.Hour)
 }
 
-// closedWorker takes that nobody listens at a worker's address. If it was
-// leaving and is no longer listed either, it has left, and what ran there ended
-// with it. Otherwise it may be cut off: a connection is refused then as well.
-func (c *Core) closedWorker(w *worker, verdict workload.Verdict) {
-	if verdict == workload.VerdictClosed && w.Leaving && !w.unlistedSince.IsZero() {
-		c.lostWorker(w)
-	}
-}
-
 // Unseen lists the workers that have not answered this epoch while what an earlier
 // one started may run there; work of that time waits for them.
 func (c *Core) Unseen() []string {
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -167,7 +167,6 @@
 	case workload.VerdictUnsent, workload.VerdictClosed:
 		c.missed(w)
 		c.rejected(r, "start not sent: "+receipt.Verdict.String())
-		c.closedWorker(w, receipt.Verdict)
 	default:
 		w.refused(now)
 		c.rejected(r, "start rejected: "+receipt.Verdict.String())
@@ -218,6 +217,5 @@
 		c.lostWorker(w)
 	default:
 		c.missed(w)
-		c.closedWorker(w, receipt.Verdict)
 	}
 }
--- a/internal/dispatch/sight.go
+++ b/internal/dispatch/sight.go
@@ -65,6 +65,10 @@
 	// lookWait is how long a worker may wait for an end before it answers. It
 	// leaves a lease most of its length when one look is lost.
 	lookWait = 1000 * time.Millisecond
+	// leavingLease is the lease of a worker that leaves. Once it is gone it may as well
+	// run on behind a cut, and its work waits for the end of its lease. Shorter, one look
+	// that is lost would end what runs there.
+	leavingLease = 2500 * time.Millisecond
 	// lookAgain is the pause after a look without an answer.
 	lookAgain = 300 * time.Millisecond
 	// holdOffAfter is how long a worker that refused a start gets no other.
@@ -142,7 +146,7 @@
 	// received would count as an extension, and its runs would never be taken for
 	// lapsed.
 	if w.clockMS > 0 && len(w.runs) > 0 && w.misses == 0 && !c.watching {
-		look.UntilMS = w.clock(c.now) + c.bounds.LongestLease.Milliseconds()
+		look.UntilMS = w.clock(c.now) + c.leaseOf(w).Milliseconds()
 		w.lease(look.UntilMS)
 	}
 	if !quick {
@@ -151,6 +155,14 @@
 	c.actions = append(c.actions, Action{Kind: ActLook, Look: look, Sequence: c.sequence, Quick: quick})
 }
 
+// leaseOf is how long a look extends the lease of what runs on a worker.
+func (c *Core) leaseOf(w *worker) time.Duration {
+	if w.Leaving {
+		return min(leavingLease, c.bounds.LongestLease)
+	}
+	return c.bounds.LongestLease
+}
+
 // Saw takes a worker's answer to a look, sent as the action says.
 func (c *Core) Saw(sent Action, sight workload.Sight, now time.Time, wallMS int64) {
 	c.tick(now, wallMS)
@@ -173,7 +185,6 @@
 		return
 	default:
 		c.missed(w)
-		c.closedWorker(w, sight.Verdict)
 		return
 	}
 	w.sample(sight.ClockMS, now)
