Three hubs a zone follow the table, the other instances ask them

Cause: each instance was in touch with every other (hellos, pings of other zones, a connection each), read the whole table of jobs, the list of workers and the configuration, and kept every job. All of it grows with the square of the number of instances.

Change (contacts.go, query.go): in each zone the first three instances that answer, larger ones first, are hubs. Hubs are to each other what all instances were before. A leaf says hello to the hubs of its zone, asks one of them for a job, has the configuration and the counts of waiting jobs from them, leaves the watch for cuts to them until one says so or all are silent, and keeps no jobs. The list of workers, in which every heartbeat is a change, is followed by the holder alone. Up to three instances a zone all are hubs and nothing changes but the list of workers.

Ruled out: a table of its own for each zone, a relay chosen by agreement (roles need no agreement: a wrong guess costs a read).

--- a/internal/deployment/accept.go
+++ b/internal/deployment/accept.go
@@ -190,34 +190,16 @@
 
 // find returns a job of the caller's queue; KindGone if the store has none.
 func (i *Instance) find(ctx context.Context, caller Caller, id string) (JobState, error) {
-	state, job, ok := i.replica.state(id)
-	if !ok {
-		if err := i.fetch(ctx, id); err != nil {
-			return "", err
-		}
-		if state, job, ok = i.replica.state(id); !ok {
-			return "", api.NewError(api.KindGone, "no job %s", id)
-		}
-	}
-	if job.Account != caller.Account {
+	view, err := i.view(ctx, id)
+	switch {
+	case err != nil:
+		return "", err
+	case !view.known:
+		return "", api.NewError(api.KindGone, "no job %s", id)
+	case view.account != caller.Account:
 		return "", api.NewError(api.KindGone, "no job %s of this client account", id)
 	}
-	return state, nil
-}
-
-// fetch reads the rows of one job.
-func (i *Instance) fetch(ctx context.Context, id string) error {
-	for _, prefix := range []string{jobPrefix, cancelPrefix, recordPrefix} {
-		page, err := i.store.Read(ctx, workload.SourceOwn, prefix+id, prefix+id+"\x00")
-		if err != nil {
-			return api.WithRetryAfter(api.NewError(api.KindStoreUnavailable, "the store was not reached: %w", err), i.comeBack(ctx))
-		}
-		i.replica.apply(page.Rows)
-		if len(page.Rows) == 0 && prefix == jobPrefix {
-			return nil
-		}
-	}
-	return nil
+	return view.state, nil
 }
 
 // State returns a job's state.
@@ -226,7 +208,12 @@
 }
 
 // Pending returns the number of the queue's jobs of which no task has started.
-func (i *Instance) Pending(caller Caller) int { return i.replica.pending(caller.Queue.Name) }
+func (i *Instance) Pending(caller Caller) int64 {
+	if i.replica.isLoaded() {
+		return i.counts.of(i.replica, bootTime())[caller.Queue.Name]
+	}
+	return i.peers.latest().pending[caller.Queue.Name]
+}
 
 // Cancel cancels a job: it returns nil once the store has it.
 func (i *Instance) Cancel(ctx context.Context, caller Caller, id string) error {
--- a/internal/deployment/conduct.go
+++ b/internal/deployment/conduct.go
@@ -80,14 +80,35 @@
 	// it is read waits in the ring, and adding a job twice changes nothing.
 	i.conductor.Store(c)
 	defer i.conductor.Store(nil)
-	if c.load() {
-		c.run()
+	version, ok := c.load()
+	if !ok {
+		return
+	}
+	following := make(chan struct{})
+	go func() {
+		defer close(following)
+		c.followWorkers(ctx, version)
+	}()
+	c.run()
+	cancel()
+	<-following
+}
+
+// followWorkers follows the list of workers from a version on.
+func (c *conductor) followWorkers(ctx context.Context, version int64) {
+	list := &follower{
+		store: c.instance.store, source: workload.SourceWorkers, logger: c.instance.logger,
+		whole: c.instance.workers.reload, changes: c.instance.workers.apply,
+		gap: func() time.Duration { return workersGap },
 	}
+	list.follow(ctx, version)
+	list.run(ctx)
 }
 
-// load fills the core with what the store has. The read comes after the lease
-// was taken, so nothing that an earlier holder wrote is missing.
-func (c *conductor) load() bool {
+// load fills the core with what the store has, and returns the version of the list of
+// workers; false if the lease is over first. The read comes after the lease was taken,
+// so nothing that an earlier holder wrote is missing.
+func (c *conductor) load() (int64, bool) {
 	for c.ctx.Err() == nil {
 		rows, version, err := readAll(c.ctx, c.instance.store, workload.SourceOwn, "", "")
 		if err != nil {
@@ -96,7 +117,7 @@
 			continue
 		}
 		c.instance.replica.reload(rows, version)
-		workers, _, err := readAll(c.ctx, c.instance.store, workload.SourceWorkers, "", "")
+		workers, listed, err := readAll(c.ctx, c.instance.store, workload.SourceWorkers, "", "")
 		if err != nil {
 			c.logger.Warn("reading the workers failed", zap.Error(err))
 			pause(c.ctx, followPause)
@@ -104,9 +125,9 @@
 		}
 		c.instance.workers.reload(workers, 0)
 		c.fill()
-		return true
+		return listed, true
 	}
-	return false
+	return 0, false
 }
 
 func (c *conductor) fill() {
--- a/internal/deployment/cut.go
+++ b/internal/deployment/cut.go
@@ -136,6 +136,9 @@
 func (i *Instance) watchCut(ctx context.Context) {
 	for turn := 0; ctx.Err() == nil; turn++ {
 		pause(ctx, pingEvery)
+		if i.hubsWatch() {
+			continue
+		}
 		zones := i.elsewhere()
 		if len(zones) == 0 {
 			continue // there is nobody to be cut off from
@@ -152,10 +155,40 @@
 			alone := i.aloneInZone(ctx)
 			i.cut.setAlone(alone)
 			i.logger.Warn("cut off", zap.Int("zones_elsewhere", len(zones)), zap.Bool("alone", alone))
+			i.tellLeaves(ctx)
 		}
 	}
 }
 
+// hubQuiet is how long a leaf may hear nothing from the hubs of its zone before it
+// checks by itself whether it is cut off: a hello, and the time-out of the next one.
+const hubQuiet = helloEvery + helloTimeout
+
+// hubsWatch reports whether this instance may leave the watch to the hubs of its zone:
+// it is a leaf, and one of them has said lately that it is not cut off.
+func (i *Instance) hubsWatch() bool {
+	if i.follows() || i.cut.cut() {
+		return false
+	}
+	now := bootTime()
+	hubs := i.peers.fresh(func(v peerView) bool {
+		return v.hub && v.zone == i.settings.AvailabilityZone && now.Sub(v.at) < hubQuiet
+	})
+	connected := i.peers.fresh(func(v peerView) bool {
+		return v.hub && !v.cutOff && v.zone == i.settings.AvailabilityZone && now.Sub(v.at) < hubQuiet
+	})
+	return len(connected) > 0 && len(connected) == len(hubs)
+}
+
+// tellLeaves tells the leaves of the zone that a cut was noticed: they look for
+// themselves.
+func (i *Instance) tellLeaves(ctx context.Context) {
+	hello := i.hello(false)
+	for _, id := range i.peers.fresh(func(v peerView) bool { return !v.hub && v.zone == i.settings.AvailabilityZone }) {
+		i.calls.Go(func() { i.sayHello(ctx, id, hello) })
+	}
+}
+
 // aloneInZone reports whether none of the other instances of the zone answers that
 // said something lately.
 func (i *Instance) aloneInZone(ctx context.Context) bool {
--- a/internal/deployment/cut_test.go
+++ b/internal/deployment/cut_test.go
@@ -96,7 +96,7 @@
 	i, _ := cutOffInstance(t)
 	i.cut.notice(bootTime())
 	assert.Assert(t, !i.Ready())
-	hello := i.hello()
+	hello := i.hello(true)
 	i.heard("127.0.0.1:3", hello)
 	assert.Assert(t, !i.Ready(), "an instance of its own zone is cut off as well")
 	hello.AvailabilityZone = "zone-2"
--- a/internal/deployment/doc.go
+++ b/internal/deployment/doc.go
@@ -6,6 +6,8 @@
 //	settings.go  the settings of a process
 //	replica.go   what this instance knows of the product's table
 //	reach.go     the store, directly or through a peer
+//	contacts.go  who is a hub, and who keeps in touch with whom
+//	query.go     jobs that a leaf is asked for
 //	follow.go    the duties that follow the store's tables
 //	lease.go     who schedules
 //	conduct.go   the loop of the holder: core, orders, records
--- a/internal/deployment/entries_test.go
+++ b/internal/deployment/entries_test.go
@@ -127,7 +127,7 @@
 		},
 		"an instance that is no document": {
 			workload.Row{Key: instancePrefix + "10.0.0.1:1", Value: []byte("7"), Version: 2},
-			func(t *testing.T, r *replica) { assert.Equal(t, len(r.instances()), 0) },
+			func(t *testing.T, r *replica) { assert.Equal(t, len(r.zones("")), 0) },
 		},
 		"a leader that is no document": {
 			workload.Row{Key: leaderKey, Value: []byte("[]"), Version: 2},
--- a/internal/deployment/fill_test.go
+++ b/internal/deployment/fill_test.go
@@ -13,6 +13,7 @@
 func TestANewHolderWaitsForWorkersThatMayRunSomething(t *testing.T) {
 	settings := defaultSettings()
 	i := New(Options{Settings: &settings, Store: newMemoryStore(), Decoder: plainDecoder{}, Logger: zap.NewNop()})
+	i.replica.keepAll()
 	i.takeConfiguration([]workload.Row{entryRow("config", "pool", 1)})
 	i.workers.apply([]workload.Row{entryRow("listed", "pool", 1), entryRow("left", "pool", 2)})
 	i.workers.apply([]workload.Row{{Key: "left", Version: 3, Deleted: true}})
--- a/internal/deployment/follow.go
+++ b/internal/deployment/follow.go
@@ -26,11 +26,9 @@
 	holderGap = 50 * time.Millisecond
 	othersGap = 200 * time.Millisecond
 	restGap   = 600 * time.Millisecond
-	// workersHolderGap and workersOthersGap are the same for the list of
-	// workers, where every heartbeat is a change. Without them eight instances
-	// made 500 calls a second, most of them for heartbeats of 48 workers.
-	workersHolderGap = 250 * time.Millisecond
-	workersOthersGap = 2 * time.Second
+	// workersGap is the same for the list of workers, where every heartbeat is a
+	// change. Only the holder follows it; the next one reads it whole.
+	workersGap = 250 * time.Millisecond
 	// configurationGap batches changes that come in quick succession.
 	configurationGap = 20 * time.Millisecond
 	// readEvery is how often a followed table is read all the same: a feed may
@@ -61,11 +59,32 @@
 	// whole takes a whole read, taken at a version; changes takes what follows.
 	whole   func(rows []workload.Row, at int64)
 	changes func(rows []workload.Row)
+	// wanted, if set, says whether the table is followed now; idle is called when it no
+	// longer is.
+	wanted func() bool
+	idle   func()
 }
 
+// isWanted reports whether the table is followed now.
+func (f *follower) isWanted() bool { return f.wanted == nil || f.wanted() }
+
 // run follows until the context ends.
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if !f.isWanted() {
+			pause(ctx, roleEvery)
+			continue
+		}
+		f.readAndFollow(ctx)
+		if !f.isWanted() {
+			f.idle()
+		}
+	}
+}
+
+// readAndFollow follows from a whole read on, until the table is not wanted any more.
+func (f *follower) readAndFollow(ctx context.Context) {
+	for ctx.Err() == nil && f.isWanted() {
 		rows, version, err := readAll(ctx, f.store, f.source, "", "")
 		if err != nil {
 			pause(ctx, followPause)
@@ -76,9 +95,9 @@
 	}
 }
 
-// follow takes changes until the history is gone.
+// follow takes changes until the history is gone, or the table is not wanted any more.
 func (f *follower) follow(ctx context.Context, version int64) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && f.isWanted() {
 		page, err := f.store.Follow(ctx, f.source, version, followWait)
 		if errors.Is(err, workload.ErrHistoryGone) {
 			f.logger.Info("history gone, reading the table", zap.String("source", string(f.source)), zap.Int64("version", version))
--- a/internal/deployment/gossip.go
+++ b/internal/deployment/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,21 +32,84 @@
 type peerView struct {
 	zone           string
 	storeReachable bool
-	at             time.Time
+	// hub says that it follows the table, cutOff that it reaches nobody outside its zone.
+	hub, cutOff bool
+	// holder is who schedules, as far as it knows.
+	holder string
+	// pending counts the jobs of each queue that have not begun, if it said so.
+	pending map[string]int64
+	at      time.Time
 }
 
 // peers keeps what the peers said.
 type peers struct {
 	mu    sync.Mutex
 	views map[string]peerView
+	// misses are the hellos in a row that a peer left unanswered.
+	misses map[string]missed
+}
+
+// missed is how many hellos a peer left unanswered, and when the last one failed.
+type missed struct {
+	count int
+	at    time.Time
+}
+
+func newPeers() *peers {
+	return &peers{views: make(map[string]peerView), misses: make(map[string]missed)}
 }
 
 func (p *peers) set(id string, view peerView) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.views[id] = view
+	delete(p.misses, id)
+}
+
+// miss notes a hello that a peer did not answer.
+func (p *peers) miss(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.misses[id] = missed{p.misses[id].count + 1, bootTime()}
+}
+
+// isSilent reports whether a peer left several hellos unanswered, and has said nothing
+// since.
+func (p *peers) isSilent(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.misses[id].count >= silentMisses
+}
+
+// silentDue lists the silent peers that should be tried again.
+func (p *peers) silentDue(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var due []string
+	for id, m := range p.misses {
+		if m.count >= silentMisses && now.Sub(m.at) >= silentAgain {
+			due = append(due, id)
+		}
+	}
+	return due
+}
+
+// latest is what a hub said last.
+func (p *peers) latest() peerView {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var latest peerView
+	for _, view := range p.views {
+		if view.hub && view.at.After(latest.at) {
+			latest = view
+		}
+	}
+	return latest
 }
 
+// holder is who schedules, as a hub said last.
+func (p *peers) holder() string { return p.latest().holder }
+
 // fresh lists the peers that said something lately and match.
 func (p *peers) fresh(match func(peerView) bool) []string {
 	p.mu.Lock()
@@ -67,41 +131,55 @@
 	return p.views[id].at.After(since)
 }
 
-// peerIDs lists all other instances, from the table and the seeds.
-func (i *Instance) peerIDs() []string {
-	seen := map[string]bool{i.settings.Listen.Peers: true}
-	var ids []string
-	for _, list := range [][]string{i.replica.instances(), i.live.Load().Seeds} {
-		for _, id := range list {
-			if !seen[id] {
-				seen[id] = true
-				ids = append(ids, id)
-			}
-		}
-	}
-	return ids
-}
-
-func (i *Instance) hello() *peerpb.Hello {
+// hello is what this instance says of itself, to a hub or to a leaf.
+func (i *Instance) hello(toHub bool) *peerpb.Hello {
 	_, directly := i.store.reachable()
 	h := &peerpb.Hello{
-		AvailabilityZone: i.settings.AvailabilityZone, ConfigVersion: i.configVersion(), StoreReachable: directly,
-		Leaving: i.stopping.Load(),
+		AvailabilityZone: i.settings.AvailabilityZone,
+		ConfigVersion:    i.configVersion(),
+		StoreReachable:   directly,
+		Leaving:          i.stopping.Load(),
+		Hub:              i.follows() && i.replica.isLoaded(),
+		Holder:           i.holder(),
+		CutOff:           i.cut.cut(),
 	}
 	if g := i.lease.current(); g != nil && !g.ended() {
 		h.Epoch = g.epoch
-		h.Began = i.replica.beganList()
+		if toHub {
+			h.Began = i.replica.beganList()
+		}
+	}
+	if h.Hub && !toHub {
+		h.Pending = i.counts.of(i.replica, bootTime())
 	}
 	return h
 }
 
-// gossip says hello to every peer at an interval. A hello is answered with one, so a
-// peer that has just said hello needs none: of two, one calls. With both calling, 36
-// instances made 1,800 such calls a second.
+// pendingCounts keeps what was counted last: a hub tells it to every leaf.
+type pendingCounts struct {
+	mu     sync.Mutex
+	counts map[string]int64
+	at     time.Time
+}
+
+// countsFresh is for how long a count of waiting jobs is told.
+const countsFresh = 250 * time.Millisecond
+
+func (p *pendingCounts) of(r *replica, now time.Time) map[string]int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.counts == nil || now.Sub(p.at) > countsFresh {
+		p.counts, p.at = r.pending(), now
+	}
+	return p.counts
+}
+
+// gossip says hello to every contact at an interval. A hello is answered with one, so
+// a peer that has just said hello needs none: of two, one calls.
 func (i *Instance) gossip(ctx context.Context) {
 	for ctx.Err() == nil {
-		hello := i.hello()
-		for _, id := range i.peerIDs() {
+		hello := i.hello(true)
+		for _, id := range i.contacts() {
 			if i.peers.heardSince(id, bootTime().Add(-helloFresh)) {
 				continue
 			}
@@ -116,6 +194,7 @@
 	defer cancel()
 	response, err := i.node.Call(ctx, id, &peerpb.Request{Body: &peerpb.Request_Hello{Hello: hello}})
 	if err != nil {
+		i.peers.miss(id)
 		return
 	}
 	i.heard(id, response.GetHello())
@@ -123,7 +202,7 @@
 
 // holdsLease asks an instance whether it holds the lease.
 func (i *Instance) holdsLease(ctx context.Context, id string) (bool, error) {
-	response, err := i.node.Call(ctx, id, &peerpb.Request{Body: &peerpb.Request_Hello{Hello: i.hello()}})
+	response, err := i.node.Call(ctx, id, &peerpb.Request{Body: &peerpb.Request_Hello{Hello: i.hello(true)}})
 	if err != nil {
 		return false, err
 	}
@@ -136,11 +215,21 @@
 	if hello == nil {
 		return
 	}
+	now := bootTime()
 	i.peers.set(id, peerView{
-		zone: hello.GetAvailabilityZone(), storeReachable: hello.GetStoreReachable() && !hello.GetLeaving(), at: bootTime(),
+		zone:           hello.GetAvailabilityZone(),
+		storeReachable: hello.GetStoreReachable() && !hello.GetLeaving(),
+		hub:            hello.GetHub(),
+		cutOff:         hello.GetCutOff(),
+		holder:         hello.GetHolder(),
+		pending:        hello.GetPending(),
+		at:             now,
 	})
-	if hello.GetAvailabilityZone() != i.settings.AvailabilityZone {
-		i.reconnected(bootTime())
+	switch {
+	case hello.GetAvailabilityZone() != i.settings.AvailabilityZone:
+		i.reconnected(now)
+	case hello.GetHub() && !hello.GetLeaving():
+		i.hubHeard(now)
 	}
 	if hello.GetEpoch() > 0 {
 		i.replica.setBegan(hello.GetEpoch(), hello.GetBegan())
@@ -159,21 +248,25 @@
 	}
 }
 
-// passOn sends rows to every peer: a peer whose feed is silent has them too.
+// passOn sends rows to every hub: one whose feed is silent has them too.
 func (i *Instance) passOn(source workload.Source, rows []workload.Row) {
-	for _, id := range i.peers.fresh(func(peerView) bool { return true }) {
+	for _, id := range i.peers.fresh(func(v peerView) bool { return v.hub }) {
 		i.calls.Go(func() { i.sendRows(id, source, rows) })
 	}
 }
 
-// tellHolder sends rows to the holder of the lease, which has them from its
-// feed as well, a little later.
+// tellHolder sends rows to the holder of the lease, and a leaf to the hub that it asks
+// as well. Both have them from their feeds a little later.
 func (i *Instance) tellHolder(rows []workload.Row) {
-	holder := i.replica.seenLeader().Holder
-	if holder == "" || holder == i.settings.Listen.Peers {
-		return
+	told := []string{i.holder()}
+	if hubs := i.zoneHubs(); len(hubs) > 0 && !i.follows() {
+		told = append(told, hubs[0])
+	}
+	for _, id := range slices.Compact(told) {
+		if id != "" && id != i.settings.Listen.Peers {
+			i.calls.Go(func() { i.sendRows(id, workload.SourceOwn, rows) })
+		}
 	}
-	i.calls.Go(func() { i.sendRows(holder, workload.SourceOwn, rows) })
 }
 
 // Handle implements peer.Handler.
@@ -181,13 +274,15 @@
 	switch body := request.GetBody().(type) {
 	case *peerpb.Request_Hello:
 		i.heard(request.GetFrom(), body.Hello)
-		return &peerpb.Response{Body: &peerpb.Response_Hello{Hello: i.hello()}}, nil
+		return &peerpb.Response{Body: &peerpb.Response_Hello{Hello: i.hello(body.Hello.GetHub())}}, nil
 	case *peerpb.Request_Rows:
 		i.takeRows(body.Rows)
 		return &peerpb.Response{}, nil
 	case *peerpb.Request_Store:
 		answer := serveStore(ctx, i.store.direct, body.Store)
 		return &peerpb.Response{Body: &peerpb.Response_Store{Store: answer}}, nil
+	case *peerpb.Request_JobQuery:
+		return i.answerQuery(ctx, body.JobQuery)
 	}
 	return nil, api.NewError(api.KindMethodNotAllowed, "a deployment-wide instance does not take this call")
 }
--- a/internal/deployment/gossip_test.go
+++ b/internal/deployment/gossip_test.go
@@ -7,7 +7,7 @@
 )
 
 func TestAPeerThatHasJustSaidHelloNeedsNone(t *testing.T) {
-	p := &peers{views: make(map[string]peerView)}
+	p := newPeers()
 	now := bootTime()
 	assert.Assert(t, !p.heardSince("a", now.Add(-helloFresh)), "it has said nothing yet")
 	p.set("a", peerView{at: now.Add(-helloFresh / 2)})
--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -73,6 +73,8 @@
 	unread        unreadRows
 	node          *peer.Node
 	peers         *peers
+	role          role
+	counts        pendingCounts
 	calls         pond.Pool
 	life          *lifecycle.Life
 	configuration atomic.Pointer[workload.Configuration]
@@ -99,10 +101,11 @@
 	s := o.Settings
 	i := &Instance{
 		settings: s, options: o, logger: o.Logger, decoder: o.Decoder, workerClient: o.Workers,
-		replica: newReplica(o.Logger), cut: newCutWatch(), peers: &peers{views: make(map[string]peerView)},
+		replica: newReplica(o.Logger), cut: newCutWatch(), peers: newPeers(),
 		calls: pond.NewPool(callsAtOnce, pond.WithQueueSize(callsAtOnce), pond.WithNonBlocking(true)),
 	}
 	i.live.Store(s)
+	i.replica.keepInstances()
 	i.node = peer.New(peer.Options{
 		Instance: s.Listen.Peers, Incarnation: time.Now().UnixMilli(), Listen: s.Listen.Peers, Handler: i, Logger: o.Logger,
 		Resolve: func(id string) (string, bool) { return id, true }, Limits: peerLimits,
@@ -152,11 +155,10 @@
 	return i.replica.sizes(func(addr string) bool { return addr != i.settings.Listen.Peers })
 }
 
-// rivals are the other instances that could take the lease now, as far as they said
-// lately.
+// rivals are the other hubs that could take the lease now, as far as they said lately.
 func (i *Instance) rivals() []peerSize {
 	ready := make(map[string]bool)
-	for _, addr := range i.peers.fresh(func(v peerView) bool { return v.storeReachable }) {
+	for _, addr := range i.peers.fresh(func(v peerView) bool { return v.hub && v.storeReachable }) {
 		ready[addr] = true
 	}
 	return i.replica.sizes(func(addr string) bool { return ready[addr] })
@@ -347,15 +349,19 @@
 			run(ctx)
 		}()
 	}
-	own := &follower{store: i.store, source: workload.SourceOwn, logger: i.logger, whole: i.replica.reload, changes: i.replica.apply, gap: i.tableGap}
+	own := &follower{
+		store: i.store, source: workload.SourceOwn, logger: i.logger, whole: i.replica.reload, changes: i.replica.apply, gap: i.tableGap,
+		wanted: i.follows, idle: i.forgetTable,
+	}
 	config := &follower{
-		store: i.store, source: workload.SourceConfiguration, logger: i.logger, changes: i.takeConfiguration, gap: i.gap(configurationGap, configurationGap),
+		store: i.store, source: workload.SourceConfiguration, logger: i.logger, changes: i.takeConfiguration, gap: func() time.Duration { return configurationGap },
+		wanted: i.readsConfiguration, idle: func() {},
 		whole: func(rows []workload.Row, _ int64) { i.takeConfiguration(rows) },
 	}
-	workers := &follower{store: i.store, source: workload.SourceWorkers, logger: i.logger, whole: i.workers.reload, changes: i.workers.apply, gap: i.gap(workersHolderGap, workersOthersGap)}
 	duty(own.run)
 	duty(config.run)
-	duty(workers.run)
+	duty(i.listInstances)
+	duty(i.watchRole)
 	duty(i.rereadConfiguration)
 	if i.settings.Tuning.has(mechEarlyReplacement) {
 		duty(i.lease.watchHolder)
@@ -384,14 +390,15 @@
 	return tableGap(i.lease.current() != nil, placeAmong(i.lease.size(), i.rivals()))
 }
 
-// gap is one pause for the holder of the lease and another for the others.
-func (i *Instance) gap(holder, others time.Duration) func() time.Duration {
-	return func() time.Duration {
-		if i.lease.current() != nil {
-			return holder
-		}
-		return others
+// readsConfiguration reports whether this instance reads the configuration by itself. A
+// leaf has it from the hubs of its zone, as long as one of them reaches the store.
+func (i *Instance) readsConfiguration() bool {
+	if i.follows() || i.configuration.Load() == nil {
+		return true
 	}
+	return len(i.peers.fresh(func(v peerView) bool {
+		return v.hub && v.storeReachable && v.zone == i.settings.AvailabilityZone
+	})) == 0
 }
 
 // rereadConfiguration reads the configuration beside its feed, which may be
@@ -399,6 +406,9 @@
 func (i *Instance) rereadConfiguration(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause(ctx, readEvery)
+		if !i.readsConfiguration() {
+			continue
+		}
 		page, err := i.store.Read(ctx, workload.SourceConfiguration, "", "")
 		if err == nil {
 			i.takeConfiguration(page.Rows)
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -79,8 +79,10 @@
 	peers      map[string]instanceRow
 	// workers are those that may run something, by id.
 	workers map[string]workload.Worker
-	// loaded says that the table was read whole at least once.
+	// loaded says that the table was read whole, and is followed since.
 	loaded bool
+	// whole says that all rows are kept: a leaf keeps those of the instances alone.
+	whole bool
 }
 
 // instanceRow is what an instance writes of itself; its key is its address for
@@ -95,7 +97,7 @@
 func newReplica(logger *zap.Logger) *replica {
 	return &replica{
 		logger: logger, versions: make(map[string]int64), jobs: make(map[string]*knownJob),
-		began: make(map[string]bool), peers: make(map[string]instanceRow), workers: make(map[string]workload.Worker), changed: func(change) {},
+		began: make(map[string]bool), peers: make(map[string]instanceRow), workers: make(map[string]workload.Worker), changed: func(change) {}, whole: true,
 	}
 }
 
@@ -104,7 +106,7 @@
 	var changes []change
 	r.mu.Lock()
 	for _, row := range rows {
-		if row.Version <= r.versions[row.Key] {
+		if row.Version <= r.versions[row.Key] || !r.whole && !strings.HasPrefix(row.Key, instancePrefix) {
 			continue
 		}
 		r.versions[row.Key] = row.Version
@@ -246,6 +248,7 @@
 // reload brings the replica in line with a whole read, taken at a version:
 // rows that are missing there and not newer were removed.
 func (r *replica) reload(rows []workload.Row, at int64) {
+	r.keepAll()
 	r.apply(rows)
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
@@ -261,6 +264,28 @@
 	r.loaded = true
 }
 
+func (r *replica) keepAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.whole = true
+}
+
+// keepInstances drops all rows but those of the instances, and takes no others.
+func (r *replica) keepInstances() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.whole, r.loaded = false, false
+	r.jobs, r.began, r.workers = make(map[string]*knownJob), make(map[string]bool), make(map[string]workload.Worker)
+	r.leader = seenLeader{}
+	versions := make(map[string]int64)
+	for key, version := range r.versions {
+		if strings.HasPrefix(key, instancePrefix) {
+			versions[key] = version
+		}
+	}
+	r.versions = versions
+}
+
 func (r *replica) isLoaded() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -273,16 +298,21 @@
 	return r.leader
 }
 
-// instances returns the addresses for peers of all known instances.
-func (r *replica) instances() []string {
+// zones lists the known instances but one by their availability zones, the larger
+// ones first.
+func (r *replica) zones(but string) map[string][]peerSize {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	list := make([]string, 0, len(r.peers))
-	for addr := range r.peers {
-		list = append(list, addr)
+	zones := make(map[string][]peerSize)
+	for addr, peer := range r.peers {
+		if addr != but {
+			zones[peer.Zone] = append(zones[peer.Zone], peerSize{addr, peer.Cores})
+		}
 	}
-	slices.Sort(list)
-	return list
+	for _, members := range zones {
+		slices.SortFunc(members, compareSize)
+	}
+	return zones
 }
 
 // sizes lists the known instances that match with their sizes.
@@ -354,17 +384,17 @@
 	return StateQueued
 }
 
-// pending counts the jobs of a queue of which no task has started.
-func (r *replica) pending(queue string) int {
+// pending counts, by queue, the jobs of which no task has started.
+func (r *replica) pending() map[string]int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	count := 0
+	counts := make(map[string]int64)
 	for id, known := range r.jobs {
-		if known.job != nil && known.job.Queue == queue && r.stateOf(id, known) == StateQueued {
-			count++
+		if known.job != nil && r.stateOf(id, known) == StateQueued {
+			counts[known.job.Queue]++
 		}
 	}
-	return count
+	return counts
 }
 
 // snapshot returns all jobs, oldest first, for a new holder's core.
@@ -430,20 +460,17 @@
 	return ids
 }
 
-// otherZones lists the known instances of each zone but one.
+// otherZones lists the known instances of each zone but one, the larger ones first.
 func (r *replica) otherZones(own string) [][]string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	members := make(map[string][]string)
-	for addr, peer := range r.peers {
-		if peer.Zone != own {
-			members[peer.Zone] = append(members[peer.Zone], addr)
-		}
-	}
+	members := r.zones("")
+	delete(members, own)
 	var zones [][]string
 	for _, zone := range slices.Sorted(maps.Keys(members)) {
-		slices.Sort(members[zone])
-		zones = append(zones, members[zone])
+		var addrs []string
+		for _, instance := range members[zone] {
+			addrs = append(addrs, instance.addr)
+		}
+		zones = append(zones, addrs)
 	}
 	return zones
 }
--- a/internal/deployment/replica_test.go
+++ b/internal/deployment/replica_test.go
@@ -45,11 +45,11 @@
 func TestPendingCountsWhatHasNotBegun(t *testing.T) {
 	r := newReplica(zap.NewNop())
 	r.apply([]workload.Row{jobRow("a", 1), jobRow("b", 2), jobRow("c", 3), recordRow("c", dispatch.FinalCompleted, 4)})
-	assert.Equal(t, r.pending("q"), 2)
+	assert.Equal(t, r.pending()["q"], int64(2))
 	r.setBegan(3, []string{"a"})
-	assert.Equal(t, r.pending("q"), 1)
+	assert.Equal(t, r.pending()["q"], int64(1))
 	r.setBegan(2, []string{"b"})
-	assert.Equal(t, r.pending("q"), 1, "the word of an earlier holder is too late")
+	assert.Equal(t, r.pending()["q"], int64(1), "the word of an earlier holder is too late")
 }
 
 func TestAWholeReadDropsWhatWasRemovedButNothingNewer(t *testing.T) {
