Jobs are spread over parts of the table; a slow store is not asked twice

Cause: while the store carries out a transaction in 0.1 to 0.35 s, nearly all jobs were turned away. It carries out those of one part one after the other, and all rows lay in one: accepts of all instances, records and renewals queued behind each other, and what was not answered within 0.25 s was sent by one or two more paths, which doubled the queue.

The hypothesis here: the queue itself is needless for jobs, whose rows have nothing in common.

Change: job and cancel rows lie in one of 16 parts by the job's id; the lease, records, workers and instances stay in one part with the epoch that guards them. A whole read reads the parts beside each other and counts as of the oldest. Rows of ended jobs go part by part, before their records. The time after which a call is tried on another path, and its time-out, follow what the store took lately (twice that, up to 1.2 s).

--- a/internal/deployment/accept.go
+++ b/internal/deployment/accept.go
@@ -130,7 +130,7 @@
 	key := jobPrefix + job.ID
 	row := workload.Row{Key: key, Value: encode(job)}
 	return i.writeOnce(ctx, workload.Write{
-		Expect: []workload.Row{{Key: key}}, Put: []workload.Row{row},
+		Part: partOf(key), Expect: []workload.Row{{Key: key}}, Put: []workload.Row{row},
 	}, func(rows []workload.Row) error {
 		for _, existing := range rows {
 			var accepted workload.Job
@@ -221,7 +221,7 @@
 	if err == nil && state != StateCancelled && state != StateCompleted && state != StateFailed {
 		key := cancelPrefix + id
 		err = i.writeOnce(ctx, workload.Write{
-			Expect: []workload.Row{{Key: key}}, Put: []workload.Row{{Key: key, Value: encode(time.Now().UnixMilli())}},
+			Part: partOf(key), Expect: []workload.Row{{Key: key}}, Put: []workload.Row{{Key: key, Value: encode(time.Now().UnixMilli())}},
 		}, func([]workload.Row) error { return nil })
 	}
 	i.logger.Info("cancel", zap.String("job", id), zap.String("queue", caller.Queue.Name), zap.String("state_before", string(state)),
--- a/internal/deployment/conduct.go
+++ b/internal/deployment/conduct.go
@@ -110,14 +110,14 @@
 // so nothing that an earlier holder wrote is missing.
 func (c *conductor) load() (int64, bool) {
 	for c.ctx.Err() == nil {
-		rows, version, err := readAll(c.ctx, c.instance.store, workload.SourceOwn, "", "")
+		rows, version, err := readTable(c.ctx, c.instance.store, workload.SourceOwn)
 		if err != nil {
 			c.logger.Warn("reading the table failed", zap.Error(err))
 			pause(c.ctx, followPause)
 			continue
 		}
 		c.instance.replica.reload(rows, version)
-		workers, listed, err := readAll(c.ctx, c.instance.store, workload.SourceWorkers, "", "")
+		workers, listed, err := readTable(c.ctx, c.instance.store, workload.SourceWorkers)
 		if err != nil {
 			c.logger.Warn("reading the workers failed", zap.Error(err))
 			pause(c.ctx, followPause)
--- a/internal/deployment/contacts.go
+++ b/internal/deployment/contacts.go
@@ -166,7 +166,7 @@
 			continue
 		}
 		last = bootTime()
-		rows, _, err := readAll(ctx, i.store, workload.SourceOwn, instancePrefix, instancePrefix+"\xff")
+		rows, _, err := readAll(ctx, i.store, workload.SourceOwn, mainPart, instancePrefix, instancePrefix+"\xff")
 		if err != nil {
 			continue
 		}
--- a/internal/deployment/cut.go
+++ b/internal/deployment/cut.go
@@ -291,7 +291,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	asks := []func() bool{func() bool {
-		_, err := i.store.direct.Read(ctx, workload.SourceOwn, epochKey, leaderKey)
+		_, err := i.store.direct.Read(ctx, workload.SourceOwn, mainPart, epochKey, leaderKey)
 		return err == nil
 	}}
 	for n := range min(witnesses, len(others)-1) {
--- a/internal/deployment/cut_test.go
+++ b/internal/deployment/cut_test.go
@@ -50,7 +50,7 @@
 }
 
 // Read implements workload.Store.
-func (s *silentStore) Read(ctx context.Context, _ workload.Source, _, _ string) (workload.Page, error) {
+func (s *silentStore) Read(ctx context.Context, _ workload.Source, _, _, _ string) (workload.Page, error) {
 	return workload.Page{}, s.silence(ctx)
 }
 
--- a/internal/deployment/doc.go
+++ b/internal/deployment/doc.go
@@ -5,6 +5,7 @@
 //	clock.go     steady time that counts suspensions
 //	settings.go  the settings of a process
 //	replica.go   what this instance knows of the product's table
+//	parts.go     which part of the table a row lies in
 //	reach.go     the store, directly or through a peer
 //	contacts.go  who is a hub, and who keeps in touch with whom
 //	query.go     jobs that a leaf is asked for
--- a/internal/deployment/fake_test.go
+++ b/internal/deployment/fake_test.go
@@ -61,7 +61,7 @@
 }
 
 // Read implements workload.Store.
-func (s *memoryStore) Read(_ context.Context, _ workload.Source, from, to string) (workload.Page, error) {
+func (s *memoryStore) Read(_ context.Context, source workload.Source, part, from, to string) (workload.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.begin(); err != nil {
@@ -69,6 +69,9 @@
 	}
 	page := workload.Page{Version: s.ver}
 	for key, row := range s.rows {
+		if source == workload.SourceOwn && partOf(key) != part {
+			continue
+		}
 		if key >= from && (to == "" || key < to) {
 			page.Rows = append(page.Rows, row)
 		}
--- a/internal/deployment/follow.go
+++ b/internal/deployment/follow.go
@@ -85,7 +85,7 @@
 // readAndFollow follows from a whole read on, until the table is not wanted any more.
 func (f *follower) readAndFollow(ctx context.Context) {
 	for ctx.Err() == nil && f.isWanted() {
-		rows, version, err := readAll(ctx, f.store, f.source, "", "")
+		rows, version, err := readTable(ctx, f.store, f.source)
 		if err != nil {
 			pause(ctx, followPause)
 			continue
--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -409,7 +409,7 @@
 		if !i.readsConfiguration() {
 			continue
 		}
-		page, err := i.store.Read(ctx, workload.SourceConfiguration, "", "")
+		page, err := i.store.Read(ctx, workload.SourceConfiguration, "", "", "")
 		if err == nil {
 			i.takeConfiguration(page.Rows)
 		}
--- a/internal/deployment/lease.go
+++ b/internal/deployment/lease.go
@@ -306,7 +306,7 @@
 // take tries to become the holder. It reads the row first: a feed that fell
 // behind must not make a living holder look dead.
 func (l *lease) take(ctx context.Context) *grant {
-	page, err := l.store.Read(ctx, workload.SourceOwn, epochKey, leaderKey+"\x00")
+	page, err := l.store.Read(ctx, workload.SourceOwn, mainPart, epochKey, leaderKey+"\x00")
 	if err != nil {
 		return nil
 	}
--- a/internal/deployment/lease_test.go
+++ b/internal/deployment/lease_test.go
@@ -48,7 +48,7 @@
 		{Key: leaderKey, Value: encode(row)}, {Key: epochKey, Value: encode(row.Epoch)},
 	}})
 	assert.NilError(t, err)
-	page, err := store.Read(t.Context(), workload.SourceOwn, "", "")
+	page, err := store.Read(t.Context(), workload.SourceOwn, mainPart, "", "")
 	assert.NilError(t, err)
 	l.replica.apply(page.Rows)
 	l.replica.leader.since = bootTime().Add(-ago)
--- a/internal/deployment/query.go
+++ b/internal/deployment/query.go
@@ -87,7 +87,8 @@
 func (i *Instance) fetch(ctx context.Context, id string) (jobView, error) {
 	read := newReplica(i.logger)
 	for _, prefix := range []string{jobPrefix, cancelPrefix, recordPrefix} {
-		page, err := i.store.Read(ctx, workload.SourceOwn, prefix+id, prefix+id+"\x00")
+		key := prefix + id
+		page, err := i.store.Read(ctx, workload.SourceOwn, partOf(key), key, key+"\x00")
 		if err != nil {
 			return jobView{}, api.WithRetryAfter(api.NewError(api.KindStoreUnavailable, "the store was not reached: %w", err), i.comeBack(ctx))
 		}
--- a/internal/deployment/reach.go
+++ b/internal/deployment/reach.go
@@ -49,6 +49,35 @@
 	attempt, patience time.Duration
 }
 
+const (
+	// slowFactor is how many times what the store took lately a path may take.
+	slowFactor = 2
+	// longestAttempt bounds an attempt on a slow store.
+	longestAttempt = 1200 * time.Millisecond
+	// latencyWeight is the weight of the newest answer in what the store took lately.
+	latencyWeight = 0.3
+)
+
+// limitsFor are the times of a call when the store took so long lately. A slow store
+// that is asked again on another path does the work twice, and is slower for it.
+func limitsFor(limit, patience, lately time.Duration) limits {
+	slow := min(slowFactor*lately, longestAttempt)
+	return limits{attempt: max(limit, slow), patience: max(patience, slow)}
+}
+
+func (r *reach) limits() limits {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return limitsFor(r.limit, r.patience, r.lately)
+}
+
+// noteLatency takes in how long the store took to answer directly.
+func (r *reach) noteLatency(took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lately += time.Duration(latencyWeight * float64(took-r.lately))
+}
+
 // within returns the same reach with another bound for an attempt.
 func (r *reach) within(limit time.Duration) *reach {
 	return &reach{reachState: r.reachState, limit: limit, patience: min(r.patience, limit)}
@@ -71,9 +100,15 @@
 	directAt, answeredAt time.Time
 	// silentAt is when no path worked last; zero if that never happened.
 	silentAt time.Time
-	lost     bool
+	// lately is how long the store took to answer directly, averaged.
+	lately time.Duration
+	lost   bool
 }
 
+// callFollow is the call that waits for changes; how long it takes says nothing of the
+// store.
+const callFollow = "follow"
+
 // attempt is one try of a call on one path.
 type attempt[T any] func(ctx context.Context, store workload.Store) (T, error)
 
@@ -111,6 +146,9 @@
 			r.measure(call, o.path, o.began, o.err)
 			if o.err == nil || errors.Is(o.err, workload.ErrHistoryGone) {
 				r.answeredBy(o.path, o.began, paths[:started])
+				if o.path == r.direct && call != callFollow {
+					r.noteLatency(bootTime().Sub(o.began))
+				}
 				return o.got, o.err
 			}
 			f.add(o.err)
@@ -274,32 +312,32 @@
 
 // Write implements workload.Store.
 func (r *reach) Write(ctx context.Context, write workload.Write) (workload.Written, error) {
-	return byAnyPath(ctx, r, "write", limits{r.limit, r.patience}, func(ctx context.Context, store workload.Store) (workload.Written, error) {
+	return byAnyPath(ctx, r, "write", r.limits(), func(ctx context.Context, store workload.Store) (workload.Written, error) {
 		return store.Write(ctx, write)
 	})
 }
 
 // Read implements workload.Store.
-func (r *reach) Read(ctx context.Context, source workload.Source, from, to string) (workload.Page, error) {
-	return byAnyPath(ctx, r, "read", limits{r.limit, r.patience}, func(ctx context.Context, store workload.Store) (workload.Page, error) {
-		return store.Read(ctx, source, from, to)
+func (r *reach) Read(ctx context.Context, source workload.Source, part, from, to string) (workload.Page, error) {
+	return byAnyPath(ctx, r, "read", r.limits(), func(ctx context.Context, store workload.Store) (workload.Page, error) {
+		return store.Read(ctx, source, part, from, to)
 	})
 }
 
 // Follow implements workload.Store.
 func (r *reach) Follow(ctx context.Context, source workload.Source, after int64, wait time.Duration) (workload.Page, error) {
-	return byAnyPath(ctx, r, "follow", limits{wait + followSlack, wait + r.patience}, func(ctx context.Context, store workload.Store) (workload.Page, error) {
+	return byAnyPath(ctx, r, callFollow, limits{wait + followSlack, wait + r.patience}, func(ctx context.Context, store workload.Store) (workload.Page, error) {
 		return store.Follow(ctx, source, after, wait)
 	})
 }
 
-// readAll reads a whole range, page by page. The version is that of the first
+// readAll reads a whole range of a part, page by page. The version is that of the first
 // page: what changed since then is in the feed.
-func readAll(ctx context.Context, store workload.Store, source workload.Source, from, to string) ([]workload.Row, int64, error) {
+func readAll(ctx context.Context, store workload.Store, source workload.Source, part, from, to string) ([]workload.Row, int64, error) {
 	var rows []workload.Row
 	version := int64(-1)
 	for {
-		page, err := store.Read(ctx, source, from, to)
+		page, err := store.Read(ctx, source, part, from, to)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -340,7 +378,7 @@
 // Write implements workload.Store.
 func (s *relay) Write(ctx context.Context, write workload.Write) (workload.Written, error) {
 	answer, err := s.call(ctx, &peerpb.StoreCall{
-		Op: opWrite, Expect: packRows(write.Expect), Put: packRows(write.Put), Remove: write.Remove,
+		Op: opWrite, Part: write.Part, Expect: packRows(write.Expect), Put: packRows(write.Put), Remove: write.Remove,
 	})
 	if err != nil {
 		return workload.Written{}, err
@@ -349,8 +387,8 @@
 }
 
 // Read implements workload.Store.
-func (s *relay) Read(ctx context.Context, source workload.Source, from, to string) (workload.Page, error) {
-	answer, err := s.call(ctx, &peerpb.StoreCall{Op: opRead, Source: string(source), From: from, To: to})
+func (s *relay) Read(ctx context.Context, source workload.Source, part, from, to string) (workload.Page, error) {
+	answer, err := s.call(ctx, &peerpb.StoreCall{Op: opRead, Source: string(source), Part: part, From: from, To: to})
 	return relayPage(answer, err)
 }
 
--- a/internal/deployment/reach_test.go
+++ b/internal/deployment/reach_test.go
@@ -73,7 +73,7 @@
 	direct.fail = failing(workload.ErrNotDone)
 	r := newTestReach(direct, helper{byPeer})
 	for range 5 {
-		_, err := r.Read(t.Context(), workload.SourceOwn, "", "")
+		_, err := r.Read(t.Context(), workload.SourceOwn, mainPart, "", "")
 		assert.NilError(t, err)
 	}
 	assert.Equal(t, direct.calls, 1)
@@ -106,3 +106,20 @@
 	assert.Equal(t, len(direct.written), 1, "after it was overtaken, the peer is asked first")
 	assert.Equal(t, len(byPeer.rows), 1)
 }
+
+func TestASlowStoreIsNotAskedOnEveryPathAtOnce(t *testing.T) {
+	for sentence, c := range map[string]struct {
+		lately, attempt, patience time.Duration
+	}{
+		"it answers within milliseconds":    {4 * time.Millisecond, pathTimeout, pathPatience},
+		"each answer takes a while":         {300 * time.Millisecond, pathTimeout, 600 * time.Millisecond},
+		"slower than an attempt may be":     {500 * time.Millisecond, time.Second, time.Second},
+		"so slow that a peer is as good":    {5 * time.Second, longestAttempt, longestAttempt},
+		"nothing was seen of the store yet": {0, pathTimeout, pathPatience},
+	} {
+		t.Run(sentence, func(t *testing.T) {
+			got := limitsFor(pathTimeout, pathPatience, c.lately)
+			assert.Equal(t, got, limits{attempt: c.attempt, patience: c.patience})
+		})
+	}
+}
--- a/internal/deployment/records.go
+++ b/internal/deployment/records.go
@@ -1,6 +1,8 @@
 package deployment
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -183,15 +185,35 @@
 	c.orders.Submit(func() { c.remove(ids) })
 }
 
-func (c *conductor) remove(ids []string) {
-	tx := workload.Write{Expect: []workload.Row{{Key: epochKey, Version: c.grant.epochVersion}}}
+// removals are the writes that remove the rows of ended jobs: the jobs first and their
+// records last, since a job without its record would run again.
+func removals(ids []string, epochVersion int64) []workload.Write {
+	parts := make(map[string]*workload.Write)
 	for _, id := range ids {
-		tx.Remove = append(tx.Remove, jobPrefix+id, cancelPrefix+id, recordPrefix+id)
+		part := partOf(jobPrefix + id)
+		if parts[part] == nil {
+			parts[part] = &workload.Write{Part: part}
+		}
+		parts[part].Remove = append(parts[part].Remove, jobPrefix+id, cancelPrefix+id)
 	}
-	written, err := c.instance.store.Write(c.ctx, tx)
-	if err != nil || written.Conflict {
-		c.logger.Debug("removing old rows failed", zap.Error(err), zap.Bool("conflict", written.Conflict))
-		return
+	var list []workload.Write
+	for _, part := range slices.Sorted(maps.Keys(parts)) {
+		list = append(list, *parts[part])
+	}
+	records := workload.Write{Part: mainPart, Expect: []workload.Row{{Key: epochKey, Version: epochVersion}}}
+	for _, id := range ids {
+		records.Remove = append(records.Remove, recordPrefix+id)
+	}
+	return append(list, records)
+}
+
+func (c *conductor) remove(ids []string) {
+	for _, tx := range removals(ids, c.grant.epochVersion) {
+		written, err := c.instance.store.Write(c.ctx, tx)
+		if err != nil || written.Conflict {
+			c.logger.Debug("removing old rows failed", zap.Error(err), zap.Bool("conflict", written.Conflict))
+			return
+		}
 	}
 	c.post(func(core *dispatch.Core, _ time.Time, _ int64) {
 		for _, id := range ids {
--- a/internal/deployment/relay.go
+++ b/internal/deployment/relay.go
@@ -40,14 +40,14 @@
 	case opWrite:
 		var written workload.Written
 		written, err = store.Write(ctx, workload.Write{
-			Expect: unpackRows(call.GetExpect()), Put: unpackRows(call.GetPut()), Remove: call.GetRemove(),
+			Part: call.GetPart(), Expect: unpackRows(call.GetExpect()), Put: unpackRows(call.GetPut()), Remove: call.GetRemove(),
 		})
 		answer = &peerpb.StoreAnswer{Rows: packRows(written.Rows), Version: written.Version, Conflict: written.Conflict}
 	case opRead, opFollow:
 		var page workload.Page
 		source := workload.Source(call.GetSource())
 		if call.GetOp() == opRead {
-			page, err = store.Read(ctx, source, call.GetFrom(), call.GetTo())
+			page, err = store.Read(ctx, source, call.GetPart(), call.GetFrom(), call.GetTo())
 		} else {
 			page, err = store.Follow(ctx, source, call.GetAfter(), time.Duration(call.GetWaitMs())*time.Millisecond)
 		}
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -14,8 +14,7 @@
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
-// The keys of the product's table. All rows lie in one part, so that one
-// transaction can hold any of them.
+// The keys of the product's table; parts.go says where they lie.
 const (
 	epochKey       = "a/epoch"
 	leaderKey      = "a/leader"
@@ -427,13 +426,14 @@
 	return *known, true
 }
 
-// expired lists jobs that ended before a time, in milliseconds since 1970.
+// expired lists jobs that ended before a time, in milliseconds since 1970, also those of
+// which only the record is left.
 func (r *replica) expired(beforeMS int64, limit int) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var ids []string
 	for id, known := range r.jobs {
-		if known.job != nil && known.record.Final != "" && known.record.EndedMS < beforeMS && len(ids) < limit {
+		if known.record.Final != "" && known.record.EndedMS < beforeMS && len(ids) < limit {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/workload/ports.go
+++ b/internal/workload/ports.go
@@ -18,6 +18,9 @@
 // Write is one transaction on the table of this product. It applies whole or
 // not at all.
 type Write struct {
+	// Part is the part of the table that all its rows lie in. The store carries out the
+	// transactions of one part one after the other, and parts beside each other.
+	Part string
 	// Expect lists the versions that rows must have; zero: it must not exist.
 	Expect []Row
 	Put    []Row
@@ -69,9 +72,9 @@
 // ErrHistoryGone.
 type Store interface {
 	Write(ctx context.Context, write Write) (Written, error)
-	// Read returns rows with from <= key < to; an empty to is no bound.
-	Read(ctx context.Context, source Source, from, to string) (Page, error)
-	// Follow waits for changes after a version.
+	// Read returns rows of a part with from <= key < to; an empty to is no bound.
+	Read(ctx context.Context, source Source, part, from, to string) (Page, error)
+	// Follow waits for changes after a version, in all parts.
 	Follow(ctx context.Context, source Source, after int64, wait time.Duration) (Page, error)
 }
 
