--- a/internal/emulator/player.go
+++ b/internal/emulator/player.go
@@ -58,6 +58,8 @@
 	handovers, crashes  []float64
 	random              *rand.Rand
 	tally               tally
+	// trace, if set, is told of each action.
+	trace func(at time.Duration, action dispatch.Action)
 }
 
 // event is something that callers do at a time.
@@ -68,9 +70,15 @@
 
 // play plays a day to its end.
 func play(d *Deployment, day *Day, tuning dispatch.Tuning, seed uint64) *tally {
+	return playTraced(d, day, tuning, seed, nil)
+}
+
+// playTraced plays a day to its end, and tells of each action if somebody listens.
+func playTraced(d *Deployment, day *Day, tuning dispatch.Tuning, seed uint64, trace func(time.Duration, dispatch.Action)) *tally {
 	random := rand.New(rand.NewPCG(seed, 29))
 	list := arrivals(d, day, random)
 	pl := newPlayer(d, day, tuning, random)
+	pl.trace = trace
 	var accepts, cancels []event
 	for _, a := range list {
 		if at, ok := pl.acceptedAt(a); ok {
@@ -221,6 +229,9 @@
 }
 
 func (pl *player) carryOut(action dispatch.Action) {
+	if pl.trace != nil {
+		pl.trace(pl.now, action)
+	}
 	order := action.Order
 	switch action.Kind {
 	case dispatch.ActStart:
