--- a/internal/deployment/accept.go
+++ b/internal/deployment/accept.go
@@ -172,7 +172,7 @@
 				write.Put[n].Version = written.Version
 			}
 			i.replica.apply(write.Put)
-			i.tellHolder(write.Put)
+			i.tellLeader(write.Put)
 			return nil
 		}
 		unknown = unknown || errors.Is(err, workload.ErrUnknown)
--- a/internal/deployment/announce.go
+++ b/internal/deployment/announce.go
@@ -10,9 +10,9 @@
 
 // This file answers outages of the store. A job ends when its workers say so, and is
 // shown so once its record is stored; with the store away for four seconds every job
-// that ended meanwhile was shown late. So the holder announces the ends that it cannot
+// that ended meanwhile was shown late. So the leader announces the ends that it cannot
 // store to all instances. They show them, and whichever of them schedules next writes
-// them. The workers list these ends until they are stored, so a holder that heard no
+// them. The workers list these ends until they are stored, so a leader that heard no
 // announcement learns of them as well, unless the worker is gone too.
 
 const (
@@ -24,12 +24,12 @@
 )
 
 // announce tells all instances of ends that the store has not taken.
-func (c *conductor) announce() {
+func (c *leader) announce() {
 	if !c.instance.settings.Tuning.has(mechAnnouncements) {
 		return
 	}
 	var rows []workload.Row
-	for _, u := range c.core.EndedUnwritten(announceAfter) {
+	for _, u := range c.core.EndedUnpersisted(announceAfter) {
 		if c.announced[u.Job] {
 			continue
 		}
--- a/internal/deployment/spin.go
+++ b/internal/deployment/busyloop.go
@@ -9,25 +9,24 @@
 	"golang.org/x/sys/unix"
 )
 
-// This file answers a process that spins: it takes all of the processor that it may use,
+// This file answers a busy loop: the process takes all of the processor that it may use,
 // for seconds, and what it was doing is gone once it is restarted. So it writes the
 // stacks of its goroutines to the log, once in its life.
 
 const (
-	// spinEvery is how often the process looks at its own processor time.
-	spinEvery = 1 * time.Second
-	// spinShare is the share of what it may use from which it spins; the busiest holder
-	// seen used 0.4 of it in its busiest seconds. spinLasts is how many looks in a row
-	// must say so: a burst or a start is over sooner.
-	spinShare = 0.9
-	spinLasts = 4
-	// spinStacks bounds the stacks that are written, in bytes: some hundred goroutines,
+	// busyEvery is how often the process looks at its own processor time.
+	busyEvery = 1 * time.Second
+	// busyShare is the share of what it may use from which it counts as busy. busyLasts is
+	// how many samples in a row must say so: a burst or a start is over sooner.
+	busyShare = 0.9
+	busyLasts = 4
+	// busyStacks bounds the stacks that are written, in bytes: some hundred goroutines,
 	// most of which wait in one of a few places.
-	spinStacks = 48 << 10
+	busyStacks = 48 << 10
 )
 
-// spinWatch tells a process that spins from one that is busy for a moment.
-type spinWatch struct {
+// busyLoopWatch tells a busy loop from a process that is busy for a moment.
+type busyLoopWatch struct {
 	// cores is what the process may use of the processor.
 	cores float64
 	// over counts the looks in a row that were over the share.
@@ -36,31 +35,31 @@
 }
 
 // sees takes what the process used in a while; true once, when it spins.
-func (w *spinWatch) sees(used, while time.Duration) bool {
-	if used.Seconds() < spinShare*w.cores*while.Seconds() {
+func (w *busyLoopWatch) sees(used, while time.Duration) bool {
+	if used.Seconds() < busyShare*w.cores*while.Seconds() {
 		w.over = 0
 		return false
 	}
 	w.over++
-	spins := w.over >= spinLasts && !w.told
+	spins := w.over >= busyLasts && !w.told
 	w.told = w.told || spins
 	return spins
 }
 
-// watchSpin looks at the process's own processor time.
-func (i *Instance) watchSpin(ctx context.Context) {
-	w := spinWatch{cores: i.settings.Processor.cores()}
+// watchBusyLoop looks at the process's own processor time.
+func (i *Instance) watchBusyLoop(ctx context.Context) {
+	w := busyLoopWatch{cores: i.settings.Processor.cores()}
 	if w.cores <= 0 {
 		w.cores = float64(runtime.GOMAXPROCS(0))
 	}
 	last, at := processorTime(), bootTime()
 	for ctx.Err() == nil {
-		pause(ctx, spinEvery)
+		pause(ctx, busyEvery)
 		used, now := processorTime(), bootTime()
 		if w.sees(used-last, now.Sub(at)) {
-			stacks := make([]byte, spinStacks)
+			stacks := make([]byte, busyStacks)
 			stacks = stacks[:runtime.Stack(stacks, true)]
-			i.logger.Error("process spins", zap.Duration("used", used-last), zap.Duration("in", now.Sub(at)),
+			i.logger.Error("busy loop", zap.Duration("used", used-last), zap.Duration("in", now.Sub(at)),
 				zap.Int("goroutines", runtime.NumGoroutine()), zap.ByteString("stacks", stacks))
 		}
 		last, at = used, now
--- a/internal/deployment/spin_test.go
+++ b/internal/deployment/busyloop_test.go
@@ -19,7 +19,7 @@
 		"it begins anew after a calm look": {[]time.Duration{400, 400, 400, 10, 400, 400, 400, 400}, []bool{false, false, false, false, false, false, false, true}},
 	} {
 		t.Run(sentence, func(t *testing.T) {
-			w := spinWatch{cores: 0.4}
+			w := busyLoopWatch{cores: 0.4}
 			for n, used := range c.used {
 				assert.Equal(t, w.sees(used*time.Millisecond, time.Second), c.want[n], "look %d", n)
 			}
--- a/internal/deployment/clock.go
+++ b/internal/deployment/clock.go
@@ -7,7 +7,7 @@
 )
 
 // bootTime is a steady clock that goes on while the machine is suspended; Go's
-// own monotonic clock does not count that time, and a holder that was suspended
+// own monotonic clock does not count that time, and a leader that was suspended
 // past its lease must know it. The result is for comparing with other results
 // only.
 func bootTime() time.Time {
--- a/internal/deployment/contacts.go
+++ b/internal/deployment/contacts.go
@@ -145,8 +145,8 @@
 		list = append(list, i.live.Load().Seeds...)
 	}
 	list = append(list, i.peers.silentDue(bootTime())...)
-	if holder := i.holder(); holder != "" && i.follows() {
-		list = append(list, holder)
+	if leaderAddr := i.leaderAddr(); leaderAddr != "" && i.follows() {
+		list = append(list, leaderAddr)
 	}
 	slices.Sort(list)
 	return slices.DeleteFunc(slices.Compact(list), func(id string) bool { return id == self })
@@ -190,11 +190,11 @@
 // forgetTable drops what only a hub needs of the table.
 func (i *Instance) forgetTable() { i.replica.keepInstances() }
 
-// holder is the address for peers of the instance that schedules, as far as is known
+// leader is the address for peers of the instance that schedules, as far as is known
 // here; empty if it is not.
-func (i *Instance) holder() string {
+func (i *Instance) leaderAddr() string {
 	if i.replica.isLoaded() {
-		return i.replica.seenLeader().Holder
+		return i.replica.seenLeader().Leader
 	}
-	return i.peers.holder()
+	return i.peers.leaderAddr()
 }
--- a/internal/deployment/cut.go
+++ b/internal/deployment/cut.go
@@ -22,12 +22,11 @@
 // first three seconds of a cut were not served at all.
 
 const (
-	// pingEvery is how often one instance of each other zone is pinged. With it a cut is
-	// noticed within 0.55 s at most, 0.45 s on average, and the balancer needs two checks,
-	// one a second, after that.
+	// pingEvery is how often one instance of each other zone is pinged: a cut is noticed
+	// well before the balancer's next check.
 	pingEvery = 200 * time.Millisecond
-	// pingTimeout bounds a ping, and each call of the check beside it. Instances answer
-	// within 10 ms, and within 100 ms when they are slowed.
+	// pingTimeout bounds a ping, and each call of the check beside it; a slowed instance
+	// answers within half of it.
 	pingTimeout = 250 * time.Millisecond
 	// checkAfter is how long all pings may go without an answer before the store and
 	// more instances are asked as well.
@@ -150,7 +149,7 @@
 			return
 		case answered:
 			i.reconnected(began)
-			i.doubtZones(silent)
+			i.suspectZones(silent)
 		case i.cut.notice(bootTime()):
 			alone := i.aloneInZone(ctx)
 			i.cut.setAlone(alone)
@@ -248,16 +247,16 @@
 	return silent, answered
 }
 
-// doubtZones lets the core look at the workers of zones of which an instance does
+// suspectZones lets the core look at the workers of zones of which an instance does
 // not answer, before it starts anything there.
-func (i *Instance) doubtZones(members []string) {
-	conductor := i.conductor.Load()
-	if conductor == nil {
+func (i *Instance) suspectZones(members []string) {
+	leader := i.leader.Load()
+	if leader == nil {
 		return
 	}
 	for _, id := range members {
 		zone := i.replica.zoneOf(id)
-		conductor.post(func(core *dispatch.Core, now time.Time, wallMS int64) { core.Doubt(zone, now, wallMS) })
+		leader.post(func(core *dispatch.Core, now time.Time, wallMS int64) { core.Suspect(zone, now, wallMS) })
 	}
 }
 
@@ -278,7 +277,7 @@
 }
 
 // ping reports whether an instance answers. It sends a note without rows: a hello would
-// bring the holder's list of jobs each time.
+// bring the leader's list of jobs each time.
 func (i *Instance) ping(ctx context.Context, id string) bool {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
--- a/internal/deployment/doc.go
+++ b/internal/deployment/doc.go
@@ -11,7 +11,7 @@
 //	query.go     jobs that a leaf is asked for
 //	follow.go    the duties that follow the store's tables
 //	lease.go     who schedules
-//	conduct.go   the loop of the holder: core, orders, records
+//	leader.go    the loop of the leader: core, orders, records
 //	accept.go    what callers ask
 //	gossip.go    what instances tell each other
 //	instance.go  an instance put together, its start and its stop
--- a/internal/deployment/entries_test.go
+++ b/internal/deployment/entries_test.go
@@ -123,7 +123,9 @@
 		},
 		"a worker that is no document may run something": {
 			workload.Row{Key: workerPrefix + "w", Value: []byte("?"), Version: 2},
-			func(t *testing.T, r *replica) { assert.DeepEqual(t, ids(r.notedWorkers()), map[string]bool{"w": true}) },
+			func(t *testing.T, r *replica) {
+				assert.DeepEqual(t, ids(r.storedWorkers()), map[string]bool{"w": true})
+			},
 		},
 		"an instance that is no document": {
 			workload.Row{Key: instancePrefix + "10.0.0.1:1", Value: []byte("7"), Version: 2},
@@ -171,7 +173,7 @@
 		for _, known := range r.snapshot() {
 			core.AddJob(known.job, known.record, known.cancelled, now, 0)
 		}
-		core.Listed(r.notedWorkers(), now, 0)
+		core.Listed(r.storedWorkers(), now, 0)
 		core.Decide(now.Add(time.Second), 1000)
 	})
 }
--- a/internal/deployment/fill_test.go
+++ b/internal/deployment/fill_test.go
@@ -19,13 +19,13 @@
 	i.workers.apply([]workload.Row{{Key: "left", Version: 3, Deleted: true}})
 	noted := workload.Worker{ID: "cut off", Addr: "cut off", Pool: "pool"}
 	i.replica.apply([]workload.Row{{Key: workerPrefix + noted.ID, Value: encode(noted), Version: 4}})
-	c := &conductor{instance: i, grant: &grant{epoch: 2, earlier: true, overlap: bootTime().Add(time.Minute)}, logger: zap.NewNop()}
+	c := &leader{instance: i, grant: &grant{epoch: 2, earlier: true, overlap: bootTime().Add(time.Minute)}, logger: zap.NewNop()}
 	c.fill()
-	unseen := make(map[string]bool)
-	for _, id := range c.core.Unseen() {
-		unseen[id] = true
+	unsynced := make(map[string]bool)
+	for _, id := range c.core.Unsynced() {
+		unsynced[id] = true
 	}
 	// Nobody gave work to one that is listed and not in the table, and one that left was
 	// taken out of it.
-	assert.DeepEqual(t, unseen, map[string]bool{"cut off": true})
+	assert.DeepEqual(t, unsynced, map[string]bool{"cut off": true})
 }
--- a/internal/deployment/follow.go
+++ b/internal/deployment/follow.go
@@ -17,17 +17,15 @@
 	followWait = 1 * time.Second
 	// followPause is the pause after a failure.
 	followPause = 100 * time.Millisecond
-	// holderGap, othersGap and restGap are the pauses after changes of the product's
-	// table. The holder is told of new jobs by whom callers asked, and of nothing else
-	// that it did not write itself; the feed brings what such a note missed. Those next
-	// in line see its renewals there. The others get records from the holder, and read a
-	// job that they are asked for and do not know. With 10 ms, 200 ms and 200 ms seven
-	// instances made 113 calls a second and 36 made 390.
-	holderGap = 50 * time.Millisecond
+	// leaderGap, othersGap and restGap are the pauses of hubs after changes of the
+	// product's table. The leader is told of new jobs by whom callers asked; the feed
+	// brings what such a note missed. Those next in line see its renewals there. The
+	// others get records from the leader, and read a job that they do not know.
+	leaderGap = 50 * time.Millisecond
 	othersGap = 200 * time.Millisecond
 	restGap   = 600 * time.Millisecond
-	// workersGap is the same for the list of workers, where every heartbeat is a
-	// change. Only the holder follows it; the next one reads it whole.
+	// workersGap is the same for the list of workers, which the leader alone follows:
+	// every heartbeat is a change of it.
 	workersGap = 250 * time.Millisecond
 	// configurationGap batches changes that come in quick succession.
 	configurationGap = 20 * time.Millisecond
@@ -41,7 +39,7 @@
 func tableGap(holds bool, place int) time.Duration {
 	switch {
 	case holds:
-		return holderGap
+		return leaderGap
 	case place <= inLine:
 		return othersGap
 	}
--- a/internal/deployment/gossip.go
+++ b/internal/deployment/gossip.go
@@ -34,8 +34,8 @@
 	storeReachable bool
 	// hub says that it follows the table, cutOff that it reaches nobody outside its zone.
 	hub, cutOff bool
-	// holder is who schedules, as far as it knows.
-	holder string
+	// leader is who schedules, as far as it knows.
+	leaderAddr string
 	// pending counts the jobs of each queue that have not begun, if it said so.
 	pending map[string]int64
 	at      time.Time
@@ -107,8 +107,8 @@
 	return latest
 }
 
-// holder is who schedules, as a hub said last.
-func (p *peers) holder() string { return p.latest().holder }
+// leader is who schedules, as a hub said last.
+func (p *peers) leaderAddr() string { return p.latest().leaderAddr }
 
 // fresh lists the peers that said something lately and match.
 func (p *peers) fresh(match func(peerView) bool) []string {
@@ -140,7 +140,7 @@
 		StoreReachable:   directly,
 		Leaving:          i.stopping.Load(),
 		Hub:              i.follows() && i.replica.isLoaded(),
-		Holder:           i.holder(),
+		Leader:           i.leaderAddr(),
 		CutOff:           i.cut.cut(),
 	}
 	if g := i.lease.current(); g != nil && !g.ended() {
@@ -200,8 +200,8 @@
 	i.heard(id, response.GetHello())
 }
 
-// holdsLease asks an instance whether it holds the lease.
-func (i *Instance) holdsLease(ctx context.Context, id string) (bool, error) {
+// leads asks an instance whether it holds the lease.
+func (i *Instance) leads(ctx context.Context, id string) (bool, error) {
 	response, err := i.node.Call(ctx, id, &peerpb.Request{Body: &peerpb.Request_Hello{Hello: i.hello(true)}})
 	if err != nil {
 		return false, err
@@ -221,7 +221,7 @@
 		storeReachable: hello.GetStoreReachable() && !hello.GetLeaving(),
 		hub:            hello.GetHub(),
 		cutOff:         hello.GetCutOff(),
-		holder:         hello.GetHolder(),
+		leaderAddr:     hello.GetLeader(),
 		pending:        hello.GetPending(),
 		at:             now,
 	})
@@ -255,10 +255,10 @@
 	}
 }
 
-// tellHolder sends rows to the holder of the lease, and a leaf to the hub that it asks
+// tellLeader sends rows to the leader, and a leaf to the hub that it asks
 // as well. Both have them from their feeds a little later.
-func (i *Instance) tellHolder(rows []workload.Row) {
-	told := []string{i.holder()}
+func (i *Instance) tellLeader(rows []workload.Row) {
+	told := []string{i.leaderAddr()}
 	if hubs := i.zoneHubs(); len(hubs) > 0 && !i.follows() {
 		told = append(told, hubs[0])
 	}
--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -80,7 +80,7 @@
 	configuration atomic.Pointer[workload.Configuration]
 	configRow     atomic.Pointer[workload.Row]
 	configMu      sync.Mutex
-	conductor     atomic.Pointer[conductor]
+	leader        atomic.Pointer[leader]
 	stopping      atomic.Bool
 	// background ends the duties that outlive the lease at a stop.
 	background context.CancelFunc
@@ -119,8 +119,8 @@
 	i.workers = newRoster(o.Decoder, kept, o.Logger)
 	i.lease = &lease{
 		self: s.Listen.Peers, store: i.store.within(leasePathTimeout), replica: i.replica, logger: o.Logger,
-		eligible: i.eligible, steady: i.store.steady, holds: i.holdsLease, pings: i.ping, hold: i.hold,
-		cores: i.cores(), tuning: s.Tuning, rivals: i.rivals, known: i.otherInstances, calm: i.calm, finish: i.finish,
+		eligible: i.eligible, steady: i.store.steady, holds: i.leads, pings: i.ping, lead: i.lead,
+		cores: i.cores(), tuning: s.Tuning, rivals: i.rivals, known: i.otherInstances, synced: i.synced, finish: i.finish,
 	}
 	i.replica.changed = i.jobChanged
 	i.workers.changed = i.workersChanged
@@ -164,27 +164,27 @@
 	return i.replica.sizes(func(addr string) bool { return ready[addr] })
 }
 
-// calm reports whether this holder could hand the lease on now.
-func (i *Instance) calm() bool {
-	conductor := i.conductor.Load()
-	return conductor != nil && conductor.calm.Load()
+// calm reports whether this leader could hand the lease on now.
+func (i *Instance) synced() bool {
+	leader := i.leader.Load()
+	return leader != nil && leader.synced.Load()
 }
 
-// finish lets the orders and writes of this holder end before it gives up the lease.
+// finish lets the orders and writes of this leader end before it gives up the lease.
 func (i *Instance) finish() {
-	if conductor := i.conductor.Load(); conductor != nil {
-		conductor.finish()
+	if leader := i.leader.Load(); leader != nil {
+		leader.finish()
 	}
 }
 
-// jobChanged tells the core, if this instance conducts, of a new job or cancel.
+// jobChanged tells the core, if this instance leads, of a new job or cancel.
 func (i *Instance) jobChanged(c change) {
-	conductor := i.conductor.Load()
+	leader := i.leader.Load()
 	known, ok := i.replica.get(c.job)
-	if conductor == nil || !ok || known.unread {
+	if leader == nil || !ok || known.unread {
 		return
 	}
-	conductor.post(func(core *dispatch.Core, now time.Time, wallMS int64) {
+	leader.post(func(core *dispatch.Core, now time.Time, wallMS int64) {
 		core.AddJob(known.job, known.record, known.cancelled, now, wallMS)
 		if known.cancelled {
 			core.Cancel(c.job, now, wallMS)
@@ -193,8 +193,8 @@
 }
 
 func (i *Instance) workersChanged() {
-	if conductor := i.conductor.Load(); conductor != nil {
-		conductor.post(func(core *dispatch.Core, now time.Time, wallMS int64) {
+	if leader := i.leader.Load(); leader != nil {
+		leader.post(func(core *dispatch.Core, now time.Time, wallMS int64) {
 			core.Listed(i.listedWorkers(), now, wallMS)
 		})
 	}
@@ -246,8 +246,8 @@
 	if i.life != nil {
 		i.life.Configured()
 	}
-	if conductor := i.conductor.Load(); conductor != nil {
-		conductor.post(func(core *dispatch.Core, _ time.Time, _ int64) { core.Configure(config) })
+	if leader := i.leader.Load(); leader != nil {
+		leader.post(func(core *dispatch.Core, _ time.Time, _ int64) { core.Configure(config) })
 	}
 	i.workersChanged() // its pools may be others
 }
@@ -312,7 +312,7 @@
 	}
 }
 
-// settingsEvery is how often the settings file is looked at.
+// settingsEvery is how often the settings file is polled.
 const settingsEvery = 1 * time.Second
 
 // reload puts changed settings in force. Settings with problems change nothing.
@@ -364,11 +364,11 @@
 	duty(i.watchRole)
 	duty(i.rereadConfiguration)
 	if i.settings.Tuning.has(mechEarlyReplacement) {
-		duty(i.lease.watchHolder)
+		duty(i.lease.watchLeader)
 	}
 	duty(i.register)
 	duty(i.gossip)
-	duty(i.watchSpin)
+	duty(i.watchBusyLoop)
 	if i.settings.Tuning.has(mechCutWatch) {
 		duty(i.watchCut)
 	}
--- a/internal/deployment/conduct.go
+++ b/internal/deployment/leader.go
@@ -21,21 +21,20 @@
 	eventCapacity = 4096
 	// roundEvery is the longest time between two decisions.
 	roundEvery = 50 * time.Millisecond
-	// roundGap is the shortest. With a round for each event, the holder spent 0.24
-	// of the 0.4 cores of its machine over a whole heavy day, all of it in the
-	// heaviest seconds, and neither renewed nor answered in time then.
+	// roundGap is the shortest: with a round for each event a burst takes the processor
+	// from renewals and answers.
 	roundGap = 15 * time.Millisecond
-	// ordersAtOnce bounds the orders and looks under way: each worker may have a
-	// waiting look, a quick one, and starts beside them.
+	// ordersAtOnce bounds the orders and polls under way: each worker may have a
+	// waiting poll, a quick one, and starts beside them.
 	ordersAtOnce = 1024
 )
 
 // event changes the core; the loop runs them one after the other.
 type event func(core *dispatch.Core, now time.Time, wallMS int64)
 
-// conductor is the loop of one held lease: it feeds the core, carries out what
+// leader is the loop of one held lease: it feeds the core, carries out what
 // the core decides, and stores its records.
-type conductor struct {
+type leader struct {
 	instance *Instance
 	grant    *grant
 	core     *dispatch.Core
@@ -49,37 +48,37 @@
 	// announced are the jobs whose end was announced before it was stored.
 	announced   map[string]bool
 	collectedAt time.Time
-	// unseenAt is when a line last said which workers are waited for.
-	unseenAt time.Time
+	// unsyncedAt is when a line last said which workers are waited for.
+	unsyncedAt time.Time
 	// priorities are those of which steps have waited.
 	priorities map[int]bool
 	// unreadSights are the workers of which a line said that what they list cannot be
 	// read.
 	unreadSights unreadRows
 	// calm says, for the lease, that no worker is waited for.
-	calm atomic.Bool
-	// closing conductors decide nothing any more; underWay counts the orders and
+	synced atomic.Bool
+	// a closing leader decides nothing any more; underWay counts the orders and
 	// writes that are not answered.
 	closing  atomic.Bool
 	underWay atomic.Int64
 	ctx      context.Context
 }
 
-// hold conducts until the context ends or the lease is over.
-func (i *Instance) hold(ctx context.Context, g *grant) {
+// lead schedules until the context ends or the lease is over.
+func (i *Instance) lead(ctx context.Context, g *grant) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c := &conductor{
+	c := &leader{
 		instance: i, grant: g, events: make(chan event, eventCapacity), ctx: ctx,
-		orders: pond.NewPool(ordersAtOnce), logger: i.logger.Named("conduct"), recordVersions: make(map[string]int64),
+		orders: pond.NewPool(ordersAtOnce), logger: i.logger.Named("leader"), recordVersions: make(map[string]int64),
 		announced:  make(map[string]bool),
 		priorities: make(map[int]bool),
 	}
 	defer func() { c.orders.Stop() }()
 	// Events are taken from here on, before the table is read: what comes while
 	// it is read waits in the ring, and adding a job twice changes nothing.
-	i.conductor.Store(c)
-	defer i.conductor.Store(nil)
+	i.leader.Store(c)
+	defer i.leader.Store(nil)
 	version, ok := c.load()
 	if !ok {
 		return
@@ -95,7 +94,7 @@
 }
 
 // followWorkers follows the list of workers from a version on.
-func (c *conductor) followWorkers(ctx context.Context, version int64) {
+func (c *leader) followWorkers(ctx context.Context, version int64) {
 	list := &follower{
 		store: c.instance.store, source: workload.SourceWorkers, logger: c.instance.logger,
 		whole: c.instance.workers.reload, changes: c.instance.workers.apply,
@@ -107,8 +106,8 @@
 
 // load fills the core with what the store has, and returns the version of the list of
 // workers; false if the lease is over first. The read comes after the lease was taken,
-// so nothing that an earlier holder wrote is missing.
-func (c *conductor) load() (int64, bool) {
+// so nothing that an earlier leader wrote is missing.
+func (c *leader) load() (int64, bool) {
 	for c.ctx.Err() == nil {
 		rows, version, err := readTable(c.ctx, c.instance.store, workload.SourceOwn)
 		if err != nil {
@@ -130,7 +129,7 @@
 	return 0, false
 }
 
-func (c *conductor) fill() {
+func (c *leader) fill() {
 	now, wallMS := bootTime(), time.Now().UnixMilli()
 	c.core = dispatch.New(c.instance.live.Load().bounds(), c.grant.epoch, now, c.earlier(now))
 	c.core.Tune(c.instance.settings.Tuning.ofCore())
@@ -138,7 +137,7 @@
 	// Workers that are noted but not listed may run on behind a cut that this
 	// instance did not live through. Others that the list lost run nothing: nobody gets
 	// work before it is noted, and it is noted until nothing can run there.
-	noted := c.instance.replica.notedWorkers()
+	noted := c.instance.replica.storedWorkers()
 	for _, w := range noted {
 		c.core.Listed([]workload.Worker{w}, now, wallMS)
 	}
@@ -148,14 +147,14 @@
 	for _, known := range jobs {
 		c.core.AddJob(known.job, known.record, known.cancelled, now, wallMS)
 		if known.announced {
-			c.core.Rewrite(known.job.ID)
+			c.core.MarkDirty(known.job.ID)
 		}
 	}
-	c.logger.Info("conducting", zap.Int64("epoch", c.grant.epoch), zap.Int("jobs", len(jobs)), zap.Int("workers_noted", len(noted)))
+	c.logger.Info("leading", zap.Int64("epoch", c.grant.epoch), zap.Int("jobs", len(jobs)), zap.Int("workers_stored", len(noted)))
 }
 
-// earlier is until when a holder before this one may have given orders.
-func (c *conductor) earlier(now time.Time) time.Time {
+// earlier is until when a leader before this one may have given orders.
+func (c *leader) earlier(now time.Time) time.Time {
 	if !c.grant.earlier {
 		return time.Time{}
 	}
@@ -167,14 +166,14 @@
 
 // post hands an event to the loop; it waits while the ring is full, and gives
 // up when the lease is over.
-func (c *conductor) post(e event) {
+func (c *leader) post(e event) {
 	select {
 	case c.events <- e:
 	case <-c.ctx.Done():
 	}
 }
 
-func (c *conductor) run() {
+func (c *leader) run() {
 	next := time.NewTimer(0)
 	defer next.Stop()
 	var last time.Time
@@ -214,17 +213,17 @@
 // does not, and of many that come together one round answers all.
 func untilRound(last, now time.Time) time.Duration { return max(roundGap-now.Sub(last), 0) }
 
-func (c *conductor) untilRound(last, now time.Time) time.Duration {
+func (c *leader) untilRound(last, now time.Time) time.Duration {
 	if !c.instance.settings.Tuning.has(mechRoundGap) {
 		return 0
 	}
 	return untilRound(last, now)
 }
 
-func (c *conductor) apply(e event) { e(c.core, bootTime(), time.Now().UnixMilli()) }
+func (c *leader) apply(e event) { e(c.core, bootTime(), time.Now().UnixMilli()) }
 
 // drain takes what else waits, so that one round answers all of it.
-func (c *conductor) drain() {
+func (c *leader) drain() {
 	for range eventCapacity {
 		select {
 		case e := <-c.events:
@@ -237,7 +236,7 @@
 
 // watch looks at the workers without deciding or extending anything, and announces
 // what has ended: ends are true whoever schedules.
-func (c *conductor) watch() {
+func (c *leader) watch() {
 	for _, action := range c.core.Watch(bootTime(), time.Now().UnixMilli()) {
 		c.carryOut(action)
 	}
@@ -245,7 +244,7 @@
 }
 
 // round decides and carries out.
-func (c *conductor) round() {
+func (c *leader) round() {
 	started := bootTime()
 	for _, action := range c.core.Decide(started, time.Now().UnixMilli()) {
 		c.carryOut(action)
@@ -256,16 +255,16 @@
 		c.logger.Warn("slow round", zap.Duration("took", took), zap.Int64("epoch", c.grant.epoch))
 	}
 	c.measureWaiting()
-	c.logUnseen(started)
+	c.logUnsynced(started)
 	c.write()
 	c.announce()
 	c.collect()
 	c.instance.replica.setBegan(c.grant.epoch, c.core.Began())
-	c.calm.Store(c.core.Calm())
+	c.synced.Store(c.core.Synced())
 }
 
 const (
-	// finishWithin bounds how long a holder that gives the lease up lets its orders
+	// finishWithin bounds how long a leader that gives the lease up lets its orders
 	// end: a gang of which some members were started would be broken by the next one.
 	// Workers answer within milliseconds; a planned stop has seconds.
 	finishWithin = 400 * time.Millisecond
@@ -273,7 +272,7 @@
 )
 
 // finish decides nothing any more and waits for what is under way.
-func (c *conductor) finish() {
+func (c *leader) finish() {
 	c.closing.Store(true)
 	ctx, cancel := context.WithTimeout(c.ctx, finishWithin)
 	defer cancel()
@@ -283,17 +282,17 @@
 	}
 }
 
-// unseenEvery is how often a line says which workers a new holder waits for.
-const unseenEvery = time.Second
+// unsyncedEvery is how often a line says which workers a new leader waits for.
+const unsyncedEvery = time.Second
 
-// logUnseen says which workers work of an earlier epoch waits for.
-func (c *conductor) logUnseen(now time.Time) {
-	if now.Sub(c.unseenAt) < unseenEvery {
+// logUnsynced says which workers work of an earlier epoch waits for.
+func (c *leader) logUnsynced(now time.Time) {
+	if now.Sub(c.unsyncedAt) < unsyncedEvery {
 		return
 	}
-	if unseen := c.core.Unseen(); len(unseen) > 0 {
-		c.unseenAt = now
-		c.logger.Info("waiting for workers", zap.Int64("epoch", c.grant.epoch), zap.Int("count", len(unseen)), zap.String("first", unseen[0]))
+	if unsynced := c.core.Unsynced(); len(unsynced) > 0 {
+		c.unsyncedAt = now
+		c.logger.Info("waiting for workers", zap.Int64("epoch", c.grant.epoch), zap.Int("count", len(unsynced)), zap.String("first", unsynced[0]))
 	}
 }
 
@@ -308,7 +307,7 @@
 
 // measureWaiting shows how many steps wait, by priority; those of which none waits
 // any more go to zero.
-func (c *conductor) measureWaiting() {
+func (c *leader) measureWaiting() {
 	waiting := c.core.Waiting()
 	for priority := range waiting {
 		c.priorities[priority] = true
@@ -324,7 +323,7 @@
 
 var metricRound = metrics.NewHistogram("corianderbank_deployment_round_seconds")
 
-func (c *conductor) carryOut(action dispatch.Action) {
+func (c *leader) carryOut(action dispatch.Action) {
 	switch action.Kind {
 	case dispatch.ActStart:
 		c.logOrder("start", action, zap.Bool("resumes", action.Order.Checkpoint != ""))
@@ -335,9 +334,9 @@
 		c.logOrder("stop", action)
 		c.underWay.Add(1)
 		c.orders.Submit(func() { c.give("stop", action, c.instance.workerClient.Stop, (*dispatch.Core).StopAnswered) })
-	case dispatch.ActLook:
-		c.orders.Submit(func() { c.look(action) })
-	case dispatch.ActTell:
+	case dispatch.ActPoll:
+		c.orders.Submit(func() { c.poll(action) })
+	case dispatch.ActReason:
 		c.logger.Info("wait", append(taskFields(action.Order.Task), zap.Int64("epoch", action.Order.Epoch), zap.String("reason", action.Reason))...)
 	case dispatch.ActAsk:
 		c.orders.Submit(func() { c.ask(action.Ask) })
@@ -345,7 +344,7 @@
 }
 
 // ask puts a question to the placement advisor.
-func (c *conductor) ask(question workload.Question) {
+func (c *leader) ask(question workload.Question) {
 	ctx, cancel := context.WithTimeout(c.ctx, question.Within)
 	defer cancel()
 	counsel := workload.Counsel{Err: errNoAdvisor}
@@ -357,7 +356,7 @@
 	c.post(func(core *dispatch.Core, now time.Time, wallMS int64) { core.Advised(question, counsel, now, wallMS) })
 }
 
-func (c *conductor) logOrder(what string, action dispatch.Action, more ...zap.Field) {
+func (c *leader) logOrder(what string, action dispatch.Action, more ...zap.Field) {
 	fields := orderFields(what, action.Order, zap.Int64("epoch", action.Order.Epoch), zap.String("reason", action.Reason))
 	c.logger.Info("order", append(fields, more...)...)
 }
@@ -378,7 +377,7 @@
 
 // give gives an order, if the lease still holds at the moment it leaves, and
 // hands the answer to the core.
-func (c *conductor) give(
+func (c *leader) give(
 	what string, action dispatch.Action, send func(context.Context, workload.Order) workload.Receipt,
 	answered func(*dispatch.Core, workload.Order, workload.Receipt, time.Time, int64),
 ) {
@@ -395,21 +394,21 @@
 	})
 }
 
-func (c *conductor) look(action dispatch.Action) {
-	sight := workload.Sight{Verdict: workload.VerdictUnsent, Err: errLeaseOver}
-	if action.Look.UntilMS == 0 || c.grant.valid() {
-		sight = c.instance.workerClient.Look(c.ctx, action.Look)
+func (c *leader) poll(action dispatch.Action) {
+	report := workload.Report{Verdict: workload.VerdictUnsent, Err: errLeaseOver}
+	if action.Poll.UntilMS == 0 || c.grant.valid() {
+		report = c.instance.workerClient.Poll(c.ctx, action.Poll)
 	}
-	if sight.Unread > 0 && c.unreadSights.first(action.Look.Worker, c.grant.epoch) {
-		c.logger.Error("worker lists what cannot be read", zap.String("worker", action.Look.Worker), zap.Int("rows", sight.Unread))
+	if report.Unread > 0 && c.unreadSights.first(action.Poll.Worker, c.grant.epoch) {
+		c.logger.Error("worker lists what cannot be read", zap.String("worker", action.Poll.Worker), zap.Int("rows", report.Unread))
 	}
-	for _, e := range sight.Ended {
-		if e.Number > action.Look.Noted {
-			c.logger.Info("end", append(taskFields(e.Task), zap.Int64("attempt", e.Attempt), zap.String("worker", action.Look.Worker),
+	for _, e := range report.Ended {
+		if e.Number > action.Poll.Acknowledged {
+			c.logger.Info("end", append(taskFields(e.Task), zap.Int64("attempt", e.Attempt), zap.String("worker", action.Poll.Worker),
 				zap.String("kind", string(e.Kind)), zap.Int64("number", e.Number))...)
 		}
 	}
-	c.post(func(core *dispatch.Core, now time.Time, wallMS int64) { core.Saw(action, sight, now, wallMS) })
+	c.post(func(core *dispatch.Core, now time.Time, wallMS int64) { core.PollAnswered(action, report, now, wallMS) })
 }
 
 var (
@@ -423,7 +422,7 @@
 	return metrics.GetOrCreateHistogram(`corianderbank_deployment_order_seconds{order="` + kind + `",verdict="` + verdict.String() + `"}`)
 }
 
-func (c *conductor) logReceipt(what string, action dispatch.Action, receipt workload.Receipt) {
+func (c *leader) logReceipt(what string, action dispatch.Action, receipt workload.Receipt) {
 	if receipt.Verdict == workload.VerdictDone {
 		return
 	}
--- a/internal/deployment/lease.go
+++ b/internal/deployment/lease.go
@@ -13,40 +13,39 @@
 
 const (
 	// leaseLength is how long a lease holds without a renewal. It is short,
-	// because nothing starts between the death of a holder and its end, and
+	// because nothing starts between the death of a leader and its end, and
 	// long enough for three renewals on a slow store.
 	leaseLength = 2 * time.Second
 	// renewEvery is the time between renewals.
 	renewEvery = 400 * time.Millisecond
 	// leasePathTimeout bounds one attempt at the lease's row on one path: two
-	// paths must fit into what is left of the lease after a renewal was due. The
-	// store answers within 4 ms, and within half a second when it is slow.
+	// paths must fit into what is left of the lease after a renewal was due.
 	leasePathTimeout = 550 * time.Millisecond
-	// leaseMargin separates the end of a lease by its holder's clock from the
+	// leaseMargin separates the end of a lease by its leader's clock from the
 	// moment others may take it: two steady clocks differ by at most 2 %, and an
 	// order under way is bounded by it too.
 	leaseMargin = 300 * time.Millisecond
-	// suspectAfter is how long a holder may go without a renewal being seen before
+	// suspectAfter is how long a leader may go without a renewal being seen before
 	// it is asked whether it is still there: two renewals and what the feed takes.
-	// Most holders that die are missed so, in half the time of the lease.
+	// Most leaders that die are missed so, in half the time of the lease.
 	suspectAfter = 2*renewEvery + othersGap + 100*time.Millisecond
-	// suspectSilent is how long a holder that leaves silentPings pings unanswered, one
+	// suspectSilent is how long a leader that leaves silentPings pings unanswered, one
 	// after the other, may go without a renewal being seen: one that was missed for sure.
-	// It is not asked again. Without it the next one began 1.7 s after a holder was lost.
+	// It is not asked again.
 	suspectSilent = renewEvery + othersGap + 100*time.Millisecond
 	silentPings   = 2
-	// inLine is how many instances come before those that do not ping the holder.
+	// inLine is how many instances come before those that do not ping the leader.
 	inLine = 2
-	// holderFirst is how long the store must have answered again before another
-	// instance takes the lease of a holder that lives but lost the store as well:
-	// the holder tries every tenth of a second, and knows everything that runs.
-	holderFirst = 600 * time.Millisecond
+	// leaderFirst is how long the store must have answered again before another
+	// instance takes the lease of a leader that lives but lost the store as well:
+	// the leader tries every tenth of a second, and knows everything that runs.
+	leaderFirst = 600 * time.Millisecond
 	// probeTimeout bounds that question.
 	probeTimeout = 250 * time.Millisecond
 	// campaignEvery is how often an instance looks whether the lease is free.
 	campaignEvery = 50 * time.Millisecond
 	// candidateStep spreads the candidates, so that one of them is first: a write to
-	// the store, and the look for its result.
+	// the store, and the read of its result.
 	candidateStep = 60 * time.Millisecond
 )
 
@@ -55,12 +54,12 @@
 	epoch int64
 	// why the lease could be taken, for the log.
 	why string
-	// epochVersion is the version of the epoch row: every write of the holder
-	// expects it, so that the store refuses a holder that was replaced.
+	// epochVersion is the version of the epoch row: every write of the leader
+	// expects it, so that the store refuses a leader that was replaced.
 	epochVersion int64
 	// earlier says that there was an epoch before this one.
 	earlier bool
-	// overlap is until when the holder before may still believe in its lease.
+	// overlap is until when the leader before may still believe in its lease.
 	overlap time.Time
 
 	mu      sync.Mutex
@@ -122,18 +121,18 @@
 	rivals, known func() []peerSize
 	// calm reports whether the lease could change hands without work waiting for it;
 	// finish lets what is under way end, before the lease is given up.
-	calm   func() bool
+	synced func() bool
 	finish func()
 	// since is when the duty began.
 	since  time.Time
 	tuning Tuning
 	// hold runs while the lease is held; it returns when the context ends.
-	hold func(ctx context.Context, g *grant)
+	lead func(ctx context.Context, g *grant)
 
 	// holding is the grant under way, for others to read.
 	mu      sync.Mutex
 	holding *grant
-	// silent is the holder that left pings unanswered, as of the row that was seen, and
+	// silent is the leader that left pings unanswered, as of the row that was seen, and
 	// lost how many in a row.
 	silent seenLeader
 	lost   int
@@ -177,7 +176,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		l.hold(holding, g)
+		l.lead(holding, g)
 	}()
 	reason := l.renew(ctx, g)
 	givenUp := ctx.Err() != nil || reason == reasonYielded
@@ -198,15 +197,15 @@
 const reasonYielded = "a larger instance takes it"
 
 // free reports whether the lease may be taken, as far as this instance knows:
-// it was released, or it is over, or its holder does not hold it any more. A
-// holder that answers nobody may believe in its lease yet; whoever takes it
+// it was released, or it is over, or its leader does not hold it any more. A
+// leader that answers nobody may believe in its lease yet; whoever takes it
 // early must reckon with that (grant.overlap).
 func (l *lease) free(ctx context.Context) bool {
 	return l.eligible() && l.whyFree(ctx, l.replica.seenLeader()) != ""
 }
 
-// whyFree says why the lease may be taken from the holder that was seen; empty if
-// it may not. Only that row may then be replaced: while the holder is asked, the
+// whyFree says why the lease may be taken from the leader that was seen; empty if
+// it may not. Only that row may then be replaced: while the leader is asked, the
 // row may become another's.
 func (l *lease) whyFree(ctx context.Context, seen seenLeader) string {
 	now := bootTime()
@@ -223,48 +222,48 @@
 			return ""
 		}
 		return "released"
-	case seen.Holder == l.self && !anyLarger(l.size(), l.known(), yieldFactor):
+	case seen.Leader == l.self && !anyLarger(l.size(), l.known(), yieldFactor):
 		return "held by an earlier process at this address"
 	}
 	if l.isSilent(seen) && age >= suspectSilent+turn {
-		return "holder answers no pings"
+		return "leader answers no pings"
 	}
 	if age < suspectAfter+turn || age < leaseLength+leaseMargin+turn && !l.tuning.has(mechEarlyReplacement) {
 		return ""
 	}
-	if holds, err := l.ask(ctx, seen.Holder); err != nil {
-		return "holder does not answer: " + err.Error()
+	if holds, err := l.ask(ctx, seen.Leader); err != nil {
+		return "leader does not answer: " + err.Error()
 	} else if !holds {
-		return "holder does not hold it"
+		return "leader does not hold it"
 	}
 	// It is there, and waits for the store as everybody does, or cannot reach it
 	// though others can: then it had its chance to be first.
-	if age >= leaseLength+leaseMargin+turn && (l.steady(holderFirst) || !l.tuning.has(mechOutages)) {
+	if age >= leaseLength+leaseMargin+turn && (l.steady(leaderFirst) || !l.tuning.has(mechOutages)) {
 		return "not renewed"
 	}
 	return ""
 }
 
-// isSilent reports whether the holder left the last pings unanswered.
+// isSilent reports whether the leader left the last pings unanswered.
 func (l *lease) isSilent(seen seenLeader) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.lost >= silentPings && l.silent.Holder == seen.Holder
+	return l.lost >= silentPings && l.silent.Leader == seen.Leader
 }
 
-// watchHolder pings the holder, on those instances that are next in line.
-func (l *lease) watchHolder(ctx context.Context) {
+// watchLeader pings the leader, on those instances that are next in line.
+func (l *lease) watchLeader(ctx context.Context) {
 	answered := true
 	for ctx.Err() == nil {
 		if answered {
 			pause(ctx, pingEvery)
 		}
 		seen := l.replica.seenLeader()
-		if answered = seen.version == 0 || seen.Released || seen.Holder == l.self || placeAmong(l.size(), l.rivals()) > inLine; answered {
+		if answered = seen.version == 0 || seen.Released || seen.Leader == l.self || placeAmong(l.size(), l.rivals()) > inLine; answered {
 			continue // nobody to watch, or others do
 		}
 		began := bootTime()
-		answered = l.pings(ctx, seen.Holder)
+		answered = l.pings(ctx, seen.Leader)
 		l.notePing(seen, answered)
 		if !answered {
 			pause(ctx, pingTimeout-bootTime().Sub(began)) // a refused one fails at once
@@ -275,7 +274,7 @@
 func (l *lease) notePing(seen seenLeader, answered bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if answered || l.silent.Holder != seen.Holder {
+	if answered || l.silent.Leader != seen.Leader {
 		l.lost = 0
 	}
 	if !answered {
@@ -298,13 +297,13 @@
 	return time.Duration(placeAmong(l.size(), l.rivals())) * candidateStep
 }
 
-// yields reports whether the holder should hand the lease on now.
+// yields reports whether the leader should hand the lease on now.
 func (l *lease) yields(since time.Time) bool {
-	return bootTime().Sub(since) >= yieldAfter && anyLarger(l.size(), l.rivals(), yieldFactor) && l.calm()
+	return bootTime().Sub(since) >= yieldAfter && anyLarger(l.size(), l.rivals(), yieldFactor) && l.synced()
 }
 
-// take tries to become the holder. It reads the row first: a feed that fell
-// behind must not make a living holder look dead.
+// take tries to become the leader. It reads the row first: a feed that fell
+// behind must not make a living leader look dead.
 func (l *lease) take(ctx context.Context) *grant {
 	page, err := l.store.Read(ctx, workload.SourceOwn, mainPart, epochKey, leaderKey+"\x00")
 	if err != nil {
@@ -322,7 +321,7 @@
 		g.overlap = seen.since.Add(leaseLength)
 	}
 	sent := bootTime()
-	row := leaderRow{Holder: l.self, Epoch: g.epoch}
+	row := leaderRow{Leader: l.self, Epoch: g.epoch}
 	written, err := l.store.Write(ctx, workload.Write{
 		Expect: []workload.Row{{Key: leaderKey, Version: seen.version}, {Key: epochKey, Version: epochVersion}},
 		Put:    []workload.Row{{Key: leaderKey, Value: encode(row)}, {Key: epochKey, Value: encode(g.epoch)}},
@@ -351,7 +350,7 @@
 		switch row.Key {
 		case leaderKey:
 			var leader leaderRow
-			if json.Unmarshal(row.Value, &leader) != nil || leader.Holder != l.self || leader.Epoch != g.epoch || leader.Released {
+			if json.Unmarshal(row.Value, &leader) != nil || leader.Leader != l.self || leader.Epoch != g.epoch || leader.Released {
 				return false
 			}
 			g.version = row.Version
@@ -390,14 +389,14 @@
 }
 
 // renewAgain is the pause between renewals once the lease ran out: while the
-// store is away nobody can take it, and on its return the holder, which knows
+// store is away nobody can take it, and on its return the leader, which knows
 // everything that runs, should be the first.
 const renewAgain = 100 * time.Millisecond
 
 // renewOnce tries one renewal; false if another instance took the lease.
 func (l *lease) renewOnce(ctx context.Context, g *grant, beat int64) bool {
 	sent := bootTime()
-	row := encode(leaderRow{Holder: l.self, Epoch: g.epoch, Beat: beat})
+	row := encode(leaderRow{Leader: l.self, Epoch: g.epoch, Beat: beat})
 	written, err := l.store.Write(ctx, workload.Write{
 		Expect: []workload.Row{{Key: leaderKey, Version: g.version}},
 		Put:    []workload.Row{{Key: leaderKey, Value: row}},
@@ -426,7 +425,7 @@
 func (l *lease) release(g *grant) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	row := leaderRow{Holder: l.self, Epoch: g.epoch, Released: true}
+	row := leaderRow{Leader: l.self, Epoch: g.epoch, Released: true}
 	_, err := l.store.Write(ctx, workload.Write{
 		Expect: []workload.Row{{Key: leaderKey, Version: g.version}},
 		Put:    []workload.Row{{Key: leaderKey, Value: encode(row)}},
--- a/internal/deployment/lease_test.go
+++ b/internal/deployment/lease_test.go
@@ -15,7 +15,7 @@
 func TestALeaseThatRanOutIsValidAgainOnceItIsRenewed(t *testing.T) {
 	g := &grant{epoch: 1, until: bootTime().Add(-time.Millisecond)}
 	assert.Assert(t, !g.valid())
-	assert.Assert(t, !g.ended(), "the conductor waits: nobody else may have it")
+	assert.Assert(t, !g.ended(), "the loop waits: nobody else may have it")
 	g.renewed(7, bootTime().Add(time.Hour))
 	assert.Assert(t, g.valid())
 }
@@ -28,7 +28,7 @@
 	assert.Assert(t, g.ended())
 }
 
-// candidate is a lease duty over a store that holds the row of another holder.
+// candidate is a lease duty over a store that holds the row of another leader.
 func candidate(t *testing.T, self string, store *memoryStore) *lease {
 	t.Helper()
 	return &lease{
@@ -36,11 +36,11 @@
 		eligible: func() bool { return true }, steady: func(time.Duration) bool { return true },
 		holds:  func(context.Context, string) (bool, error) { return true, nil },
 		rivals: func() []peerSize { return nil }, known: func() []peerSize { return nil },
-		calm: func() bool { return true }, finish: func() {},
+		synced: func() bool { return true }, finish: func() {},
 	}
 }
 
-// sees writes the row of a holder, and lets the candidate have seen it a while ago.
+// sees writes the row of a leader, and lets the candidate have seen it a while ago.
 func (l *lease) sees(t *testing.T, row leaderRow, ago time.Duration) {
 	t.Helper()
 	store := l.store.(*memoryStore)
@@ -55,7 +55,7 @@
 }
 
 func TestWhenTheLeaseMayBeTaken(t *testing.T) {
-	held := leaderRow{Holder: "other", Epoch: 4}
+	held := leaderRow{Leader: "other", Epoch: 4}
 	silent := func(context.Context, string) (bool, error) { return false, errors.New("no answer") }
 	steppedDown := func(context.Context, string) (bool, error) { return false, nil }
 	holds := func(context.Context, string) (bool, error) { return true, nil }
@@ -66,13 +66,13 @@
 		steady bool
 		free   bool
 	}{
-		"renewed just now, whatever the holder says": {held, 0, silent, true, false},
-		"released":                                    {leaderRow{Holder: "other", Epoch: 4, Released: true}, 0, holds, true, true},
-		"of an earlier process at this address":       {leaderRow{Holder: "self", Epoch: 4}, 0, holds, true, true},
+		"renewed just now, whatever the leader says": {held, 0, silent, true, false},
+		"released":                                    {leaderRow{Leader: "other", Epoch: 4, Released: true}, 0, holds, true, true},
+		"of an earlier process at this address":       {leaderRow{Leader: "self", Epoch: 4}, 0, holds, true, true},
 		"two renewals missed and no answer":           {held, suspectAfter + time.Second/2, silent, true, true},
 		"two renewals missed and stepped down":        {held, suspectAfter + time.Second/2, steppedDown, true, true},
-		"two renewals missed but the holder is there": {held, suspectAfter + time.Second/2, holds, true, false},
-		"over, the holder had its chance":             {held, time.Minute, holds, true, true},
+		"two renewals missed but the leader is there": {held, suspectAfter + time.Second/2, holds, true, false},
+		"over, the leader had its chance":             {held, time.Minute, holds, true, true},
 		"over, and the store is only just back":       {held, time.Minute, holds, false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -94,19 +94,19 @@
 func TestOnlyTheRowThatWasJudgedIsReplaced(t *testing.T) {
 	store := newMemoryStore()
 	l := candidate(t, "self", store)
-	l.sees(t, leaderRow{Holder: "dead", Epoch: 4}, time.Minute)
+	l.sees(t, leaderRow{Leader: "dead", Epoch: 4}, time.Minute)
 	l.holds = func(context.Context, string) (bool, error) {
-		// While the dead holder is asked, another candidate takes the lease.
-		l.sees(t, leaderRow{Holder: "quicker", Epoch: 5}, 0)
+		// While the dead leader is asked, another candidate takes the lease.
+		l.sees(t, leaderRow{Leader: "quicker", Epoch: 5}, 0)
 		return false, errors.New("no answer")
 	}
-	assert.Assert(t, l.take(t.Context()) == nil, "took the lease of a holder that was not judged")
+	assert.Assert(t, l.take(t.Context()) == nil, "took the lease of a leader that was not judged")
 }
 
 func TestATakeWhoseAnswerWasLostIsRecognisedAsOnesOwn(t *testing.T) {
 	l := candidate(t, "self", newMemoryStore())
 	own := []workload.Row{
-		{Key: leaderKey, Value: encode(leaderRow{Holder: "self", Epoch: 5}), Version: 9},
+		{Key: leaderKey, Value: encode(leaderRow{Leader: "self", Epoch: 5}), Version: 9},
 		{Key: epochKey, Value: encode(5), Version: 9},
 	}
 	g := &grant{epoch: 5}
@@ -116,7 +116,7 @@
 }
 
 func TestAHolderThatAnswersNoPingsIsSuspectedSooner(t *testing.T) {
-	held := leaderRow{Holder: "other", Epoch: 4}
+	held := leaderRow{Leader: "other", Epoch: 4}
 	l := candidate(t, "self", newMemoryStore())
 	l.holds = func(context.Context, string) (bool, error) { return false, errors.New("no answer") }
 	l.sees(t, held, suspectSilent+50*time.Millisecond)
@@ -129,6 +129,6 @@
 	l.notePing(seen, true)
 	assert.Assert(t, !l.free(t.Context()), "it answers again")
 	l.notePing(seen, false)
-	l.notePing(seenLeader{leaderRow: leaderRow{Holder: "third"}}, false)
-	assert.Assert(t, !l.free(t.Context()), "another holder's silence says nothing of this one")
+	l.notePing(seenLeader{leaderRow: leaderRow{Leader: "third"}}, false)
+	assert.Assert(t, !l.free(t.Context()), "another leader's silence says nothing of this one")
 }
--- a/internal/deployment/parts.go
+++ b/internal/deployment/parts.go
@@ -14,7 +14,7 @@
 // of a table one after the other: with all rows in one part, jobs queue behind each
 // other, behind records and behind the renewals of the lease, and are turned away as
 // soon as one takes longer than they are apart. So jobs and cancels are spread over
-// parts by their id. What a holder writes under its epoch lies with the epoch.
+// parts by their id. What a leader writes under its epoch lies with the epoch.
 
 const (
 	// mainPart holds the lease, records, workers and instances.
--- a/internal/deployment/reach.go
+++ b/internal/deployment/reach.go
@@ -20,8 +20,8 @@
 	// milliseconds; when it is slow, within a few hundred.
 	pathTimeout = 900 * time.Millisecond
 	// pathPatience is how long a path may take before the next one is tried as well.
-	// Without it each instance that the store does not answer held a job for 0.9 s and
-	// more, of the 1.4 s that an urgent one may wait. A slow store answers within it.
+	// Without it an instance that the store does not answer holds an urgent job for most
+	// of the time that it has.
 	pathPatience = 250 * time.Millisecond
 	// directAgainAfter is how soon the direct path is tried first again after it
 	// failed, while a peer has one.
--- a/internal/deployment/records.go
+++ b/internal/deployment/records.go
@@ -29,14 +29,14 @@
 // batch is what one write stores: records, workers that may get work from then on,
 // and workers that are gone.
 type batch struct {
-	records []dispatch.Unwritten
+	records []dispatch.Unpersisted
 	workers []workload.Worker
 	gone    []string
 }
 
 // nextBatch takes from the core what fits into one transaction.
 func nextBatch(core *dispatch.Core) batch {
-	b := batch{records: core.Unwritten(recordsAtOnce)}
+	b := batch{records: core.Unpersisted(recordsAtOnce)}
 	left := entriesAtOnce - 1 - 2*len(b.records)
 	b.workers = core.Unstored(left)
 	b.gone = core.Gone((left - len(b.workers)) / 2)
@@ -47,7 +47,7 @@
 
 // write stores what the store does not have yet; one write is under way at a
 // time.
-func (c *conductor) write() {
+func (c *leader) write() {
 	if c.writing {
 		return
 	}
@@ -61,11 +61,11 @@
 }
 
 // transaction is the write of a batch. It expects the epoch and the version of
-// every record, so that neither a holder that was replaced nor a late copy of an
+// every record, so that neither a leader that was replaced nor a late copy of an
 // earlier write can change anything; nor can a late removal take out a worker that
 // came back. A worker's row holds the same whoever writes it, so the epoch alone
 // guards that.
-func (c *conductor) transaction(b *batch) workload.Write {
+func (c *leader) transaction(b *batch) workload.Write {
 	tx := workload.Write{Expect: []workload.Row{{Key: epochKey, Version: c.grant.epochVersion}}}
 	for _, u := range b.records {
 		key := recordPrefix + u.Job
@@ -84,7 +84,7 @@
 }
 
 // writeBatch tries one write.
-func (c *conductor) writeBatch(b *batch) {
+func (c *leader) writeBatch(b *batch) {
 	defer c.underWay.Add(-1)
 	tx := c.transaction(b)
 	written, err := c.instance.store.Write(c.ctx, tx)
@@ -109,7 +109,7 @@
 }
 
 // written takes what the store has now.
-func (c *conductor) written(b *batch, tx workload.Write, version int64) {
+func (c *leader) written(b *batch, tx workload.Write, version int64) {
 	for n := range tx.Put {
 		tx.Put[n].Version = version
 		c.recordVersions[tx.Put[n].Key] = version
@@ -122,8 +122,8 @@
 }
 
 // finalRows are the rows of a write that callers are waiting for: records of jobs that
-// have ended. What else a record holds matters to the next holder alone, which reads the
-// table. A holder of 350 workers wrote 30 times a second and told 35 others each time.
+// have ended. What else a record holds matters to the next leader alone, which reads the
+// table.
 func finalRows(b *batch, put []workload.Row) []workload.Row {
 	var rows []workload.Row
 	for n, u := range b.records {
@@ -134,7 +134,7 @@
 	return rows
 }
 
-func (c *conductor) logFinals(list []dispatch.Unwritten) {
+func (c *leader) logFinals(list []dispatch.Unpersisted) {
 	for _, u := range list {
 		if u.Final != "" {
 			c.logger.Info("job ended", zap.String("job", u.Job), zap.String("state", string(u.Final)), zap.Int64("epoch", c.grant.epoch))
@@ -143,7 +143,7 @@
 }
 
 // recordVersion is only called by the one write under way.
-func (c *conductor) recordVersion(key string) int64 {
+func (c *leader) recordVersion(key string) int64 {
 	if version, ok := c.recordVersions[key]; ok {
 		return version
 	}
@@ -153,7 +153,7 @@
 // conflict takes the versions that a refused write met: either an earlier copy
 // of it was performed although its answer was lost, or the lease is lost. A row that
 // was expected and is not among them does not exist any more.
-func (c *conductor) conflict(expected, rows []workload.Row) {
+func (c *leader) conflict(expected, rows []workload.Row) {
 	met := make(map[string]int64, len(rows))
 	for _, row := range rows {
 		met[row.Key] = row.Version
@@ -171,7 +171,7 @@
 }
 
 // collect removes the rows of jobs whose states need not be shown any more.
-func (c *conductor) collect() {
+func (c *leader) collect() {
 	now := bootTime()
 	if now.Sub(c.collectedAt) < collectEvery {
 		return
@@ -207,7 +207,7 @@
 	return append(list, records)
 }
 
-func (c *conductor) remove(ids []string) {
+func (c *leader) remove(ids []string) {
 	for _, tx := range removals(ids, c.grant.epochVersion) {
 		written, err := c.instance.store.Write(c.ctx, tx)
 		if err != nil || written.Conflict {
--- a/internal/deployment/records_test.go
+++ b/internal/deployment/records_test.go
@@ -40,15 +40,15 @@
 			b := nextBatch(core)
 			assert.Equal(t, len(b.records), c.records)
 			assert.Equal(t, len(b.workers), c.stored)
-			conductor := &conductor{grant: &grant{}, recordVersions: make(map[string]int64), instance: &Instance{replica: newReplica(nil)}}
-			tx := conductor.transaction(&b)
+			leader := &leader{grant: &grant{}, recordVersions: make(map[string]int64), instance: &Instance{replica: newReplica(nil)}}
+			tx := leader.transaction(&b)
 			assert.Assert(t, len(tx.Expect)+len(tx.Put)+len(tx.Remove) <= entriesAtOnce)
 		})
 	}
 }
 
 func TestARowThatIsGoneIsExpectedToBeGone(t *testing.T) {
-	c := &conductor{grant: &grant{epochVersion: 5}, recordVersions: map[string]int64{"w/a": 7, "e/b": 8}}
+	c := &leader{grant: &grant{epochVersion: 5}, recordVersions: map[string]int64{"w/a": 7, "e/b": 8}}
 	expected := []workload.Row{{Key: epochKey, Version: 5}, {Key: "w/a", Version: 7}, {Key: "e/b", Version: 8}}
 	c.conflict(expected, []workload.Row{{Key: epochKey, Version: 5}, {Key: "e/b", Version: 9}})
 	assert.Equal(t, c.recordVersion("w/a"), int64(0), "its removal was performed, the answer was lost")
@@ -58,11 +58,11 @@
 
 func TestOnlyEndsAreToldToAllInstances(t *testing.T) {
 	b := &batch{
-		records: []dispatch.Unwritten{{Job: "a"}, {Job: "b", Final: dispatch.FinalCompleted}, {Job: "c"}, {Job: "d", Final: dispatch.FinalFailed}},
+		records: []dispatch.Unpersisted{{Job: "a"}, {Job: "b", Final: dispatch.FinalCompleted}, {Job: "c"}, {Job: "d", Final: dispatch.FinalFailed}},
 		workers: []workload.Worker{{ID: "w"}},
 	}
-	conductor := &conductor{grant: &grant{}, recordVersions: make(map[string]int64), instance: &Instance{replica: newReplica(nil)}}
-	rows := finalRows(b, conductor.transaction(b).Put)
+	leader := &leader{grant: &grant{}, recordVersions: make(map[string]int64), instance: &Instance{replica: newReplica(nil)}}
+	rows := finalRows(b, leader.transaction(b).Put)
 	assert.Equal(t, len(rows), 2)
 	assert.Equal(t, rows[0].Key, recordPrefix+"b")
 	assert.Equal(t, rows[1].Key, recordPrefix+"d")
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -30,7 +30,7 @@
 	job       *workload.Job
 	cancelled bool
 	record    dispatch.Record
-	// announced says that the record comes from a holder that could not store it yet.
+	// announced says that the record comes from a leader that could not store it yet.
 	announced bool
 	// unread jobs have a record that cannot be read.
 	unread bool
@@ -38,7 +38,7 @@
 
 // leaderRow says who holds the lease.
 type leaderRow struct {
-	Holder string `json:"holder"`
+	Leader string `json:"holder"`
 	Epoch  int64  `json:"epoch"`
 	// Released leases can be taken at once.
 	Released bool `json:"released,omitempty"`
@@ -54,7 +54,7 @@
 	since time.Time
 }
 
-// change is something new in the replica that the holder's core must know.
+// change is something new in the replica that the leader's core must know.
 type change struct {
 	job       string
 	cancelled bool
@@ -155,7 +155,7 @@
 		var worker workload.Worker
 		if err := json.Unmarshal(row.Value, &worker); err != nil || worker.ID != id {
 			// It may run something all the same: whoever schedules next waits for it.
-			r.logger.Error("noted worker cannot be read", zap.String("worker", id), zap.Error(err))
+			r.logger.Error("stored worker cannot be read", zap.String("worker", id), zap.Error(err))
 			worker = workload.Worker{ID: id}
 		}
 		r.workers[id] = worker
@@ -183,7 +183,7 @@
 	return true
 }
 
-// announce takes the final records of jobs that a holder could not store yet. What
+// announce takes the final records of jobs that a leader could not store yet. What
 // the store has goes before.
 func (r *replica) announce(rows []workload.Row) {
 	r.mu.Lock()
@@ -327,7 +327,7 @@
 	return list
 }
 
-// setBegan takes the holder's word on which jobs have begun.
+// setBegan takes the leader's word on which jobs have begun.
 func (r *replica) setBegan(epoch int64, ids []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -396,7 +396,7 @@
 	return counts
 }
 
-// snapshot returns all jobs, oldest first, for a new holder's core.
+// snapshot returns all jobs, oldest first, for a new leader's core.
 func (r *replica) snapshot() []knownJob {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -441,7 +441,7 @@
 }
 
 // notedWorkers lists the workers that are in the table.
-func (r *replica) notedWorkers() []workload.Worker {
+func (r *replica) storedWorkers() []workload.Worker {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return slices.Collect(maps.Values(r.workers))
--- a/internal/deployment/succession.go
+++ b/internal/deployment/succession.go
@@ -5,19 +5,17 @@
 	"time"
 )
 
-// This file decides which instance schedules. It answers deployments whose
-// instances differ in size, and bursts that a small one cannot carry: with 350
-// workers a holder with 0.19 of a core spent up to 1.4 s on a round, renewed late,
-// was replaced by another small one, and so on for the whole day (13 epochs in 60 s,
-// 8 % of the work served). So the larger instances take the lease first, and a small
-// holder hands it on in a calm moment once a larger one is there.
+// This file decides which instance schedules. It answers deployments whose instances
+// differ in size, and bursts that a small one cannot carry: it renews late, is replaced
+// by another small one, and so on. So the larger instances take the lease first, and a
+// small leader hands it on, once every worker has answered, to a larger one that is there.
 
 const (
 	// firstWait is how long an instance waits before it takes a lease that nobody
 	// ever had: two hellos to each peer, after which it knows the larger ones.
 	firstWait = 2 * helloEvery
 	// yieldFactor is by how much larger another instance must be for a handover,
-	// which costs a look at every worker.
+	// which costs a poll at every worker.
 	yieldFactor = 1.5
 	// yieldAfter is the least time between taking the lease and handing it on: some
 	// hellos, so that a peer that comes and goes does not take the lease with it.
--- a/internal/deployment/succession_test.go
+++ b/internal/deployment/succession_test.go
@@ -20,8 +20,8 @@
 }
 
 func TestAFreeLeaseIsLeftToLargerInstancesFirst(t *testing.T) {
-	released := leaderRow{Holder: "other", Epoch: 4, Released: true}
-	own := leaderRow{Holder: "self", Epoch: 4}
+	released := leaderRow{Leader: "other", Epoch: 4, Released: true}
+	own := leaderRow{Leader: "self", Epoch: 4}
 	one := []peerSize{{"big", 2}}
 	for name, c := range map[string]struct {
 		row   leaderRow
@@ -61,21 +61,21 @@
 	l.cores = 0.2
 	larger := []peerSize{{"big", 0.8}}
 	l.rivals = func() []peerSize { return larger }
-	calm := true
-	l.calm = func() bool { return calm }
+	synced := true
+	l.synced = func() bool { return synced }
 	long := bootTime().Add(-yieldAfter)
 	assert.Assert(t, l.yields(long))
 	assert.Assert(t, !l.yields(bootTime()), "it took it only just now")
-	calm = false
+	synced = false
 	assert.Assert(t, !l.yields(long), "a worker is waited for")
-	calm, larger = true, []peerSize{{"same", 0.2}}
+	synced, larger = true, []peerSize{{"same", 0.2}}
 	assert.Assert(t, !l.yields(long), "nobody larger is there")
 }
 
 func TestAHolderThatGivesTheLeaseUpLetsItsOrdersEnd(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	c := &conductor{ctx: ctx, logger: zap.NewNop()}
+	c := &leader{ctx: ctx, logger: zap.NewNop()}
 	c.underWay.Add(1)
 	ended := make(chan struct{})
 	go func() {
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -46,7 +46,7 @@
 
 // allowed filters the workers that the unit holds a ticket for, and asks for
 // more tickets if those are too few. Queues without an advisor allow all.
-func (c *Core) allowed(u *unit, rooms []*room) []*room {
+func (c *Core) allowed(u *pendingStep, rooms []*room) []*room {
 	if u.queue.Advice == nil {
 		return rooms
 	}
@@ -68,7 +68,7 @@
 }
 
 // ask asks about the workers with the most free room.
-func (c *Core) ask(u *unit, rooms []*room) {
+func (c *Core) ask(u *pendingStep, rooms []*room) {
 	a := &u.step.advice
 	if a.asking || c.asking >= askAtOnce || len(rooms) == 0 || c.now.Before(a.again) {
 		return
--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -11,9 +11,7 @@
 // stopped starts when these have ended, rounds later. Without a claim each round
 // chose anew: the next urgent gang took the room as it became free, the first had
 // others stopped elsewhere, was late by then, and was given up: dozens of tasks
-// were stopped for a gang that started nowhere. With claims one in ten fewer are
-// stopped, and urgent starts wait 1.0 s at the 95th percentile instead of 1.5 s
-// (make measure, dispatch).
+// were stopped for a gang that started nowhere.
 
 // claim is the room that a gang had freed, or found being freed, and starts in.
 type claim struct {
@@ -27,7 +25,7 @@
 }
 
 // claimRooms notes where an urgent gang will start.
-func (c *Core) claimRooms(u *unit, places []claimedPlace) {
+func (c *Core) claimRooms(u *pendingStep, places []claimedPlace) {
 	if u.step.spec.Gang && c.has(MechClaims) {
 		u.step.claim = &claim{places: places}
 	}
@@ -46,13 +44,13 @@
 	return places
 }
 
-// claimAgain lets an urgent gang that failed by its own fault start again where it
+// claimForRestart lets an urgent gang that failed by its own fault start again where it
 // was. Without it the room of each member went to others as its end was heard, some
 // milliseconds before the last one's, and the gang had others stopped a second time.
 // A worker on which other jobs failed as well is not claimed.
-func (c *Core) claimAgain(r *run) {
+func (c *Core) claimForRestart(r *run) {
 	s, g := r.task.step, r.gang
-	if g == nil || g.broken || !c.isUrgent(s) || !c.has(MechRestarts) {
+	if g == nil || g.broken || !c.isUrgent(s) || !c.has(MechRestartClaims) {
 		return
 	}
 	var rooms []*room
@@ -85,9 +83,9 @@
 	return q != nil && q.Priority == 0
 }
 
-// holdRestarts takes the room that gangs will start again in, while their members are
+// applyRestartClaims takes the room that gangs will start again in, while their members are
 // still ending, out of the rooms.
-func (c *Core) holdRestarts(pools map[string][]*room) {
+func (c *Core) applyRestartClaims(pools map[string][]*room) {
 	for _, s := range c.restarting {
 		need := s.spec.Counted()
 		for _, r := range pools[c.config.Queue(s.job.Queue).Pool] {
@@ -103,11 +101,11 @@
 	}
 }
 
-// holdClaims takes what is claimed out of the rooms before any unit looks at them.
+// applyClaims takes what is claimed out of the rooms before any unit looks at them.
 // A claim that will not come true any more is dropped: a worker of it is gone or
 // was taken for work that was met there.
-func (c *Core) holdClaims(units []*unit, pools map[string][]*room) {
-	for _, u := range units {
+func (c *Core) applyClaims(pendingSteps []*pendingStep, pools map[string][]*room) {
+	for _, u := range pendingSteps {
 		if u.step.claim == nil {
 			continue
 		}
@@ -116,13 +114,13 @@
 			u.step.claim = nil
 			continue
 		}
-		hold(u, u.claimed)
+		takeRoom(u, u.claimed)
 	}
 }
 
 // roomsOf is the claimed room for each task of a unit, or nil where the claim does
 // not hold any more.
-func (c *Core) roomsOf(u *unit, rooms []*room) []*room {
+func (c *Core) roomsOf(u *pendingStep, rooms []*room) []*room {
 	byWorker := make(map[*worker]*room, len(rooms))
 	for _, r := range rooms {
 		byWorker[r.worker] = r
@@ -144,7 +142,7 @@
 }
 
 // release gives a unit's claimed room back for its own turn.
-func (u *unit) release() {
+func (u *pendingStep) release() {
 	need := u.step.spec.Counted()
 	for _, r := range u.claimed {
 		r.soon, r.free = r.soon.Add(need), r.free.Add(need)
--- a/internal/dispatch/claim_test.go
+++ b/internal/dispatch/claim_test.go
@@ -104,7 +104,7 @@
 	b.core.tick(b.now, b.wallMS)
 	for _, id := range []string{"w00", "w01"} {
 		w := b.core.workers[id]
-		b.core.takeEnds(w, b.sight(b.workers[id], workload.Look{Noted: w.noted}).Ended)
+		b.core.takeCompletions(w, b.report(b.workers[id], workload.Poll{Acknowledged: w.persisted}).Ended)
 	}
 	assert.Assert(t, s.claim == nil, "work of two jobs failed on one of its workers")
 }
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/completions.go
@@ -6,8 +6,8 @@
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
-// takeEnds takes in the ends that a worker lists, in their order.
-func (c *Core) takeEnds(w *worker, list []workload.Ended) {
+// takeCompletions takes in the ends that a worker lists, in their order.
+func (c *Core) takeCompletions(w *worker, list []workload.Ended) {
 	for _, e := range list {
 		if e.Number <= w.heard {
 			continue
@@ -20,27 +20,27 @@
 		}
 		c.takeEnd(w, e)
 		if j != nil && j.changed > j.stored && (j.changed > before || c.dirty[j.ID] != nil) {
-			w.unrecorded = append(w.unrecorded, unrecordedEnd{e.Number, j, j.changed})
+			w.unpersisted = append(w.unpersisted, unpersistedEnd{e.Number, j, j.changed})
 		}
 	}
-	c.noteEnds(w)
+	c.acknowledgeable(w)
 }
 
-// noteEnds moves on what may be acknowledged: all ends before the first whose
+// acknowledgeable moves on what may be acknowledged: all ends before the first whose
 // record is not in the store.
-func (c *Core) noteEnds(w *worker) {
-	for len(w.unrecorded) > 0 && w.unrecorded[0].job.stored >= w.unrecorded[0].change {
-		w.unrecorded = w.unrecorded[1:]
+func (c *Core) acknowledgeable(w *worker) {
+	for len(w.unpersisted) > 0 && w.unpersisted[0].job.stored >= w.unpersisted[0].change {
+		w.unpersisted = w.unpersisted[1:]
 	}
-	noted := w.heard
-	if len(w.unrecorded) > 0 {
-		noted = w.unrecorded[0].number - 1
+	persisted := w.heard
+	if len(w.unpersisted) > 0 {
+		persisted = w.unpersisted[0].number - 1
 	} else {
-		w.unrecorded = nil
+		w.unpersisted = nil
 	}
-	if noted > w.noted {
-		w.noted = noted
-		w.nextLook = time.Time{}
+	if persisted > w.persisted {
+		w.persisted = persisted
+		w.nextPoll = time.Time{}
 	}
 }
 
@@ -83,7 +83,7 @@
 	}
 	if kind != workload.EndDone {
 		if kind == workload.EndFailed {
-			c.claimAgain(r)
+			c.claimForRestart(r)
 		}
 		c.breakGang(r, "a member ended "+string(kind))
 	}
@@ -190,11 +190,11 @@
 }
 
 // breakPartial stops gangs of which an earlier epoch started only some members:
-// its holder was replaced between two orders. Once no other member can run
+// its leader was replaced between two orders. Once no other member can run
 // unseen, the ones that wait would only wait for ever.
 func (c *Core) breakPartial() {
 	for _, j := range c.queue {
-		if !j.old || j.runs == 0 || c.mayRunUnseen(j) {
+		if !j.old || j.runs == 0 || c.mayRunUnsynced(j) {
 			continue
 		}
 		for _, s := range j.steps {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -13,20 +13,20 @@
 const (
 	ActStart ActionKind = iota
 	ActStop
-	ActLook
+	ActPoll
 	// ActAsk asks the placement advisor.
 	ActAsk
-	// ActTell is for the log only: why a step waits.
-	ActTell
+	// ActReason is for the log only: why a step waits.
+	ActReason
 )
 
 // Action is something for the driver to do. Its answer comes back as an event.
 type Action struct {
 	Kind  ActionKind
 	Order workload.Order
-	Look  workload.Look
+	Poll  workload.Poll
 	Ask   workload.Question
-	// Sequence identifies a look: what was ordered before it was sent.
+	// Sequence identifies a poll: what was ordered before it was sent.
 	Sequence uint64
 	// Quick looks run beside the waiting one.
 	Quick bool
@@ -45,7 +45,7 @@
 	Waited time.Duration
 }
 
-// Core is the state of all work in a deployment, as the holder of the lease
+// Core is the state of all work in a deployment, as the leader
 // knows it. It is not safe for concurrent use.
 type Core struct {
 	bounds   workload.Bounds
@@ -70,22 +70,22 @@
 	// worker that has not answered yet.
 	surelyQuiet time.Time
 	dirty       map[string]*job
-	// doubts are racks and zones of which somebody does not answer, by since when.
-	doubts map[domain]time.Time
+	// suspicions are racks and zones of which somebody does not answer, by since when.
+	suspects map[domain]time.Time
 	// ordered are the runs whose start is not answered, in the order of their starts.
 	ordered []*run
 	repeats repeatBudget
 	fenced  bool
 	// urgentUse is the average number of accelerators that work of the first
-	// priority used of late, by pool, as of urgentAt.
+	// priority used lately, by pool, as of urgentAt.
 	urgentUse map[string]float64
 	urgentAt  time.Time
 	// quietSince is since when a pool is less than half in use.
 	quietSince map[string]time.Time
 	// restarting are the steps whose gang is ending and will start again in a claim.
 	restarting []*step
-	// noRoom is what found no room in this round.
-	noRoom noRoom
+	// infeasible is what found no room in this round.
+	infeasible infeasible
 	// coming are the coming ends of this round, by pool; searches counts those for
 	// reservations.
 	coming   map[string][]release
@@ -104,13 +104,13 @@
 }
 
 // New returns the core of an epoch that begins now. earlier is until when a
-// holder before may have given orders, which may even be later than now; zero if
+// leader before may have given orders, which may even be later than now; zero if
 // there was none.
 func New(bounds workload.Bounds, epoch int64, now, earlier time.Time) *Core {
 	c := &Core{
 		bounds: bounds, epoch: epoch, jobs: make(map[string]*job), workers: make(map[string]*worker),
 		dirty: make(map[string]*job), estimates: newEstimates(), now: now, urgentUse: make(map[string]float64), quietSince: make(map[string]time.Time),
-		waiting: make(map[int]int), urgentAt: now, doubts: make(map[domain]time.Time), repeats: repeatsMost,
+		waiting: make(map[int]int), urgentAt: now, suspects: make(map[domain]time.Time), repeats: repeatsMost,
 	}
 	if !earlier.IsZero() {
 		c.earlier = earlier
@@ -136,10 +136,10 @@
 func (c *Core) Decide(now time.Time, wallMS int64) []Action {
 	c.tick(now, wallMS)
 	c.expireLeases()
-	c.spreadDoubts()
+	c.spreadSuspicion()
 	c.repeatStarts()
 	c.breakPartial()
-	c.settle()
+	c.dropFinished()
 	if c.config != nil {
 		c.place()
 	}
@@ -151,7 +151,7 @@
 	return actions
 }
 
-// Watch returns looks that extend no lease, for a holder whose own lease ran out: it
+// Watch returns polls that extend no lease, for a leader whose own lease ran out: it
 // must not decide, but it may learn what has ended.
 func (c *Core) Watch(now time.Time, wallMS int64) []Action {
 	c.tick(now, wallMS)
@@ -163,8 +163,8 @@
 	return looks
 }
 
-// settle drops final jobs without runs from the queue.
-func (c *Core) settle() {
+// dropFinished drops final jobs without runs from the queue.
+func (c *Core) dropFinished() {
 	kept := c.queue[:0]
 	for _, j := range c.queue {
 		if j.record.Final == "" || j.runs > 0 {
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -39,7 +39,7 @@
 	answer  func(workload.Question) workload.Counsel
 	tickets map[string]bool
 	// told is what the core said of waiting steps.
-	told []string
+	reasons []string
 }
 
 type fakeWorker struct {
@@ -132,22 +132,22 @@
 		for _, a := range actions {
 			b.carryOut(a)
 		}
-		if list := b.core.Unwritten(50); len(list) > 0 {
+		if list := b.core.Unpersisted(50); len(list) > 0 {
 			b.core.Recorded(list, b.now, b.wallMS)
 		}
 	}
 }
 
 func (b *bench) carryOut(a Action) {
-	if a.Kind == ActTell {
-		b.told = append(b.told, a.Reason)
+	if a.Kind == ActReason {
+		b.reasons = append(b.reasons, a.Reason)
 		return
 	}
 	if a.Kind == ActAsk {
 		b.core.Advised(a.Ask, b.answer(a.Ask), b.now, b.wallMS)
 		return
 	}
-	id := a.Order.Worker + a.Look.Worker
+	id := a.Order.Worker + a.Poll.Worker
 	if a.Kind == ActStart {
 		b.startedAt = append(b.startedAt, id)
 	}
@@ -176,8 +176,8 @@
 		}
 		w.closed[a.Order.Task] = max(w.closed[a.Order.Task], a.Order.Attempt)
 		b.core.StopAnswered(a.Order, workload.Receipt{ClockMS: b.clock()}, b.now, b.wallMS)
-	case ActLook:
-		b.core.Saw(a, b.sight(w, a.Look), b.now, b.wallMS)
+	case ActPoll:
+		b.core.PollAnswered(a, b.report(w, a.Poll), b.now, b.wallMS)
 	}
 }
 
@@ -187,8 +187,8 @@
 		b.core.StartAnswered(a.Order, workload.Receipt{Verdict: verdict}, b.now, b.wallMS)
 	case ActStop:
 		b.core.StopAnswered(a.Order, workload.Receipt{Verdict: verdict}, b.now, b.wallMS)
-	case ActLook:
-		b.core.Saw(a, workload.Sight{Verdict: verdict}, b.now, b.wallMS)
+	case ActPoll:
+		b.core.PollAnswered(a, workload.Report{Verdict: verdict}, b.now, b.wallMS)
 	}
 }
 
@@ -218,21 +218,21 @@
 	w.ended = append(w.ended, workload.Ended{Number: w.number, Task: task, Attempt: attempt, Kind: kind})
 }
 
-func (b *bench) sight(w *fakeWorker, look workload.Look) workload.Sight {
-	w.leaseMS = max(w.leaseMS, look.UntilMS)
-	sight := workload.Sight{ClockMS: b.clock()}
+func (b *bench) report(w *fakeWorker, poll workload.Poll) workload.Report {
+	w.leaseMS = max(w.leaseMS, poll.UntilMS)
+	report := workload.Report{ClockMS: b.clock()}
 	for key := range w.running {
-		sight.Running = append(sight.Running, workload.Running{Task: key.task, Attempt: key.attempt})
+		report.Running = append(report.Running, workload.Running{Task: key.task, Attempt: key.attempt})
 	}
 	kept := w.ended[:0]
 	for _, e := range w.ended {
-		if e.Number > look.Noted {
+		if e.Number > poll.Acknowledged {
 			kept = append(kept, e)
 		}
 	}
 	w.ended = kept
-	sight.Ended = append(sight.Ended, kept...)
-	return sight
+	report.Ended = append(report.Ended, kept...)
+	return report
 }
 
 // endAll ends everything that runs on every worker.
@@ -319,10 +319,10 @@
 	b := newBench(t, 1, true)
 	w := b.workers["w00"]
 	over := gangJob("over", "batch", "other", 1, 8)
-	stuck := runKey{workload.TaskID{Job: "over"}, 1_000_001}
-	w.running[stuck] = &fakeRun{need: workload.Resources{Accelerators: 8}}
+	overdueUse := runKey{workload.TaskID{Job: "over"}, 1_000_001}
+	w.running[overdueUse] = &fakeRun{need: workload.Resources{Accelerators: 8}}
 	b.core.AddJob(over, Record{}, true, b.now, b.wallMS)
-	b.core.settle() // the job is over and has no run that this epoch knows of
+	b.core.dropFinished() // the job is over and has no run that this epoch knows of
 	actions := b.core.Decide(b.now, b.wallMS)
 	assert.Equal(t, len(actions), 1)
 	b.carryOut(actions[0])
@@ -332,6 +332,6 @@
 		b.carryOut(a)
 	}
 	b.pass(time.Second)
-	assert.Assert(t, w.running[stuck] == nil)
+	assert.Assert(t, w.running[overdueUse] == nil)
 	assert.Equal(t, b.running(), 1)
 }
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// estimates foretells run times from what is declared and from what tasks of the
+// estimates predicts run times from what is declared and from what tasks of the
 // same image, or of the same queue, really took. Declared times are far off on
-// some queues and good on others. Trusting them everywhere made a task of 7 s
-// count as one of 35 s, and its gang wait for a rack for as long; trusting none
-// throws away what good ones say. So each is weighed by how far it was off.
+// some queues and good on others. Trusted everywhere, a declared time five times too
+// long has a gang wait for its rack as long; trusting none throws away what good ones
+// say. So each is weighed by how far it was off.
 type estimates struct {
 	seen map[string]*history
 	// learned counts observations: what was worked out for a step holds until the next
--- a/internal/dispatch/evacuate.go
+++ b/internal/dispatch/evacuate.go
@@ -20,10 +20,9 @@
 			continue
 		}
 		left := w.leavesAt.Sub(c.now)
-		for _, r := range w.runs {
-			if r.state == stRunRunning && c.mustLeave(r, left) {
-				c.stop(r, "its worker leaves")
-			}
+		leaving := w.inOrder(func(r *run) bool { return r.state == stRunRunning && c.mustLeave(r, left) })
+		for _, r := range leaving {
+			c.stop(r, "its worker leaves")
 		}
 	}
 }
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -28,30 +28,30 @@
 	urgent int64
 	order  int
 	// stuck is what runs use whose ends cannot be counted on, once it was worked out.
-	stuck      workload.Resources
-	stuckKnown bool
+	overdueUse   workload.Resources
+	overdueKnown bool
 	// sought is the last search for a reservation that this room is part of.
-	sought int
+	searchedBy int
 }
 
 // place decides on all work that could run now.
 func (c *Core) place() {
-	units := c.units()
+	pendingSteps := c.pendingSteps()
 	clear(c.waiting)
-	if len(units) == 0 {
+	if len(pendingSteps) == 0 {
 		return
 	}
 	rooms := c.rooms()
 	c.pools = rooms
 	c.noteUrgent(rooms)
 	c.noteQuiet(rooms)
-	c.holdRestarts(rooms)
-	c.holdClaims(units, rooms)
-	c.noRoom = make(noRoom)
+	c.applyRestartClaims(rooms)
+	c.applyClaims(pendingSteps, rooms)
+	c.infeasible = make(infeasible)
 	c.coming = nil
 	blocked := 0
-	for _, u := range units {
-		if blocked < maxConsidered && c.placeUnit(u, rooms[u.queue.Pool], blocked < maxBlocked) {
+	for _, u := range pendingSteps {
+		if blocked < maxConsidered && c.placeStep(u, rooms[u.queue.Pool], blocked < maxBlocked) {
 			continue
 		}
 		blocked++
@@ -71,10 +71,10 @@
 func (c *Core) rooms() map[string][]*room {
 	pools := make(map[string][]*room)
 	for _, w := range c.fleet {
-		if !w.usable(c.now) || c.inDoubt(w) {
+		if !w.usable(c.now) || c.isSuspect(w) {
 			continue
 		}
-		free := w.Room.Sub(w.used).Sub(w.foreignNeed())
+		free := w.Room.Sub(w.used).Sub(w.unknownNeed())
 		r := &room{worker: w, free: free, soon: free, urgentOnly: true}
 		for _, run := range w.runs {
 			r.countSort(run.task.step.spec)
@@ -116,20 +116,20 @@
 	}
 }
 
-// placeUnit starts what fits of a unit. What does not fit waits for room that
+// placeStep starts what fits of a unit. What does not fit waits for room that
 // is being freed, has lower work stopped if it is urgent, or keeps room for
 // later. It returns false if the unit, or a part of it, waits.
-func (c *Core) placeUnit(u *unit, rooms []*room, mayKeep bool) bool {
+func (c *Core) placeStep(u *pendingStep, rooms []*room, mayKeep bool) bool {
 	if u.claimed != nil {
 		return c.placeClaimed(u, rooms)
 	}
 	form, alike := c.shapeOf(u)
-	if alike && !mayKeep && c.noRoom.lacks(form, u) {
-		c.tell(u, whyNoRoom)
+	if alike && !mayKeep && c.infeasible.lacks(form, u) {
+		c.recordReason(u, whyNoRoom)
 		return false
 	}
-	if c.keepsOut(u) && c.has(MechHeadroom) {
-		rooms = c.withoutHeadroom(u.queue.Pool, rooms)
+	if c.mayNotUseReserve(u) && c.has(MechHeadroom) {
+		rooms = c.withoutReserve(u.queue.Pool, rooms)
 	}
 	rooms = c.allowed(u, c.eligible(u, rooms))
 	far := c.mayGoFar(u, rooms)
@@ -143,9 +143,9 @@
 	}
 	why := c.await(u, rooms, far, mayKeep)
 	if alike && (why == whyNoRoom || why == whyNoRack) {
-		c.noRoom.note(form, u)
+		c.infeasible.note(form, u)
 	}
-	c.tell(u, why)
+	c.recordReason(u, why)
 	return false
 }
 
@@ -156,7 +156,7 @@
 )
 
 // placeClaimed starts a gang where it claimed room, once all of it is free.
-func (c *Core) placeClaimed(u *unit, rooms []*room) bool {
+func (c *Core) placeClaimed(u *pendingStep, rooms []*room) bool {
 	u.release()
 	now := c.find(u, c.allowed(u, c.eligible(u, rooms)), false, func(r *room) workload.Resources { return r.open(c.now.Add(u.length)) })
 	if len(now) == len(u.tasks) {
@@ -167,23 +167,23 @@
 		c.startAt(u, u.claimed)
 		return true
 	}
-	hold(u, u.claimed)
-	c.tell(u, "room is being freed")
+	takeRoom(u, u.claimed)
+	c.recordReason(u, "room is being freed")
 	return false
 }
 
 // await makes sure that a unit that does not fit will, and says how.
-func (c *Core) await(u *unit, rooms []*room, far, mayKeep bool) string {
+func (c *Core) await(u *pendingStep, rooms []*room, far, mayKeep bool) string {
 	soon := c.find(u, rooms, far, func(r *room) workload.Resources { return r.soon })
 	switch {
 	case len(soon) == len(u.tasks):
-		hold(u, soon)
+		takeRoom(u, soon)
 		if u.rank.urgent() {
 			c.claimRooms(u, placesOf(soon))
 		}
 		return "room is being freed"
 	case u.rank.urgent():
-		if c.has(MechWaitOut) && c.waitOut(u, rooms, far) {
+		if c.has(MechWaitForEnds) && c.waitForEnds(u, rooms, far) {
 			return "others end in time"
 		}
 		if c.makeRoom(u, rooms, far, soon) {
@@ -201,46 +201,46 @@
 }
 
 const (
-	// tellAfter is how long a step waits before a line says so: most start sooner.
-	tellAfter = 150 * time.Millisecond
-	// tellEvery and tellChange bound the lines about one step that waits, for one
+	// reasonAfter is how long a step waits before a line says so: most start sooner.
+	reasonAfter = 150 * time.Millisecond
+	// reasonEvery and reasonChange bound the lines about one step that waits, for one
 	// reason and for changing ones.
-	tellEvery  = 2 * time.Second
-	tellChange = 300 * time.Millisecond
+	reasonEvery  = 2 * time.Second
+	reasonChange = 300 * time.Millisecond
 )
 
-// tell says why a step waits, if that changed or has lasted.
-func (c *Core) tell(u *unit, why string) {
+// recordReason says why a step waits, if that changed or has lasted.
+func (c *Core) recordReason(u *pendingStep, why string) {
 	s := u.step
-	if !c.worthTelling(s, why) || c.now.Sub(s.readySince) < tellAfter {
+	if !c.worthRecording(s, why) || c.now.Sub(s.readySince) < reasonAfter {
 		return
 	}
 	reason := fmt.Sprintf("%s; rank %d, due in %d ms, waited %d ms, %d tasks of about %d ms", why, u.rank.class,
 		u.dueBy.Sub(c.now).Milliseconds(), c.now.Sub(s.readySince).Milliseconds(), len(u.tasks), u.length.Milliseconds())
-	c.tellOf(s, why, reason)
+	c.recordReasonOf(s, why, reason)
 }
 
-// tellHeld says why no step of a job may start.
-func (c *Core) tellHeld(j *job, why string) {
-	if j.runs > 0 || len(j.steps) == 0 || !c.worthTelling(j.steps[0], why) {
+// recordHeldBack says why no step of a job may start.
+func (c *Core) recordHeldBack(j *job, why string) {
+	if j.runs > 0 || len(j.steps) == 0 || !c.worthRecording(j.steps[0], why) {
 		return
 	}
-	c.tellOf(j.steps[0], why, fmt.Sprintf("%s; waited %d ms", why, c.now.Sub(j.received).Milliseconds()))
+	c.recordReasonOf(j.steps[0], why, fmt.Sprintf("%s; waited %d ms", why, c.now.Sub(j.received).Milliseconds()))
 }
 
-func (c *Core) worthTelling(s *step, why string) bool {
-	since := c.now.Sub(s.toldAt)
-	return since >= tellEvery || why != s.told && since >= tellChange
+func (c *Core) worthRecording(s *step, why string) bool {
+	since := c.now.Sub(s.waitReasonAt)
+	return since >= reasonEvery || why != s.waitReason && since >= reasonChange
 }
 
-func (c *Core) tellOf(s *step, why, reason string) {
-	s.told, s.toldAt = why, c.now
+func (c *Core) recordReasonOf(s *step, why, reason string) {
+	s.waitReason, s.waitReasonAt = why, c.now
 	task := workload.TaskID{Job: s.job.ID, Occurrence: s.occurrence, Step: s.number}
-	c.actions = append(c.actions, Action{Kind: ActTell, Reason: reason, Order: workload.Order{Task: task, Epoch: c.epoch}})
+	c.actions = append(c.actions, Action{Kind: ActReason, Reason: reason, Order: workload.Order{Task: task, Epoch: c.epoch}})
 }
 
-// hold takes room that is free or being freed for a unit that waits for it.
-func hold(u *unit, places []*room) {
+// takeRoom takes room that is free or being freed for a unit that waits for it.
+func takeRoom(u *pendingStep, places []*room) {
 	need := u.step.spec.Counted()
 	for _, r := range places {
 		r.soon = r.soon.Sub(need)
@@ -258,7 +258,7 @@
 }
 
 // eligible filters the workers that may run the unit at all.
-func (c *Core) eligible(u *unit, rooms []*room) []*room {
+func (c *Core) eligible(u *pendingStep, rooms []*room) []*room {
 	var list []*room
 	for _, r := range rooms {
 		if r.Has(u.step.spec.Label) && !(c.has(MechSickWorkers) && r.health.suspect(c.now)) && r.Room.Holds(u.step.spec.Counted()) && !r.disturbs(u.step.spec) {
@@ -291,7 +291,7 @@
 // find returns a room for each of the unit's tasks, or for as many as there are. Tasks
 // that belong on one rack get one that can take them all; tasks with data on a
 // rack go there first. Only if far is set do they go elsewhere.
-func (c *Core) find(u *unit, rooms []*room, far bool, roomOf func(*room) workload.Resources) []*room {
+func (c *Core) find(u *pendingStep, rooms []*room, far bool, roomOf func(*room) workload.Resources) []*room {
 	n := len(u.tasks)
 	counts := make([]int64, len(rooms))
 	for i, r := range rooms {
@@ -315,7 +315,7 @@
 }
 
 // slots is how many tasks of the unit a worker can take.
-func (c *Core) slots(u *unit, r *room, free workload.Resources) int64 {
+func (c *Core) slots(u *pendingStep, r *room, free workload.Resources) int64 {
 	limit := int64(len(u.tasks))
 	if most := u.step.spec.MaxPerWorker; most > 0 {
 		limit = min(limit, int64(most-c.runsOf(u.step, r.worker)))
@@ -335,7 +335,7 @@
 
 // bestRack is the rack that can take all n tasks and is left with the fewest
 // slots, or the data's rack.
-func (c *Core) bestRack(u *unit, rooms []*room, counts []int64, n int) (string, bool) {
+func (c *Core) bestRack(u *pendingStep, rooms []*room, counts []int64, n int) (string, bool) {
 	sums := make(map[string]int64)
 	for i, r := range rooms {
 		sums[r.Rack] += counts[i]
@@ -357,7 +357,7 @@
 
 // pick takes up to n slots of the workers that match, fullest first, so that
 // whole workers stay free for tasks that need one.
-func (c *Core) pick(u *unit, rooms []*room, counts []int64, n int, match func(*room) bool) []*room {
+func (c *Core) pick(u *pendingStep, rooms []*room, counts []int64, n int, match func(*room) bool) []*room {
 	order := make([]int, 0, len(rooms))
 	for i, r := range rooms {
 		if counts[i] > 0 && match(r) {
@@ -385,7 +385,7 @@
 // compareFullness puts the worker with the least left first. Work inside a
 // guarantee looks only at what other such work uses: the rest can be stopped,
 // and packed together it leaves workers that can be freed whole.
-func compareFullness(u *unit, a, b *room) int {
+func compareFullness(u *pendingStep, a, b *room) int {
 	if u.rank.class == 0 {
 		left := func(r *room) int64 { return r.Room.Accelerators - r.guarded.Accelerators }
 		if c := cmp.Compare(left(a), left(b)); c != 0 {
@@ -399,7 +399,7 @@
 }
 
 // startAt starts the first tasks of a unit in the rooms, one in each entry.
-func (c *Core) startAt(u *unit, places []*room) {
+func (c *Core) startAt(u *pendingStep, places []*room) {
 	delete(c.coming, u.queue.Pool) // these runs will end as well
 	var g *gang
 	attempt := c.nextAttempt()
@@ -411,7 +411,7 @@
 		u.dueBy.Sub(c.now).Milliseconds(), c.now.Sub(u.step.readySince).Milliseconds())
 	var first *FirstStart
 	if !u.step.job.began {
-		first = &FirstStart{Guaranteed: u.rank.class == 0, Priority: u.queue.Priority, Waited: c.now.Sub(c.begins(u.step))}
+		first = &FirstStart{Guaranteed: u.rank.class == 0, Priority: u.queue.Priority, Waited: c.now.Sub(c.earliestStart(u.step))}
 	}
 	for i, r := range places {
 		if g == nil && i > 0 {
--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -15,7 +15,7 @@
 // starts ended so. Some whole workers stay free for urgent work instead, as long
 // as there is any.
 const (
-	// headroomOver is how much more than the urgent work of late is kept room
+	// headroomOver is how much more than the urgent work lately is kept room
 	// for: its use varies by about a third from burst to burst.
 	headroomOver = 1.3
 	// headroomMost bounds the share of a pool's workers that is kept.
@@ -42,16 +42,16 @@
 	}
 }
 
-// keepsOut reports whether the unit may not use the workers that are kept for
+// mayNotUseReserve reports whether the unit may not use the workers that are kept for
 // urgent work: work that is not urgent and loses what it did when it is stopped.
-func (c *Core) keepsOut(u *unit) bool {
+func (c *Core) mayNotUseReserve(u *pendingStep) bool {
 	s := u.step.spec
 	return u.queue.Priority != 0 && !s.Lasting && !s.Checkpoints
 }
 
-// withoutHeadroom drops workers that are kept for urgent work, of those that run
+// withoutReserve drops workers that are kept for urgent work, of those that run
 // nothing else.
-func (c *Core) withoutHeadroom(pool string, rooms []*room) []*room {
+func (c *Core) withoutReserve(pool string, rooms []*room) []*room {
 	if loadOf(rooms) < c.number(NumHeadroomLoad, headroomLoad) {
 		return rooms
 	}
--- a/internal/dispatch/noroom.go
+++ b/internal/dispatch/infeasible.go
@@ -20,8 +20,8 @@
 	class                 int
 }
 
-// noRoom remembers, for one round, the least of each shape that found no room.
-type noRoom map[shape]lacking
+// infeasible remembers, for one round, the least of each shape that found no room.
+type infeasible map[shape]lacking
 
 // lacking is how many tasks found no room, and how long they take: shorter ones may
 // use room that is kept for others from a time on.
@@ -33,7 +33,7 @@
 // shapeOf returns a unit's shape; false if others like it say nothing of it: where
 // its place depends on its own step (a bound by worker, tickets), or on how long it
 // has waited.
-func (c *Core) shapeOf(u *unit) (shape, bool) {
+func (c *Core) shapeOf(u *pendingStep) (shape, bool) {
 	s := u.step.spec
 	if s.MaxPerWorker > 0 || u.queue.Advice != nil || u.rank.class == 0 || u.rank.urgent() {
 		return shape{}, false
@@ -43,19 +43,19 @@
 	}
 	return shape{
 		pool: u.queue.Pool, label: s.Label, dataRack: s.DataRack, need: s.Counted(), gang: s.Gang, oneRack: s.OneRack,
-		serving: s.TargetMS > 0, keptOut: c.keepsOut(u), class: u.rank.class,
+		serving: s.TargetMS > 0, keptOut: c.mayNotUseReserve(u), class: u.rank.class,
 	}, true
 }
 
 // lacks reports whether a unit will find no room because one that needed no more
 // found none. Single tasks lack room once one of them does.
-func (n noRoom) lacks(s shape, u *unit) bool {
+func (n infeasible) lacks(s shape, u *pendingStep) bool {
 	found, known := n[s]
 	return known && u.length >= found.length && (!s.gang || len(u.tasks) >= found.tasks)
 }
 
 // note keeps that a unit found no room, not even room that is being freed.
-func (n noRoom) note(s shape, u *unit) {
+func (n infeasible) note(s shape, u *pendingStep) {
 	found, known := n[s]
 	if !known || len(u.tasks) <= found.tasks && u.length <= found.length {
 		n[s] = lacking{len(u.tasks), u.length}
--- a/internal/dispatch/noroom_test.go
+++ b/internal/dispatch/infeasible_test.go
@@ -13,23 +13,23 @@
 func TestWhatFoundNoRoomSpeaksOnlyForWhatNeedsAsMuch(t *testing.T) {
 	found := gangJob("found", "batch", "other", 4, 4)
 	for name, c := range map[string]struct {
-		change func(job *workload.Job, u *unit)
+		change func(job *workload.Job, u *pendingStep)
 		lacks  bool
 	}{
-		"the same":                  {func(*workload.Job, *unit) {}, true},
-		"a larger gang":             {func(j *workload.Job, _ *unit) { j.Steps[0].Count = 5 }, true},
-		"a longer one":              {func(_ *workload.Job, u *unit) { u.length *= 2 }, true},
-		"a smaller gang":            {func(j *workload.Job, _ *unit) { j.Steps[0].Count = 3 }, false},
-		"a shorter one":             {func(_ *workload.Job, u *unit) { u.length /= 2 }, false},
-		"tasks that need less":      {func(j *workload.Job, _ *unit) { j.Steps[0].Need.Accelerators = 2 }, false},
-		"another label":             {func(j *workload.Job, _ *unit) { j.Steps[0].Label = "kind-b" }, false},
-		"work that may stop others": {func(_ *workload.Job, u *unit) { u.rank.class = 0 }, false},
-		"a bound on each worker":    {func(j *workload.Job, _ *unit) { j.Steps[0].MaxPerWorker = 1 }, false},
+		"the same":                  {func(*workload.Job, *pendingStep) {}, true},
+		"a larger gang":             {func(j *workload.Job, _ *pendingStep) { j.Steps[0].Count = 5 }, true},
+		"a longer one":              {func(_ *workload.Job, u *pendingStep) { u.length *= 2 }, true},
+		"a smaller gang":            {func(j *workload.Job, _ *pendingStep) { j.Steps[0].Count = 3 }, false},
+		"a shorter one":             {func(_ *workload.Job, u *pendingStep) { u.length /= 2 }, false},
+		"tasks that need less":      {func(j *workload.Job, _ *pendingStep) { j.Steps[0].Need.Accelerators = 2 }, false},
+		"another label":             {func(j *workload.Job, _ *pendingStep) { j.Steps[0].Label = "kind-b" }, false},
+		"work that may stop others": {func(_ *workload.Job, u *pendingStep) { u.rank.class = 0 }, false},
+		"a bound on each worker":    {func(j *workload.Job, _ *pendingStep) { j.Steps[0].MaxPerWorker = 1 }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t, 1, false)
-			unitOf := func(submitted *workload.Job, change func(*workload.Job, *unit)) *unit {
-				u := &unit{queue: b.core.config.Queue("batch"), length: 4 * time.Second, rank: rank{class: 3}}
+			unitOf := func(submitted *workload.Job, change func(*workload.Job, *pendingStep)) *pendingStep {
+				u := &pendingStep{queue: b.core.config.Queue("batch"), length: 4 * time.Second, rank: rank{class: 3}}
 				change(submitted, u)
 				s := newStep(&job{Job: submitted}, 0, 0)
 				u.step = s
@@ -38,10 +38,10 @@
 				}
 				return u
 			}
-			first := unitOf(found, func(*workload.Job, *unit) {})
+			first := unitOf(found, func(*workload.Job, *pendingStep) {})
 			form, alike := b.core.shapeOf(first)
 			assert.Assert(t, alike)
-			rooms := make(noRoom)
+			rooms := make(infeasible)
 			rooms.note(form, first)
 			next := unitOf(gangJob("next", "batch", "other", 4, 4), c.change)
 			form, alike = b.core.shapeOf(next)
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -21,9 +21,9 @@
 	// readySince is when it could first have run; zero while it could not.
 	readySince time.Time
 	began      bool
-	// told is why it waits, as of toldAt.
-	told   string
-	toldAt time.Time
+	// waitReason is why it waits, as of waitReasonAt.
+	waitReason   string
+	waitReasonAt time.Time
 	// length is how long a task is expected to take, as of the observations that had
 	// been made then.
 	length   time.Duration
@@ -175,49 +175,49 @@
 	c.dirty[j.ID] = j
 }
 
-// Unwritten is a record to be written.
-type Unwritten struct {
+// Unpersisted is a record to be written.
+type Unpersisted struct {
 	Job    string
 	Change uint64
 	Record []byte
 	Final  Final
 }
 
-// Unwritten returns up to limit records that the store does not have yet.
-func (c *Core) Unwritten(limit int) []Unwritten {
-	var list []Unwritten
+// Unpersisted returns up to limit records that the store does not have yet.
+func (c *Core) Unpersisted(limit int) []Unpersisted {
+	var list []Unpersisted
 	for _, id := range slices.Sorted(maps.Keys(c.dirty)) {
 		if len(list) == limit {
 			break
 		}
 		j := c.dirty[id]
-		list = append(list, Unwritten{Job: j.ID, Change: j.changed, Record: j.record.Encode(), Final: j.record.Final})
+		list = append(list, Unpersisted{Job: j.ID, Change: j.changed, Record: j.record.Encode(), Final: j.record.Final})
 	}
 	return list
 }
 
-// EndedUnwritten returns the jobs that are final, for some time already, and whose
+// EndedUnpersisted returns the jobs that are final, for some time already, and whose
 // record the store does not have.
-func (c *Core) EndedUnwritten(since time.Duration) []Unwritten {
-	var list []Unwritten
+func (c *Core) EndedUnpersisted(since time.Duration) []Unpersisted {
+	var list []Unpersisted
 	for _, j := range c.dirty {
 		if j.record.Final != "" && c.wallMS-j.record.EndedMS >= since.Milliseconds() {
-			list = append(list, Unwritten{Job: j.ID, Change: j.changed, Record: j.record.Encode(), Final: j.record.Final})
+			list = append(list, Unpersisted{Job: j.ID, Change: j.changed, Record: j.record.Encode(), Final: j.record.Final})
 		}
 	}
-	slices.SortFunc(list, func(a, b Unwritten) int { return cmp.Compare(a.Job, b.Job) })
+	slices.SortFunc(list, func(a, b Unpersisted) int { return cmp.Compare(a.Job, b.Job) })
 	return list
 }
 
-// Rewrite has a job's record written: the store may not have it as it is.
-func (c *Core) Rewrite(id string) {
+// MarkDirty has a job's record written: the store may not have it as it is.
+func (c *Core) MarkDirty(id string) {
 	if j := c.jobs[id]; j != nil {
 		c.change(j)
 	}
 }
 
 // Recorded notes that the store has the records of a list.
-func (c *Core) Recorded(list []Unwritten, now time.Time, wallMS int64) {
+func (c *Core) Recorded(list []Unpersisted, now time.Time, wallMS int64) {
 	c.tick(now, wallMS)
 	for _, u := range list {
 		j := c.jobs[u.Job]
@@ -230,7 +230,7 @@
 		}
 	}
 	for _, w := range c.fleet {
-		c.noteEnds(w)
+		c.acknowledgeable(w)
 	}
 }
 
--- a/internal/dispatch/leases.go
+++ b/internal/dispatch/leases.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
 // clockSkew is by how much a worker's clock may run slow.
@@ -44,13 +46,13 @@
 // longer listed and run nothing.
 func (c *Core) expireLeases() {
 	for _, w := range slices.Clone(c.fleet) {
-		if w.misses > 0 && len(w.runs)+len(w.foreign) > 0 && w.surelyLapsed(c.now, c.bounds.StopTime) {
+		if w.misses > 0 && len(w.runs)+len(w.unknownRuns) > 0 && w.surelyLapsed(c.now, c.bounds.StopTime) {
 			c.lapse(w)
 		}
-		if w.known && !w.unlistedSince.IsZero() && len(w.runs)+len(w.foreign) == 0 {
+		if w.known && !w.unlistedSince.IsZero() && len(w.runs)+len(w.unknownRuns) == 0 {
 			c.unstore(w)
 		}
-		if !w.unlistedSince.IsZero() && len(w.runs)+len(w.foreign) == 0 && c.now.Sub(w.unlistedSince) > slowest(c.bounds.LongestLease) &&
+		if !w.unlistedSince.IsZero() && len(w.runs)+len(w.unknownRuns) == 0 && c.now.Sub(w.unlistedSince) > slowest(c.bounds.LongestLease) &&
 			(w.known || !c.now.Before(c.surelyQuiet)) {
 			c.unstore(w)
 			delete(c.workers, w.ID)
@@ -60,9 +62,9 @@
 }
 
 func (c *Core) lapse(w *worker) {
-	w.foreign = nil
-	for _, r := range w.runs {
-		c.ended(r, "lapsed")
+	w.unknownRuns = nil
+	for _, r := range w.inOrder(anyRun) {
+		c.ended(r, workload.EndLapsed)
 	}
 }
 
@@ -72,46 +74,46 @@
 	w.known = true
 	w.unlistedSince = c.now
 	w.holdOff = c.now.Add(time.Hour)
-	w.nextLook = c.now.Add(time.Hour)
+	w.nextPoll = c.now.Add(time.Hour)
 }
 
-// Unseen lists the workers that have not answered this epoch while what an earlier
+// Unsynced lists the workers that have not answered this epoch while what an earlier
 // one started may run there; work of that time waits for them.
-func (c *Core) Unseen() []string {
+func (c *Core) Unsynced() []string {
 	var list []string
 	if !c.now.Before(c.surelyQuiet) {
 		return nil
 	}
 	for _, w := range c.fleet {
-		if w.mayRunUnseen() {
+		if w.mayRunUnsynced() {
 			list = append(list, w.ID)
 		}
 	}
 	return list
 }
 
-// mayRunUnseen reports whether something that an earlier epoch started may run on a
+// mayRunUnsynced reports whether something that an earlier epoch started may run on a
 // worker that has not answered this one. Nobody gives work to a worker that is not
 // in the table.
-func (w *worker) mayRunUnseen() bool { return !w.known && w.stored }
+func (w *worker) mayRunUnsynced() bool { return !w.known && w.stored }
 
-// Calm reports whether no worker is waited for: each that is listed has answered, and
+// Synced reports whether no worker is waited for: each that is listed has answered, and
 // what runs is known.
-func (c *Core) Calm() bool {
+func (c *Core) Synced() bool {
 	for _, w := range c.fleet {
 		listed := w.unlistedSince.IsZero()
-		if listed && !w.known || w.misses > 0 && (listed || len(w.runs) > 0) || len(w.foreign) > 0 {
+		if listed && !w.known || w.misses > 0 && (listed || len(w.runs) > 0) || len(w.unknownRuns) > 0 {
 			return false
 		}
 	}
 	return true
 }
 
-// mayRunUnseen reports whether a job's tasks may still run, by an earlier
+// mayRunUnsynced reports whether a job's tasks may still run, by an earlier
 // epoch's order, on a worker that has not answered this one.
-func (c *Core) mayRunUnseen(j *job) bool {
+func (c *Core) mayRunUnsynced(j *job) bool {
 	if !j.old || !c.now.Before(c.surelyQuiet) {
 		return false
 	}
-	return slices.ContainsFunc(c.fleet, (*worker).mayRunUnseen)
+	return slices.ContainsFunc(c.fleet, (*worker).mayRunUnsynced)
 }
--- a/internal/dispatch/leaving_test.go
+++ b/internal/dispatch/leaving_test.go
@@ -60,7 +60,7 @@
 	b.leave(host, time.Minute)
 	b.pass(testBounds.LongestLease)
 	b.silent[host] = true
-	b.pass(lookWait + lookAgain) // what one lost look takes, and the pause after it
+	b.pass(pollWait + pollAgain) // what one lost poll takes, and the pause after it
 	b.lapse()
 	assert.Equal(t, b.runningOf("gang"), 1)
 }
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -8,9 +8,9 @@
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
-// unit is what is placed as a whole: all tasks of a gang step, or the waiting
+// pendingStep is what is placed as a whole: all tasks of a gang step, or the waiting
 // tasks of any other step.
-type unit struct {
+type pendingStep struct {
 	step  *step
 	queue *workload.Queue
 	tasks []*task
@@ -57,7 +57,7 @@
 
 // placeOf orders ranks as place does, or by priority alone.
 func (c *Core) placeOf(r rank) int {
-	if !c.has(MechLateBehind) {
+	if !c.has(MechDemoteLate) {
 		return r.class
 	}
 	return r.place()
@@ -74,27 +74,27 @@
 // of the last round.
 func (c *Core) Waiting() map[int]int { return c.waiting }
 
-// units lists what could run now, most important first.
-func (c *Core) units() []*unit {
+// pendingSteps lists what could run now, most important first.
+func (c *Core) pendingSteps() []*pendingStep {
 	c.protect()
 	c.restarting = c.restarting[:0]
-	var list []*unit
-	foreign := c.foreignJobs()
+	var list []*pendingStep
+	unknownRuns := c.jobsWithUnknownRuns()
 	for _, j := range c.queue {
 		if j.record.Final != "" {
 			continue
 		}
-		if why := c.heldBack(j, foreign); why != "" {
-			c.tellHeld(j, why)
+		if why := c.heldBack(j, unknownRuns); why != "" {
+			c.recordHeldBack(j, why)
 			continue
 		}
 		q := c.config.Queue(j.Queue)
 		if q == nil {
 			continue // its queue was dropped: nothing says where it may run
 		}
-		list = c.unitsOf(list, j, q)
+		list = c.pendingStepsOf(list, j, q)
 	}
-	slices.SortStableFunc(list, func(a, b *unit) int {
+	slices.SortStableFunc(list, func(a, b *pendingStep) int {
 		if r := cmp.Compare(c.placeOf(a.rank), c.placeOf(b.rank)); r != 0 {
 			return r
 		}
@@ -105,17 +105,17 @@
 
 // heldBack says why nothing of a job may start although it could run: a run of it
 // that this epoch does not know may not be over. Empty if nothing holds it.
-func (c *Core) heldBack(j *job, foreign map[string]bool) string {
+func (c *Core) heldBack(j *job, unknownRuns map[string]bool) string {
 	switch {
-	case foreign[j.ID]:
+	case unknownRuns[j.ID]:
 		return "a run of it may not be over yet"
-	case c.mayRunUnseen(j):
+	case c.mayRunUnsynced(j):
 		return "workers that have not answered"
 	}
 	return ""
 }
 
-func (c *Core) unitsOf(list []*unit, j *job, q *workload.Queue) []*unit {
+func (c *Core) pendingStepsOf(list []*pendingStep, j *job, q *workload.Queue) []*pendingStep {
 	for _, s := range j.steps {
 		if s.open == 0 || !c.ready(s) {
 			continue
@@ -123,7 +123,7 @@
 		if s.claim != nil && s.gang != nil && s.gang.broken {
 			c.restarting = append(c.restarting, s)
 		}
-		u := &unit{step: s, queue: q, length: c.estimates.of(s)}
+		u := &pendingStep{step: s, queue: q, length: c.estimates.of(s)}
 		for i := range s.tasks {
 			if t := &s.tasks[i]; !t.done && len(t.runs) == 0 {
 				u.tasks = append(u.tasks, t)
@@ -135,18 +135,18 @@
 		if s.readySince.IsZero() {
 			s.readySince = c.now
 		}
-		c.rankUnit(u)
+		c.rankStep(u)
 		list = append(list, u)
 	}
 	return list
 }
 
-func (c *Core) rankUnit(u *unit) {
+func (c *Core) rankStep(u *pendingStep) {
 	j := u.step.job
-	objective := time.Duration(u.queue.Stretch*float64(c.chain(j))) + time.Duration(u.queue.GraceMS)*time.Millisecond
-	begins := c.begins(u.step)
-	u.dueBy = begins.Add(objective)
-	u.lostBy = begins.Add(lateFactor * objective)
+	objective := time.Duration(u.queue.Stretch*float64(c.criticalPath(j))) + time.Duration(u.queue.GraceMS)*time.Millisecond
+	earliestStart := c.earliestStart(u.step)
+	u.dueBy = earliestStart.Add(objective)
+	u.lostBy = earliestStart.Add(lateFactor * objective)
 	u.rank.class = 1 + u.queue.Priority
 	if j.protected {
 		u.rank.class = 0
@@ -160,9 +160,9 @@
 	}
 }
 
-// begins is when the clock of the latency objective starts: when the job was
+// earliestStart is when the clock of the latency objective starts: when the job was
 // received, or when the occurrence is due.
-func (c *Core) begins(s *step) time.Time {
+func (c *Core) earliestStart(s *step) time.Time {
 	j := s.job
 	if j.Times == 0 {
 		return j.received
@@ -171,8 +171,8 @@
 	return c.now.Add(time.Duration(due-c.wallMS) * time.Millisecond)
 }
 
-// chain is the estimated length of the job's longest chain of steps.
-func (c *Core) chain(j *job) time.Duration {
+// criticalPath is the estimated length of the job's longest chain of steps.
+func (c *Core) criticalPath(j *job) time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
 	longest := time.Duration(0)
 	for i := range j.Steps {
@@ -192,7 +192,7 @@
 // before it are done.
 func (c *Core) ready(s *step) bool {
 	j := s.job
-	if j.Times > 0 && c.begins(s).After(c.now) {
+	if j.Times > 0 && c.earliestStart(s).After(c.now) {
 		return false
 	}
 	first := s.occurrence * len(j.Steps)
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -8,7 +8,7 @@
 )
 
 // attemptsPerEpoch separates the attempt numbers of two epochs: an attempt is
-// the epoch times this, plus a counter. So attempts rise over all holders of
+// the epoch times this, plus a counter. So attempts rise over all leaders of
 // the lease without a write.
 const attemptsPerEpoch = 1_000_000
 
@@ -21,7 +21,7 @@
 	gang  *gang
 	need  workload.Resources
 	since time.Time
-	// settledBy is the sequence after which a look is sure to know of the
+	// settledBy is the sequence after which a poll is sure to know of the
 	// run's start (running) or of its stop (stopping, unclear).
 	settledBy uint64
 	// order is the start, until it is answered, and copies how often it was sent.
@@ -62,7 +62,7 @@
 
 // startWithin bounds, on the worker's clock, when a start may be carried out. A
 // start without an answer is settled after it even where the worker stays out
-// of reach; it is long enough for the first look to extend the lease.
+// of reach; it is long enough for the first poll to extend the lease.
 const startWithin = 1500 * time.Millisecond
 
 func (c *Core) nextAttempt() int64 {
@@ -209,7 +209,7 @@
 		if r != nil {
 			r.step(runStopAnswered)
 			r.settledBy = c.sequence
-			w.wantLook = true
+			w.wantPoll = true
 		}
 	case workload.VerdictFenced:
 		c.fenced = true
--- a/internal/dispatch/sight.go
+++ b/internal/dispatch/poll.go
@@ -19,14 +19,14 @@
 	// known workers have answered in this epoch: they refuse older epochs, and
 	// all that runs there is in runs.
 	known bool
-	// stored workers are in the product's table, so that a holder which never saw the
+	// stored workers are in the product's table, so that a leader which never saw the
 	// platform list them asks them all the same; storedLeaving is what it says there.
 	stored, storedLeaving bool
 	used                  workload.Resources
 	runs                  map[runKey]*run
-	// foreign is what runs there of jobs that are over or not known: it was told
+	// unknownRuns is what runs there of jobs that are over or not known: it was told
 	// to stop, and takes room until the worker no longer lists it.
-	foreign map[runKey]workload.Resources
+	unknownRuns map[runKey]workload.Resources
 	// clockMS was read off the worker no later than clockAt.
 	clockMS int64
 	clockAt time.Time
@@ -35,15 +35,15 @@
 	leaseMS int64
 	// heard is the last end that was taken in, noted the last one that may be
 	// acknowledged, told the last one that was.
-	heard, noted, told int64
-	unrecorded         []unrecordedEnd
+	heard, persisted, acknowledged int64
+	unpersisted                    []unpersistedEnd
 	// heardAt is when it answered last.
 	heardAt  time.Time
-	looking  bool
+	polling  bool
 	quick    bool
-	wantLook bool
-	nextLook time.Time
-	lastLook uint64
+	wantPoll bool
+	nextPoll time.Time
+	lastPoll uint64
 	// unlistedSince is when the platform ceased to list the worker.
 	unlistedSince time.Time
 	// leavesAt is the earliest time at which a leaving worker goes.
@@ -53,24 +53,24 @@
 	health   health
 }
 
-// unrecordedEnd is an end that must not be acknowledged before its job's
+// unpersistedEnd is an end that must not be acknowledged before its job's
 // record has reached a change.
-type unrecordedEnd struct {
+type unpersistedEnd struct {
 	number int64
 	job    *job
 	change uint64
 }
 
 const (
-	// lookWait is how long a worker may wait for an end before it answers. It
-	// leaves a lease most of its length when one look is lost.
-	lookWait = 1000 * time.Millisecond
+	// pollWait is how long a worker may wait for an end before it answers. It
+	// leaves a lease most of its length when one poll is lost.
+	pollWait = 1000 * time.Millisecond
 	// leavingLease is the lease of a worker that leaves. Once it is gone it may as well
-	// run on behind a cut, and its work waits for the end of its lease. Shorter, one look
+	// run on behind a cut, and its work waits for the end of its lease. Shorter, one poll
 	// that is lost would end what runs there.
 	leavingLease = 2500 * time.Millisecond
-	// lookAgain is the pause after a look without an answer.
-	lookAgain = 300 * time.Millisecond
+	// pollAgain is the pause after a poll without an answer.
+	pollAgain = 300 * time.Millisecond
 	// holdOffAfter is how long a worker that refused a start gets no other.
 	holdOffAfter = 300 * time.Millisecond
 )
@@ -110,52 +110,52 @@
 
 func (w *worker) missed(now time.Time) {
 	w.misses++
-	w.nextLook = now.Add(lookAgain)
-	w.wantLook = true
+	w.nextPoll = now.Add(pollAgain)
+	w.wantPoll = true
 }
 
-// looks emits the looks that are due: one waits at each worker that runs
+// polls emits the polls that are due: one waits at each worker that runs
 // something, and a quick one beside it settles stops.
 func (c *Core) looks() {
 	for _, w := range c.fleet {
 		switch {
-		case w.looking:
-			if (w.wantLook || c.inDoubt(w)) && !w.quick && !c.now.Before(w.nextLook) {
-				w.quick, w.wantLook = true, false
-				c.look(w, 0, true)
+		case w.polling:
+			if (w.wantPoll || c.isSuspect(w)) && !w.quick && !c.now.Before(w.nextPoll) {
+				w.quick, w.wantPoll = true, false
+				c.poll(w, 0, true)
 			}
-		case c.now.Before(w.nextLook):
-		case w.wantLook || !w.known || c.inDoubt(w):
-			w.wantLook = false
-			c.look(w, 0, false)
-		case len(w.unrecorded) > 0:
+		case c.now.Before(w.nextPoll):
+		case w.wantPoll || !w.known || c.isSuspect(w):
+			w.wantPoll = false
+			c.poll(w, 0, false)
+		case len(w.unpersisted) > 0:
 			// Ends are listed again until they are acknowledged, which the
 			// store's answer comes before: waiting would not wait.
-			w.nextLook = c.now.Add(lookAgain)
+			w.nextPoll = c.now.Add(pollAgain)
 		case len(w.runs) > 0:
-			c.look(w, lookWait, false)
-		case w.noted > w.told:
-			c.look(w, 0, false)
+			c.poll(w, pollWait, false)
+		case w.persisted > w.acknowledged:
+			c.poll(w, 0, false)
 		}
 	}
 }
 
-func (c *Core) look(w *worker, wait time.Duration, quick bool) {
-	look := workload.Look{Worker: w.ID, Addr: w.Addr, Epoch: c.epoch, Noted: w.noted, Wait: wait}
-	// A worker that does not answer gets no longer lease: a look that it never
+func (c *Core) poll(w *worker, wait time.Duration, quick bool) {
+	poll := workload.Poll{Worker: w.ID, Addr: w.Addr, Epoch: c.epoch, Acknowledged: w.persisted, Wait: wait}
+	// A worker that does not answer gets no longer lease: a poll that it never
 	// received would count as an extension, and its runs would never be taken for
 	// lapsed.
 	if w.clockMS > 0 && len(w.runs) > 0 && w.misses == 0 && !c.watching {
-		look.UntilMS = w.clock(c.now) + c.leaseOf(w).Milliseconds()
-		w.lease(look.UntilMS)
+		poll.UntilMS = w.clock(c.now) + c.leaseOf(w).Milliseconds()
+		w.lease(poll.UntilMS)
 	}
 	if !quick {
-		w.looking = true
+		w.polling = true
 	}
-	c.actions = append(c.actions, Action{Kind: ActLook, Look: look, Sequence: c.sequence, Quick: quick})
+	c.actions = append(c.actions, Action{Kind: ActPoll, Poll: poll, Sequence: c.sequence, Quick: quick})
 }
 
-// leaseOf is how long a look extends the lease of what runs on a worker.
+// leaseOf is how long a poll extends the lease of what runs on a worker.
 func (c *Core) leaseOf(w *worker) time.Duration {
 	if w.Leaving {
 		return min(leavingLease, c.bounds.LongestLease)
@@ -163,19 +163,19 @@
 	return c.bounds.LongestLease
 }
 
-// Saw takes a worker's answer to a look, sent as the action says.
-func (c *Core) Saw(sent Action, sight workload.Sight, now time.Time, wallMS int64) {
+// PollAnswered takes a worker's answer to a poll, sent as the action says.
+func (c *Core) PollAnswered(sent Action, report workload.Report, now time.Time, wallMS int64) {
 	c.tick(now, wallMS)
-	w := c.workers[sent.Look.Worker]
+	w := c.workers[sent.Poll.Worker]
 	if w == nil {
 		return
 	}
 	if sent.Quick {
 		w.quick = false
 	} else {
-		w.looking = false
+		w.polling = false
 	}
-	switch sight.Verdict {
+	switch report.Verdict {
 	case workload.VerdictDone:
 	case workload.VerdictFenced:
 		c.fenced = true
@@ -187,30 +187,30 @@
 		c.missed(w)
 		return
 	}
-	w.sample(sight.ClockMS, now)
+	w.sample(report.ClockMS, now)
 	if !w.known {
 		// Earlier epochs may have granted the longest lease until this moment;
 		// from now on the worker refuses them.
 		w.lease(w.clockMS + c.bounds.LongestLease.Milliseconds())
 	}
-	w.misses, w.nextLook, w.known = 0, time.Time{}, true
-	w.told = max(w.told, sent.Look.Noted)
-	if sight.Unread > 0 {
-		c.lookAgain(w) // its room is not known
+	w.misses, w.nextPoll, w.known = 0, time.Time{}, true
+	w.acknowledged = max(w.acknowledged, sent.Poll.Acknowledged)
+	if report.Unread > 0 {
+		c.pollAgain(w) // its room is not known
 	}
-	c.takeEnds(w, sight.Ended)
-	if sent.Sequence < w.lastLook {
-		return // a later look was answered first
+	c.takeCompletions(w, report.Ended)
+	if sent.Sequence < w.lastPoll {
+		return // a later poll was answered first
 	}
-	w.lastLook = sent.Sequence
-	c.takeRunning(w, sight.Running, sent.Sequence)
+	w.lastPoll = sent.Sequence
+	c.takeRunning(w, report.Running, sent.Sequence)
 }
 
 // takeRunning brings the runs of a worker in line with what it lists.
 func (c *Core) takeRunning(w *worker, list []workload.Running, sent uint64) {
 	listed := make(map[runKey]bool, len(list))
-	told := w.foreign
-	w.foreign = nil
+	told := w.unknownRuns
+	w.unknownRuns = nil
 	for _, running := range list {
 		key := runKey{running.Task, running.Attempt}
 		listed[key] = true
@@ -225,85 +225,84 @@
 			c.progress(r, running)
 		}
 	}
-	for key, r := range w.runs {
-		if listed[key] || sent < r.settledBy || r.settledBy == 0 {
-			continue
-		}
-		if r.stopping() {
-			if r.state == stRunStopped {
-				c.ended(r, workload.EndStopped)
-			}
-			continue
+	missing := w.inOrder(func(r *run) bool {
+		return !listed[runKey{r.task.id(), r.attempt}] && r.settledBy != 0 && sent >= r.settledBy
+	})
+	for _, r := range missing {
+		switch {
+		case !r.stopping():
+			c.unclear(r, "the worker no longer lists it")
+		case r.state == stRunStopped:
+			c.ended(r, workload.EndStopped)
 		}
-		c.unclear(r, "the worker no longer lists it")
 	}
 }
 
-// stopForeign stops a run of a job that is over or that nobody knows. Its room
+// stopUnknown stops a run of a job that is over or that nobody knows. Its room
 // is taken until the worker no longer lists it; where the job's row is gone,
 // that room is unknown and the worker gets nothing new meanwhile.
-func (c *Core) stopForeign(w *worker, running workload.Running) {
-	c.lookSoon(w)
+func (c *Core) stopUnknown(w *worker, running workload.Running) {
+	c.pollSoon(w)
 	c.actions = append(c.actions, Action{Kind: ActStop, Reason: "of no job that is open", Order: workload.Order{
 		Worker: w.ID, Addr: w.Addr, Task: running.Task, Attempt: running.Attempt, Epoch: c.epoch,
 	}})
 	var need workload.Resources
 	j := c.jobs[running.Task.Job]
 	if j == nil || running.Task.Step < 0 || running.Task.Step >= len(j.Steps) {
-		c.lookAgain(w)
+		c.pollAgain(w)
 	} else {
 		need = j.Steps[running.Task.Step].Counted()
 	}
-	if w.foreign == nil {
-		w.foreign = make(map[runKey]workload.Resources)
+	if w.unknownRuns == nil {
+		w.unknownRuns = make(map[runKey]workload.Resources)
 	}
-	w.foreign[runKey{running.Task, running.Attempt}] = need
+	w.unknownRuns[runKey{running.Task, running.Attempt}] = need
 }
 
-// lookSoon has a worker looked at again that runs what it should not.
-func (c *Core) lookSoon(w *worker) {
-	w.wantLook = true
-	w.nextLook = c.now.Add(foreignAgain)
+// pollSoon has a worker polled again that runs what it should not.
+func (c *Core) pollSoon(w *worker) {
+	w.wantPoll = true
+	w.nextPoll = c.now.Add(unknownAgain)
 }
 
-// lookAgain does, and gives it nothing new until then: how much room it has is not
+// pollAgain does, and gives it nothing new until then: how much room it has is not
 // known.
-func (c *Core) lookAgain(w *worker) {
-	c.lookSoon(w)
-	w.holdOff = c.now.Add(foreignAgain + holdOffAfter)
+func (c *Core) pollAgain(w *worker) {
+	c.pollSoon(w)
+	w.holdOff = c.now.Add(unknownAgain + holdOffAfter)
 }
 
-// foreignNeed is the room that foreign runs take.
-func (w *worker) foreignNeed() workload.Resources {
+// unknownNeed is the room that unknown runs take.
+func (w *worker) unknownNeed() workload.Resources {
 	var sum workload.Resources
-	for _, need := range w.foreign {
+	for _, need := range w.unknownRuns {
 		sum = sum.Add(need)
 	}
 	return sum
 }
 
-// foreignJobs are the jobs of which a foreign run may not have ended yet. A job
+// jobsWithUnknownRuns are the jobs of which an unknown run may not have ended yet. A job
 // can become known after a run of it was met, when another epoch started it in
 // the moment of its acceptance: nothing of it starts until that run is gone.
-func (c *Core) foreignJobs() map[string]bool {
+func (c *Core) jobsWithUnknownRuns() map[string]bool {
 	jobs := make(map[string]bool)
 	for _, w := range c.fleet {
-		for key := range w.foreign {
+		for key := range w.unknownRuns {
 			jobs[key.task.Job] = true
 		}
 	}
 	return jobs
 }
 
-// foreignAgain is when a worker is looked at again that runs what it should not.
-const foreignAgain = 250 * time.Millisecond
+// unknownAgain is when a worker is polled again that runs what it should not.
+const unknownAgain = 250 * time.Millisecond
 
 // adopt takes over a run that an earlier epoch started. A run that must not go
 // on, or that nobody knows, is stopped.
 func (c *Core) adopt(w *worker, running workload.Running) *run {
 	t := c.task(running.Task)
 	if t == nil {
-		c.stopForeign(w, running)
+		c.stopUnknown(w, running)
 		return nil
 	}
 	r := &run{
--- a/internal/dispatch/rack.go
+++ b/internal/dispatch/rack.go
@@ -9,10 +9,9 @@
 // This file answers gangs that belong on one rack, and tasks whose data lies on
 // one, on a deployment that is nearly full. Elsewhere they run several times as
 // long, miss their objective, and take the room of as many others meanwhile. So
-// they wait for their rack as long as it is going to have room. An earlier rule let
-// them go once they had waited as long as they would take longer elsewhere: on
-// heavy days nearly all went, and large gangs earned 57 % of their worth instead of
-// 70 % (make measure, dispatch, mean of all rows).
+// they wait for their rack as long as it is going to have room. Letting them go once
+// they have waited as long as they would take longer elsewhere lets nearly all go on
+// the heaviest days.
 
 // reclaimReserve is kept of the reclaim bound: stopping others, the orders, and
 // one order that has to be repeated.
@@ -32,7 +31,7 @@
 // mayGoFar reports whether the unit may start away from its rack: because no rack
 // will hold it soon, or because the deployment is nearly idle. Work inside a
 // guarantee waits as long as its start is still in time.
-func (c *Core) mayGoFar(u *unit, rooms []*room) bool {
+func (c *Core) mayGoFar(u *pendingStep, rooms []*room) bool {
 	s := u.step.spec
 	if !s.OneRack && s.DataRack == "" || !c.has(MechRackPatience) || !c.rackWillHold(u, rooms) {
 		return true
@@ -47,7 +46,7 @@
 
 // rackWillHold reports whether the unit will fit on its rack by the ends that can
 // be counted on.
-func (c *Core) rackWillHold(u *unit, rooms []*room) bool {
+func (c *Core) rackWillHold(u *pendingStep, rooms []*room) bool {
 	sums := make(map[string]int64)
 	for _, r := range rooms {
 		sums[r.Rack] += c.slots(u, r, c.prospect(u, r))
@@ -67,19 +66,19 @@
 // work, which has others stopped; else what it has once the runs have ended whose
 // ends can be counted on. Lasting tasks have none, and runs that are overdue may
 // have stalled.
-func (c *Core) prospect(u *unit, r *room) workload.Resources {
+func (c *Core) prospect(u *pendingStep, r *room) workload.Resources {
 	if u.rank.urgent() {
 		return r.Room
 	}
-	if !r.stuckKnown {
-		r.stuckKnown = true
+	if !r.overdueKnown {
+		r.overdueKnown = true
 		for _, run := range r.runs {
 			if !run.stopping() && (run.task.step.spec.Lasting || c.isOverdue(run)) {
-				r.stuck = r.stuck.Add(run.need)
+				r.overdueUse = r.overdueUse.Add(run.need)
 			}
 		}
 	}
-	return r.Room.Sub(r.stuck)
+	return r.Room.Sub(r.overdueUse)
 }
 
 func (c *Core) isOverdue(r *run) bool {
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -20,7 +20,7 @@
 
 // Record is what the store keeps of a job's progress. It is written before the
 // ends that it holds are acknowledged to a worker, so it is all that a new
-// holder of the lease needs besides what workers still list.
+// leader needs besides what workers still list.
 type Record struct {
 	Final Final `json:"final,omitempty"`
 	// EndedMS is when it became final, in milliseconds since 1970.
--- a/internal/dispatch/repeat.go
+++ b/internal/dispatch/repeat.go
@@ -5,16 +5,15 @@
 )
 
 // This file answers orders that get lost: a worker that leaves a share of them
-// unanswered, and carries these out seconds later or never. Without it the driver's
-// time-out decided: a gang of which one start got no answer was stopped after half a
-// second and started again two seconds later, and room that was freed for urgent work
-// came 0.7 s late with each stop that was lost. An order that is repeated says the same
-// once more: a run that is there stays the only one, and what a stop has closed stays
-// closed.
+// unanswered, and carries these out seconds later or never. Without it the time-out of
+// the call decides: a gang of which one start got no answer is stopped and started
+// again, and each stop that was lost holds up the urgent work that it frees room for. An
+// order that is repeated says the same once more: a run that is there stays the only
+// one, and what a stop has closed stays closed.
 
 const (
 	// repeatAfter is how long an order may go without an answer before it is sent
-	// again: workers answer within 10 ms, and within 100 ms when they are slowed.
+	// again; slowed workers answer sooner.
 	repeatAfter = 120 * time.Millisecond
 	// stopAgainAfter is when a stop is sent again that was repeated already, or whose
 	// worker answers nothing. It is longer than the time-out of the call.
@@ -41,7 +40,7 @@
 
 // repeatStarts sends starts once more that are not answered.
 func (c *Core) repeatStarts() {
-	if !c.has(MechRepeats) {
+	if !c.has(MechResends) {
 		return
 	}
 	for _, r := range c.ordered {
@@ -57,8 +56,9 @@
 // resendStops sends stops again that are not answered.
 func (c *Core) resendStops() {
 	for _, w := range c.fleet {
-		for _, r := range w.runs {
-			if r.stopping() && r.state != stRunStopped && c.isStopDue(w, r) {
+		unanswered := w.inOrder(func(r *run) bool { return r.stopping() && r.state != stRunStopped })
+		for _, r := range unanswered {
+			if c.isStopDue(w, r) {
 				c.sendStop(r)
 			}
 		}
@@ -70,5 +70,5 @@
 	if waited >= stopAgainAfter {
 		return true
 	}
-	return waited >= repeatAfter && r.stops == 1 && w.misses == 0 && c.has(MechRepeats) && c.repeats.take()
+	return waited >= repeatAfter && r.stops == 1 && w.misses == 0 && c.has(MechResends) && c.repeats.take()
 }
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -28,7 +28,7 @@
 // runs. Without it large gangs starve behind small work, which fills every gap
 // as soon as it opens.
 // False if its workers will never have room by those ends.
-func (c *Core) keep(u *unit, rooms []*room, far bool) bool {
+func (c *Core) keep(u *pendingStep, rooms []*room, far bool) bool {
 	r := c.earliest(u, rooms, far)
 	if r != nil {
 		c.reserve(u, r)
@@ -45,11 +45,11 @@
 // an estimate of half a second is off by little.
 const waitOutAhead = 500 * time.Millisecond
 
-// waitOut reserves room for an urgent unit that will have it in time without
+// waitForEnds reserves room for an urgent unit that will have it in time without
 // stopping anyone; false if it will not. What is stopped is lost, and a unit
 // that has time to spare saves it. Estimates are wrong at times: the decision is
 // made anew in every round.
-func (c *Core) waitOut(u *unit, rooms []*room, far bool) bool {
+func (c *Core) waitForEnds(u *pendingStep, rooms []*room, far bool) bool {
 	latest := u.dueBy.Add(-u.length)
 	if u.rank.class == 0 {
 		if bound := u.step.readySince.Add(c.bounds.Reclaim - reclaimReserve); bound.Before(latest) || u.rank.hope != onTime {
@@ -70,7 +70,7 @@
 
 // earliest is the first moment at which the unit fits, on one rack if it belongs
 // on one.
-func (c *Core) earliest(u *unit, rooms []*room, far bool) *reservation {
+func (c *Core) earliest(u *pendingStep, rooms []*room, far bool) *reservation {
 	if !u.step.spec.OneRack || far {
 		return c.earliestOn(u, rooms)
 	}
@@ -84,7 +84,7 @@
 	return best
 }
 
-func (c *Core) earliestOn(u *unit, rooms []*room) *reservation {
+func (c *Core) earliestOn(u *pendingStep, rooms []*room) *reservation {
 	c.searches++
 	r := &reservation{at: c.now, future: make(map[*room]workload.Resources, len(rooms))}
 	total := int64(0)
@@ -92,7 +92,7 @@
 		if !candidate.keptFrom.IsZero() {
 			continue
 		}
-		candidate.sought = c.searches
+		candidate.searchedBy = c.searches
 		r.rooms = append(r.rooms, candidate)
 		r.future[candidate] = candidate.soon
 		total += c.slots(u, candidate, candidate.soon)
@@ -102,7 +102,7 @@
 		if total >= wanted {
 			break
 		}
-		if end.room.sought != c.searches || end.run.stopping() {
+		if end.room.searchedBy != c.searches || end.run.stopping() {
 			continue // not among the rooms, or told to stop in this round
 		}
 		before := c.slots(u, end.room, r.future[end.room])
@@ -142,7 +142,7 @@
 
 // reserve keeps slots for a unit on the workers that will have them, those with
 // the least room to spare first.
-func (c *Core) reserve(u *unit, res *reservation) {
+func (c *Core) reserve(u *pendingStep, res *reservation) {
 	counts := make([]int64, len(res.rooms))
 	for i, r := range res.rooms {
 		counts[i] = c.slots(u, r, res.future[r])
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -1,6 +1,11 @@
 package dispatch
 
-import "github.com/corianderbank/corianderbank/internal/chart"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/corianderbank/corianderbank/internal/chart"
+)
 
 // runChart says which states a run goes through.
 var runChart = chart.MustLoad("run")
@@ -20,6 +25,30 @@
 	runGone         chart.Event = "gone"
 )
 
+// inOrder lists the runs of a worker that match, in an order of their own: the same
+// events lead to the same orders.
+func (w *worker) inOrder(match func(*run) bool) []*run {
+	var list []*run
+	for _, r := range w.runs {
+		if match(r) {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b *run) int {
+		x, y := a.task.id(), b.task.id()
+		return cmp.Or(
+			cmp.Compare(a.attempt, b.attempt),
+			cmp.Compare(x.Job, y.Job),
+			cmp.Compare(x.Occurrence, y.Occurrence),
+			cmp.Compare(x.Step, y.Step),
+			cmp.Compare(x.Index, y.Index),
+		)
+	})
+	return list
+}
+
+func anyRun(*run) bool { return true }
+
 // step moves a run on. A run that is over is forgotten, and nothing moves it.
 func (r *run) step(event chart.Event) {
 	next, err := runChart.Next(r.state, event)
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -8,7 +8,7 @@
 
 // This file answers workers whose entry in the platform's list lapsed while they ran
 // on, cut off from the platform. An instance that started meanwhile has never seen
-// them; as the holder of the lease it would run their tasks a second time. So each
+// them; as the leader it would run their tasks a second time. So each
 // worker is put into the product's own table before it gets any work, and taken out
 // once nothing of ours can run there.
 
--- a/internal/dispatch/stored_test.go
+++ b/internal/dispatch/stored_test.go
@@ -28,8 +28,8 @@
 		count := 0
 		for _, a := range core.Decide(epochStart, 0) {
 			switch a.Kind {
-			case ActLook:
-				core.Saw(a, workload.Sight{ClockMS: 1}, epochStart, 0)
+			case ActPoll:
+				core.PollAnswered(a, workload.Report{ClockMS: 1}, epochStart, 0)
 			case ActStart:
 				count++
 			}
--- a/internal/dispatch/doubt_test.go
+++ b/internal/dispatch/suspect_test.go
@@ -57,7 +57,7 @@
 func TestAZoneWhoseInstancesDoNotAnswerIsLookedAtBeforeItGetsWork(t *testing.T) {
 	b := twoZones(t)
 	b.cut("za")
-	b.core.Doubt("za", b.now, b.wallMS)
+	b.core.Suspect("za", b.now, b.wallMS)
 	b.add(gangJob("gang", "urgent", "other", 2, 8))
 	b.pass(100 * time.Millisecond)
 	assert.Equal(t, b.startsIn("za"), 0)
@@ -70,7 +70,7 @@
 	b.add(gangJob("first", "urgent", "other", 1, 8))
 	b.pass(200 * time.Millisecond)
 	assert.DeepEqual(t, b.startedAt, []string{"w00"})
-	assert.Assert(t, !b.core.inDoubt(b.core.workers["w01"]), "it answered")
+	assert.Assert(t, !b.core.isSuspect(b.core.workers["w01"]), "it answered")
 	b.add(gangJob("second", "urgent", "other", 1, 8))
 	b.pass(100 * time.Millisecond)
 	assert.DeepEqual(t, b.startedAt, []string{"w00", "w01"})
@@ -82,12 +82,12 @@
 	for range 10 { // its starts are under way all the time
 		b.now = b.now.Add(50 * time.Millisecond)
 		for _, a := range b.core.Decide(b.now, b.wallMS) {
-			if a.Kind != ActStart && a.Kind != ActLook {
+			if a.Kind != ActStart && a.Kind != ActPoll {
 				b.carryOut(a)
 			}
 		}
 	}
-	assert.Assert(t, b.core.inDoubt(b.core.workers["w05"]))
-	assert.Assert(t, b.core.inDoubt(b.core.workers["w15"]), "nobody of the rack answered, so its zone is in doubt")
-	assert.Assert(t, !b.core.inDoubt(b.core.workers["w25"]))
+	assert.Assert(t, b.core.isSuspect(b.core.workers["w05"]))
+	assert.Assert(t, b.core.isSuspect(b.core.workers["w15"]), "nobody of the rack answered, so its zone is in doubt")
+	assert.Assert(t, !b.core.isSuspect(b.core.workers["w25"]))
 }
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -9,7 +9,7 @@
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
-// takeover is a bench whose holder before may give orders for a while yet.
+// takeover is a bench whose leader before may give orders for a while yet.
 func takeover(t *testing.T, overlap time.Duration) *bench {
 	b := newBench(t, 2, true)
 	b.core = New(testBounds, 3, b.now, b.now.Add(overlap))
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -11,28 +11,28 @@
 
 // The mechanisms.
 const (
-	MechHeadroom     Mechanism = "headroom"
-	MechClaims       Mechanism = "claims"
-	MechWaitOut      Mechanism = "wait_out"
-	MechReservations Mechanism = "reservations"
-	MechRackPatience Mechanism = "rack_patience"
-	MechEstimates    Mechanism = "estimates"
-	MechSickWorkers  Mechanism = "sick_workers"
-	MechEvacuation   Mechanism = "evacuation"
-	MechDoubts       Mechanism = "doubts"
-	MechLateBehind   Mechanism = "late_behind"
-	MechCheapVictims Mechanism = "cheap_victims"
-	MechPacking      Mechanism = "packing"
-	MechRackOrder    Mechanism = "rack_order"
-	MechRestarts     Mechanism = "restarts"
-	MechRepeats      Mechanism = "repeats"
+	MechHeadroom       Mechanism = "headroom"
+	MechClaims         Mechanism = "claims"
+	MechWaitForEnds    Mechanism = "wait_for_ends"
+	MechReservations   Mechanism = "reservations"
+	MechRackPatience   Mechanism = "rack_patience"
+	MechEstimates      Mechanism = "estimates"
+	MechSickWorkers    Mechanism = "sick_workers"
+	MechEvacuation     Mechanism = "evacuation"
+	MechSuspectDomains Mechanism = "suspect_domains"
+	MechDemoteLate     Mechanism = "demote_late"
+	MechCheapVictims   Mechanism = "cheap_victims"
+	MechPacking        Mechanism = "packing"
+	MechRackOrder      Mechanism = "rack_order"
+	MechRestartClaims  Mechanism = "restart_claims"
+	MechResends        Mechanism = "resends"
 )
 
 // Mechanisms lists them all.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		MechHeadroom, MechClaims, MechWaitOut, MechReservations, MechRackPatience, MechEstimates, MechSickWorkers,
-		MechEvacuation, MechDoubts, MechLateBehind, MechCheapVictims, MechPacking, MechRackOrder, MechRestarts, MechRepeats,
+		MechHeadroom, MechClaims, MechWaitForEnds, MechReservations, MechRackPatience, MechEstimates, MechSickWorkers,
+		MechEvacuation, MechSuspectDomains, MechDemoteLate, MechCheapVictims, MechPacking, MechRackOrder, MechRestartClaims, MechResends,
 	}
 }
 
--- a/internal/dispatch/victims.go
+++ b/internal/dispatch/victims.go
@@ -16,11 +16,11 @@
 // work on a full deployment: without it guaranteed capacity would be there only
 // once others have ended. It stops as little work as it can, and nothing unless
 // the whole unit will fit; false if nothing can.
-func (c *Core) makeRoom(u *unit, rooms []*room, far bool, soon []*room) bool {
+func (c *Core) makeRoom(u *pendingStep, rooms []*room, far bool, soon []*room) bool {
 	plan := c.cheapest(u, rooms, far)
 	if plan == nil {
 		if !u.step.spec.Gang {
-			hold(u, soon)
+			takeRoom(u, soon)
 		}
 		return false
 	}
@@ -51,7 +51,7 @@
 
 // cheapest returns the offers that make the unit fit at the least cost, on one
 // rack if the unit belongs on one, unless it may go far; nil if nothing can.
-func (c *Core) cheapest(u *unit, rooms []*room, far bool) []offer {
+func (c *Core) cheapest(u *pendingStep, rooms []*room, far bool) []offer {
 	if !u.step.spec.OneRack {
 		plan, _ := c.cheapestOf(u, rooms)
 		return plan
@@ -83,7 +83,7 @@
 	return list
 }
 
-func (c *Core) cheapestOf(u *unit, rooms []*room) ([]offer, float64) {
+func (c *Core) cheapestOf(u *pendingStep, rooms []*room) ([]offer, float64) {
 	var offers []offer
 	for _, r := range rooms {
 		offers = append(offers, c.offers(u, r)...)
@@ -120,7 +120,7 @@
 }
 
 // offers lists what one, two, and more slots on a worker cost.
-func (c *Core) offers(u *unit, r *room) []offer {
+func (c *Core) offers(u *pendingStep, r *room) []offer {
 	victims := c.victims(u, r)
 	free := r.soon
 	var list []offer
@@ -143,7 +143,7 @@
 
 // victims lists the runs on a worker that may be stopped for the unit, those
 // that lose the least work first.
-func (c *Core) victims(u *unit, r *room) []*run {
+func (c *Core) victims(u *pendingStep, r *room) []*run {
 	var list []*run
 	for _, run := range r.runs {
 		if !run.stopping() && c.yields(run, u) {
@@ -164,7 +164,7 @@
 
 // yields reports whether a run may be stopped for the unit: lower priority for
 // urgent work, and anything outside a guarantee for work inside one.
-func (c *Core) yields(victim *run, u *unit) bool {
+func (c *Core) yields(victim *run, u *pendingStep) bool {
 	s := victim.task.step
 	q := c.config.Queue(s.job.Queue)
 	if s.job.protected || q == nil {
--- a/internal/dispatch/watch_test.go
+++ b/internal/dispatch/watch_test.go
@@ -24,13 +24,13 @@
 	for range 40 {
 		b.now, b.wallMS = b.now.Add(50*time.Millisecond), b.wallMS+50
 		for _, a := range b.core.Watch(b.now, b.wallMS) {
-			assert.Equal(t, a.Kind, ActLook)
-			assert.Equal(t, a.Look.UntilMS, int64(0))
+			assert.Equal(t, a.Kind, ActPoll)
+			assert.Equal(t, a.Poll.UntilMS, int64(0))
 			b.carryOut(a)
 		}
 	}
 	assert.Equal(t, b.starts, starts)
-	ended := b.core.EndedUnwritten(time.Second)
+	ended := b.core.EndedUnpersisted(time.Second)
 	assert.Equal(t, len(ended), 1)
 	assert.Equal(t, ended[0].Job, "ends")
 	assert.Equal(t, ended[0].Final, FinalCompleted)
--- a/internal/dispatch/witness_test.go
+++ b/internal/dispatch/witness_test.go
@@ -31,8 +31,8 @@
 		"it refused an order a moment ago":             {func(c *Core, w *worker) { w.refused(c.now) }, false},
 		"it says that it leaves":                       {func(_ *Core, w *worker) { w.Leaving = true }, false},
 		"it is no longer listed":                       {func(c *Core, w *worker) { w.unlistedSince = c.now }, false},
-		"its rack is in doubt and it has not answered": {func(c *Core, w *worker) { c.doubt(w.rack()); w.heardAt = c.now.Add(-time.Second) }, false},
-		"its rack is in doubt and it has answered":     {func(c *Core, w *worker) { c.doubt(w.rack()); w.heardAt = c.now.Add(time.Millisecond) }, true},
+		"its rack is in doubt and it has not answered": {func(c *Core, w *worker) { c.suspectDomain(w.rack()); w.heardAt = c.now.Add(-time.Second) }, false},
+		"its rack is in doubt and it has answered":     {func(c *Core, w *worker) { c.suspectDomain(w.rack()); w.heardAt = c.now.Add(time.Millisecond) }, true},
 	} {
 		t.Run(sentence, func(t *testing.T) {
 			b := newBench(t, 1, false)
--- a/internal/emulator/day.go
+++ b/internal/emulator/day.go
@@ -15,7 +15,7 @@
 	Workers []workerTrouble `json:"workers,omitempty"`
 	Cuts    []cut           `json:"cuts,omitempty"`
 	Outages []stretch       `json:"outages,omitempty"`
-	// Handovers are planned changes of the holder, Crashes are others, by their times
+	// Handovers are planned changes of the leader, Crashes are others, by their times
 	// in seconds.
 	Handovers []float64 `json:"handovers_s,omitempty"`
 	Crashes   []float64 `json:"crashes_s,omitempty"`
--- a/internal/emulator/doc.go
+++ b/internal/emulator/doc.go
@@ -1,6 +1,6 @@
 // Package emulator plays days of a deployment against the core of
 // internal/dispatch, in virtual time: callers, workers with leases, changes of the
-// holder, zones that are cut off, a store that is away. Deployments and days are
+// leader, zones that are cut off, a store that is away. Deployments and days are
 // files; further deployments are drawn at random around those of the users. It
 // answers within seconds what a change of a decision is worth to callers, and on
 // which deployments. What it leaves out: processor time, the network between
@@ -11,7 +11,7 @@
 //	day.go         days: load, bursts, troubles, their files
 //	arrivals.go    the jobs of a day, with what only a clairvoyant knows
 //	player.go      one play: arrivals, orders, looks, records
-//	holder.go      who schedules, and changes of it
+//	leader.go      who schedules, and changes of it
 //	callers.go     how callers get their jobs accepted
 //	world.go       workers, runs, gangs, leases
 //	tally.go       what callers got
--- a/internal/emulator/holder.go
+++ b/internal/emulator/leader.go
@@ -8,21 +8,21 @@
 )
 
 const (
-	// crashGap is how long nobody schedules after a holder crashed or was cut off: two
+	// crashGap is how long nobody schedules after a leader crashed or was cut off: two
 	// missed renewals, a question, the take-over and a read of the table. handoverGap
 	// is the same for a planned stop.
 	crashGap    = 1300 * time.Millisecond
 	handoverGap = 60 * time.Millisecond
 	// leaseLength is how long a lease holds without a renewal, renewedAgo how old the
-	// last renewal is when a holder is lost.
+	// last renewal is when a leader is lost.
 	leaseLength = 2 * time.Second
 	renewedAgo  = 200 * time.Millisecond
-	// storeBack is how long after the store's return a new holder has its lease.
+	// storeBack is how long after the store's return a new leader has its lease.
 	storeBack = 100 * time.Millisecond
 )
 
-// holder is whoever schedules.
-type holder struct {
+// leader is whoever schedules.
+type leader struct {
 	// core is nil while nobody does.
 	core  *dispatch.Core
 	epoch int64
@@ -35,9 +35,9 @@
 	storeGone time.Duration
 }
 
-// changeHolders takes what happens to the holder at this tick.
-func (pl *player) changeHolders() {
-	h := &pl.holder
+// changeHolders takes what happens to the leader at this tick.
+func (pl *player) changeLeaders() {
+	h := &pl.leader
 	if h.core != nil {
 		switch {
 		case pl.due(&pl.handovers):
@@ -62,18 +62,18 @@
 }
 
 func (pl *player) lose(gap, earlier time.Duration) {
-	h := &pl.holder
+	h := &pl.leader
 	h.core, h.ready, h.earlier = nil, pl.now+gap, earlier
 	pl.answers = nil
 	for _, w := range pl.order {
-		w.look = nil
+		w.poll = nil
 	}
 }
 
 // watchStore notes since when the store is away; nobody can take the lease before it
 // is back for a moment.
 func (pl *player) watchStore() {
-	h := &pl.holder
+	h := &pl.leader
 	switch away := pl.day.storeAway(pl.now); {
 	case away && h.storeGone == 0:
 		h.storeGone = pl.now
@@ -83,15 +83,15 @@
 	}
 }
 
-// paused reports whether the holder's lease ran out because the store is away.
+// paused reports whether the leader's lease ran out because the store is away.
 func (pl *player) paused() bool {
-	h := &pl.holder
+	h := &pl.leader
 	return h.storeGone != 0 && pl.now-h.storeGone > leaseLength-renewedAgo
 }
 
-// begin lets a new holder begin with what is stored, in a zone that is not cut off.
+// begin lets a new leader begin with what is stored, in a zone that is not cut off.
 func (pl *player) begin() {
-	h := &pl.holder
+	h := &pl.leader
 	for range pl.deployment.Zones {
 		if h.epoch > 0 {
 			h.zone = (h.zone + 1) % pl.deployment.Zones
@@ -118,7 +118,7 @@
 		}
 		h.core.AddJob(a.job, record, slices.Contains(pl.cancelled, a), pl.time(), pl.wall())
 		if announced.Final != "" {
-			h.core.Rewrite(a.job.ID)
+			h.core.MarkDirty(a.job.ID)
 		}
 	}
 	pl.writing = false
--- a/internal/emulator/player.go
+++ b/internal/emulator/player.go
@@ -12,14 +12,14 @@
 )
 
 const (
-	// tick is the resolution of the play, and the time that an order, a look or a
+	// tick is the resolution of the play, and the time that an order, a poll or a
 	// write takes to be answered.
 	tick = 10 * time.Millisecond
 	// roundEvery is the longest time between two rounds of decisions.
 	roundEvery = 50 * time.Millisecond
-	// orderTimeout and lookTimeout bound calls to workers that are cut off.
+	// orderTimeout and pollTimeout bound calls to workers that are cut off.
 	orderTimeout = 500 * time.Millisecond
-	lookTimeout  = 600 * time.Millisecond
+	pollTimeout  = 600 * time.Millisecond
 	// stopLeast is the share of its bound that a stop takes at least: 3,674 stops on the
 	// platform took 0.3 to 1.0 of it, evenly spread.
 	stopLeast = 0.3
@@ -30,7 +30,7 @@
 // began is when every play begins; the steady and the wall clock agree.
 var began = time.Unix(1_800_000_000, 0)
 
-// answer is an event for the holder that is due at a time.
+// answer is an event for the leader that is due at a time.
 type answer struct {
 	at   time.Duration
 	tell func(core *dispatch.Core)
@@ -41,7 +41,7 @@
 	deployment *Deployment
 	day        *Day
 	tuning     dispatch.Tuning
-	holder     holder
+	leader     leader
 	now        time.Duration
 	workers    map[string]*worker
 	order      []*worker
@@ -133,7 +133,7 @@
 	a.job.AcceptedMS = pl.wall()
 	pl.jobs[a.job.ID] = a
 	pl.accepted = append(pl.accepted, a)
-	if core := pl.holder.core; core != nil {
+	if core := pl.leader.core; core != nil {
 		core.AddJob(a.job, dispatch.Record{}, false, pl.time(), pl.wall())
 		pl.touched = true
 	}
@@ -141,7 +141,7 @@
 
 func (pl *player) cancel(a *arrival) {
 	pl.cancelled = append(pl.cancelled, a)
-	if core := pl.holder.core; core != nil {
+	if core := pl.leader.core; core != nil {
 		core.Cancel(a.job.ID, pl.time(), pl.wall())
 		pl.touched = true
 	}
@@ -152,13 +152,13 @@
 	for _, w := range pl.order {
 		pl.work(w)
 	}
-	pl.changeHolders()
-	core := pl.holder.core
+	pl.changeLeaders()
+	core := pl.leader.core
 	if core == nil {
 		return
 	}
 	for _, w := range pl.order {
-		pl.answerLook(w)
+		pl.answerPoll(w)
 	}
 	pl.takeAnswers(core)
 	if !pl.touched && pl.now-pl.planned < roundEvery {
@@ -188,12 +188,12 @@
 	}
 }
 
-// later lets the holder have an answer after a while.
+// later lets the leader have an answer after a while.
 func (pl *player) later(after time.Duration, tell func(core *dispatch.Core)) {
 	pl.answers = append(pl.answers, answer{pl.now + after, tell})
 }
 
-// route is how the holder reaches a worker.
+// route is how the leader reaches a worker.
 type route int
 
 const (
@@ -207,10 +207,10 @@
 		return pathSilent
 	}
 	zones := pl.deployment.Zones
-	if w.zone == pl.holder.zone {
+	if w.zone == pl.leader.zone {
 		return pathOpen
 	}
-	c := cmp.Or(pl.day.cutAt(w.zone, zones, pl.now), pl.day.cutAt(pl.holder.zone, zones, pl.now))
+	c := cmp.Or(pl.day.cutAt(w.zone, zones, pl.now), pl.day.cutAt(pl.leader.zone, zones, pl.now))
 	switch {
 	case c == nil:
 		return pathOpen
@@ -240,8 +240,8 @@
 	case dispatch.ActStop:
 		receipt, after := pl.give(order, func(w *worker) { pl.stop(w, order, strings.HasPrefix(action.Reason, "makes room")) })
 		pl.later(after, func(core *dispatch.Core) { core.StopAnswered(order, receipt, pl.time(), pl.wall()) })
-	case dispatch.ActLook:
-		pl.look(action)
+	case dispatch.ActPoll:
+		pl.poll(action)
 	}
 }
 
@@ -259,46 +259,50 @@
 	return workload.Receipt{ClockMS: pl.wall()}, tick
 }
 
-func (pl *player) look(action dispatch.Action) {
-	w := pl.workers[action.Look.Worker]
+func (pl *player) poll(action dispatch.Action) {
+	w := pl.workers[action.Poll.Worker]
 	if p := pl.pathTo(w); p != pathOpen {
-		verdict, after := p.lost(action.Look.Wait + lookTimeout)
-		pl.later(after, func(core *dispatch.Core) { core.Saw(action, workload.Sight{Verdict: verdict}, pl.time(), pl.wall()) })
+		verdict, after := p.lost(action.Poll.Wait + pollTimeout)
+		pl.later(after, func(core *dispatch.Core) {
+			core.PollAnswered(action, workload.Report{Verdict: verdict}, pl.time(), pl.wall())
+		})
 		return
 	}
-	w.lease(action.Look.UntilMS)
-	if action.Look.Wait == 0 || w.unseen(action.Look.Noted) {
-		pl.sight(w, action)
+	w.lease(action.Poll.UntilMS)
+	if action.Poll.Wait == 0 || w.unseen(action.Poll.Acknowledged) {
+		pl.report(w, action)
 		return
 	}
-	w.look, w.lookBy = &action, pl.now+action.Look.Wait
+	w.poll, w.lookBy = &action, pl.now+action.Poll.Wait
 }
 
-// answerLook answers the look that waits at a worker, if an end has come or its time
+// answerPoll answers the poll that waits at a worker, if an end has come or its time
 // is over; one whose worker was cut off meanwhile is lost.
-func (pl *player) answerLook(w *worker) {
-	if w.look == nil {
+func (pl *player) answerPoll(w *worker) {
+	if w.poll == nil {
 		return
 	}
 	if p := pl.pathTo(w); p != pathOpen {
-		sent := *w.look
-		w.look = nil
-		verdict, after := p.lost(max(w.lookBy-pl.now, 0) + lookTimeout)
-		pl.later(after, func(core *dispatch.Core) { core.Saw(sent, workload.Sight{Verdict: verdict}, pl.time(), pl.wall()) })
+		sent := *w.poll
+		w.poll = nil
+		verdict, after := p.lost(max(w.lookBy-pl.now, 0) + pollTimeout)
+		pl.later(after, func(core *dispatch.Core) {
+			core.PollAnswered(sent, workload.Report{Verdict: verdict}, pl.time(), pl.wall())
+		})
 		return
 	}
-	if pl.now < w.lookBy && !w.unseen(w.look.Look.Noted) {
+	if pl.now < w.lookBy && !w.unseen(w.poll.Poll.Acknowledged) {
 		return
 	}
-	pl.sight(w, *w.look)
-	w.look = nil
+	pl.report(w, *w.poll)
+	w.poll = nil
 }
 
-// sight answers a look.
-func (pl *player) sight(w *worker, action dispatch.Action) {
-	w.ended = slices.DeleteFunc(w.ended, func(e workload.Ended) bool { return e.Number <= action.Look.Noted })
-	sight := workload.Sight{ClockMS: pl.wall(), Running: w.running(), Ended: slices.Clone(w.ended)}
-	pl.later(tick, func(core *dispatch.Core) { core.Saw(action, sight, pl.time(), pl.wall()) })
+// report answers a poll.
+func (pl *player) report(w *worker, action dispatch.Action) {
+	w.ended = slices.DeleteFunc(w.ended, func(e workload.Ended) bool { return e.Number <= action.Poll.Acknowledged })
+	report := workload.Report{ClockMS: pl.wall(), Running: w.running(), Ended: slices.Clone(w.ended)}
+	pl.later(tick, func(core *dispatch.Core) { core.PollAnswered(action, report, pl.time(), pl.wall()) })
 }
 
 func (pl *player) start(w *worker, order workload.Order) {
@@ -351,10 +355,10 @@
 // record writes what the core wants written; the store answers at the next tick. While
 // it is away, ends are announced.
 func (pl *player) record(core *dispatch.Core) {
-	for _, u := range core.EndedUnwritten(announceAfter) {
+	for _, u := range core.EndedUnpersisted(announceAfter) {
 		pl.announce(u)
 	}
-	list := core.Unwritten(recordsAtOnce)
+	list := core.Unpersisted(recordsAtOnce)
 	if len(list) == 0 || pl.writing || pl.day.storeAway(pl.now) {
 		return
 	}
@@ -375,7 +379,7 @@
 	})
 }
 
-func (pl *player) announce(u dispatch.Unwritten) {
+func (pl *player) announce(u dispatch.Unpersisted) {
 	record, err := dispatch.DecodeRecord(u.Record)
 	if err != nil {
 		panic(err) // as above
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -59,8 +59,8 @@
 	runs   []*run
 	ended  []workload.Ended
 	number int64
-	// look is the look that waits for an end, until lookBy.
-	look   *dispatch.Action
+	// poll is the poll that waits for an end, until lookBy.
+	poll   *dispatch.Action
 	lookBy time.Duration
 }
 
@@ -206,7 +206,7 @@
 	}
 }
 
-// running lists the runs as a look shows them.
+// running lists the runs as a poll shows them.
 func (w *worker) running() []workload.Running {
 	var list []workload.Running
 	for _, r := range w.runs {
--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -70,11 +70,11 @@
 		},
 		"time without a holder is found from the next one's lines": {
 			func(l *log) {
-				l.at(0, "b", `msg=conducting`)
+				l.at(0, "b", `msg=leading`)
 				l.at(1, "b", `msg=order`)
 				l.submit(10, "j", "")
 				l.at(1000, "a", `msg="lease won"`)
-				l.at(1100, "a", `msg=conducting`)
+				l.at(1100, "a", `msg=leading`)
 				l.start(1110, "j", 1)
 				l.end(2110, "j", 1, "done")
 				l.ended(2120, "j")
--- a/internal/losses/timeline.go
+++ b/internal/losses/timeline.go
@@ -204,11 +204,11 @@
 }
 
 // take follows the lease: a holder is there from the line that says that it
-// conducts until it lost the lease, or, if it died, until its last line before the
+// leads until it lost the lease, or, if it died, until its last line before the
 // next holder won.
 func (h *leaseHistory) take(l *line) {
 	switch l.message {
-	case "conducting":
+	case "leading":
 		if !h.since.IsZero() {
 			h.gaps = append(h.gaps, span{h.since, l.at})
 		}
--- a/internal/workload/ports.go
+++ b/internal/workload/ports.go
@@ -173,20 +173,20 @@
 	Checkpoint string
 }
 
-// Look asks a worker what it runs, and extends its lease.
-type Look struct {
+// Poll asks a worker what it runs, and extends its lease.
+type Poll struct {
 	Worker, Addr string
 	Epoch        int64
 	// Noted is the number of the last end that was recorded.
-	Noted int64
+	Acknowledged int64
 	// UntilMS extends the lease, on the worker's clock; zero does not.
 	UntilMS int64
 	// Wait is how long the worker may wait for an end.
 	Wait time.Duration
 }
 
-// Sight is a worker's answer to a Look.
-type Sight struct {
+// Report is a worker's answer to a Look.
+type Report struct {
 	Verdict Verdict
 	ClockMS int64
 	Running []Running
@@ -201,7 +201,7 @@
 type Workers interface {
 	Start(ctx context.Context, order Order) Receipt
 	Stop(ctx context.Context, order Order) Receipt
-	Look(ctx context.Context, look Look) Sight
+	Poll(ctx context.Context, poll Poll) Report
 	// Forget closes what is kept for a worker that is gone.
 	Forget(worker string)
 }
