--- a/internal/deployment/announce_test.go
+++ b/internal/deployment/announce_test.go
@@ -36,7 +36,7 @@
 			state, _, ok := r.state("a")
 			assert.Assert(t, ok)
 			assert.Equal(t, state, c.want)
-			assert.Equal(t, r.snapshot()[0].announced, c.rewrite, "the next holder writes it")
+			assert.Equal(t, r.snapshot()[0].announced, c.rewrite, "the next leader writes it")
 		})
 	}
 }
--- a/internal/deployment/follow_test.go
+++ b/internal/deployment/follow_test.go
@@ -13,7 +13,7 @@
 		place int
 		want  time.Duration
 	}{
-		"the holder schedules what it finds": {true, 0, leaderGap},
+		"the leader schedules what it finds": {true, 0, leaderGap},
 		"the next one":                       {false, 0, othersGap},
 		"the last one in line":               {false, inLine, othersGap},
 		"behind those in line":               {false, inLine + 1, restGap},
--- a/internal/deployment/lease.go
+++ b/internal/deployment/lease.go
@@ -22,7 +22,7 @@
 	// paths must fit into what is left of the lease after a renewal was due.
 	leasePathTimeout = 550 * time.Millisecond
 	// leaseMargin separates the end of a lease by its leader's clock from the
-	// moment others may take it: two steady clocks differ by at most 2 %, and an
+	// moment others may take it: two steady clocks differ a little, and an
 	// order under way is bounded by it too.
 	leaseMargin = 300 * time.Millisecond
 	// suspectAfter is how long a leader may go without a renewal being seen before
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -38,7 +38,7 @@
 
 // leaderRow says who holds the lease.
 type leaderRow struct {
-	Leader string `json:"holder"`
+	Leader string `json:"leader"`
 	Epoch  int64  `json:"epoch"`
 	// Released leases can be taken at once.
 	Released bool `json:"released,omitempty"`
--- a/internal/deployment/replica_test.go
+++ b/internal/deployment/replica_test.go
@@ -49,7 +49,7 @@
 	r.setBegan(3, []string{"a"})
 	assert.Equal(t, r.pending()["q"], int64(1))
 	r.setBegan(2, []string{"b"})
-	assert.Equal(t, r.pending()["q"], int64(1), "the word of an earlier holder is too late")
+	assert.Equal(t, r.pending()["q"], int64(1), "the word of an earlier leader is too late")
 }
 
 func TestAWholeReadDropsWhatWasRemovedButNothingNewer(t *testing.T) {
--- a/internal/emulator/experiment.go
+++ b/internal/emulator/experiment.go
@@ -34,7 +34,7 @@
 	Variant    string
 	Plays      int
 	// Base and Mean are the mean values, Change their difference and Interval half its
-	// 95 % confidence interval.
+	// the usual confidence interval.
 	Base, Mean, Change, Interval float64
 }
 
@@ -89,7 +89,7 @@
 	return all
 }
 
-// normalQuantile makes a 95 % confidence interval of a standard error.
+// normalQuantile makes the usual confidence interval (19 in 20) of a standard error.
 const normalQuantile = 1.96
 
 func difference(variant, deployment string, base, other []float64) Difference {
--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -68,7 +68,7 @@
 			func(l *log) { l.submit(0, "j", "store_unavailable"); l.submit(900, "j", "store_unavailable") },
 			OutcomeRefused, CauseAccept, 0,
 		},
-		"time without a holder is found from the next one's lines": {
+		"time without a leader is found from the next one's lines": {
 			func(l *log) {
 				l.at(0, "b", `msg=leading`)
 				l.at(1, "b", `msg=order`)
@@ -79,7 +79,7 @@
 				l.end(2110, "j", 1, "done")
 				l.ended(2120, "j")
 			},
-			OutcomeLate, CauseHolder, 1090 * time.Millisecond,
+			OutcomeLate, CauseLeader, 1090 * time.Millisecond,
 		},
 		"a wait for others to be stopped counts from its beginning": {
 			func(l *log) {
--- a/internal/losses/report.go
+++ b/internal/losses/report.go
@@ -190,7 +190,7 @@
 	}
 	for _, g := range gaps {
 		if g.holds(at) {
-			return CauseHolder
+			return CauseLeader
 		}
 	}
 	if h.state != "" && !at.Before(lastEnd) && lastEnd.After(h.accepted) {
--- a/internal/losses/timeline.go
+++ b/internal/losses/timeline.go
@@ -14,9 +14,9 @@
 	// CauseAccept is the time from the first try to hand a job in until the store
 	// had it.
 	CauseAccept Cause = "accept"
-	// CauseHolder is the time without a holder of the lease that decides.
-	CauseHolder Cause = "holder"
-	// CauseLease is the wait for workers that a new holder has not heard of: what
+	// CauseLeader is the time without a leader of the lease that decides.
+	CauseLeader Cause = "leader"
+	// CauseLease is the wait for workers that a new leader has not heard of: what
 	// an earlier one started may run there.
 	CauseLease Cause = "lease"
 	// CauseRoom is the wait for room that nobody frees for it.
@@ -36,7 +36,7 @@
 
 // Causes lists them in the order of a job's way.
 func Causes() []Cause {
-	return []Cause{CauseAccept, CauseHolder, CauseLease, CauseRoom, CauseStop, CauseStart, CauseAgain, CauseRun, CauseRecord}
+	return []Cause{CauseAccept, CauseLeader, CauseLease, CauseRoom, CauseStop, CauseStart, CauseAgain, CauseRun, CauseRecord}
 }
 
 // causeOfWait gives the cause for the reason of a wait line, which ends at its
@@ -186,7 +186,7 @@
 	}
 }
 
-// end closes a run: a later line about the same run, from a holder that was told of
+// end closes a run: a later line about the same run, from a leader that was told of
 // the end again, changes nothing.
 func (h *history) end(l *line) {
 	if r := h.runs[runName(l)]; r != nil && (r.kind == "" || r.kind == "not started") {
@@ -194,36 +194,36 @@
 	}
 }
 
-// leaseHistory finds the times without a holder that decides.
+// leaseHistory finds the times without a leader that decides.
 type leaseHistory struct {
-	holder string
+	leader string
 	since  time.Time
 	// last is when each instance last wrote a line.
 	last map[string]time.Time
 	gaps []span
 }
 
-// take follows the lease: a holder is there from the line that says that it
+// take follows the lease: a leader is there from the line that says that it
 // leads until it lost the lease, or, if it died, until its last line before the
-// next holder won.
+// next leader won.
 func (h *leaseHistory) take(l *line) {
 	switch l.message {
 	case "leading":
 		if !h.since.IsZero() {
 			h.gaps = append(h.gaps, span{h.since, l.at})
 		}
-		h.holder, h.since = l.instance, time.Time{}
+		h.leader, h.since = l.instance, time.Time{}
 	case "lease lost":
-		if l.instance == h.holder {
-			h.holder, h.since = "", l.at
+		if l.instance == h.leader {
+			h.leader, h.since = "", l.at
 		}
 	case "lease won":
-		if h.holder != "" && h.holder != l.instance {
-			h.since = h.last[h.holder]
+		if h.leader != "" && h.leader != l.instance {
+			h.since = h.last[h.leader]
 		} else if h.since.IsZero() {
 			h.since = l.at
 		}
-		h.holder = ""
+		h.leader = ""
 	}
 	h.last[l.instance] = l.at
 }
