--- a/internal/deployment/leader.go
+++ b/internal/deployment/leader.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,15 @@
 	// roundGap is the shortest: with a round for each event a burst takes the processor
 	// from renewals and answers.
 	roundGap = 15 * time.Millisecond
+	// roundRest is how many times as long as a round took the loop rests after it, up to
+	// roundRestMost. Without it rounds take what processor time there is on a large
+	// deployment, and polls that extend leases come late.
+	roundRest     = 3
+	roundRestMost = 100 * time.Millisecond
+	// leaderGCPercent is how much the heap grows between two collections while this
+	// instance leads. A leader allocates with each poll and round: collecting as often as
+	// the others takes more processor time than deciding.
+	leaderGCPercent = 300
 	// ordersAtOnce bounds the orders and polls under way: each worker may have a
 	// waiting poll, a quick one, and starts beside them.
 	ordersAtOnce = 1024
@@ -75,6 +85,7 @@
 		priorities: make(map[int]bool),
 	}
 	defer func() { c.orders.Stop() }()
+	defer debug.SetGCPercent(debug.SetGCPercent(leaderGCPercent))
 	// Events are taken from here on, before the table is read: what comes while
 	// it is read waits in the ring, and adding a job twice changes nothing.
 	i.leader.Store(c)
@@ -176,7 +187,7 @@
 func (c *leader) run() {
 	next := time.NewTimer(0)
 	defer next.Stop()
-	var last time.Time
+	var last pastRound
 	for {
 		select {
 		case e := <-c.events:
@@ -188,7 +199,7 @@
 		case <-c.ctx.Done():
 			return
 		}
-		last = time.Now()
+		last = pastRound{at: time.Now()}
 		next.Reset(roundEvery)
 		if c.grant.ended() {
 			return
@@ -201,6 +212,8 @@
 			continue
 		}
 		c.round()
+		last.took = time.Since(last.at)
+		next.Reset(max(roundEvery, last.took+last.rest()))
 		if c.core.Fenced() {
 			c.logger.Warn("a worker has seen a higher epoch", zap.Int64("epoch", c.grant.epoch))
 			c.grant.end()
@@ -209,11 +222,22 @@
 	}
 }
 
+// pastRound is when the last round began, and how long it took.
+type pastRound struct {
+	at   time.Time
+	took time.Duration
+}
+
+// rest is how long no round comes after it.
+func (r pastRound) rest() time.Duration { return min(roundRest*r.took, roundRestMost) }
+
 // untilRound is how long an event waits for the next round: one that comes alone
 // does not, and of many that come together one round answers all.
-func untilRound(last, now time.Time) time.Duration { return max(roundGap-now.Sub(last), 0) }
+func untilRound(last pastRound, now time.Time) time.Duration {
+	return max(max(roundGap, last.took+last.rest())-now.Sub(last.at), 0)
+}
 
-func (c *leader) untilRound(last, now time.Time) time.Duration {
+func (c *leader) untilRound(last pastRound, now time.Time) time.Duration {
 	if !c.instance.settings.Tuning.has(mechRoundGap) {
 		return 0
 	}
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -67,8 +67,8 @@
 	pollWait = 1000 * time.Millisecond
 	// leavingLease is the lease of a worker that leaves. Once it is gone it may as well
 	// run on behind a cut, and its work waits for the end of its lease. Shorter, one poll
-	// that is lost would end what runs there.
-	leavingLease = 2500 * time.Millisecond
+	// that is lost or late would end what runs there.
+	leavingLease = 4 * time.Second
 	// pollAgain is the pause after a poll without an answer.
 	pollAgain = 300 * time.Millisecond
 	// holdOffAfter is how long a worker that refused a start gets no other.
