--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -75,11 +75,7 @@
 	// ordered are the runs whose start is not answered, in the order of their starts.
 	ordered []*run
 	repeats repeatBudget
-	// replacing is when workers of a pool left one after the other.
-	replacing map[string]replacement
-	// began is when the epoch began.
-	began  time.Time
-	fenced bool
+	fenced  bool
 	// urgentUse is the average number of accelerators that work of the first
 	// priority used lately, by pool, as of urgentAt.
 	urgentUse map[string]float64
@@ -114,7 +110,7 @@
 	c := &Core{
 		bounds: bounds, epoch: epoch, jobs: make(map[string]*job), workers: make(map[string]*worker),
 		dirty: make(map[string]*job), estimates: newEstimates(), now: now, urgentUse: make(map[string]float64), quietSince: make(map[string]time.Time),
-		waiting: make(map[int]int), urgentAt: now, suspects: make(map[domain]time.Time), repeats: repeatsMost, replacing: make(map[string]replacement), began: now,
+		waiting: make(map[int]int), urgentAt: now, suspects: make(map[domain]time.Time), repeats: repeatsMost,
 	}
 	if !earlier.IsZero() {
 		c.earlier = earlier
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -20,8 +20,6 @@
 	keptFrom time.Time
 	// guarded is what protected work uses.
 	guarded workload.Resources
-	// outdated workers are likely to leave before others.
-	outdated bool
 	// urgentOnly workers run nothing but work of the first priority, or nothing.
 	urgentOnly bool
 	// serving and batch count the runs of either sort.
@@ -87,8 +85,7 @@
 		}
 		pools[w.Pool] = append(pools[w.Pool], r)
 	}
-	for pool, rooms := range pools {
-		c.markOutdated(pool, rooms)
+	for _, rooms := range pools {
 		slices.SortFunc(rooms, c.compareRooms)
 		for i, r := range rooms {
 			r.order = i
@@ -371,7 +368,7 @@
 		if !c.has(MechPacking) {
 			return cmp.Compare(a, b)
 		}
-		return cmp.Or(compareOutdated(rooms[a], rooms[b]), compareFullness(u, rooms[a], rooms[b]), cmp.Compare(a, b))
+		return cmp.Or(compareFullness(u, rooms[a], rooms[b]), cmp.Compare(a, b))
 	})
 	var places []*room
 	for _, i := range order {
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -44,9 +44,6 @@
 	wantPoll bool
 	nextPoll time.Time
 	lastPoll uint64
-	// joinedAt is when the platform first listed the worker; zero if it did before this
-	// epoch.
-	joinedAt time.Time
 	// unlistedSince is when the platform ceased to list the worker.
 	unlistedSince time.Time
 	// leavesAt is the earliest time at which a leaving worker goes.
@@ -87,21 +84,12 @@
 		w := c.workers[listed.ID]
 		if w == nil {
 			w = &worker{Worker: listed, runs: make(map[runKey]*run)}
-			if now.After(c.began) {
-				w.joinedAt = now
-			}
 			c.workers[listed.ID] = w
 			c.fleet = append(c.fleet, w)
-			if listed.Leaving {
-				c.noteLeaving(w)
-			}
 		}
 		if listed.Leaving && listed.LeavesInMS > 0 && (!w.Leaving || w.leavesAt.IsZero() || listed.LeavesInMS != w.LeavesInMS) {
 			w.leavesAt = now.Add(time.Duration(listed.LeavesInMS) * time.Millisecond)
 		}
-		if listed.Leaving && !w.Leaving {
-			c.noteLeaving(w)
-		}
 		w.Worker = listed
 		w.unlistedSince = time.Time{}
 	}
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -26,7 +26,6 @@
 	MechRackOrder      Mechanism = "rack_order"
 	MechRestartClaims  Mechanism = "restart_claims"
 	MechResends        Mechanism = "resends"
-	MechAvoidOutdated  Mechanism = "avoid_outdated"
 )
 
 // Mechanisms lists them all.
@@ -34,7 +33,6 @@
 	return []Mechanism{
 		MechHeadroom, MechClaims, MechWaitForEnds, MechReservations, MechRackPatience, MechEstimates, MechSickWorkers,
 		MechEvacuation, MechSuspectDomains, MechDemoteLate, MechCheapVictims, MechPacking, MechRackOrder, MechRestartClaims, MechResends,
-		MechAvoidOutdated,
 	}
 }
 
