Literals of many fields one field a line; a failing worker is not a suspect one

Cause: constructors of ten fields on a line, one word (suspect) for a rack that does not answer and for a worker that fails what it starts, 'unit' left in comments.

--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -100,17 +100,37 @@
 func New(o Options) *Instance {
 	s := o.Settings
 	i := &Instance{
-		settings: s, options: o, logger: o.Logger, decoder: o.Decoder, workerClient: o.Workers,
-		replica: newReplica(o.Logger), cut: newCutWatch(), peers: newPeers(),
-		calls: pond.NewPool(callsAtOnce, pond.WithQueueSize(callsAtOnce), pond.WithNonBlocking(true)),
+		settings:     s,
+		options:      o,
+		logger:       o.Logger,
+		decoder:      o.Decoder,
+		workerClient: o.Workers,
+		replica:      newReplica(o.Logger),
+		cut:          newCutWatch(),
+		peers:        newPeers(),
+		calls:        pond.NewPool(callsAtOnce, pond.WithQueueSize(callsAtOnce), pond.WithNonBlocking(true)),
 	}
 	i.live.Store(s)
 	i.replica.keepInstances()
 	i.node = peer.New(peer.Options{
-		Instance: s.Listen.Peers, Incarnation: time.Now().UnixMilli(), Listen: s.Listen.Peers, Handler: i, Logger: o.Logger,
-		Resolve: func(id string) (string, bool) { return id, true }, Limits: peerLimits,
+		Instance:    s.Listen.Peers,
+		Incarnation: time.Now().UnixMilli(),
+		Listen:      s.Listen.Peers,
+		Handler:     i,
+		Logger:      o.Logger,
+		Resolve:     func(id string) (string, bool) { return id, true },
+		Limits:      peerLimits,
 	})
-	i.store = &reach{limit: pathTimeout, patience: pathPatience, reachState: &reachState{direct: o.Store, caller: i.node, logger: o.Logger, helpers: i.helpers}}
+	i.store = &reach{
+		limit:    pathTimeout,
+		patience: pathPatience,
+		reachState: &reachState{
+			direct:  o.Store,
+			caller:  i.node,
+			logger:  o.Logger,
+			helpers: i.helpers,
+		},
+	}
 	if !s.Tuning.has(mechOvertaking) {
 		i.store.patience = pathTimeout
 	}
@@ -118,9 +138,21 @@
 	kept := 2 * s.bounds().LongestLease
 	i.workers = newRoster(o.Decoder, kept, o.Logger)
 	i.lease = &lease{
-		self: s.Listen.Peers, store: i.store.within(leasePathTimeout), replica: i.replica, logger: o.Logger,
-		eligible: i.eligible, steady: i.store.steady, holds: i.leads, pings: i.ping, lead: i.lead,
-		cores: i.cores(), tuning: s.Tuning, rivals: i.rivals, known: i.otherInstances, synced: i.synced, finish: i.finish,
+		self:     s.Listen.Peers,
+		store:    i.store.within(leasePathTimeout),
+		replica:  i.replica,
+		logger:   o.Logger,
+		eligible: i.eligible,
+		steady:   i.store.steady,
+		holds:    i.leads,
+		pings:    i.ping,
+		lead:     i.lead,
+		cores:    i.cores(),
+		tuning:   s.Tuning,
+		rivals:   i.rivals,
+		known:    i.otherInstances,
+		synced:   i.synced,
+		finish:   i.finish,
 	}
 	i.replica.changed = i.jobChanged
 	i.workers.changed = i.workersChanged
@@ -350,13 +382,24 @@
 		}()
 	}
 	own := &follower{
-		store: i.store, source: workload.SourceOwn, logger: i.logger, whole: i.replica.reload, changes: i.replica.apply, gap: i.tableGap,
-		wanted: i.follows, idle: i.forgetTable,
+		store:   i.store,
+		source:  workload.SourceOwn,
+		logger:  i.logger,
+		whole:   i.replica.reload,
+		changes: i.replica.apply,
+		gap:     i.tableGap,
+		wanted:  i.follows,
+		idle:    i.forgetTable,
 	}
 	config := &follower{
-		store: i.store, source: workload.SourceConfiguration, logger: i.logger, changes: i.takeConfiguration, gap: func() time.Duration { return configurationGap },
-		wanted: i.readsConfiguration, idle: func() {},
-		whole: func(rows []workload.Row, _ int64) { i.takeConfiguration(rows) },
+		store:   i.store,
+		source:  workload.SourceConfiguration,
+		logger:  i.logger,
+		changes: i.takeConfiguration,
+		gap:     func() time.Duration { return configurationGap },
+		wanted:  i.readsConfiguration,
+		idle:    func() {},
+		whole:   func(rows []workload.Row, _ int64) { i.takeConfiguration(rows) },
 	}
 	duty(own.run)
 	duty(config.run)
--- a/internal/deployment/leader.go
+++ b/internal/deployment/leader.go
@@ -79,10 +79,15 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c := &leader{
-		instance: i, grant: g, events: make(chan event, eventCapacity), ctx: ctx,
-		orders: pond.NewPool(ordersAtOnce), logger: i.logger.Named("leader"), recordVersions: make(map[string]int64),
-		announced:  make(map[string]bool),
-		priorities: make(map[int]bool),
+		instance:       i,
+		grant:          g,
+		events:         make(chan event, eventCapacity),
+		ctx:            ctx,
+		orders:         pond.NewPool(ordersAtOnce),
+		logger:         i.logger.Named("leader"),
+		recordVersions: make(map[string]int64),
+		announced:      make(map[string]bool),
+		priorities:     make(map[int]bool),
 	}
 	defer func() { c.orders.Stop() }()
 	defer debug.SetGCPercent(debug.SetGCPercent(leaderGCPercent))
@@ -107,9 +112,12 @@
 // followWorkers follows the list of workers from a version on.
 func (c *leader) followWorkers(ctx context.Context, version int64) {
 	list := &follower{
-		store: c.instance.store, source: workload.SourceWorkers, logger: c.instance.logger,
-		whole: c.instance.workers.reload, changes: c.instance.workers.apply,
-		gap: func() time.Duration { return workersGap },
+		store:   c.instance.store,
+		source:  workload.SourceWorkers,
+		logger:  c.instance.logger,
+		whole:   c.instance.workers.reload,
+		changes: c.instance.workers.apply,
+		gap:     func() time.Duration { return workersGap },
 	}
 	list.follow(ctx, version)
 	list.run(ctx)
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -28,7 +28,7 @@
 	// askAtOnce bounds the questions under way: the advisor answers one at a time
 	// and turns away what waits behind 32.
 	askAtOnce = 4
-	// askSpare is how many times the workers that a unit needs are asked about:
+	// askSpare is how many times the workers that a step needs are asked about:
 	// some are refused, and some are full by the time of the answer.
 	askSpare = 3
 	// askMost bounds the workers of one question.
@@ -44,7 +44,7 @@
 	askAgain = 500 * time.Millisecond
 )
 
-// allowed filters the workers that the unit holds a ticket for, and asks for
+// allowed filters the workers that the step holds a ticket for, and asks for
 // more tickets if those are too few. Queues without an advisor allow all.
 func (c *Core) allowed(u *pendingStep, rooms []*room) []*room {
 	if u.queue.Advice == nil {
--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -101,7 +101,7 @@
 	}
 }
 
-// applyClaims takes what is claimed out of the rooms before any unit looks at them.
+// applyClaims takes what is claimed out of the rooms before any step looks at them.
 // A claim that will not come true any more is dropped: a worker of it is gone or
 // was taken for work that was met there.
 func (c *Core) applyClaims(pendingSteps []*pendingStep, pools map[string][]*room) {
@@ -118,7 +118,7 @@
 	}
 }
 
-// roomsOf is the claimed room for each task of a unit, or nil where the claim does
+// roomsOf is the claimed room for each task of a step, or nil where the claim does
 // not hold any more.
 func (c *Core) roomsOf(u *pendingStep, rooms []*room) []*room {
 	byWorker := make(map[*worker]*room, len(rooms))
@@ -141,7 +141,7 @@
 	return list
 }
 
-// release gives a unit's claimed room back for its own turn.
+// release gives a step's claimed room back for its own turn.
 func (u *pendingStep) release() {
 	need := u.step.spec.Counted()
 	for _, r := range u.claimed {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -108,9 +108,19 @@
 // there was none.
 func New(bounds workload.Bounds, epoch int64, now, earlier time.Time) *Core {
 	c := &Core{
-		bounds: bounds, epoch: epoch, jobs: make(map[string]*job), workers: make(map[string]*worker),
-		dirty: make(map[string]*job), estimates: newEstimates(), now: now, urgentUse: make(map[string]float64), quietSince: make(map[string]time.Time),
-		waiting: make(map[int]int), urgentAt: now, suspects: make(map[domain]time.Time), repeats: repeatsMost,
+		bounds:     bounds,
+		epoch:      epoch,
+		jobs:       make(map[string]*job),
+		workers:    make(map[string]*worker),
+		dirty:      make(map[string]*job),
+		estimates:  newEstimates(),
+		now:        now,
+		urgentUse:  make(map[string]float64),
+		quietSince: make(map[string]time.Time),
+		waiting:    make(map[int]int),
+		urgentAt:   now,
+		suspects:   make(map[domain]time.Time),
+		repeats:    repeatsMost,
 	}
 	if !earlier.IsZero() {
 		c.earlier = earlier
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -14,7 +14,7 @@
 	*worker
 	// free is free now, soon will be once what is being stopped has ended.
 	free, soon workload.Resources
-	// kept is what a large unit waits for from keptFrom on; shorter work may
+	// kept is what a large step waits for from keptFrom on; shorter work may
 	// use it before.
 	kept     workload.Resources
 	keptFrom time.Time
@@ -60,10 +60,10 @@
 }
 
 const (
-	// maxBlocked units keep room for themselves. More would leave most of the
+	// maxBlocked steps keep room for themselves. More would leave most of the
 	// room to work that cannot start for long.
 	maxBlocked = 4
-	// maxConsidered units that do not fit end a round: it bounds the time of a
+	// maxConsidered steps that do not fit end a round: it bounds the time of a
 	// round when hundreds of jobs wait.
 	maxConsidered = 40
 )
@@ -116,9 +116,9 @@
 	}
 }
 
-// placeStep starts what fits of a unit. What does not fit waits for room that
+// placeStep starts what fits of a step. What does not fit waits for room that
 // is being freed, has lower work stopped if it is urgent, or keeps room for
-// later. It returns false if the unit, or a part of it, waits.
+// later. It returns false if the step, or a part of it, waits.
 func (c *Core) placeStep(u *pendingStep, rooms []*room, mayKeep bool) bool {
 	if u.claimed != nil {
 		return c.placeClaimed(u, rooms)
@@ -149,7 +149,7 @@
 	return false
 }
 
-// The reasons to wait that hold for all units of a shape.
+// The reasons to wait that hold for all steps of a shape.
 const (
 	whyNoRoom = "no room"
 	whyNoRack = "no room where it belongs"
@@ -172,7 +172,7 @@
 	return false
 }
 
-// await makes sure that a unit that does not fit will, and says how.
+// await makes sure that a step that does not fit will, and says how.
 func (c *Core) await(u *pendingStep, rooms []*room, far, mayKeep bool) string {
 	soon := c.find(u, rooms, far, func(r *room) workload.Resources { return r.soon })
 	switch {
@@ -239,7 +239,7 @@
 	c.actions = append(c.actions, Action{Kind: ActReason, Reason: reason, Order: workload.Order{Task: task, Epoch: c.epoch}})
 }
 
-// takeRoom takes room that is free or being freed for a unit that waits for it.
+// takeRoom takes room that is free or being freed for a step that waits for it.
 func takeRoom(u *pendingStep, places []*room) {
 	need := u.step.spec.Counted()
 	for _, r := range places {
@@ -257,17 +257,24 @@
 	return free
 }
 
-// eligible filters the workers that may run the unit at all.
+// eligible filters the workers that may run a step at all.
 func (c *Core) eligible(u *pendingStep, rooms []*room) []*room {
 	var list []*room
+	spec := u.step.spec
 	for _, r := range rooms {
-		if r.Has(u.step.spec.Label) && !(c.has(MechSickWorkers) && r.health.suspect(c.now)) && r.Room.Holds(u.step.spec.Counted()) && !r.disturbs(u.step.spec) {
+		if r.Has(spec.Label) && r.Room.Holds(spec.Counted()) && !r.disturbs(spec) && !c.isFailing(r.worker) {
 			list = append(list, r)
 		}
 	}
 	return list
 }
 
+// isFailing reports whether a worker gets nothing new because work of several jobs
+// failed there.
+func (c *Core) isFailing(w *worker) bool {
+	return c.has(MechSickWorkers) && w.health.failing(c.now)
+}
+
 // disturbs reports whether a serving task would share the worker with a batch
 // task. Interference differs by image and changes within seconds, so neither sort
 // is put beside the other: no serving task then misses its latency target because
@@ -288,7 +295,7 @@
 	}
 }
 
-// find returns a room for each of the unit's tasks, or for as many as there are. Tasks
+// find returns a room for each of the step's tasks, or for as many as there are. Tasks
 // that belong on one rack get one that can take them all; tasks with data on a
 // rack go there first. Only if far is set do they go elsewhere.
 func (c *Core) find(u *pendingStep, rooms []*room, far bool, roomOf func(*room) workload.Resources) []*room {
@@ -314,7 +321,7 @@
 	return c.pick(u, rooms, counts, n, func(*room) bool { return true })
 }
 
-// slots is how many tasks of the unit a worker can take.
+// slots is how many tasks of the step a worker can take.
 func (c *Core) slots(u *pendingStep, r *room, free workload.Resources) int64 {
 	limit := int64(len(u.tasks))
 	if most := u.step.spec.MaxPerWorker; most > 0 {
@@ -398,7 +405,7 @@
 	)
 }
 
-// startAt starts the first tasks of a unit in the rooms, one in each entry.
+// startAt starts the first tasks of a step in the rooms, one in each entry.
 func (c *Core) startAt(u *pendingStep, places []*room) {
 	delete(c.coming, u.queue.Pool) // these runs will end as well
 	var g *gang
--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -42,7 +42,7 @@
 	}
 }
 
-// mayNotUseReserve reports whether the unit may not use the workers that are kept for
+// mayNotUseReserve reports whether the step may not use the workers that are kept for
 // urgent work: work that is not urgent and loses what it did when it is stopped.
 func (c *Core) mayNotUseReserve(u *pendingStep) bool {
 	s := u.step.spec
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -17,10 +17,10 @@
 }
 
 const (
-	// suspectAfter failures of different jobs in a row, a worker is suspect.
+	// failingAfter failures of different jobs in a row, a worker counts as failing.
 	// One may be the job's own fault.
-	suspectAfter = 2
-	// distrustFor is how long a suspect worker gets nothing new: faults that
+	failingAfter = 2
+	// distrustFor is how long a failing worker gets nothing new: faults that
 	// pass do so within some seconds. After it one more failure renews it.
 	distrustFor = 5 * time.Second
 )
@@ -42,6 +42,6 @@
 	return slices.ContainsFunc(h.failedJobs, func(failed string) bool { return failed != job })
 }
 
-func (h *health) suspect(now time.Time) bool {
-	return len(h.failedJobs) >= suspectAfter && now.Sub(h.lastFailed) < distrustFor
+func (h *health) failing(now time.Time) bool {
+	return len(h.failedJobs) >= failingAfter && now.Sub(h.lastFailed) < distrustFor
 }
--- a/internal/dispatch/infeasible.go
+++ b/internal/dispatch/infeasible.go
@@ -11,7 +11,7 @@
 // most of a round's time at thousands of workers. Room only gets less during a
 // round, so what found none says the same of what needs as much.
 
-// shape is what of a unit decides whether it fits, but for how much of it there is.
+// shape is what of a step decides whether it fits, but for how much of it there is.
 type shape struct {
 	pool, label, dataRack string
 	need                  workload.Resources
@@ -30,7 +30,7 @@
 	length time.Duration
 }
 
-// shapeOf returns a unit's shape; false if others like it say nothing of it: where
+// shapeOf returns a step's shape; false if others like it say nothing of it: where
 // its place depends on its own step (a bound by worker, tickets), or on how long it
 // has waited.
 func (c *Core) shapeOf(u *pendingStep) (shape, bool) {
@@ -47,14 +47,14 @@
 	}, true
 }
 
-// lacks reports whether a unit will find no room because one that needed no more
+// lacks reports whether a step will find no room because one that needed no more
 // found none. Single tasks lack room once one of them does.
 func (n infeasible) lacks(s shape, u *pendingStep) bool {
 	found, known := n[s]
 	return known && u.length >= found.length && (!s.gang || len(u.tasks) >= found.tasks)
 }
 
-// note keeps that a unit found no room, not even room that is being freed.
+// note keeps that a step found no room, not even room that is being freed.
 func (n infeasible) note(s shape, u *pendingStep) {
 	found, known := n[s]
 	if !known || len(u.tasks) <= found.tasks && u.length <= found.length {
--- a/internal/dispatch/rack.go
+++ b/internal/dispatch/rack.go
@@ -28,7 +28,7 @@
 	overdue = 2
 )
 
-// mayGoFar reports whether the unit may start away from its rack: because no rack
+// mayGoFar reports whether the step may start away from its rack: because no rack
 // will hold it soon, or because the deployment is nearly idle. Work inside a
 // guarantee waits as long as its start is still in time.
 func (c *Core) mayGoFar(u *pendingStep, rooms []*room) bool {
@@ -44,7 +44,7 @@
 	return !since.IsZero() && min(c.now.Sub(since), waited) > quietPatience
 }
 
-// rackWillHold reports whether the unit will fit on its rack by the ends that can
+// rackWillHold reports whether the step will fit on its rack by the ends that can
 // be counted on.
 func (c *Core) rackWillHold(u *pendingStep, rooms []*room) bool {
 	sums := make(map[string]int64)
@@ -62,7 +62,7 @@
 	return false
 }
 
-// prospect is the room that a worker will have for the unit: all of it for urgent
+// prospect is the room that a worker will have for the step: all of it for urgent
 // work, which has others stopped; else what it has once the runs have ended whose
 // ends can be counted on. Lasting tasks have none, and runs that are overdue may
 // have stalled.
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -16,14 +16,14 @@
 	need workload.Resources
 }
 
-// reservation is room that a unit will have by the ends of what runs.
+// reservation is room that a step will have by the ends of what runs.
 type reservation struct {
 	rooms  []*room
 	future map[*room]workload.Resources
 	at     time.Time
 }
 
-// keep reserves room in time for a unit that does not fit: the earliest moment
+// keep reserves room in time for a step that does not fit: the earliest moment
 // at which enough of its workers will have room, by the estimated ends of what
 // runs. Without it large gangs starve behind small work, which fills every gap
 // as soon as it opens.
@@ -36,7 +36,7 @@
 	return r != nil
 }
 
-// stopReserve is what is kept of an urgent unit's time when it waits for others
+// stopReserve is what is kept of an urgent step's time when it waits for others
 // to end by themselves: if they do not, they still have to be stopped.
 const stopReserve = 400 * time.Millisecond
 
@@ -45,8 +45,8 @@
 // an estimate of half a second is off by little.
 const waitOutAhead = 500 * time.Millisecond
 
-// waitForEnds reserves room for an urgent unit that will have it in time without
-// stopping anyone; false if it will not. What is stopped is lost, and a unit
+// waitForEnds reserves room for an urgent step that will have it in time without
+// stopping anyone; false if it will not. What is stopped is lost, and a step
 // that has time to spare saves it. Estimates are wrong at times: the decision is
 // made anew in every round.
 func (c *Core) waitForEnds(u *pendingStep, rooms []*room, far bool) bool {
@@ -68,7 +68,7 @@
 	return true
 }
 
-// earliest is the first moment at which the unit fits, on one rack if it belongs
+// earliest is the first moment at which the step fits, on one rack if it belongs
 // on one.
 func (c *Core) earliest(u *pendingStep, rooms []*room, far bool) *reservation {
 	if !u.step.spec.OneRack || far {
@@ -140,7 +140,7 @@
 	return list
 }
 
-// reserve keeps slots for a unit on the workers that will have them, those with
+// reserve keeps slots for a step on the workers that will have them, those with
 // the least room to spare first.
 func (c *Core) reserve(u *pendingStep, res *reservation) {
 	counts := make([]int64, len(res.rooms))
--- a/internal/dispatch/victims.go
+++ b/internal/dispatch/victims.go
@@ -12,10 +12,10 @@
 // weighed.
 const acceleratorCores = 8
 
-// makeRoom stops lower work so that the unit fits. It answers a burst of urgent
+// makeRoom stops lower work so that the step fits. It answers a burst of urgent
 // work on a full deployment: without it guaranteed capacity would be there only
 // once others have ended. It stops as little work as it can, and nothing unless
-// the whole unit will fit; false if nothing can.
+// the whole step will fit; false if nothing can.
 func (c *Core) makeRoom(u *pendingStep, rooms []*room, far bool, soon []*room) bool {
 	plan := c.cheapest(u, rooms, far)
 	if plan == nil {
@@ -49,8 +49,8 @@
 	cost    float64
 }
 
-// cheapest returns the offers that make the unit fit at the least cost, on one
-// rack if the unit belongs on one, unless it may go far; nil if nothing can.
+// cheapest returns the offers that make the step fit at the least cost, on one
+// rack if the step belongs on one, unless it may go far; nil if nothing can.
 func (c *Core) cheapest(u *pendingStep, rooms []*room, far bool) []offer {
 	if !u.step.spec.OneRack {
 		plan, _ := c.cheapestOf(u, rooms)
@@ -141,7 +141,7 @@
 	return list
 }
 
-// victims lists the runs on a worker that may be stopped for the unit, those
+// victims lists the runs on a worker that may be stopped for the step, those
 // that lose the least work first.
 func (c *Core) victims(u *pendingStep, r *room) []*run {
 	var list []*run
@@ -162,7 +162,7 @@
 	return list
 }
 
-// yields reports whether a run may be stopped for the unit: lower priority for
+// yields reports whether a run may be stopped for the step: lower priority for
 // urgent work, and anything outside a guarantee for work inside one.
 func (c *Core) yields(victim *run, u *pendingStep) bool {
 	s := victim.task.step
--- a/internal/emulator/player.go
+++ b/internal/emulator/player.go
@@ -108,9 +108,18 @@
 
 func newPlayer(d *Deployment, day *Day, tuning dispatch.Tuning, random *rand.Rand) *player {
 	pl := &player{
-		deployment: d, day: day, tuning: tuning, workers: make(map[string]*worker), jobs: make(map[string]*arrival),
-		gangs: make(map[runKey]*gang), table: make(map[string]dispatch.Record), announced: make(map[string]dispatch.Record),
-		handovers: day.Handovers, crashes: day.Crashes, random: random, tally: newTally(),
+		deployment: d,
+		day:        day,
+		tuning:     tuning,
+		workers:    make(map[string]*worker),
+		jobs:       make(map[string]*arrival),
+		gangs:      make(map[runKey]*gang),
+		table:      make(map[string]dispatch.Record),
+		announced:  make(map[string]dispatch.Record),
+		handovers:  day.Handovers,
+		crashes:    day.Crashes,
+		random:     random,
+		tally:      newTally(),
 	}
 	for i, listed := range d.list() {
 		w := &worker{Worker: listed, zone: i / d.WorkersPerRack / d.RacksPerZone, speed: d.Speeds[random.IntN(len(d.Speeds))]}
