An instance that leads keeps the table, whatever its role says

Found by reading. A hub that is about to become a leaf may take the lease in the same moment: its replica could be emptied between the new leader's read of the table and its first round. The jobs would come back by the feed a moment later and count as accepted under this epoch, though an earlier one may have started them on a worker that does not answer: a second run.

Change: the rows are pinned while an instance leads; only a hub may take the lease; a table that is no longer followed is dropped once that is allowed, not only in the moment of the change.

--- a/internal/deployment/follow.go
+++ b/internal/deployment/follow.go
@@ -57,8 +57,8 @@
 	// whole takes a whole read, taken at a version; changes takes what follows.
 	whole   func(rows []workload.Row, at int64)
 	changes func(rows []workload.Row)
-	// wanted, if set, says whether the table is followed now; idle is called when it no
-	// longer is.
+	// wanted, if set, says whether the table is followed now; idle is called again and
+	// again while it is not.
 	wanted func() bool
 	idle   func()
 }
@@ -70,13 +70,11 @@
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !f.isWanted() {
+			f.idle()
 			pause(ctx, roleEvery)
 			continue
 		}
 		f.readAndFollow(ctx)
-		if !f.isWanted() {
-			f.idle()
-		}
 	}
 }
 
--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -163,7 +163,7 @@
 // table, the configuration and the workers, reaches the store, and stays.
 func (i *Instance) eligible() bool {
 	reachable, _ := i.store.reachable()
-	return reachable && i.replica.isLoaded() && i.configuration.Load() != nil && !i.stopping.Load()
+	return reachable && i.follows() && i.replica.isLoaded() && i.configuration.Load() != nil && !i.stopping.Load()
 }
 
 // helpers are the peers that can make store calls for this instance.
--- a/internal/deployment/leader.go
+++ b/internal/deployment/leader.go
@@ -95,6 +95,8 @@
 	// it is read waits in the ring, and adding a job twice changes nothing.
 	i.leader.Store(c)
 	defer i.leader.Store(nil)
+	i.replica.pin()
+	defer i.replica.unpin()
 	version, ok := c.load()
 	if !ok {
 		return
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -82,6 +82,8 @@
 	loaded bool
 	// whole says that all rows are kept: a leaf keeps those of the instances alone.
 	whole bool
+	// pinned says that this instance leads, and that no row may be dropped.
+	pinned bool
 }
 
 // instanceRow is what an instance writes of itself; its key is its address for
@@ -269,10 +271,26 @@
 	r.whole = true
 }
 
-// keepInstances drops all rows but those of the instances, and takes no others.
+// pin keeps all rows from being dropped until unpin. A leader that found some of them
+// missing would take jobs of an earlier epoch for new ones.
+func (r *replica) pin() { r.setPinned(true) }
+
+func (r *replica) unpin() { r.setPinned(false) }
+
+func (r *replica) setPinned(pinned bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pinned = pinned
+}
+
+// keepInstances drops all rows but those of the instances, and takes no others, unless
+// the rows are pinned.
 func (r *replica) keepInstances() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.pinned || !r.whole {
+		return
+	}
 	r.whole, r.loaded = false, false
 	r.jobs, r.began, r.workers = make(map[string]*knownJob), make(map[string]bool), make(map[string]workload.Worker)
 	r.leader = seenLeader{}
--- a/internal/deployment/replica_test.go
+++ b/internal/deployment/replica_test.go
@@ -61,3 +61,15 @@
 		assert.Equal(t, ok, want, id)
 	}
 }
+
+func TestALeaderThatIsNoHubAnyMoreKeepsItsRows(t *testing.T) {
+	r := newReplica(zap.NewNop())
+	job := workload.Row{Key: jobPrefix + "a", Value: encode(workload.Job{ID: "a", Steps: []workload.Step{{Count: 1}}}), Version: 3}
+	r.pin()
+	r.reload([]workload.Row{job}, 3)
+	r.keepInstances()
+	assert.Equal(t, len(r.snapshot()), 1, "a job of an earlier epoch would count as new")
+	r.unpin()
+	r.keepInstances()
+	assert.Equal(t, len(r.snapshot()), 0)
+}
