--- /dev/null
+++ b/internal/deployment/jobstate.go
@@ -0,0 +1,60 @@
+package deployment
+
+import (
+	"github.com/corianderbank/corianderbank/internal/dispatch"
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+// JobState is a job's state as callers see it.
+type JobState string
+
+// The states of a job.
+const (
+	StateQueued    JobState = "queued"
+	StateRunning   JobState = "running"
+	StateCompleted JobState = "completed"
+	StateFailed    JobState = "failed"
+	StateCancelled JobState = "cancelled"
+)
+
+var stateOfFinal = map[dispatch.Final]JobState{
+	dispatch.FinalCompleted: StateCompleted,
+	dispatch.FinalFailed:    StateFailed,
+	dispatch.FinalCancelled: StateCancelled,
+}
+
+// state returns a job's state and the job; false if it is not known.
+func (r *replica) state(id string) (JobState, *workload.Job, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.jobs[id]
+	if known == nil || known.job == nil {
+		return "", nil, false
+	}
+	return r.stateOf(id, known), known.job, true
+}
+
+func (r *replica) stateOf(id string, known *knownJob) JobState {
+	switch {
+	case known.record.Final != "":
+		return stateOfFinal[known.record.Final]
+	case known.cancelled:
+		return StateCancelled
+	case r.began[id]:
+		return StateRunning
+	}
+	return StateQueued
+}
+
+// pending counts, by queue, the jobs of which no task has started.
+func (r *replica) pending() map[string]int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts := make(map[string]int64)
+	for id, known := range r.jobs {
+		if known.job != nil && r.stateOf(id, known) == StateQueued {
+			counts[known.job.Queue]++
+		}
+	}
+	return counts
+}
--- a/internal/deployment/reach.go
+++ b/internal/deployment/reach.go
@@ -10,7 +10,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
-	peerpb "github.com/corianderbank/corianderbank/api/peer"
 	"github.com/corianderbank/corianderbank/internal/peer"
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
@@ -351,56 +350,3 @@
 		from = page.Rows[len(page.Rows)-1].Key + "\x00"
 	}
 }
-
-// relay is the store through one peer. It implements workload.Store.
-type relay struct {
-	peer   string
-	caller peer.Caller
-}
-
-func (s *relay) call(ctx context.Context, call *peerpb.StoreCall) (*peerpb.StoreAnswer, error) {
-	response, err := s.caller.Call(ctx, s.peer, &peerpb.Request{Body: &peerpb.Request_Store{Store: call}})
-	if err != nil {
-		return nil, relayError(err)
-	}
-	answer := response.GetStore()
-	switch answer.GetFailure() {
-	case "":
-		return answer, nil
-	case failureNotDone:
-		return nil, fmt.Errorf("%w: %s", workload.ErrNotDone, answer.GetMessage())
-	case failureHistoryGone:
-		return nil, fmt.Errorf("%w: %s", workload.ErrHistoryGone, answer.GetMessage())
-	}
-	return nil, fmt.Errorf("%w: %s", workload.ErrUnknown, answer.GetMessage())
-}
-
-// Write implements workload.Store.
-func (s *relay) Write(ctx context.Context, write workload.Write) (workload.Written, error) {
-	answer, err := s.call(ctx, &peerpb.StoreCall{
-		Op: opWrite, Part: write.Part, Expect: packRows(write.Expect), Put: packRows(write.Put), Remove: write.Remove,
-	})
-	if err != nil {
-		return workload.Written{}, err
-	}
-	return workload.Written{Version: answer.GetVersion(), Conflict: answer.GetConflict(), Rows: unpackRows(answer.GetRows())}, nil
-}
-
-// Read implements workload.Store.
-func (s *relay) Read(ctx context.Context, source workload.Source, part, from, to string) (workload.Page, error) {
-	answer, err := s.call(ctx, &peerpb.StoreCall{Op: opRead, Source: string(source), Part: part, From: from, To: to})
-	return relayPage(answer, err)
-}
-
-// Follow implements workload.Store.
-func (s *relay) Follow(ctx context.Context, source workload.Source, after int64, wait time.Duration) (workload.Page, error) {
-	answer, err := s.call(ctx, &peerpb.StoreCall{Op: opFollow, Source: string(source), After: after, WaitMs: wait.Milliseconds()})
-	return relayPage(answer, err)
-}
-
-func relayPage(answer *peerpb.StoreAnswer, err error) (workload.Page, error) {
-	if err != nil {
-		return workload.Page{}, err
-	}
-	return workload.Page{Rows: unpackRows(answer.GetRows()), Version: answer.GetVersion(), More: answer.GetMore()}, nil
-}
--- a/internal/dispatch/completions.go
+++ b/internal/dispatch/completions.go
@@ -23,12 +23,12 @@
 			w.unpersisted = append(w.unpersisted, unpersistedEnd{e.Number, j, j.changed})
 		}
 	}
-	c.acknowledgeable(w)
+	c.advanceAcknowledgeable(w)
 }
 
-// acknowledgeable moves on what may be acknowledged: all ends before the first whose
+// advanceAcknowledgeable moves on what may be acknowledged: all ends before the first whose
 // record is not in the store.
-func (c *Core) acknowledgeable(w *worker) {
+func (c *Core) advanceAcknowledgeable(w *worker) {
 	for len(w.unpersisted) > 0 && w.unpersisted[0].job.stored >= w.unpersisted[0].change {
 		w.unpersisted = w.unpersisted[1:]
 	}
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -230,7 +230,7 @@
 		}
 	}
 	for _, w := range c.fleet {
-		c.acknowledgeable(w)
+		c.advanceAcknowledgeable(w)
 	}
 }
 
