--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -16,7 +16,7 @@
 	"github.com/corianderbank/corianderbank/internal/model"
 )
 
-// dialTimeout bounds a connection attempt; availability zones are 1.4 ms apart.
+// dialTimeout bounds a connection attempt, to another availability zone as well.
 const dialTimeout = time.Second
 
 // maxAnswerBytes bounds a backend server's answer.
