--- a/internal/deployment/contacts.go
+++ b/internal/deployment/contacts.go
@@ -30,10 +30,10 @@
 	// hubPatience is how long a leaf goes without word from a hub of its zone before it
 	// follows the table by itself: two hellos and their time-outs.
 	hubPatience = 2 * helloEvery
-	// rosterEvery is how often a leaf reads which instances there are, and
-	// rosterSoonest how often while no hub answers it.
-	rosterEvery   = 10 * time.Second
-	rosterSoonest = time.Second
+	// instancesEvery is how often a leaf reads which instances there are, and
+	// instancesSoonest how often while no hub answers it.
+	instancesEvery   = 10 * time.Second
+	instancesSoonest = time.Second
 	// roleEvery is how often an instance looks whether it is a hub.
 	roleEvery = 100 * time.Millisecond
 )
@@ -78,7 +78,7 @@
 	return list
 }
 
-// role is whether an instance is a hub, and since when it could do without.
+// role is whether an instance is a hub, and what decides that.
 type role struct {
 	mu sync.Mutex
 	// hub says that the instance follows the table.
@@ -156,11 +156,11 @@
 func (i *Instance) listInstances(ctx context.Context) {
 	var last time.Time
 	for ; ctx.Err() == nil; pause(ctx, roleEvery) {
-		due := rosterEvery
+		due := instancesEvery
 		if !i.isListed() {
 			due = 0
-		} else if !i.hubsAnswer(rosterSoonest) {
-			due = rosterSoonest
+		} else if !i.hubsAnswer(instancesSoonest) {
+			due = instancesSoonest
 		}
 		if i.follows() || bootTime().Sub(last) < due {
 			continue
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -155,7 +155,7 @@
 	}
 	c.resendStops()
 	c.evacuate()
-	c.looks()
+	c.polls()
 	actions := c.actions
 	c.actions = nil
 	return actions
@@ -167,7 +167,7 @@
 	c.tick(now, wallMS)
 	waiting := c.actions // what events led to waits for the lease
 	c.actions, c.watching = nil, true
-	c.looks()
+	c.polls()
 	looks := c.actions
 	c.actions, c.watching = waiting, false
 	return looks
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -116,7 +116,7 @@
 
 // polls emits the polls that are due: one waits at each worker that runs
 // something, and a quick one beside it settles stops.
-func (c *Core) looks() {
+func (c *Core) polls() {
 	for _, w := range c.fleet {
 		switch {
 		case w.polling:
@@ -196,7 +196,7 @@
 	w.misses, w.nextPoll, w.known = 0, time.Time{}, true
 	w.acknowledged = max(w.acknowledged, sent.Poll.Acknowledged)
 	if report.Unread > 0 {
-		c.pollAgain(w) // its room is not known
+		c.pollBeforeWork(w) // its room is not known
 	}
 	c.takeCompletions(w, report.Ended)
 	if sent.Sequence < w.lastPoll {
@@ -249,7 +249,7 @@
 	var need workload.Resources
 	j := c.jobs[running.Task.Job]
 	if j == nil || running.Task.Step < 0 || running.Task.Step >= len(j.Steps) {
-		c.pollAgain(w)
+		c.pollBeforeWork(w)
 	} else {
 		need = j.Steps[running.Task.Step].Counted()
 	}
@@ -265,9 +265,9 @@
 	w.nextPoll = c.now.Add(unknownAgain)
 }
 
-// pollAgain does, and gives it nothing new until then: how much room it has is not
+// pollBeforeWork does, and gives it nothing new until then: how much room it has is not
 // known.
-func (c *Core) pollAgain(w *worker) {
+func (c *Core) pollBeforeWork(w *worker) {
 	c.pollSoon(w)
 	w.holdOff = c.now.Add(unknownAgain + holdOffAfter)
 }
