An availability zone that operators drain gets nothing new

Ruled out: a start that is carried out late, or sent by an earlier leader. The first wrong one was an ordinary placement 5.2 s after the row was acknowledged.

Change: the adapter names the zone of a row; the instance keeps the newest word on each zone by version (feed, whole reads and late copies in any order); a leader reads the table before its first start, and starts nothing once it has not heard of it for the bound less a second. The core leaves such workers out of every room: starts, repeated starts, restarts, claims, reservations, headroom, racks. What runs there runs on.

--- a/internal/deployment/config.go
+++ b/internal/deployment/config.go
@@ -66,7 +66,7 @@
 	})) == 0
 }
 
-// rereadConfiguration reads the configuration beside its feed, which may be
+// rereadConfiguration reads the operators' table beside its feed, which may be
 // silent while there are changes.
 func (i *Instance) rereadConfiguration(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -74,9 +74,8 @@
 		if !i.readsConfiguration() {
 			continue
 		}
-		page, err := i.store.Read(ctx, workload.SourceConfiguration, "", "", "")
-		if err == nil {
-			i.takeConfiguration(page.Rows)
+		if err := i.readOperatorTable(ctx); err != nil {
+			i.logger.Debug("reading the operators' table failed", zap.Error(err))
 		}
 	}
 }
--- a/internal/deployment/entries_test.go
+++ b/internal/deployment/entries_test.go
@@ -20,6 +20,9 @@
 // IsConfiguration implements Decoder.
 func (plainDecoder) IsConfiguration(key string) bool { return key == "config" }
 
+// DrainedZone implements Decoder.
+func (plainDecoder) DrainedZone(key string) (string, bool) { return strings.CutPrefix(key, "drain/") }
+
 // Configuration implements Decoder.
 func (plainDecoder) Configuration(data []byte) (*workload.Configuration, error) {
 	if strings.Contains(string(data), "?") {
--- a/internal/deployment/follow.go
+++ b/internal/deployment/follow.go
@@ -61,6 +61,8 @@
 	// again while it is not.
 	wanted func() bool
 	idle   func()
+	// heard, if set, takes when a call was sent whose answer has been taken.
+	heard func(sent time.Time)
 }
 
 // isWanted reports whether the table is followed now.
@@ -81,12 +83,14 @@
 // readAndFollow follows from a whole read on, until the table is not wanted any more.
 func (f *follower) readAndFollow(ctx context.Context) {
 	for ctx.Err() == nil && f.isWanted() {
+		sent := bootTime()
 		rows, version, err := readTable(ctx, f.store, f.source)
 		if err != nil {
 			pause(ctx, followPause)
 			continue
 		}
 		f.whole(rows, version)
+		f.noteHeard(sent)
 		f.follow(ctx, version)
 	}
 }
@@ -94,6 +98,7 @@
 // follow takes changes until the history is gone, or the table is not wanted any more.
 func (f *follower) follow(ctx context.Context, version int64) {
 	for ctx.Err() == nil && f.isWanted() {
+		sent := bootTime()
 		page, err := f.store.Follow(ctx, f.source, version, followWait)
 		if errors.Is(err, workload.ErrHistoryGone) {
 			f.logger.Info("history gone, reading the table", zap.String("source", string(f.source)), zap.Int64("version", version))
@@ -104,11 +109,18 @@
 			continue
 		}
 		f.changes(page.Rows)
+		f.noteHeard(sent)
 		version = max(version, page.Version)
 		pause(ctx, f.gap())
 	}
 }
 
+func (f *follower) noteHeard(sent time.Time) {
+	if f.heard != nil {
+		f.heard(sent)
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -25,6 +25,9 @@
 	// IsConfiguration reports whether a row of SourceConfiguration is the
 	// configuration.
 	IsConfiguration(key string) bool
+	// DrainedZone returns the availability zone that a row of SourceConfiguration
+	// drains for as long as it exists, whatever its value; false for other rows.
+	DrainedZone(key string) (zone string, names bool)
 	Configuration(data []byte) (*workload.Configuration, error)
 	Worker(id string, data []byte) (workload.Worker, error)
 }
@@ -66,6 +69,7 @@
 	workerClient workload.Workers
 	replica      *replica
 	workers      *roster
+	drains       *drains
 	lease        *lease
 	cut          *cutWatch
 	rotation     rotation
@@ -137,6 +141,7 @@
 	i.store.answered = i.reconnected
 	kept := 2 * s.bounds().LongestLease
 	i.workers = newRoster(o.Decoder, kept, o.Logger)
+	i.drains = newDrains(o.Decoder, o.Logger)
 	i.lease = &lease{
 		self:     s.Listen.Peers,
 		store:    i.store.within(leasePathTimeout),
@@ -350,11 +355,12 @@
 		store:   i.store,
 		source:  workload.SourceConfiguration,
 		logger:  i.logger,
-		changes: i.takeConfiguration,
+		changes: i.takeOperatorRows,
 		gap:     func() time.Duration { return configurationGap },
 		wanted:  i.readsConfiguration,
 		idle:    func() {},
-		whole:   func(rows []workload.Row, _ int64) { i.takeConfiguration(rows) },
+		whole:   i.takeOperatorTable,
+		heard:   i.drains.confirm,
 	}
 	duty(own.run)
 	duty(config.run)
@@ -378,6 +384,7 @@
 		i.lease.run(leasing)
 	}()
 	i.registerMetrics()
+	i.registerDrainMetrics()
 }
 
 // tableGap is the pause after changes of the product's table.
--- a/internal/deployment/leader.go
+++ b/internal/deployment/leader.go
@@ -65,6 +65,8 @@
 	// unreadSights are the workers of which a line said that what they list cannot be
 	// read.
 	unreadSights unreadRows
+	// startsHeld says that nothing starts until it is known which zones are drained.
+	startsHeld bool
 	// calm says, for the lease, that no worker is waited for.
 	synced atomic.Bool
 	// a closing leader decides nothing any more; underWay counts the orders and
@@ -137,6 +139,7 @@
 			continue
 		}
 		c.instance.replica.reload(rows, version)
+		operators := c.readOperators()
 		workers, listed, err := readTable(c.ctx, c.instance.store, workload.SourceWorkers)
 		if err != nil {
 			c.logger.Warn("reading the workers failed", zap.Error(err))
@@ -144,17 +147,31 @@
 			continue
 		}
 		c.instance.workers.reload(workers, 0)
+		if err := <-operators; err != nil {
+			c.logger.Warn("reading the operators' table failed", zap.Error(err))
+			pause(c.ctx, followPause)
+			continue
+		}
 		c.fill()
 		return listed, true
 	}
 	return 0, false
 }
 
+// readOperators reads the operators' table beside the other reads: a leader must know
+// which zones are drained before its first start.
+func (c *leader) readOperators() <-chan error {
+	done := make(chan error, 1)
+	go func() { done <- c.instance.readOperatorTable(c.ctx) }()
+	return done
+}
+
 func (c *leader) fill() {
 	now, wallMS := bootTime(), time.Now().UnixMilli()
 	c.core = dispatch.New(c.instance.live.Load().bounds(), c.grant.epoch, now, c.earlier(now))
 	c.core.Tune(c.instance.settings.Tuning.ofCore())
 	c.core.Configure(c.instance.configuration.Load())
+	c.core.Drain(c.instance.drains.list(), now, wallMS)
 	// Workers that are noted but not listed may run on behind a cut that this
 	// instance did not live through. Others that the list lost run nothing: nobody gets
 	// work before it is noted, and it is noted until nothing can run there.
@@ -280,6 +297,7 @@
 // round decides and carries out.
 func (c *leader) round() {
 	started := bootTime()
+	c.holdStarts(started)
 	for _, action := range c.core.Decide(started, time.Now().UnixMilli()) {
 		c.carryOut(action)
 	}
@@ -297,6 +315,18 @@
 	c.synced.Store(c.core.Synced())
 }
 
+// holdStarts keeps the core from starting work while this instance has not heard for long
+// which zones are drained, and says so once.
+func (c *leader) holdStarts(now time.Time) {
+	hold := !c.instance.drainsKnown(now)
+	if hold != c.startsHeld {
+		c.startsHeld = hold
+		c.logger.Warn("starts held", zap.Bool("held", hold), zap.Int64("epoch", c.grant.epoch),
+			zap.Duration("operators_table_age", c.instance.drains.age(now)))
+	}
+	c.core.HoldStarts(hold)
+}
+
 const (
 	// finishWithin bounds how long a leader that gives the lease up lets its orders
 	// end: a gang of which some members were started would be broken by the next one.
--- a/internal/deployment/settings.go
+++ b/internal/deployment/settings.go
@@ -72,6 +72,9 @@
 	StatusKeptS float64 `json:"status_kept_s"`
 	// RemoteFactor is how much longer tasks take away from their rack.
 	RemoteFactor float64 `json:"remote_factor"`
+	// DrainZoneMS is the time from an operator's order to drain an availability zone
+	// within which work ceases to start there.
+	DrainZoneMS int64 `json:"drain_zone_ms"`
 }
 
 //go:embed settings.schema.json
@@ -85,7 +88,7 @@
 	return Settings{
 		LogLevel: "info", MemoryMB: 256, StopWithinMS: 4500,
 		Bounds: BoundSettings{
-			LongestLeaseMS: 10_000, StopMS: 1000, ReclaimMS: 2000, StatusKeptS: 120, RemoteFactor: 3,
+			LongestLeaseMS: 10_000, StopMS: 1000, ReclaimMS: 2000, StatusKeptS: 120, RemoteFactor: 3, DrainZoneMS: 5000,
 		},
 	}
 }
@@ -109,6 +112,11 @@
 	return &s, s.Tuning.check()
 }
 
+// drainWithin is the time within which work ceases to start in a drained zone.
+func (s *Settings) drainWithin() time.Duration {
+	return time.Duration(s.Bounds.DrainZoneMS) * time.Millisecond
+}
+
 func (s *Settings) bounds() workload.Bounds {
 	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 	b := s.Bounds
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -76,6 +76,10 @@
 	ordered []*run
 	repeats repeatBudget
 	fenced  bool
+	// drained are the availability zones that operators have drained.
+	drained map[string]bool
+	// startsHeld says that nothing may start for now.
+	startsHeld bool
 	// urgentUse is the average number of accelerators that work of the first
 	// priority used lately, by pool, as of urgentAt.
 	urgentUse map[string]float64
@@ -150,7 +154,7 @@
 	c.repeatStarts()
 	c.breakPartial()
 	c.dropFinished()
-	if c.config != nil {
+	if c.config != nil && !c.startsHeld {
 		c.place()
 	}
 	c.resendStops()
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -71,7 +71,7 @@
 func (c *Core) rooms() map[string][]*room {
 	pools := make(map[string][]*room)
 	for _, w := range c.fleet {
-		if !w.usable(c.now) || c.isSuspect(w) {
+		if !w.usable(c.now) || c.isSuspect(w) || c.isDrained(w) {
 			continue
 		}
 		free := w.Room.Sub(w.used).Sub(w.unknownNeed())
@@ -215,7 +215,7 @@
 	if !c.worthRecording(s, why) || c.now.Sub(s.readySince) < reasonAfter {
 		return
 	}
-	reason := fmt.Sprintf("%s; rank %d, due in %d ms, waited %d ms, %d tasks of about %d ms", why, u.rank.class,
+	reason := fmt.Sprintf("%s%s; rank %d, due in %d ms, waited %d ms, %d tasks of about %d ms", why, c.drainedNote(u.queue.Pool), u.rank.class,
 		u.dueBy.Sub(c.now).Milliseconds(), c.now.Sub(s.readySince).Milliseconds(), len(u.tasks), u.length.Milliseconds())
 	c.recordReasonOf(s, why, reason)
 }
--- a/internal/dispatch/repeat.go
+++ b/internal/dispatch/repeat.go
@@ -40,14 +40,14 @@
 
 // repeatStarts sends starts once more that are not answered.
 func (c *Core) repeatStarts() {
-	if !c.has(MechResends) {
+	if !c.has(MechResends) || c.startsHeld {
 		return
 	}
 	for _, r := range c.ordered {
 		if c.now.Sub(r.since) < repeatAfter {
 			return
 		}
-		if r.copies == 1 && r.state == stRunOrdered && c.repeats.take() {
+		if r.copies == 1 && r.state == stRunOrdered && !c.isDrained(r.worker) && c.repeats.take() {
 			c.sendStart(r, "sent again, no answer yet")
 		}
 	}
