Starts and stops do not wait behind polls

Load: a leader of thousands of workers. Each busy worker has a poll that waits for up to a second, and polls, starts and stops shared one pool of 1,024. With 3,000 workers the pool is full of polls that wait: starts and stops stand in line behind them, for up to two seconds, and each worker is polled every third second.

Change: polls have a pool of their own, two for each worker at the target size.

--- a/internal/deployment/leader.go
+++ b/internal/deployment/leader.go
@@ -34,9 +34,12 @@
 	// instance leads. A leader allocates with each poll and round: collecting as often as
 	// the others takes more processor time than deciding.
 	leaderGCPercent = 300
-	// ordersAtOnce bounds the orders and polls under way: each worker may have a
-	// waiting poll, a quick one, and starts beside them.
+	// ordersAtOnce bounds the orders under way.
 	ordersAtOnce = 1024
+	// pollsAtOnce bounds the polls under way, of which each worker has a waiting one and
+	// at times a quick one. They are apart from the orders: a start that waits behind
+	// polls of thousands of workers comes seconds late.
+	pollsAtOnce = 16_384
 )
 
 // event changes the core; the loop runs them one after the other.
@@ -50,6 +53,7 @@
 	core     *dispatch.Core
 	events   chan event
 	orders   pond.Pool
+	polls    pond.Pool
 	logger   *zap.Logger
 	// writing says that records are on their way to the store.
 	writing bool
@@ -80,18 +84,8 @@
 func (i *Instance) lead(ctx context.Context, g *grant) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c := &leader{
-		instance:       i,
-		grant:          g,
-		events:         make(chan event, eventCapacity),
-		ctx:            ctx,
-		orders:         pond.NewPool(ordersAtOnce),
-		logger:         i.logger.Named("leader"),
-		recordVersions: make(map[string]int64),
-		announced:      make(map[string]bool),
-		priorities:     make(map[int]bool),
-	}
-	defer func() { c.orders.Stop() }()
+	c := newLeader(ctx, i, g)
+	defer c.stopPools()
 	defer debug.SetGCPercent(debug.SetGCPercent(leaderGCPercent))
 	// Events are taken from here on, before the table is read: what comes while
 	// it is read waits in the ring, and adding a job twice changes nothing.
@@ -113,6 +107,26 @@
 	<-following
 }
 
+func newLeader(ctx context.Context, i *Instance, g *grant) *leader {
+	return &leader{
+		instance:       i,
+		grant:          g,
+		events:         make(chan event, eventCapacity),
+		ctx:            ctx,
+		orders:         pond.NewPool(ordersAtOnce),
+		polls:          pond.NewPool(pollsAtOnce),
+		logger:         i.logger.Named("leader"),
+		recordVersions: make(map[string]int64),
+		announced:      make(map[string]bool),
+		priorities:     make(map[int]bool),
+	}
+}
+
+func (c *leader) stopPools() {
+	c.orders.Stop()
+	c.polls.Stop()
+}
+
 // followWorkers follows the list of workers from a version on.
 func (c *leader) followWorkers(ctx context.Context, version int64) {
 	list := &follower{
@@ -399,7 +413,7 @@
 		c.underWay.Add(1)
 		c.orders.Submit(func() { c.give("stop", action, c.instance.workerClient.Stop, (*dispatch.Core).StopAnswered) })
 	case dispatch.ActPoll:
-		c.orders.Submit(func() { c.poll(action) })
+		c.polls.Submit(func() { c.poll(action) })
 	case dispatch.ActReason:
 		c.logger.Info("wait", append(taskFields(action.Order.Task), zap.Int64("epoch", action.Order.Epoch), zap.String("reason", action.Reason))...)
 	case dispatch.ActAsk:
