--- a/internal/deployment/settings.go
+++ b/internal/deployment/settings.go
@@ -30,6 +30,8 @@
 	Processor Processor `json:"processor"`
 	// MemoryMB is what the process may use, in megabytes.
 	MemoryMB int64 `json:"memory_mb"`
+	// Descriptors is how many descriptors the process may have open; zero is no bound.
+	Descriptors int `json:"descriptors"`
 	// StopWithinMS is how long a planned stop may take, in milliseconds.
 	StopWithinMS int64 `json:"stop_within_ms"`
 	// Bounds are the deployment's fixed times and factors.
@@ -47,6 +49,18 @@
 
 func (p Processor) cores() float64 { return p.Share * p.Cores }
 
+// reservedDescriptors are kept for callers, peers, the store, files and the runtime.
+const reservedDescriptors = 900
+
+// WorkerConnections is how many connections to workers the process may have open; zero is
+// no bound.
+func (s *Settings) WorkerConnections() int {
+	if s.Descriptors == 0 {
+		return 0
+	}
+	return max(s.Descriptors-reservedDescriptors, s.Descriptors/2)
+}
+
 // Listen holds the addresses that an instance listens on.
 type Listen struct {
 	// Callers is for callers.
--- a/test/docs/page_test.go
+++ b/test/docs/page_test.go
@@ -142,7 +142,7 @@
 // goFiles calls f for every file of the product's code.
 func goFiles(t *testing.T, f func(path, text string)) {
 	t.Helper()
-	for _, dir := range []string{"api", "cmd", "internal"} {
+	for _, dir := range []string{"api", "cmd", "internal", "platform"} {
 		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, _ os.DirEntry, err error) error {
 			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
