Hubs make the calls to workers that a leader cannot make itself

Change: the leader speaks to as many workers as its descriptors and processor allow, a hash decides which; the others are called by a hub of their zone.

--- a/internal/deployment/gossip.go
+++ b/internal/deployment/gossip.go
@@ -178,6 +178,11 @@
 	case *peerpb.Request_Store:
 		answer := serveStore(ctx, i.store.direct, body.Store)
 		return &peerpb.Response{Body: &peerpb.Response_Store{Store: answer}}, nil
+	case *peerpb.Request_WorkerCalls:
+		return &peerpb.Response{}, i.relayCalls(request.GetFrom(), body.WorkerCalls.GetCalls())
+	case *peerpb.Request_WorkerAnswers:
+		i.workerReach.takeAnswers(request.GetFrom(), body.WorkerAnswers.GetAnswers())
+		return &peerpb.Response{}, nil
 	case *peerpb.Request_JobQuery:
 		return i.answerQuery(ctx, body.JobQuery)
 	}
--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -14,6 +14,7 @@
 	"github.com/alitto/pond/v2"
 	"go.uber.org/zap"
 
+	peerpb "github.com/corianderbank/corianderbank/api/peer"
 	"github.com/corianderbank/corianderbank/internal/dispatch"
 	"github.com/corianderbank/corianderbank/internal/lifecycle"
 	"github.com/corianderbank/corianderbank/internal/peer"
@@ -65,14 +66,18 @@
 	logger  *zap.Logger
 	decoder Decoder
 	// store is the store by any path.
-	store        *reach
-	workerClient workload.Workers
-	replica      *replica
-	workers      *roster
-	drains       *drains
-	lease        *lease
-	cut          *cutWatch
-	rotation     rotation
+	store *reach
+	// workerReach is the way to the workers, relayed and answers what this instance does
+	// for a leader that it relays calls for.
+	workerReach *workerReach
+	relayed     pond.Pool
+	answers     *batcher[*peerpb.WorkerAnswer]
+	replica     *replica
+	workers     *roster
+	drains      *drains
+	lease       *lease
+	cut         *cutWatch
+	rotation    rotation
 	// unread are the configuration's rows of which a line said that they cannot be read.
 	unread        unreadRows
 	node          *peer.Node
@@ -104,15 +109,14 @@
 func New(o Options) *Instance {
 	s := o.Settings
 	i := &Instance{
-		settings:     s,
-		options:      o,
-		logger:       o.Logger,
-		decoder:      o.Decoder,
-		workerClient: o.Workers,
-		replica:      newReplica(o.Logger),
-		cut:          newCutWatch(),
-		peers:        newPeers(),
-		calls:        pond.NewPool(callsAtOnce, pond.WithQueueSize(callsAtOnce), pond.WithNonBlocking(true)),
+		settings: s,
+		options:  o,
+		logger:   o.Logger,
+		decoder:  o.Decoder,
+		replica:  newReplica(o.Logger),
+		cut:      newCutWatch(),
+		peers:    newPeers(),
+		calls:    pond.NewPool(callsAtOnce, pond.WithQueueSize(callsAtOnce), pond.WithNonBlocking(true)),
 	}
 	i.live.Store(s)
 	i.replica.keepInstances()
@@ -125,6 +129,9 @@
 		Resolve:     func(id string) (string, bool) { return id, true },
 		Limits:      peerLimits,
 	})
+	i.workerReach = newWorkerReach(o.Workers, i.node, i.hubsToRelay, ownWorkers(s), o.Logger)
+	i.relayed = pond.NewPool(relayedAtOnce, pond.WithQueueSize(relayedAtOnce), pond.WithNonBlocking(true))
+	i.answers = newBatcher(answersLinger, answersAtOnceMost, i.sendAnswers)
 	i.store = &reach{
 		limit:    pathTimeout,
 		patience: pathPatience,
@@ -179,6 +186,15 @@
 	return i.peers.fresh(func(v peerView) bool { return v.storeReachable })
 }
 
+// hubsToRelay are the hubs of a zone that can make calls to its workers for this
+// instance.
+func (i *Instance) hubsToRelay(zone string) []string {
+	if !i.settings.Tuning.has(mechWorkerRelays) {
+		return nil
+	}
+	return i.peers.fresh(func(v peerView) bool { return v.hub && !v.cutOff && v.zone == zone })
+}
+
 // cores is what this instance may use of the processor.
 func (i *Instance) cores() float64 {
 	if !i.settings.Tuning.has(mechLargerFirst) {
@@ -241,7 +257,9 @@
 // configuration names.
 func (i *Instance) listedWorkers() []workload.Worker {
 	config := i.configuration.Load()
-	return slices.DeleteFunc(i.workers.list(), func(w workload.Worker) bool { return config != nil && !config.HasPool(w.Pool) })
+	list := slices.DeleteFunc(i.workers.list(), func(w workload.Worker) bool { return config != nil && !config.HasPool(w.Pool) })
+	i.workerReach.setWorkers(len(list))
+	return list
 }
 
 // Ready reports whether callers should come here.
@@ -428,6 +446,7 @@
 	i.node.Close()
 	i.duties.Wait()
 	i.calls.Stop()
+	i.relayed.Stop()
 }
 
 func (i *Instance) registerMetrics() {
--- a/internal/deployment/leader.go
+++ b/internal/deployment/leader.go
@@ -407,11 +407,11 @@
 		c.logOrder("start", action, zap.Bool("resumes", action.Order.Checkpoint != ""))
 		measureStart(action.First)
 		c.underWay.Add(1)
-		c.orders.Submit(func() { c.give("start", action, c.instance.workerClient.Start, (*dispatch.Core).StartAnswered) })
+		c.orders.Submit(func() { c.give("start", action, c.instance.workerReach.Start, (*dispatch.Core).StartAnswered) })
 	case dispatch.ActStop:
 		c.logOrder("stop", action)
 		c.underWay.Add(1)
-		c.orders.Submit(func() { c.give("stop", action, c.instance.workerClient.Stop, (*dispatch.Core).StopAnswered) })
+		c.orders.Submit(func() { c.give("stop", action, c.instance.workerReach.Stop, (*dispatch.Core).StopAnswered) })
 	case dispatch.ActPoll:
 		c.polls.Submit(func() { c.poll(action) })
 	case dispatch.ActReason:
@@ -475,7 +475,7 @@
 func (c *leader) poll(action dispatch.Action) {
 	report := workload.Report{Verdict: workload.VerdictUnsent, Err: errLeaseOver}
 	if action.Poll.UntilMS == 0 || c.grant.valid() {
-		report = c.instance.workerClient.Poll(c.ctx, action.Poll)
+		report = c.instance.workerReach.Poll(c.ctx, action.Poll)
 	}
 	if report.Unread > 0 && c.unreadSights.first(action.Poll.Worker, c.grant.epoch) {
 		c.logger.Error("worker lists what cannot be read", zap.String("worker", action.Poll.Worker), zap.Int("rows", report.Unread))
--- a/internal/deployment/tuning.go
+++ b/internal/deployment/tuning.go
@@ -27,13 +27,14 @@
 	mechLargerFirst      dispatch.Mechanism = "larger_first"
 	mechFinishing        dispatch.Mechanism = "finishing"
 	mechSeldomReads      dispatch.Mechanism = "seldom_reads"
+	mechWorkerRelays     dispatch.Mechanism = "worker_relays"
 )
 
 // Mechanisms lists those of an instance.
 func Mechanisms() []dispatch.Mechanism {
 	return []dispatch.Mechanism{
 		mechEarlyReplacement, mechOutages, mechPeerPaths, mechOvertaking, mechRetryAfter, mechRoundGap, mechCutWatch,
-		mechAnnouncements, mechLargerFirst, mechFinishing, mechSeldomReads,
+		mechAnnouncements, mechLargerFirst, mechFinishing, mechSeldomReads, mechWorkerRelays,
 	}
 }
 
--- /dev/null
+++ b/internal/deployment/worker_relay.go
@@ -0,0 +1,184 @@
+package deployment
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/corianderbank/corianderbank/api"
+	peerpb "github.com/corianderbank/corianderbank/api/peer"
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+// The calls to workers that a hub makes for the leader.
+const (
+	opStart = "start"
+	opStop  = "stop"
+	opPoll  = "poll"
+)
+
+const (
+	// relayedAtOnce bounds the calls that a hub has under way for others.
+	relayedAtOnce = 4096
+	// answersLinger is how long answers wait for others to the same leader.
+	answersLinger = 15 * time.Millisecond
+	// answersAtOnceMost bounds the answers of one message.
+	answersAtOnceMost = 256
+)
+
+var errRelayFull = errors.New("too many calls for others under way")
+
+// relayCalls makes calls to workers for the leader. It returns at once; what became of
+// them is told in messages of its own.
+func (i *Instance) relayCalls(leader string, calls []*peerpb.WorkerCall) error {
+	if i.stopping.Load() {
+		return api.NewError(api.KindNotReady, "stopping")
+	}
+	for _, call := range calls {
+		if i.relayed.Go(func() { i.answers.add(leader, i.relayCall(call)) }) != nil {
+			i.answers.add(leader, packAnswer(call.GetId(), workload.VerdictUnsent, 0, errRelayFull))
+		}
+	}
+	return nil
+}
+
+func (i *Instance) relayCall(call *peerpb.WorkerCall) *peerpb.WorkerAnswer {
+	ctx := context.Background() // each call to a worker has its own time-out
+	direct := i.options.Workers
+	switch call.GetOp() {
+	case opStart:
+		return packReceipt(call.GetId(), direct.Start(ctx, unpackOrder(call)))
+	case opStop:
+		return packReceipt(call.GetId(), direct.Stop(ctx, unpackOrder(call)))
+	case opPoll:
+		return packReport(call.GetId(), direct.Poll(ctx, unpackPoll(call)))
+	}
+	return packAnswer(call.GetId(), workload.VerdictUnsent, 0, errors.New("no such call"))
+}
+
+// sendAnswers tells the leader what became of its calls. If it cannot be told, its own
+// time-outs decide.
+func (i *Instance) sendAnswers(leader string, answers []*peerpb.WorkerAnswer) {
+	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+	defer cancel()
+	note := &peerpb.WorkerAnswers{Answers: answers}
+	if _, err := i.node.Call(ctx, leader, &peerpb.Request{Body: &peerpb.Request_WorkerAnswers{WorkerAnswers: note}}); err != nil {
+		i.logger.Debug("answers of workers not passed on")
+	}
+}
+
+func packTask(t workload.TaskID) *peerpb.TaskName {
+	return &peerpb.TaskName{Job: t.Job, Occurrence: int32(t.Occurrence), Step: int32(t.Step), Index: int32(t.Index)}
+}
+
+func unpackTask(t *peerpb.TaskName) workload.TaskID {
+	return workload.TaskID{Job: t.GetJob(), Occurrence: int(t.GetOccurrence()), Step: int(t.GetStep()), Index: int(t.GetIndex())}
+}
+
+func packOrder(op string, o workload.Order) *peerpb.WorkerCall {
+	return &peerpb.WorkerCall{
+		Op:         op,
+		Worker:     o.Worker,
+		Addr:       o.Addr,
+		Task:       packTask(o.Task),
+		Attempt:    o.Attempt,
+		Epoch:      o.Epoch,
+		UntilMs:    o.UntilMS,
+		Spec:       o.Spec,
+		Checkpoint: o.Checkpoint,
+		Ticket:     o.Ticket,
+	}
+}
+
+func unpackOrder(call *peerpb.WorkerCall) workload.Order {
+	return workload.Order{
+		Worker:     call.GetWorker(),
+		Addr:       call.GetAddr(),
+		Task:       unpackTask(call.GetTask()),
+		Attempt:    call.GetAttempt(),
+		Epoch:      call.GetEpoch(),
+		UntilMS:    call.GetUntilMs(),
+		Spec:       call.GetSpec(),
+		Checkpoint: call.GetCheckpoint(),
+		Ticket:     call.GetTicket(),
+	}
+}
+
+func packPoll(p workload.Poll) *peerpb.WorkerCall {
+	return &peerpb.WorkerCall{
+		Op:           opPoll,
+		Worker:       p.Worker,
+		Addr:         p.Addr,
+		Epoch:        p.Epoch,
+		UntilMs:      p.UntilMS,
+		Acknowledged: p.Acknowledged,
+		WaitMs:       p.Wait.Milliseconds(),
+	}
+}
+
+func unpackPoll(call *peerpb.WorkerCall) workload.Poll {
+	return workload.Poll{
+		Worker:       call.GetWorker(),
+		Addr:         call.GetAddr(),
+		Epoch:        call.GetEpoch(),
+		UntilMS:      call.GetUntilMs(),
+		Acknowledged: call.GetAcknowledged(),
+		Wait:         time.Duration(call.GetWaitMs()) * time.Millisecond,
+	}
+}
+
+func packAnswer(id uint64, verdict workload.Verdict, clockMS int64, err error) *peerpb.WorkerAnswer {
+	answer := &peerpb.WorkerAnswer{Id: id, Verdict: verdict.String(), ClockMs: clockMS}
+	if err != nil {
+		answer.Message = err.Error()
+	}
+	return answer
+}
+
+func packReceipt(id uint64, r workload.Receipt) *peerpb.WorkerAnswer {
+	return packAnswer(id, r.Verdict, r.ClockMS, r.Err)
+}
+
+func unpackReceipt(answer *peerpb.WorkerAnswer) workload.Receipt {
+	return workload.Receipt{Verdict: workload.ParseVerdict(answer.GetVerdict()), ClockMS: answer.GetClockMs(), Err: messageError(answer)}
+}
+
+func packReport(id uint64, r workload.Report) *peerpb.WorkerAnswer {
+	answer := packAnswer(id, r.Verdict, r.ClockMS, r.Err)
+	answer.Unread = int32(r.Unread)
+	for _, running := range r.Running {
+		answer.Running = append(answer.Running, &peerpb.RunningTask{
+			Task: packTask(running.Task), Attempt: running.Attempt, Checkpoint: running.Checkpoint, Percent: int32(running.Percent),
+		})
+	}
+	for _, e := range r.Ended {
+		answer.Ended = append(answer.Ended, &peerpb.EndedTask{
+			Number: e.Number, Task: packTask(e.Task), Attempt: e.Attempt, Kind: string(e.Kind), Checkpoint: e.Checkpoint,
+		})
+	}
+	return answer
+}
+
+func unpackReport(answer *peerpb.WorkerAnswer) workload.Report {
+	r := workload.Report{
+		Verdict: workload.ParseVerdict(answer.GetVerdict()), ClockMS: answer.GetClockMs(), Unread: int(answer.GetUnread()), Err: messageError(answer),
+	}
+	for _, running := range answer.GetRunning() {
+		r.Running = append(r.Running, workload.Running{
+			Task: unpackTask(running.GetTask()), Attempt: running.GetAttempt(), Checkpoint: running.GetCheckpoint(), Percent: int(running.GetPercent()),
+		})
+	}
+	for _, e := range answer.GetEnded() {
+		r.Ended = append(r.Ended, workload.Ended{
+			Number: e.GetNumber(), Task: unpackTask(e.GetTask()), Attempt: e.GetAttempt(), Kind: workload.EndKind(e.GetKind()), Checkpoint: e.GetCheckpoint(),
+		})
+	}
+	return r
+}
+
+func messageError(answer *peerpb.WorkerAnswer) error {
+	if answer.GetMessage() == "" {
+		return nil
+	}
+	return errors.New(answer.GetMessage())
+}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -49,7 +49,7 @@
 	until := w.clock(c.now) + startWithin.Milliseconds()
 	w.lease(until)
 	r.order = &workload.Order{
-		Worker: w.ID, Addr: w.Addr, Task: t.id(), Attempt: attempt, Epoch: c.epoch, UntilMS: until,
+		Worker: w.ID, Addr: w.Addr, Zone: w.Zone, Task: t.id(), Attempt: attempt, Epoch: c.epoch, UntilMS: until,
 		Spec: t.step.job.Spec, Checkpoint: r.checkpoint, Ticket: t.step.advice.tickets[w.ID].ticket,
 	}
 	c.sendStart(r, reason)
@@ -122,7 +122,7 @@
 	r.stopSent = c.now
 	r.stops++
 	c.actions = append(c.actions, Action{Kind: ActStop, Reason: r.reason, Order: workload.Order{
-		Worker: r.worker.ID, Addr: r.worker.Addr, Task: r.task.id(), Attempt: r.attempt, Epoch: c.epoch,
+		Worker: r.worker.ID, Addr: r.worker.Addr, Zone: r.worker.Zone, Task: r.task.id(), Attempt: r.attempt, Epoch: c.epoch,
 	}})
 }
 
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -141,7 +141,7 @@
 }
 
 func (c *Core) poll(w *worker, wait time.Duration, quick bool) {
-	poll := workload.Poll{Worker: w.ID, Addr: w.Addr, Epoch: c.epoch, Acknowledged: w.persisted, Wait: wait}
+	poll := workload.Poll{Worker: w.ID, Addr: w.Addr, Zone: w.Zone, Epoch: c.epoch, Acknowledged: w.persisted, Wait: wait}
 	// A worker that does not answer gets no longer lease: a poll that it never
 	// received would count as an extension, and its runs would never be taken for
 	// lapsed.
@@ -244,7 +244,7 @@
 func (c *Core) stopUnknown(w *worker, running workload.Running) {
 	c.pollSoon(w)
 	c.actions = append(c.actions, Action{Kind: ActStop, Reason: "of no job that is open", Order: workload.Order{
-		Worker: w.ID, Addr: w.Addr, Task: running.Task, Attempt: running.Attempt, Epoch: c.epoch,
+		Worker: w.ID, Addr: w.Addr, Zone: w.Zone, Task: running.Task, Attempt: running.Attempt, Epoch: c.epoch,
 	}})
 	var need workload.Resources
 	j := c.jobs[running.Task.Job]
--- a/internal/workload/ports.go
+++ b/internal/workload/ports.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 )
 
@@ -80,8 +81,10 @@
 
 // Order is an instruction to a worker about one run of a task.
 type Order struct {
-	Worker  string
-	Addr    string
+	Worker string
+	Addr   string
+	// Zone is the worker's availability zone.
+	Zone    string
 	Task    TaskID
 	Attempt int64
 	// Epoch fences: a worker does nothing for a lower one than it has seen.
@@ -130,6 +133,14 @@
 // String implements fmt.Stringer.
 func (v Verdict) String() string { return verdictNames[v] }
 
+// ParseVerdict is the verdict of a name; VerdictUnknown where there is none.
+func ParseVerdict(name string) Verdict {
+	if n := slices.Index(verdictNames[:], name); n >= 0 {
+		return Verdict(n)
+	}
+	return VerdictUnknown
+}
+
 // Receipt is the answer to an order. ClockMS is the worker's clock, zero if it
 // did not say.
 type Receipt struct {
@@ -176,7 +187,9 @@
 // Poll asks a worker what it runs, and extends its lease.
 type Poll struct {
 	Worker, Addr string
-	Epoch        int64
+	// Zone is the worker's availability zone.
+	Zone  string
+	Epoch int64
 	// Noted is the number of the last end that was recorded.
 	Acknowledged int64
 	// UntilMS extends the lease, on the worker's clock; zero does not.
