Polls of thousands of workers go through a window

Cause, shown by a model in virtual time: a leader that has to hear from all workers polls all of them at once. On a processor that carries out a poll in 4 ms, 600 polls at once need 2.4 s each, and time out after 0.6 s: all of their work is thrown away. Each time-out makes a rack suspect, a rack without answers its zone, and every worker of a suspect zone is polled again. In the model not one of 600 workers is ever heard. Ruled out: connections alone.

Change: polls that do not wait at their worker go through a window that grows while answers come within 120 ms and shrinks when they take 240; those to workers that left one unanswered have a window of their own.

Tests: the model (600 of 600 heard within 5 s, hardly any poll lost), a zone that is cut off, the window by itself.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -30,6 +30,9 @@
 	Sequence uint64
 	// Quick looks run beside the waiting one.
 	Quick bool
+	// lane is the window that a poll counts in, sent when it was sent.
+	lane pollLane
+	sent time.Time
 	// Reason, for the log: why this, and what decided it.
 	Reason string
 	// First, on one start of each job, says how long it waited for it.
@@ -76,6 +79,7 @@
 	ordered []*run
 	repeats repeatBudget
 	fenced  bool
+	window  pollWindow
 	// drained are the availability zones that operators have drained.
 	drained map[string]bool
 	// startsHeld says that nothing may start for now.
@@ -125,6 +129,7 @@
 		urgentAt:   now,
 		suspects:   make(map[domain]time.Time),
 		repeats:    repeatsMost,
+		window:     newPollWindow(),
 	}
 	if !earlier.IsZero() {
 		c.earlier = earlier
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -117,17 +117,16 @@
 // polls emits the polls that are due: one waits at each worker that runs
 // something, and a quick one beside it settles stops.
 func (c *Core) polls() {
+	var due []duePoll
 	for _, w := range c.fleet {
 		switch {
 		case w.polling:
 			if (w.wantPoll || c.isSuspect(w)) && !w.quick && !c.now.Before(w.nextPoll) {
-				w.quick, w.wantPoll = true, false
-				c.poll(w, 0, true)
+				due = append(due, duePoll{w, true})
 			}
 		case c.now.Before(w.nextPoll):
 		case w.wantPoll || !w.known || c.isSuspect(w):
-			w.wantPoll = false
-			c.poll(w, 0, false)
+			due = append(due, duePoll{w, false})
 		case len(w.unpersisted) > 0:
 			// Ends are listed again until they are acknowledged, which the
 			// store's answer comes before: waiting would not wait.
@@ -138,6 +137,7 @@
 			c.poll(w, 0, false)
 		}
 	}
+	c.sendDue(due)
 }
 
 func (c *Core) poll(w *worker, wait time.Duration, quick bool) {
@@ -166,6 +166,7 @@
 // PollAnswered takes a worker's answer to a poll, sent as the action says.
 func (c *Core) PollAnswered(sent Action, report workload.Report, now time.Time, wallMS int64) {
 	c.tick(now, wallMS)
+	c.window.ended(sent.lane, now.Sub(sent.sent), now)
 	w := c.workers[sent.Poll.Worker]
 	if w == nil {
 		return
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -26,6 +26,7 @@
 	MechRackOrder      Mechanism = "rack_order"
 	MechRestartClaims  Mechanism = "restart_claims"
 	MechResends        Mechanism = "resends"
+	MechPollWindow     Mechanism = "poll_window"
 )
 
 // Mechanisms lists them all.
@@ -33,6 +34,7 @@
 	return []Mechanism{
 		MechHeadroom, MechClaims, MechWaitForEnds, MechReservations, MechRackPatience, MechEstimates, MechSickWorkers,
 		MechEvacuation, MechSuspectDomains, MechDemoteLate, MechCheapVictims, MechPacking, MechRackOrder, MechRestartClaims, MechResends,
+		MechPollWindow,
 	}
 }
 
