Starts go through a window, and late answers are judged by how late answers are

It has no processor time left for their answers: starts time out, pings go unanswered, its lease is taken 1.6 s later, the next leader reads the table for 1.5 s and does the same. A model of it in virtual time starts none of 480 tasks in two seconds: answers that take 200 ms make racks suspect after 120 ms, all of their workers are polled, and nothing is answered any more.

Ruled out: the lease's times (the leader does answer nothing for a second), the table (read once).

Change: rounds stop placing while as many starts are under way as are answered soon; the window grows while it is used and answers come within 60 ms, and shrinks at 120. What counts as late for suspicion and for repeated starts is three times the average answer. A worker's first poll follows the answer to its start. Windows are 256 at most and grow only while they are used.

--- a/internal/deployment/fake_test.go
+++ b/internal/deployment/fake_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	peerpb "github.com/corianderbank/corianderbank/api/peer"
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
@@ -84,3 +85,8 @@
 func (s *memoryStore) Follow(context.Context, workload.Source, int64, time.Duration) (workload.Page, error) {
 	return workload.Page{}, fmt.Errorf("%w: not played", workload.ErrNotDone)
 }
+
+// packedNote is rows of the operators' table as a peer passes them on.
+func packedNote(rows ...workload.Row) *peerpb.RowsNote {
+	return &peerpb.RowsNote{Source: string(workload.SourceConfiguration), Rows: packRows(rows)}
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -79,7 +79,10 @@
 	ordered []*run
 	repeats repeatBudget
 	fenced  bool
-	window  pollWindow
+	// pollWindow and startWindow bound what is under way to workers.
+	pollWindow  pollWindow
+	startWindow window
+	answerTime  answerTime
 	// drained are the availability zones that operators have drained.
 	drained map[string]bool
 	// startsHeld says that nothing may start for now.
@@ -116,20 +119,21 @@
 // there was none.
 func New(bounds workload.Bounds, epoch int64, now, earlier time.Time) *Core {
 	c := &Core{
-		bounds:     bounds,
-		epoch:      epoch,
-		jobs:       make(map[string]*job),
-		workers:    make(map[string]*worker),
-		dirty:      make(map[string]*job),
-		estimates:  newEstimates(),
-		now:        now,
-		urgentUse:  make(map[string]float64),
-		quietSince: make(map[string]time.Time),
-		waiting:    make(map[int]int),
-		urgentAt:   now,
-		suspects:   make(map[domain]time.Time),
-		repeats:    repeatsMost,
-		window:     newPollWindow(),
+		bounds:      bounds,
+		epoch:       epoch,
+		jobs:        make(map[string]*job),
+		workers:     make(map[string]*worker),
+		dirty:       make(map[string]*job),
+		estimates:   newEstimates(),
+		now:         now,
+		urgentUse:   make(map[string]float64),
+		quietSince:  make(map[string]time.Time),
+		waiting:     make(map[int]int),
+		urgentAt:    now,
+		suspects:    make(map[domain]time.Time),
+		repeats:     repeatsMost,
+		pollWindow:  newPollWindow(),
+		startWindow: newWindow(),
 	}
 	if !earlier.IsZero() {
 		c.earlier = earlier
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -50,7 +50,11 @@
 	c.infeasible = make(infeasible)
 	c.coming = nil
 	blocked := 0
+	startsLeft, ordered := c.startsLeft(), len(c.ordered)
 	for _, u := range pendingSteps {
+		if len(c.ordered)-ordered >= startsLeft {
+			break
+		}
 		if blocked < maxConsidered && c.placeStep(u, rooms[u.queue.Pool], blocked < maxBlocked) {
 			continue
 		}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -145,6 +145,7 @@
 	if r == nil {
 		return
 	}
+	c.startEnded(r)
 	switch receipt.Verdict {
 	case workload.VerdictDone:
 		c.repeats.answered()
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -131,7 +131,7 @@
 			// Ends are listed again until they are acknowledged, which the
 			// store's answer comes before: waiting would not wait.
 			w.nextPoll = c.now.Add(pollAgain)
-		case len(w.runs) > 0:
+		case len(w.runs) > 0 && !c.awaitsFirstStart(w):
 			c.poll(w, pollWait, false)
 		case w.persisted > w.acknowledged:
 			c.poll(w, 0, false)
@@ -166,7 +166,7 @@
 // PollAnswered takes a worker's answer to a poll, sent as the action says.
 func (c *Core) PollAnswered(sent Action, report workload.Report, now time.Time, wallMS int64) {
 	c.tick(now, wallMS)
-	c.window.ended(sent.lane, now.Sub(sent.sent), now)
+	c.pollWindow.ended(sent.lane, now.Sub(sent.sent), now)
 	w := c.workers[sent.Poll.Worker]
 	if w == nil {
 		return
--- a/internal/dispatch/pollwindow.go
+++ b/internal/dispatch/pollwindow.go
@@ -14,22 +14,8 @@
 // shrinks when they do not. Workers that left one unanswered have a window of their own: a zone that is
 // cut off must not keep the others from being heard.
 
-const (
-	windowLeast = 32
-	windowMost  = 512
-	// windowFirst is where an epoch begins.
-	windowFirst = 64
-	// windowMissed bounds the polls to workers that left one unanswered.
-	windowMissed = 96
-	// windowFast is how soon an answer comes while this instance keeps up, and windowSlow
-	// when it does not; the time-out of a call is longer.
-	windowFast = 120 * time.Millisecond
-	windowSlow = 240 * time.Millisecond
-	// windowShrinks is how much of the window a late answer leaves, at most once in
-	// windowShrinkEvery: polls that were sent together are late together.
-	windowShrinks     = 0.6
-	windowShrinkEvery = 300 * time.Millisecond
-)
+// windowMissed bounds the polls to workers that left one unanswered.
+const windowMissed = 96
 
 // pollLane is the window that a poll counts in.
 type pollLane int
@@ -44,16 +30,15 @@
 
 // pollWindow bounds the polls under way that do not wait.
 type pollWindow struct {
-	size     float64
+	window
 	underWay [laneMissed + 1]int
-	shrunkAt time.Time
 }
 
-func newPollWindow() pollWindow { return pollWindow{size: windowFirst} }
+func newPollWindow() pollWindow { return pollWindow{window: newWindow()} }
 
 // free is how many polls more may be sent in a lane.
 func (p *pollWindow) free(lane pollLane) int {
-	most := int(p.size)
+	most := p.most()
 	if lane == laneMissed {
 		most = windowMissed
 	}
@@ -65,15 +50,10 @@
 	if lane == laneNone {
 		return
 	}
-	p.underWay[lane]--
-	switch {
-	case lane == laneMissed:
-	case after <= windowFast:
-		p.size = min(p.size+1, windowMost)
-	case after >= windowSlow && now.Sub(p.shrunkAt) >= windowShrinkEvery:
-		p.size = max(p.size*windowShrinks, windowLeast)
-		p.shrunkAt = now
+	if lane == laneHealthy {
+		p.window.ended(after, p.underWay[lane], now)
 	}
+	p.underWay[lane]--
 }
 
 // duePoll is a poll that does not wait and may be sent now.
@@ -99,8 +79,8 @@
 		if d.worker.misses > 0 {
 			lane = laneMissed
 		}
-		if c.window.free(lane) > 0 {
-			c.window.underWay[lane]++
+		if c.pollWindow.free(lane) > 0 {
+			c.pollWindow.underWay[lane]++
 			c.sendQuick(d, lane)
 		}
 	}
--- a/internal/dispatch/repeat.go
+++ b/internal/dispatch/repeat.go
@@ -44,7 +44,7 @@
 		return
 	}
 	for _, r := range c.ordered {
-		if c.now.Sub(r.since) < repeatAfter {
+		if c.now.Sub(r.since) < c.answerTime.atLeast(repeatAfter) {
 			return
 		}
 		if r.copies == 1 && r.state == stRunOrdered && !c.isDrained(r.worker) && c.repeats.take() {
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -69,7 +69,7 @@
 func (c *Core) spreadSuspicion() {
 	c.ordered = stillOrdered(c.ordered)
 	for _, r := range c.ordered {
-		if c.now.Sub(r.since) < suspectRackAfter {
+		if c.now.Sub(r.since) < c.answerTime.atLeast(suspectRackAfter) {
 			break
 		}
 		c.suspectDomain(r.worker.rack())
@@ -88,7 +88,7 @@
 		switch {
 		case age > suspicionLasts:
 			delete(c.suspects, d)
-		case d.rack != "" && age >= suspicionSpreads && !answered[d]:
+		case d.rack != "" && age >= c.answerTime.atLeast(suspicionSpreads) && !answered[d]:
 			c.suspectDomain(domain{zone: d.zone})
 		}
 	}
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -27,6 +27,7 @@
 	MechRestartClaims  Mechanism = "restart_claims"
 	MechResends        Mechanism = "resends"
 	MechPollWindow     Mechanism = "poll_window"
+	MechStartWindow    Mechanism = "start_window"
 )
 
 // Mechanisms lists them all.
@@ -34,7 +35,7 @@
 	return []Mechanism{
 		MechHeadroom, MechClaims, MechWaitForEnds, MechReservations, MechRackPatience, MechEstimates, MechSickWorkers,
 		MechEvacuation, MechSuspectDomains, MechDemoteLate, MechCheapVictims, MechPacking, MechRackOrder, MechRestartClaims, MechResends,
-		MechPollWindow,
+		MechPollWindow, MechStartWindow,
 	}
 }
 
--- a/test/docs/docs_test.go
+++ b/test/docs/docs_test.go
@@ -268,3 +268,28 @@
 		}
 	}
 }
+
+// TestTestsThatDesignNotesNameExist keeps the notes' tables of tests true.
+func TestTestsThatDesignNotesNameExist(t *testing.T) {
+	exists := make(map[string]bool)
+	err := filepath.WalkDir(root, func(path string, _ os.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		for _, name := range matches(`(?m)^func (Test\w+)\(`, string(data)) {
+			exists[name] = true
+		}
+		return err
+	})
+	assert.NilError(t, err)
+	notes, err := filepath.Glob(filepath.Join(root, "docs/design/*.md"))
+	assert.NilError(t, err)
+	for _, note := range notes {
+		data, err := os.ReadFile(note)
+		assert.NilError(t, err)
+		for _, name := range matches("`(Test\\w+)`", string(data)) {
+			assert.Check(t, exists[name], "%s names %s", filepath.Base(note), name)
+		}
+	}
+}
