A new leader takes the stored workers in one step

Each stored worker was told to the core by a call of its own, and each call goes over and sorts the whole fleet: what a takeover does before its first decision grew with the square of the number of workers. One call says the same: workers that are stored and not listed count as unlisted from then on.

That time is the longest lease and 2.5 s, which fits a worker that nobody reaches; not traced.

--- a/internal/deployment/leader.go
+++ b/internal/deployment/leader.go
@@ -190,9 +190,7 @@
 	// instance did not live through. Others that the list lost run nothing: nobody gets
 	// work before it is noted, and it is noted until nothing can run there.
 	noted := c.instance.replica.storedWorkers()
-	for _, w := range noted {
-		c.core.Listed([]workload.Worker{w}, now, wallMS)
-	}
+	c.core.Listed(noted, now, wallMS)
 	c.core.Listed(c.instance.listedWorkers(), now, wallMS)
 	c.core.Stored(noted)
 	jobs := c.instance.replica.snapshot()
