Decisions that can be taken in several ways: place, spread, order, victims

Beside them: the worker with the least of the scarcest resource, the one whose free room has the proportions of the task; a gang within one zone, on as few workers as possible, in one rack or zone; least slack first, what occupies least first; victims that were not broken before, those with the most accelerators, the youngest. The number of steps that room is kept for can be set as well.

Tests: each way of each choice serves a full deployment; where a gang lies by each way; ways that there are not are refused.

--- a/cmd/measure/experiment.go
+++ b/cmd/measure/experiment.go
@@ -86,12 +86,18 @@
 
 // variantOf reads the description of a variant.
 func variantOf(spec string) (emulator.Variant, error) {
-	v := emulator.Variant{Name: spec, Tuning: dispatch.Tuning{Numbers: make(map[dispatch.Number]float64)}}
+	v := emulator.Variant{Name: spec, Tuning: dispatch.Tuning{
+		Numbers: make(map[dispatch.Number]float64), Choices: make(map[dispatch.Choice]string),
+	}}
 	for _, part := range strings.Split(spec, ",") {
 		if name, off := strings.CutPrefix(part, "without:"); off {
 			v.Tuning.Without = append(v.Tuning.Without, dispatch.Mechanism(name))
 			continue
 		}
+		if choice, way, chosen := strings.Cut(part, ":"); chosen {
+			v.Tuning.Choices[dispatch.Choice(choice)] = way
+			continue
+		}
 		name, text, _ := strings.Cut(part, "=")
 		value, err := strconv.ParseFloat(text, 64)
 		if err != nil {
--- a/internal/deployment/tuning.go
+++ b/internal/deployment/tuning.go
@@ -12,6 +12,9 @@
 type Tuning struct {
 	// Without lists mechanisms of this package or of dispatch.
 	Without []dispatch.Mechanism `json:"without"`
+	// Numbers and Choices are those of dispatch.
+	Numbers map[dispatch.Number]float64 `json:"numbers"`
+	Choices map[dispatch.Choice]string  `json:"choices"`
 }
 
 // The mechanisms of an instance that serve callers better and that no promise needs.
@@ -44,6 +47,9 @@
 			return fmt.Errorf("tuning.without: no mechanism %q", m)
 		}
 	}
+	if err := t.ofCore().Check(); err != nil {
+		return fmt.Errorf("tuning: %w", err)
+	}
 	return nil
 }
 
@@ -51,7 +57,8 @@
 
 // ofCore is the part of a tuning that concerns the core.
 func (t Tuning) ofCore() dispatch.Tuning {
-	return dispatch.Tuning{Without: slices.DeleteFunc(slices.Clone(t.Without), func(m dispatch.Mechanism) bool {
+	without := slices.DeleteFunc(slices.Clone(t.Without), func(m dispatch.Mechanism) bool {
 		return !slices.Contains(dispatch.Mechanisms(), m)
-	})}
+	})
+	return dispatch.Tuning{Without: without, Numbers: t.Numbers, Choices: t.Choices}
 }
--- a/internal/dispatch/completions.go
+++ b/internal/dispatch/completions.go
@@ -180,6 +180,7 @@
 // stopGang stops all members of a gang but one, which may be nil.
 func (c *Core) stopGang(s *step, g *gang, but *run, reason string) {
 	g.broken = true
+	s.job.broken++
 	for i := range s.tasks {
 		for _, r := range s.tasks[i].runs {
 			if r.gang == g && r != but {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -53,6 +53,7 @@
 type Core struct {
 	bounds   workload.Bounds
 	tuning   Tuning
+	ways     ways
 	epoch    int64
 	attempts int64
 	config   *workload.Configuration
@@ -120,6 +121,7 @@
 func New(bounds workload.Bounds, epoch int64, now, earlier time.Time) *Core {
 	c := &Core{
 		bounds:      bounds,
+		ways:        newWays(nil),
 		epoch:       epoch,
 		jobs:        make(map[string]*job),
 		workers:     make(map[string]*worker),
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -51,11 +51,12 @@
 	c.coming = nil
 	blocked := 0
 	startsLeft, ordered := c.startsLeft(), len(c.ordered)
+	mayReserve := int(c.number(NumReservations, maxBlocked))
 	for _, u := range pendingSteps {
 		if len(c.ordered)-ordered >= startsLeft {
 			break
 		}
-		if blocked < maxConsidered && c.placeStep(u, rooms[u.queue.Pool], blocked < maxBlocked) {
+		if blocked < maxConsidered && c.placeStep(u, rooms[u.queue.Pool], blocked < mayReserve) {
 			continue
 		}
 		blocked++
@@ -322,6 +323,11 @@
 			return near
 		}
 	}
+	if u.step.spec.Gang {
+		if places := c.ways.spread(c, u, rooms, counts); places != nil {
+			return places
+		}
+	}
 	return c.pick(u, rooms, counts, n, func(*room) bool { return true })
 }
 
@@ -379,8 +385,13 @@
 		if !c.has(MechPacking) {
 			return cmp.Compare(a, b)
 		}
-		return cmp.Or(compareFullness(u, rooms[a], rooms[b]), cmp.Compare(a, b))
+		return cmp.Or(c.ways.place(c, u, rooms[a], rooms[b]), cmp.Compare(a, b))
 	})
+	return takeSlots(rooms, counts, order, n)
+}
+
+// takeSlots takes up to n slots of workers in an order, one entry a slot.
+func takeSlots(rooms []*room, counts []int64, order []int, n int) []*room {
 	var places []*room
 	for _, i := range order {
 		for range counts[i] {
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -61,6 +61,8 @@
 	// changed and stored count changes of the record, and those in the store.
 	changed, stored uint64
 	runs            int
+	// broken counts the gangs of the job that were broken, and the runs stopped for others.
+	broken int
 	// protected jobs lie within their account's guarantee.
 	protected bool
 	received  time.Time
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -98,7 +98,7 @@
 		if r := cmp.Compare(c.placeOf(a.rank), c.placeOf(b.rank)); r != 0 {
 			return r
 		}
-		return a.dueBy.Compare(b.dueBy)
+		return c.ways.order(c, a, b)
 	})
 	return list
 }
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -45,6 +45,8 @@
 	Without []Mechanism `json:"without,omitempty"`
 	// Numbers replaces constants.
 	Numbers map[Number]float64 `json:"numbers,omitempty"`
+	// Choices names the ways of decisions that can be taken in several.
+	Choices map[Choice]string `json:"choices,omitempty"`
 }
 
 // Number names a constant that a measurement may vary.
@@ -56,11 +58,12 @@
 	NumHeadroomMost   Number = "headroom_most"
 	NumHeadroomLoad   Number = "headroom_load"
 	NumHeadroomMemory Number = "headroom_memory_s"
+	NumReservations   Number = "reservations"
 )
 
 // Numbers lists them all.
 func Numbers() []Number {
-	return []Number{NumHeadroomOver, NumHeadroomMost, NumHeadroomLoad, NumHeadroomMemory}
+	return []Number{NumHeadroomOver, NumHeadroomMost, NumHeadroomLoad, NumHeadroomMemory, NumReservations}
 }
 
 // Check says which mechanism of a tuning there is not.
@@ -75,7 +78,7 @@
 			return fmt.Errorf("no number %q", n)
 		}
 	}
-	return nil
+	return checkChoices(t.Choices)
 }
 
 // number is a constant, unless the tuning replaces it.
@@ -89,6 +92,7 @@
 // Tune puts a tuning in force.
 func (c *Core) Tune(t Tuning) {
 	c.tuning = t
+	c.ways = newWays(t.Choices)
 	c.estimates.asDeclared = !c.has(MechEstimates)
 	c.estimates.learned++
 }
--- a/internal/dispatch/victims.go
+++ b/internal/dispatch/victims.go
@@ -29,6 +29,7 @@
 		places = append(places, claimedPlace{p.room.worker, p.slots})
 		for _, victim := range p.victims {
 			if !victim.stopping() {
+				victim.task.step.job.broken++
 				c.stop(victim, fmt.Sprintf("makes room for %s", u.step.job.ID))
 				p.room.soon = p.room.soon.Add(victim.need)
 			}
@@ -154,10 +155,7 @@
 		if !c.has(MechCheapVictims) {
 			return cmp.Or(cmp.Compare(a.attempt, b.attempt), cmp.Compare(a.task.index, b.task.index))
 		}
-		return cmp.Or(
-			cmp.Compare(c.workLost(a)/float64(max(a.need.Accelerators, 1)), c.workLost(b)/float64(max(b.need.Accelerators, 1))),
-			cmp.Compare(a.attempt, b.attempt), cmp.Compare(a.task.index, b.task.index),
-		)
+		return cmp.Or(c.ways.victims(c, a, b), cmp.Compare(a.attempt, b.attempt), cmp.Compare(a.task.index, b.task.index))
 	})
 	return list
 }
