--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -67,17 +67,18 @@
 	decoder Decoder
 	// store is the store by any path.
 	store *reach
-	// workerReach is the way to the workers, relayed and answers what this instance does
-	// for a leader that it relays calls for.
+	// workerReach is the way to the workers.
 	workerReach *workerReach
-	relayed     pond.Pool
-	answers     *batcher[*peerpb.WorkerAnswer]
-	replica     *replica
-	workers     *roster
-	drains      *drains
-	lease       *lease
-	cut         *cutWatch
-	rotation    rotation
+	// relayed runs the calls to workers that this hub makes for the leader, and answers
+	// takes what became of them to it.
+	relayed  pond.Pool
+	answers  *batcher[*peerpb.WorkerAnswer]
+	replica  *replica
+	workers  *roster
+	drains   *drains
+	lease    *lease
+	cut      *cutWatch
+	rotation rotation
 	// unread are the configuration's rows of which a line said that they cannot be read.
 	unread        unreadRows
 	node          *peer.Node
--- a/internal/deployment/leader.go
+++ b/internal/deployment/leader.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"runtime/debug"
 	"sync/atomic"
@@ -13,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"github.com/corianderbank/corianderbank/internal/dispatch"
-	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
 const (
@@ -127,93 +125,6 @@
 	c.polls.Stop()
 }
 
-// followWorkers follows the list of workers from a version on.
-func (c *leader) followWorkers(ctx context.Context, version int64) {
-	list := &follower{
-		store:   c.instance.store,
-		source:  workload.SourceWorkers,
-		logger:  c.instance.logger,
-		whole:   c.instance.workers.reload,
-		changes: c.instance.workers.apply,
-		gap:     func() time.Duration { return workersGap },
-	}
-	list.follow(ctx, version)
-	list.run(ctx)
-}
-
-// load fills the core with what the store has, and returns the version of the list of
-// workers; false if the lease is over first. The read comes after the lease was taken,
-// so nothing that an earlier leader wrote is missing.
-func (c *leader) load() (int64, bool) {
-	for c.ctx.Err() == nil {
-		rows, version, err := readTable(c.ctx, c.instance.store, workload.SourceOwn)
-		if err != nil {
-			c.logger.Warn("reading the table failed", zap.Error(err))
-			pause(c.ctx, followPause)
-			continue
-		}
-		c.instance.replica.reload(rows, version)
-		operators := c.readOperators()
-		workers, listed, err := readTable(c.ctx, c.instance.store, workload.SourceWorkers)
-		if err != nil {
-			c.logger.Warn("reading the workers failed", zap.Error(err))
-			pause(c.ctx, followPause)
-			continue
-		}
-		c.instance.workers.reload(workers, 0)
-		if err := <-operators; err != nil {
-			c.logger.Warn("reading the operators' table failed", zap.Error(err))
-			pause(c.ctx, followPause)
-			continue
-		}
-		c.fill()
-		return listed, true
-	}
-	return 0, false
-}
-
-// readOperators reads the operators' table beside the other reads: a leader must know
-// which zones are drained before its first start.
-func (c *leader) readOperators() <-chan error {
-	done := make(chan error, 1)
-	go func() { done <- c.instance.readOperatorTable(c.ctx) }()
-	return done
-}
-
-func (c *leader) fill() {
-	now, wallMS := bootTime(), time.Now().UnixMilli()
-	c.core = dispatch.New(c.instance.live.Load().bounds(), c.grant.epoch, now, c.earlier(now))
-	c.core.Tune(c.instance.settings.Tuning.ofCore())
-	c.core.Configure(c.instance.configuration.Load())
-	c.core.Drain(c.instance.drains.list(), now, wallMS)
-	// Workers that are noted but not listed may run on behind a cut that this
-	// instance did not live through. Others that the list lost run nothing: nobody gets
-	// work before it is noted, and it is noted until nothing can run there.
-	noted := c.instance.replica.storedWorkers()
-	c.core.Listed(noted, now, wallMS)
-	c.core.Listed(c.instance.listedWorkers(), now, wallMS)
-	c.core.Stored(noted)
-	jobs := c.instance.replica.snapshot()
-	for _, known := range jobs {
-		c.core.AddJob(known.job, known.record, known.cancelled, now, wallMS)
-		if known.announced {
-			c.core.MarkDirty(known.job.ID)
-		}
-	}
-	c.logger.Info("leading", zap.Int64("epoch", c.grant.epoch), zap.Int("jobs", len(jobs)), zap.Int("workers_stored", len(noted)))
-}
-
-// earlier is until when a leader before this one may have given orders.
-func (c *leader) earlier(now time.Time) time.Time {
-	if !c.grant.earlier {
-		return time.Time{}
-	}
-	if c.grant.overlap.After(now) {
-		return c.grant.overlap
-	}
-	return now
-}
-
 // post hands an event to the loop; it waits while the ring is full, and gives
 // up when the lease is over.
 func (c *leader) post(e event) {
@@ -398,110 +309,3 @@
 const slowRound = renewEvery / 5
 
 var metricRound = metrics.NewHistogram("corianderbank_deployment_round_seconds")
-
-func (c *leader) carryOut(action dispatch.Action) {
-	switch action.Kind {
-	case dispatch.ActStart:
-		c.logOrder("start", action, zap.Bool("resumes", action.Order.Checkpoint != ""))
-		measureStart(action.First)
-		c.underWay.Add(1)
-		c.orders.Submit(func() { c.give("start", action, c.instance.workerReach.Start, (*dispatch.Core).StartAnswered) })
-	case dispatch.ActStop:
-		c.logOrder("stop", action)
-		c.underWay.Add(1)
-		c.orders.Submit(func() { c.give("stop", action, c.instance.workerReach.Stop, (*dispatch.Core).StopAnswered) })
-	case dispatch.ActPoll:
-		c.polls.Submit(func() { c.poll(action) })
-	case dispatch.ActReason:
-		c.logger.Info("wait", append(taskFields(action.Order.Task), zap.Int64("epoch", action.Order.Epoch), zap.String("reason", action.Reason))...)
-	case dispatch.ActAsk:
-		c.orders.Submit(func() { c.ask(action.Ask) })
-	}
-}
-
-// ask puts a question to the placement advisor.
-func (c *leader) ask(question workload.Question) {
-	ctx, cancel := context.WithTimeout(c.ctx, question.Within)
-	defer cancel()
-	counsel := workload.Counsel{Err: errNoAdvisor}
-	if advisor := c.instance.options.Advisor; advisor != nil {
-		counsel = advisor.Advise(ctx, question)
-	}
-	c.logger.Info("advice", zap.String("job", question.Step.Job), zap.Int("occurrence", question.Step.Occurrence),
-		zap.Int("step", question.Step.Step), zap.Int("asked", len(question.Workers)), zap.Int("allowed", len(counsel.Allowed)), zap.Error(counsel.Err))
-	c.post(func(core *dispatch.Core, now time.Time, wallMS int64) { core.Advised(question, counsel, now, wallMS) })
-}
-
-func (c *leader) logOrder(what string, action dispatch.Action, more ...zap.Field) {
-	fields := orderFields(what, action.Order, zap.Int64("epoch", action.Order.Epoch), zap.String("reason", action.Reason))
-	c.logger.Info("order", append(fields, more...)...)
-}
-
-// orderFields name an order in a log line.
-func orderFields(what string, o workload.Order, more ...zap.Field) []zap.Field {
-	fields := append([]zap.Field{zap.String("order", what)}, taskFields(o.Task)...)
-	fields = append(fields, zap.Int64("attempt", o.Attempt), zap.String("worker", o.Worker))
-	return append(fields, more...)
-}
-
-// taskFields name a task in a log line.
-func taskFields(t workload.TaskID) []zap.Field {
-	return []zap.Field{
-		zap.String("job", t.Job), zap.Int("occurrence", t.Occurrence), zap.Int("step", t.Step), zap.Int("task", t.Index),
-	}
-}
-
-// give gives an order, if the lease still holds at the moment it leaves, and
-// hands the answer to the core.
-func (c *leader) give(
-	what string, action dispatch.Action, send func(context.Context, workload.Order) workload.Receipt,
-	answered func(*dispatch.Core, workload.Order, workload.Receipt, time.Time, int64),
-) {
-	defer c.underWay.Add(-1)
-	receipt := workload.Receipt{Verdict: workload.VerdictUnsent, Err: errLeaseOver}
-	sent := time.Now()
-	if c.grant.valid() {
-		receipt = send(c.ctx, action.Order)
-	}
-	metricOrder(what, receipt.Verdict).UpdateDuration(sent)
-	c.logReceipt(what, action, receipt)
-	c.post(func(core *dispatch.Core, now time.Time, wallMS int64) {
-		answered(core, action.Order, receipt, now, wallMS)
-	})
-}
-
-func (c *leader) poll(action dispatch.Action) {
-	report := workload.Report{Verdict: workload.VerdictUnsent, Err: errLeaseOver}
-	if action.Poll.UntilMS == 0 || c.grant.valid() {
-		report = c.instance.workerReach.Poll(c.ctx, action.Poll)
-	}
-	if report.Unread > 0 && c.unreadSights.first(action.Poll.Worker, c.grant.epoch) {
-		c.logger.Error("worker lists what cannot be read", zap.String("worker", action.Poll.Worker), zap.Int("rows", report.Unread))
-	}
-	for _, e := range report.Ended {
-		if e.Number > action.Poll.Acknowledged {
-			c.logger.Info("end", append(taskFields(e.Task), zap.Int64("attempt", e.Attempt), zap.String("worker", action.Poll.Worker),
-				zap.String("kind", string(e.Kind)), zap.Int64("number", e.Number))...)
-		}
-	}
-	c.post(func(core *dispatch.Core, now time.Time, wallMS int64) { core.PollAnswered(action, report, now, wallMS) })
-}
-
-var (
-	errLeaseOver = errors.New("the lease is over")
-	// errNoAdvisor meets jobs that were accepted before their queue got an advisor
-	// that the settings do not name.
-	errNoAdvisor = errors.New("the settings name no placement advisor")
-)
-
-func metricOrder(kind string, verdict workload.Verdict) *metrics.Histogram {
-	return metrics.GetOrCreateHistogram(`corianderbank_deployment_order_seconds{order="` + kind + `",verdict="` + verdict.String() + `"}`)
-}
-
-func (c *leader) logReceipt(what string, action dispatch.Action, receipt workload.Receipt) {
-	if receipt.Verdict == workload.VerdictDone {
-		return
-	}
-	c.logger.Warn("order not carried out", orderFields(what, action.Order,
-		zap.Stringer("verdict", receipt.Verdict), zap.Error(receipt.Err))...)
-}
