--- a/internal/deployment/gossip.go
+++ b/internal/deployment/gossip.go
@@ -131,7 +131,7 @@
 	if hello.GetEpoch() > 0 {
 		i.replica.setBegan(hello.GetEpoch(), hello.GetBegan())
 	}
-	if row := i.configRow.Load(); row != nil && hello.GetConfigVersion() < i.configVersion() {
+	if row := i.configRow.Load(); row != nil && hello.GetConfigVersion() < i.configVersion() && i.peers.mayPush(id, row.Version, now) {
 		i.calls.Go(func() { i.sendRows(id, workload.SourceConfiguration, []workload.Row{*row}) })
 	}
 }
--- a/internal/deployment/peerviews.go
+++ b/internal/deployment/peerviews.go
@@ -24,6 +24,30 @@
 	views map[string]peerView
 	// misses are the hellos in a row that a peer left unanswered.
 	misses map[string]missed
+	// pushed is what configuration a peer was sent last.
+	pushed map[string]push
+}
+
+// push is a configuration that was sent to a peer.
+type push struct {
+	version int64
+	at      time.Time
+}
+
+// pushAgain is the least time between two copies of one configuration for the same peer:
+// other hubs send it as well, and more copies only fill a small link.
+const pushAgain = 2 * time.Second
+
+// mayPush reports whether a peer should be sent a row of the configuration now, and notes
+// that it was.
+func (p *peers) mayPush(id string, version int64, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if last := p.pushed[id]; last.version == version && now.Sub(last.at) < pushAgain {
+		return false
+	}
+	p.pushed[id] = push{version, now}
+	return true
 }
 
 // missed is how many hellos a peer left unanswered, and when the last one failed.
@@ -33,7 +57,7 @@
 }
 
 func newPeers() *peers {
-	return &peers{views: make(map[string]peerView), misses: make(map[string]missed)}
+	return &peers{views: make(map[string]peerView), misses: make(map[string]missed), pushed: make(map[string]push)}
 }
 
 func (p *peers) set(id string, view peerView) {
--- a/internal/deployment/relay.go
+++ b/internal/deployment/relay.go
@@ -72,22 +72,6 @@
 	return failureNotDone
 }
 
-func packRows(rows []workload.Row) []*peerpb.StoreRow {
-	list := make([]*peerpb.StoreRow, len(rows))
-	for i, row := range rows {
-		list[i] = &peerpb.StoreRow{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted}
-	}
-	return list
-}
-
-func unpackRows(rows []*peerpb.StoreRow) []workload.Row {
-	list := make([]workload.Row, len(rows))
-	for i, row := range rows {
-		list[i] = workload.Row{Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion(), Deleted: row.GetDeleted()}
-	}
-	return list
-}
-
 // relay is the store through one peer. It implements workload.Store.
 type relay struct {
 	peer   string
