Only notes of the configuration are compressed; what cannot be expanded is said

By reading the diff: a row that could not be expanded was left out. In a whole read a missing row counts as removed, and a write without one of its expectations would not be guarded. An instance of an earlier version that makes a store call for a newer one would also have written the compressed bytes as they are. So calls to the store through a peer carry rows as they are; notes that pass rows on are compressed, and one that does not expand changes nothing and logs a line. Tests for the three.

--- a/internal/deployment/gossip.go
+++ b/internal/deployment/gossip.go
@@ -140,6 +140,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), noteTimeout)
 	defer cancel()
 	note := &peerpb.RowsNote{Source: string(source), Rows: packRows(rows)}
+	compressRows(note.Rows)
 	if _, err := i.node.Call(ctx, id, &peerpb.Request{Body: &peerpb.Request_Rows{Rows: note}}); err != nil {
 		i.logger.Debug("passing rows on failed", zap.String("peer", id), zap.Error(err))
 	}
@@ -190,6 +191,10 @@
 }
 
 func (i *Instance) takeRows(note *peerpb.RowsNote) {
+	if err := expandRows(note.GetRows()); err != nil {
+		i.logger.Error("rows of a peer cannot be read", zap.Error(err))
+		return
+	}
 	rows := unpackRows(note.GetRows())
 	switch workload.Source(note.GetSource()) {
 	case workload.SourceOwn:
--- a/internal/deployment/rows.go
+++ b/internal/deployment/rows.go
@@ -1,6 +1,8 @@
 package deployment
 
 import (
+	"fmt"
+
 	peerpb "github.com/corianderbank/corianderbank/api/peer"
 	"github.com/corianderbank/corianderbank/internal/config"
 	"github.com/corianderbank/corianderbank/internal/workload"
@@ -8,49 +10,51 @@
 
 // This file puts rows of the store into messages between instances. A configuration of
 // thousands of queues is hundreds of kilobytes; a hub with a small link that passes it on
-// to its leaves has no room left for its own feed. So large values are compressed.
+// to its leaves has no room left for its own feed. So large values of notes are compressed.
+// Calls to the store through a peer are not: what they carry is written as it is.
 
-// packFrom is the size in bytes from which a value is compressed.
-const packFrom = 4 << 10
+// compressFrom is the size in bytes from which a value is compressed.
+const compressFrom = 4 << 10
 
 func packRows(rows []workload.Row) []*peerpb.StoreRow {
 	list := make([]*peerpb.StoreRow, len(rows))
 	for i, row := range rows {
-		value, packed := packValue(row.Value)
-		list[i] = &peerpb.StoreRow{Key: row.Key, Value: value, Version: row.Version, Deleted: row.Deleted, Packed: packed}
+		list[i] = &peerpb.StoreRow{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted}
 	}
 	return list
 }
 
-// unpackRows returns the rows of a message; those whose values cannot be unpacked are left
-// out, and come again by another way.
 func unpackRows(rows []*peerpb.StoreRow) []workload.Row {
-	list := make([]workload.Row, 0, len(rows))
-	for _, row := range rows {
-		value, err := unpackValue(row)
-		if err != nil {
-			continue
-		}
-		list = append(list, workload.Row{Key: row.GetKey(), Value: value, Version: row.GetVersion(), Deleted: row.GetDeleted()})
+	list := make([]workload.Row, len(rows))
+	for i, row := range rows {
+		list[i] = workload.Row{Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion(), Deleted: row.GetDeleted()}
 	}
 	return list
 }
 
-// packValue compresses a large value; false if it stays as it is.
-func packValue(value []byte) ([]byte, bool) {
-	if len(value) < packFrom {
-		return value, false
-	}
-	packed := config.Pack(value)
-	if len(packed) >= len(value) {
-		return value, false
+// compressRows compresses the large values of a note.
+func compressRows(rows []*peerpb.StoreRow) {
+	for _, row := range rows {
+		if len(row.GetValue()) < compressFrom {
+			continue
+		}
+		if packed := config.Pack(row.GetValue()); len(packed) < len(row.GetValue()) {
+			row.Value, row.Packed = packed, true
+		}
 	}
-	return packed, true
 }
 
-func unpackValue(row *peerpb.StoreRow) ([]byte, error) {
-	if !row.GetPacked() {
-		return row.GetValue(), nil
+// expandRows is the reverse.
+func expandRows(rows []*peerpb.StoreRow) error {
+	for _, row := range rows {
+		if !row.GetPacked() {
+			continue
+		}
+		value, err := config.Unpack(row.GetValue())
+		if err != nil {
+			return fmt.Errorf("row %s: %w", row.GetKey(), err)
+		}
+		row.Value, row.Packed = value, false
 	}
-	return config.Unpack(row.GetValue())
+	return nil
 }
--- a/internal/deployment/rows_test.go
+++ b/internal/deployment/rows_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
@@ -28,15 +29,28 @@
 		{Key: "small", Value: []byte("as it is"), Version: 8},
 		{Key: "empty", Version: 9, Deleted: true},
 	}
-	note := &peerpb.RowsNote{Source: "configuration", Rows: packRows(rows)}
-	assert.Assert(t, proto.Size(note) < len(rows[0].Value)/4, "%d of %d bytes", proto.Size(note), len(rows[0].Value))
-	assert.DeepEqual(t, unpackRows(note.GetRows()), rows)
+	note := packRows(rows)
+	compressRows(note)
+	assert.Assert(t, proto.Size(&peerpb.RowsNote{Rows: note}) < len(rows[0].Value)/4)
+	assert.Assert(t, len(rows[0].Value) > 100_000, "the row itself stays as it is")
+	assert.NilError(t, expandRows(note))
+	assert.DeepEqual(t, unpackRows(note), rows)
 }
 
-func TestARowThatCannotBeUnpackedIsLeftOutAndTheOthersHold(t *testing.T) {
-	rows := unpackRows([]*peerpb.StoreRow{{Key: "a", Value: []byte("no gzip"), Packed: true}, {Key: "b", Value: []byte("plain")}})
-	assert.Equal(t, len(rows), 1)
-	assert.Equal(t, rows[0].Key, "b")
+func TestANoteThatCannotBeExpandedChangesNothing(t *testing.T) {
+	settings := defaultSettings()
+	i := New(Options{Settings: &settings, Store: newMemoryStore(), Decoder: plainDecoder{}, Logger: zap.NewNop()})
+	i.takeRows(&peerpb.RowsNote{Source: string(workload.SourceConfiguration), Rows: []*peerpb.StoreRow{
+		{Key: "config", Value: []byte("no gzip"), Packed: true, Version: 3},
+	}})
+	assert.Equal(t, i.configVersion(), int64(0))
+}
+
+func TestWhatIsWrittenThroughAPeerIsWrittenAsItIs(t *testing.T) {
+	value := largeConfiguration(100)
+	rows := unpackRows(packRows([]workload.Row{{Key: "j/1", Value: value}}))
+	assert.DeepEqual(t, rows[0].Value, value)
+	assert.Assert(t, !packRows(rows)[0].GetPacked())
 }
 
 func TestAPeerIsSentEachConfigurationOnceInAWhile(t *testing.T) {
