--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -12,11 +12,9 @@
 )
 
 const (
-	// pendingLines bounds the lines that wait for a reader of the log: about a
-	// second of the heaviest load seen, 300 KB.
+	// pendingLines bounds the memory of lines that wait for a reader of the log.
 	pendingLines = 2048
-	// linesEachSecond bounds the volume in the long run; twice the heaviest load
-	// seen on a holder of the lease (400 lines a second).
+	// linesEachSecond bounds the volume in the long run.
 	linesEachSecond = 800
 )
 
--- a/internal/measure/requestload/workload.go
+++ b/internal/measure/requestload/workload.go
@@ -230,7 +230,7 @@
 	return time.Duration(float64(mean) * factor)
 }
 
-// burstOfSmall adds, within 100 ms, the work of a second of all slots in small
+// burstOfSmall adds, within a moment, the work of a second of all slots in small
 // requests of one account.
 func burstOfSmall(d deployment, random *rand.Rand, list []arrival) []arrival {
 	small := kind{name: "small", mean: 40 * time.Millisecond, deadline: 4 * time.Second, idempotent: true}
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -62,8 +62,8 @@
 	retryPlacementAfter = 500 * time.Millisecond
 	// persistRetryAfter paces repeated writes while the store is out.
 	persistRetryAfter = time.Second
-	// reconcileInterval is the time between reads of the open records: one
-	// store read for each zone every 10 s.
+	// reconcileInterval is the time between reads of the open records, each of
+	// which costs the store one read for each zone.
 	reconcileInterval = 10 * time.Second
 	// idleRound is the longest time between plans while nothing changes:
 	// deadlines and estimates go by seconds.
--- a/internal/platform/breaker.go
+++ b/internal/platform/breaker.go
@@ -19,8 +19,8 @@
 // the store again in the moment it comes back.
 //
 // Thresholds: two failures in a row open it, since a single lost answer is no
-// outage. While it is open one probe at a time reads a row, after 250 ms at
-// first and at most 2 s, jittered so that instances that lost the store
+// outage. While it is open one probe at a time reads a row, more and more
+// seldom up to a bound, jittered so that instances that lost the store
 // together do not return together; one answer closes it. Leases and the
 // configuration always pass: they are few, and they are how a zone recovers.
 
--- a/internal/reclaim/reclaim.go
+++ b/internal/reclaim/reclaim.go
@@ -6,9 +6,9 @@
 // more work than it needs. A checkpoint loses nothing and is tried first; a
 // stop loses the work since the last checkpoint.
 //
-// A checkpoint may take 4.0 s, and the stop that follows one that did not finish
-// 1.5 s: 5.5 s together, which leaves 1.7 s of the 7.2 s that urgent work may
-// wait for the decision, the reservation and the start. Work that is not urgent
+// A checkpoint and the stop that follows one that did not finish have limits whose
+// sum leaves time, of what urgent work may wait, for the decision, the reservation
+// and the start. Work that is not urgent
 // has the same limits: an urgent claim may find the region it needs already
 // being freed for another, and then waits for that one's limits.
 package reclaim
--- a/internal/routing/spill.go
+++ b/internal/routing/spill.go
@@ -46,8 +46,7 @@
 	credit float64
 }
 
-// Update takes in the load levels. It is called at a regular interval of about
-// 100 ms. An infinite local load says that no backend server takes work here:
+// Update takes in the load levels. It is called at a regular interval. An infinite local load says that no backend server takes work here:
 // then everything goes to the zone with the least load.
 func (s *Spill) Update(local float64, remotes []ZoneLoad, now time.Time) {
 	if best, found := least(remotes); found && math.IsInf(local, 1) {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -38,8 +38,8 @@
 	"github.com/corianderbank/corianderbank/internal/worker"
 )
 
-// rememberedSubjects bounds the requests and jobs that can be explained: about
-// 20 MB at 64 decisions each would need far more than the usual three.
+// rememberedSubjects bounds the requests and jobs that can be explained, and with
+// them the memory of their decisions.
 const rememberedSubjects = 20000
 
 // instance is one entry instance and its parts.
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -27,7 +27,7 @@
 }
 
 // callTimeout bounds a call that names no time of its own. A worker answers
-// from memory; 2 s is far beyond that and well inside the urgent start target.
+// from memory, and urgent work must start soon even where one does not.
 const callTimeout = 2 * time.Second
 
 // maxConnectionsPerWorker bounds the connections to one worker.
