Reading the diff: one comment that was wrong, an error that was left out of its line

The comment on choices said that the first way listed is in force: it is the one in defaultWays. The debug line about answers that a hub could not pass on named neither the leader nor the error.

--- a/internal/deployment/worker_relay.go
+++ b/internal/deployment/worker_relay.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/corianderbank/corianderbank/api"
 	peerpb "github.com/corianderbank/corianderbank/api/peer"
 	"github.com/corianderbank/corianderbank/internal/workload"
@@ -63,7 +65,7 @@
 	defer cancel()
 	note := &peerpb.WorkerAnswers{Answers: answers}
 	if _, err := i.node.Call(ctx, leader, &peerpb.Request{Body: &peerpb.Request_WorkerAnswers{WorkerAnswers: note}}); err != nil {
-		i.logger.Debug("answers of workers not passed on")
+		i.logger.Debug("answers of workers not passed on", zap.String("peer", leader), zap.Int("answers", len(answers)), zap.Error(err))
 	}
 }
 
--- a/internal/dispatch/choices.go
+++ b/internal/dispatch/choices.go
@@ -11,7 +11,7 @@
 )
 
 // Choice names a decision that can be taken in several ways. Each way is a small function;
-// a measurement names the one to play, the first one listed is in force otherwise.
+// a measurement names the one to play, and defaultWays has those in force otherwise.
 type Choice string
 
 // The choices, and their ways.
