A round looks for unsynced workers once, not once for each job

Limit: after a takeover the jobs of the leader before wait while a worker has not answered. Each of them asked every worker, twice a round (what may start, which gangs lack members): jobs times workers, at the moment at which the new leader needs its processor for the polls that end the wait.

What a worker that does not answer costs is the longest lease, and is left.

Change: whether any worker is unsynced is worked out once for each event.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -73,6 +73,7 @@
 	// surelyQuiet is when nothing that an earlier epoch started can run on a
 	// worker that has not answered yet.
 	surelyQuiet time.Time
+	unsynced    unsyncedWorkers
 	dirty       map[string]*job
 	// suspicions are racks and zones of which somebody does not answer, by since when.
 	suspects map[domain]time.Time
--- a/internal/dispatch/leases.go
+++ b/internal/dispatch/leases.go
@@ -111,9 +111,21 @@
 
 // mayRunUnsynced reports whether a job's tasks may still run, by an earlier
 // epoch's order, on a worker that has not answered this one.
-func (c *Core) mayRunUnsynced(j *job) bool {
-	if !j.old || !c.now.Before(c.surelyQuiet) {
-		return false
+func (c *Core) mayRunUnsynced(j *job) bool { return j.old && c.unsynced.any(c) }
+
+// unsyncedWorkers is whether any worker is unsynced, found once for each event: a new
+// leader of thousands of workers has hundreds of jobs that wait for one of them, and a
+// search for each job takes the processor from the polls that would end the wait.
+type unsyncedWorkers struct {
+	// asOf is the sequence of the event at which found was worked out.
+	asOf  uint64
+	found bool
+}
+
+func (u *unsyncedWorkers) any(c *Core) bool {
+	if u.asOf != c.sequence {
+		u.asOf = c.sequence
+		u.found = c.now.Before(c.surelyQuiet) && slices.ContainsFunc(c.fleet, (*worker).mayRunUnsynced)
 	}
-	return slices.ContainsFunc(c.fleet, (*worker).mayRunUnsynced)
+	return u.found
 }
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -99,3 +99,14 @@
 		})
 	}
 }
+
+func TestTheLastAnswerEndsTheWaitInTheNextRound(t *testing.T) {
+	b := takeover(t, 0)
+	b.add(gangJob("old", "batch", "other", 1, 8))
+	b.pass(time.Second)
+	assert.Equal(t, b.runningOf("old"), 0)
+	b.silent["w01"] = false
+	b.pass(300 * time.Millisecond)
+	assert.Equal(t, len(b.core.Unsynced()), 0)
+	assert.Equal(t, b.runningOf("old"), 1)
+}
