--- a/internal/emulator/arrivals.go
+++ b/internal/emulator/arrivals.go
@@ -33,6 +33,8 @@
 	// seed draws which of its runs fail; runs counts them.
 	seed uint64
 	runs int
+	// poison: every run of it fails by its own fault.
+	poison bool
 	// cancelAt is zero unless the caller cancels.
 	cancelAt time.Duration
 	// objective is how long it may take, value what it earns in time.
@@ -83,6 +85,9 @@
 	}
 	a := &arrival{kind: of, at: at, zone: random.IntN(d.Zones), seed: random.Uint64()}
 	a.reroute = rerouted[0] + time.Duration(random.Float64()*float64(rerouted[1]-rerouted[0]))
+	if of.Poison > 0 {
+		a.poison = random.Float64() < of.Poison
+	}
 	account := d.config.Accounts[random.IntN(len(d.config.Accounts))].Name
 	a.job = &workload.Job{Queue: of.Queue, Account: account, Steps: []workload.Step{step}}
 	longest := time.Duration(0)
@@ -106,7 +111,7 @@
 func (a *arrival) failsAfter() float64 {
 	a.runs++
 	random := rand.New(rand.NewPCG(a.seed, uint64(a.runs)))
-	if random.Float64() >= a.kind.Fails {
+	if !a.poison && random.Float64() >= a.kind.Fails {
 		return 0
 	}
 	return 0.1 + 0.9*random.Float64()
--- a/internal/emulator/day.go
+++ b/internal/emulator/day.go
@@ -15,6 +15,8 @@
 	Workers []workerTrouble `json:"workers,omitempty"`
 	Cuts    []cut           `json:"cuts,omitempty"`
 	Outages []stretch       `json:"outages,omitempty"`
+	// Drains are zones that operators drain.
+	Drains []drained `json:"drains,omitempty"`
 	// Handovers are planned changes of the leader, Crashes are others, by their times
 	// in seconds.
 	Handovers []float64 `json:"handovers_s,omitempty"`
@@ -63,6 +65,13 @@
 	Refused bool `json:"refused,omitempty"`
 }
 
+// drained is a zone that operators drain for a while.
+type drained struct {
+	stretch
+	// Zone counts from zero; a deployment with fewer zones has another one drained.
+	Zone int `json:"zone"`
+}
+
 // Days are the days that the decisions are judged by.
 func Days() ([]Day, error) { return load("days", ReadDay) }
 
@@ -107,3 +116,14 @@
 	}
 	return nil
 }
+
+// drainedZones are the zones that are drained at a time.
+func (d *Day) drainedZones(zones int, at time.Duration) []string {
+	var list []string
+	for _, one := range d.Drains {
+		if one.holds(at) {
+			list = append(list, zoneName(one.Zone%zones))
+		}
+	}
+	return list
+}
--- a/internal/emulator/deployment.go
+++ b/internal/emulator/deployment.go
@@ -74,6 +74,8 @@
 	// that fail by their own fault.
 	Cancelled float64 `json:"cancelled,omitempty"`
 	Fails     float64 `json:"fails,omitempty"`
+	// Poison is the share of jobs of which every run fails by its own fault.
+	Poison float64 `json:"poison,omitempty"`
 	// Priority, Attempts, Stretch and GraceMS are the queue's.
 	Priority int     `json:"priority"`
 	Attempts int     `json:"attempts"`
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"math/rand/v2"
 	"reflect"
 	"testing"
 
@@ -8,6 +9,7 @@
 
 	"github.com/corianderbank/corianderbank/internal/dispatch"
 	"github.com/corianderbank/corianderbank/internal/measure"
+	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
 // the finds the one of a list that has a name.
@@ -74,3 +76,55 @@
 		assert.Assert(t, means[name] >= bound, "%s: %.1f, at least %.1f", name, means[name], bound)
 	}
 }
+
+// A drained zone gets nothing new, whoever leads: the second drain outlasts a change of
+// leaders.
+func TestNothingStartsInADrainedZone(t *testing.T) {
+	p := day(t, "a zone is drained")
+	for _, name := range []string{"klaverveld", "estribo"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tally := play(deployment(t, name), p, dispatch.Tuning{}, 5)
+			assert.Equal(t, tally.drainedStarts, 0)
+			assert.Assert(t, len(tally.starts) > 0)
+		})
+	}
+}
+
+// The count above sees a start in a drained zone, and only there.
+func TestTheCountOfStartsInDrainedZonesSeesThem(t *testing.T) {
+	d, p := deployment(t, "klaverveld"), day(t, "a zone is drained")
+	random := rand.New(rand.NewPCG(1, 1))
+	pl := newPlayer(d, p, dispatch.Tuning{}, random)
+	a := d.draw(p, &d.Kinds[0], 0, random)
+	a.job.ID = "job"
+	pl.accept(a)
+	pl.now = seconds(p.Drains[0].From) + drainBound
+	for n, w := range pl.order {
+		before := pl.tally.drainedStarts
+		pl.start(w, workload.Order{Task: workload.TaskID{Job: "job"}, Attempt: int64(n)})
+		counted := pl.tally.drainedStarts - before
+		assert.Equal(t, counted == 1, w.zone == p.Drains[0].Zone, "worker of zone %d", w.zone)
+	}
+}
+
+// A job of which every run fails ends once its attempts are used up, and others of its
+// kind are not held up by it.
+func TestAPoisonedJobEndsAndOthersGoOn(t *testing.T) {
+	d := *deployment(t, "klaverveld")
+	d.Kinds = append([]Kind{}, d.Kinds...)
+	for i := range d.Kinds {
+		d.Kinds[i].Poison = 0.1
+	}
+	tally := play(&d, day(t, "calm, with a burst of urgent jobs"), dispatch.Tuning{}, 3)
+	poisoned := 0
+	for _, a := range tally.jobs {
+		if a.poison {
+			poisoned++
+			assert.Assert(t, a.runs <= a.kind.Attempts*a.job.Steps[0].Count, "job %s ran %d times", a.job.ID, a.runs)
+		}
+		_, ended := tally.ends[a]
+		assert.Assert(t, ended || a.poison || a.cancelAt > 0, "job %s of %s, submitted at %v", a.job.ID, a.kind.Queue, a.at)
+	}
+	assert.Assert(t, poisoned > 0)
+}
--- a/internal/emulator/leader.go
+++ b/internal/emulator/leader.go
@@ -17,6 +17,8 @@
 	// last renewal is when a leader is lost.
 	leaseLength = 2 * time.Second
 	renewedAgo  = 200 * time.Millisecond
+	// drainHeard is how long it takes until a leader knows that a zone was drained.
+	drainHeard = 500 * time.Millisecond
 	// storeBack is how long after the store's return a new leader has its lease.
 	storeBack = 100 * time.Millisecond
 )
@@ -83,6 +85,24 @@
 	}
 }
 
+// hearDrains tells the leader when operators drain a zone or end that.
+func (pl *player) hearDrains() {
+	if pl.leader.core != nil && !slices.Equal(pl.drained, pl.drainsHeard()) {
+		pl.tellDrains()
+	}
+}
+
+func (pl *player) tellDrains() {
+	pl.drained = pl.drainsHeard()
+	pl.leader.core.Drain(pl.drained, pl.time(), pl.wall())
+	pl.touched = true
+}
+
+// drainsHeard are the drained zones that a leader knows of now.
+func (pl *player) drainsHeard() []string {
+	return pl.day.drainedZones(pl.deployment.Zones, pl.now-drainHeard)
+}
+
 // paused reports whether the leader's lease ran out because the store is away.
 func (pl *player) paused() bool {
 	h := &pl.leader
@@ -111,6 +131,7 @@
 	listed := pl.deployment.list()
 	h.core.Listed(listed, pl.time(), pl.wall())
 	h.core.Stored(listed)
+	pl.tellDrains()
 	for _, a := range pl.accepted {
 		record, announced := pl.table[a.job.ID], pl.announced[a.job.ID]
 		if record.Final == "" && announced.Final != "" {
--- a/internal/emulator/player.go
+++ b/internal/emulator/player.go
@@ -56,6 +56,8 @@
 	table, announced    map[string]dispatch.Record
 	writing             bool
 	handovers, crashes  []float64
+	// drained are the zones that the leader was told are drained.
+	drained []string
 	random              *rand.Rand
 	tally               tally
 	// trace, if set, is told of each action.
@@ -162,6 +164,7 @@
 		pl.work(w)
 	}
 	pl.changeLeaders()
+	pl.hearDrains()
 	core := pl.leader.core
 	if core == nil {
 		return
@@ -326,6 +329,9 @@
 		r.done -= milliseconds(pl.deployment.RestoreMS)
 	}
 	pl.tally.started(a, pl.now)
+	if pl.drainedFor(w, drainBound) {
+		pl.tally.drainedStarts++
+	}
 	w.lease(order.UntilMS)
 	g := pl.gangOf(a, order)
 	if g == nil || len(g.members) == 0 {
@@ -334,6 +340,16 @@
 	w.start(r, g)
 }
 
+// drainedFor reports whether a worker's zone has been drained for a while.
+func (pl *player) drainedFor(w *worker, d time.Duration) bool {
+	for _, at := range []time.Duration{pl.now - d, pl.now} {
+		if !slices.Contains(pl.day.drainedZones(pl.deployment.Zones, at), w.Zone) {
+			return false
+		}
+	}
+	return true
+}
+
 // gangOf is the gang that a run belongs to, or nil.
 func (pl *player) gangOf(a *arrival, order workload.Order) *gang {
 	if !a.job.Steps[0].Gang {
--- a/internal/emulator/tally.go
+++ b/internal/emulator/tally.go
@@ -16,6 +16,9 @@
 	// many of them count.
 	window       = 2 * time.Second
 	worstWindows = 2
+	// drainBound is how long after a zone was drained something may still start there:
+	// until the leader knows, and for orders that are under way.
+	drainBound = drainHeard + time.Second
 )
 
 // tally counts what callers got.
@@ -25,6 +28,8 @@
 	// lost is the work thrown away, in core-seconds.
 	lost      float64
 	preempted int
+	// drainedStarts counts starts in zones that had been drained for drainBound.
+	drainedStarts int
 	all       share
 	bySort    map[sort]*share
 	byZone    map[int]*share
@@ -92,11 +97,12 @@
 	}
 }
 
-// close closes the account: every job that was not cancelled is owed its worth.
+// close closes the account: every job that can end well and was not cancelled is owed
+// its worth.
 func (t *tally) close(d *Deployment, list []*arrival) {
 	t.jobs = list
 	for _, a := range list {
-		if a.cancelAt > 0 {
+		if a.cancelAt > 0 || a.poison {
 			continue
 		}
 		got := t.earned(a)
