--- a/internal/deployment/follow.go
+++ b/internal/deployment/follow.go
@@ -121,11 +121,15 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
+func pause(ctx context.Context, d time.Duration) { pauseUnless(ctx, d, nil) }
+
+// pauseUnless pauses until something wakes it.
+func pauseUnless(ctx context.Context, d time.Duration, wake <-chan struct{}) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+	case <-wake:
 	case <-ctx.Done():
 	}
 }
--- a/internal/deployment/leader.go
+++ b/internal/deployment/leader.go
@@ -67,6 +67,8 @@
 	// unreadSights are the workers of which a line said that what they list cannot be
 	// read.
 	unreadSights unreadRows
+	// begins says whether the begin of a job is stored before its first start.
+	begins *beginsMode
 	// startsHeld says that nothing starts until it is known which zones are drained.
 	startsHeld bool
 	// calm says, for the lease, that no worker is waited for.
@@ -221,6 +223,7 @@
 func (c *leader) round() {
 	started := bootTime()
 	c.holdStarts(started)
+	c.begins.update(started)
 	for _, action := range c.core.Decide(started, time.Now().UnixMilli()) {
 		c.carryOut(action)
 	}
--- a/internal/deployment/lease.go
+++ b/internal/deployment/lease.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/corianderbank/corianderbank/internal/dispatch"
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
@@ -61,6 +62,10 @@
 	earlier bool
 	// overlap is until when the leader before may still believe in its lease.
 	overlap time.Time
+	// trust says that the leader before promised that it stored begins, promise is what
+	// this one does.
+	trust   bool
+	promise promise
 
 	mu      sync.Mutex
 	version int64
@@ -320,8 +325,12 @@
 	if !seen.Released {
 		g.overlap = seen.since.Add(leaseLength)
 	}
+	// A leader that did not promise may have started what no record tells: nor can this
+	// one promise, until it has stored that.
+	g.trust = g.earlier && seen.Begins
+	g.promise.begin(l.tuning.has(dispatch.MechStoredBegins) && (g.trust || !g.earlier))
 	sent := bootTime()
-	row := leaderRow{Leader: l.self, Epoch: g.epoch}
+	row := leaderRow{Leader: l.self, Epoch: g.epoch, Begins: g.promise.strict}
 	written, err := l.store.Write(ctx, workload.Write{
 		Expect: []workload.Row{{Key: leaderKey, Version: seen.version}, {Key: epochKey, Version: epochVersion}},
 		Put:    []workload.Row{{Key: leaderKey, Value: encode(row)}, {Key: epochKey, Value: encode(g.epoch)}},
@@ -366,7 +375,7 @@
 	since := bootTime()
 	for beat := int64(1); ; beat++ {
 		if g.valid() {
-			pause(ctx, renewEvery)
+			pauseUnless(ctx, renewEvery, g.promise.changed)
 		} else {
 			pause(ctx, renewAgain)
 		}
@@ -396,11 +405,13 @@
 // renewOnce tries one renewal; false if another instance took the lease.
 func (l *lease) renewOnce(ctx context.Context, g *grant, beat int64) bool {
 	sent := bootTime()
-	row := encode(leaderRow{Leader: l.self, Epoch: g.epoch, Beat: beat})
+	strict, number := g.promise.next()
+	row := encode(leaderRow{Leader: l.self, Epoch: g.epoch, Beat: beat, Begins: strict})
 	written, err := l.store.Write(ctx, workload.Write{
 		Expect: []workload.Row{{Key: leaderKey, Version: g.version}},
 		Put:    []workload.Row{{Key: leaderKey, Value: row}},
 	})
+	g.promise.renewed(err == nil && !written.Conflict, number, bootTime().Sub(sent))
 	if err != nil {
 		l.logger.Debug("renewal failed", zap.Error(err))
 		return true // tried again
@@ -425,7 +436,8 @@
 func (l *lease) release(g *grant) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	row := leaderRow{Leader: l.self, Epoch: g.epoch, Released: true}
+	strict, _ := g.promise.next()
+	row := leaderRow{Leader: l.self, Epoch: g.epoch, Released: true, Begins: strict}
 	_, err := l.store.Write(ctx, workload.Write{
 		Expect: []workload.Row{{Key: leaderKey, Version: g.version}},
 		Put:    []workload.Row{{Key: leaderKey, Value: encode(row)}},
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -44,6 +44,8 @@
 	Released bool `json:"released,omitempty"`
 	// Beat changes with each renewal.
 	Beat int64 `json:"beat"`
+	// Begins promises that the record of a job that was ever started says so.
+	Begins bool `json:"begins,omitempty"`
 }
 
 // seenLeader is the leader row as an instance has seen it.
--- a/internal/deployment/takeover.go
+++ b/internal/deployment/takeover.go
@@ -68,6 +68,10 @@
 	now, wallMS := bootTime(), time.Now().UnixMilli()
 	c.core = dispatch.New(c.instance.live.Load().bounds(), c.grant.epoch, now, c.earlier(now))
 	c.core.Tune(c.instance.settings.Tuning.ofCore())
+	if c.grant.trust {
+		c.core.TrustBegins()
+	}
+	c.begins = newBeginsMode(&c.grant.promise, c.core, c.instance.settings.Tuning, c.logger)
 	c.core.Configure(c.instance.configuration.Load())
 	c.core.Drain(c.instance.drains.list(), now, wallMS)
 	// Workers that are stored but not listed may run on behind a cut that this instance
--- /dev/null
+++ b/internal/dispatch/begins_test.go
@@ -0,0 +1,143 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+// startsOf lets the core decide and counts the starts of a job; everything is carried out.
+func (b *bench) startsOf(job string) int {
+	count := 0
+	for _, a := range b.core.Decide(b.now, b.wallMS) {
+		if a.Kind == ActStart && a.Order.Task.Job == job {
+			count++
+		}
+		b.carryOut(a)
+	}
+	return count
+}
+
+func TestNothingOfAJobStartsBeforeItsBeginIsStored(t *testing.T) {
+	b := newBench(t, 2, false)
+	b.core.StoreBegins(true)
+	b.round() // the workers are known
+	b.add(gangJob("job", "batch", "other", 2, 8))
+	assert.Equal(t, b.startsOf("job"), 0)
+	list := b.core.Unpersisted(10)
+	assert.Equal(t, len(list), 1)
+	assert.Assert(t, list[0].Began)
+	record, err := DecodeRecord(list[0].Record)
+	assert.NilError(t, err)
+	assert.Assert(t, record.Began)
+	assert.Equal(t, b.startsOf("job"), 0, "the store has not answered")
+	assert.Assert(t, b.core.BeginsLate(-time.Millisecond))
+	b.core.Recorded(list, b.now, b.wallMS)
+	assert.Assert(t, !b.core.BeginsLate(-time.Millisecond))
+	assert.Equal(t, b.startsOf("job"), 2)
+}
+
+func TestRoomIsKeptForAJobWhoseBeginIsBeingStored(t *testing.T) {
+	b := newBench(t, 1, false)
+	b.core.StoreBegins(true)
+	b.round()
+	b.add(gangJob("first", "batch", "other", 1, 8))
+	b.add(gangJob("second", "batch", "other", 1, 8))
+	assert.Equal(t, b.startsOf("first")+b.startsOf("second"), 0)
+	list := b.core.Unpersisted(10)
+	assert.Equal(t, len(list), 1, "the second job has no room: it does not begin")
+	assert.Equal(t, list[0].Job, "first")
+}
+
+func TestWhatAStartWaitsForIsStoredFirst(t *testing.T) {
+	b := newBench(t, 1, false)
+	b.core.StoreBegins(true)
+	b.round()
+	for _, id := range []string{"a", "b", "z"} {
+		b.add(singleJob(id, "batch", "other", 1, 1))
+	}
+	b.core.MarkDirty("a")
+	b.core.MarkDirty("b")
+	b.core.recordBegin(b.core.jobs["z"])
+	assert.Equal(t, b.core.Unpersisted(1)[0].Job, "z")
+}
+
+// A job that no leader ever started runs nowhere, whatever worker is out of reach.
+func TestAfterATakeoverOnlyJobsThatBeganWaitForASilentWorker(t *testing.T) {
+	for name, c := range map[string]struct {
+		trust, began bool
+		starts       int
+	}{
+		"never begun, and the leader before stored begins": {true, false, 1},
+		"begun":                                  {true, true, 0},
+		"the leader before did not store begins": {false, false, 0},
+		"nor that of a job whose record has one": {false, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 2, true)
+			b.core = New(testBounds, 3, b.now, b.now.Add(time.Second))
+			b.core.Configure(testConfig())
+			if c.trust {
+				b.core.TrustBegins()
+			}
+			b.silent["w01"] = true
+			b.list()
+			job := gangJob("job", "batch", "other", 1, 8)
+			job.AcceptedMS = b.wallMS
+			b.core.AddJob(job, Record{Began: c.began}, false, b.now, b.wallMS)
+			b.pass(500 * time.Millisecond)
+			assert.Equal(t, b.starts, c.starts)
+			b.pass(testBounds.LongestLease + 2*time.Second)
+			assert.Equal(t, b.starts, 1)
+		})
+	}
+}
+
+// Before the next leader may trust, the store has to know of every job that may have been
+// started: also of one that has ended since, as long as its end is not stored.
+func TestBeginsAreStoredOnceTheStoreKnowsOfEachOrOfItsEnd(t *testing.T) {
+	b := newBench(t, 1, false)
+	b.round()
+	b.add(singleJob("runs", "batch", "other", 1, 1))
+	b.add(singleJob("ended", "batch", "other", 1, 1))
+	assert.Equal(t, b.startsOf("runs"), 1)
+	assert.Assert(t, !b.core.BeginsStored())
+	b.core.Cancel("ended", b.now, b.wallMS)
+	b.core.StoreBegins(true)
+	b.core.StoreAllBegins()
+	var runs, ended []Unpersisted
+	for _, u := range b.core.Unpersisted(10) {
+		if u.Job == "runs" {
+			runs = append(runs, u)
+		} else {
+			ended = append(ended, u)
+		}
+	}
+	b.core.Recorded(runs, b.now, b.wallMS)
+	assert.Assert(t, !b.core.BeginsStored(), "the cancelled job was started")
+	b.core.Recorded(ended, b.now, b.wallMS)
+	assert.Assert(t, b.core.BeginsStored())
+}
+
+func TestWithoutStoredBeginsJobsStartAtOnce(t *testing.T) {
+	b := newBench(t, 1, false)
+	b.core.Tune(Tuning{Without: []Mechanism{MechStoredBegins}})
+	b.core.StoreBegins(true)
+	b.round()
+	b.add(singleJob("job", "batch", "other", 1, 1))
+	assert.Equal(t, b.startsOf("job"), 1)
+	assert.Equal(t, len(b.core.Unpersisted(10)), 0)
+}
+
+func TestARecordKeepsTheBeginOverALeader(t *testing.T) {
+	b := newBench(t, 1, false)
+	b.core.AddJob(&workload.Job{ID: "job", Queue: "batch", Account: "other", Steps: gangJob("x", "batch", "other", 1, 8).Steps},
+		Record{Began: true}, false, b.now, b.wallMS)
+	b.core.MarkDirty("job")
+	record, err := DecodeRecord(b.core.Unpersisted(1)[0].Record)
+	assert.NilError(t, err)
+	assert.Assert(t, record.Began)
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -73,8 +73,10 @@
 	// surelyQuiet is when nothing that an earlier epoch started can run on a
 	// worker that has not answered yet.
 	surelyQuiet time.Time
-	unsynced    unsyncedWorkers
-	dirty       map[string]*job
+	// trustBegins says that an earlier epoch stored begins, storeBegins that this does.
+	trustBegins, storeBegins bool
+	unsynced                 unsyncedWorkers
+	dirty                    map[string]*job
 	// suspicions are racks and zones of which somebody does not answer, by since when.
 	suspects map[domain]time.Time
 	// ordered are the runs whose start is not answered, in the order of their starts.
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -140,7 +140,7 @@
 	far := c.mayGoFar(u, rooms)
 	now := c.find(u, rooms, far, func(r *room) workload.Resources { return r.open(c.now.Add(u.length)) })
 	if len(now) == len(u.tasks) || !u.step.spec.Gang && len(now) > 0 {
-		c.startAt(u, now)
+		c.startOrStore(u, now)
 		u.tasks = u.tasks[len(now):]
 	}
 	if len(u.tasks) == 0 {
@@ -165,11 +165,11 @@
 	u.release()
 	now := c.find(u, c.allowed(u, c.eligible(u, rooms)), false, func(r *room) workload.Resources { return r.open(c.now.Add(u.length)) })
 	if len(now) == len(u.tasks) {
-		c.startAt(u, now)
+		c.startOrStore(u, now)
 		return true
 	}
 	if areFree(u.claimed, u.step.spec.Counted()) {
-		c.startAt(u, u.claimed)
+		c.startOrStore(u, u.claimed)
 		return true
 	}
 	takeRoom(u, u.claimed)
@@ -184,6 +184,7 @@
 	case len(soon) == len(u.tasks):
 		takeRoom(u, soon)
 		if u.rank.urgent() {
+			c.awaitsBegin(u.step.job) // so that nothing is left to wait for
 			c.claimRooms(u, placesOf(soon))
 		}
 		return "room is being freed"
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -58,6 +58,9 @@
 	// old jobs may have been started by an earlier epoch.
 	old   bool
 	began bool
+	// beginStored says that the store has the begin, beginAsked since when it is owed.
+	beginStored bool
+	beginAsked  time.Time
 	// changed and stored count changes of the record, and those in the store.
 	changed, stored uint64
 	runs            int
@@ -75,7 +78,8 @@
 	if c.jobs[accepted.ID] != nil {
 		return
 	}
-	j := &job{Job: accepted, record: record.clone(), old: !c.earlier.IsZero() && !now.After(c.earlier), received: now}
+	j := &job{Job: accepted, record: record.clone(), beginStored: record.Began, received: now}
+	j.old = !c.earlier.IsZero() && !now.After(c.earlier) && (record.Began || !c.trustBegins)
 	if age := wallMS - accepted.AcceptedMS; age > 0 && age < maxJobAge.Milliseconds() {
 		j.received = now.Add(-time.Duration(age) * time.Millisecond)
 	}
@@ -183,17 +187,28 @@
 	Change uint64
 	Record []byte
 	Final  Final
+	// Began says that the record tells of the job's begin.
+	Began bool
 }
 
-// Unpersisted returns up to limit records that the store does not have yet.
+// Unpersisted returns up to limit records that the store does not have yet, those that
+// a start waits for first.
 func (c *Core) Unpersisted(limit int) []Unpersisted {
 	var list []Unpersisted
-	for _, id := range slices.Sorted(maps.Keys(c.dirty)) {
+	owed := slices.SortedFunc(maps.Values(c.dirty), func(a, b *job) int {
+		switch {
+		case a.owesBegin() && !b.owesBegin():
+			return -1
+		case b.owesBegin() && !a.owesBegin():
+			return 1
+		}
+		return cmp.Compare(a.ID, b.ID)
+	})
+	for _, j := range owed {
 		if len(list) == limit {
 			break
 		}
-		j := c.dirty[id]
-		list = append(list, Unpersisted{Job: j.ID, Change: j.changed, Record: j.record.Encode(), Final: j.record.Final})
+		list = append(list, Unpersisted{Job: j.ID, Change: j.changed, Record: j.record.Encode(), Final: j.record.Final, Began: j.record.Began})
 	}
 	return list
 }
@@ -204,7 +219,7 @@
 	var list []Unpersisted
 	for _, j := range c.dirty {
 		if j.record.Final != "" && c.wallMS-j.record.EndedMS >= since.Milliseconds() {
-			list = append(list, Unpersisted{Job: j.ID, Change: j.changed, Record: j.record.Encode(), Final: j.record.Final})
+			list = append(list, Unpersisted{Job: j.ID, Change: j.changed, Record: j.record.Encode(), Final: j.record.Final, Began: j.record.Began})
 		}
 	}
 	slices.SortFunc(list, func(a, b Unpersisted) int { return cmp.Compare(a.Job, b.Job) })
@@ -227,6 +242,7 @@
 			continue
 		}
 		j.stored = max(j.stored, u.Change)
+		j.beginStored = j.beginStored || u.Began
 		if j.stored == j.changed {
 			delete(c.dirty, j.ID)
 		}
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -23,6 +23,8 @@
 // leader needs besides what workers still list.
 type Record struct {
 	Final Final `json:"final,omitempty"`
+	// Began says that tasks of the job may have been started.
+	Began bool `json:"began,omitempty"`
 	// EndedMS is when it became final, in milliseconds since 1970.
 	EndedMS int64 `json:"ended_ms,omitempty"`
 	// Done holds, by occurrence and step ("0.1"), the bits of the done tasks in
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -28,6 +28,7 @@
 	MechResends        Mechanism = "resends"
 	MechPollWindow     Mechanism = "poll_window"
 	MechStartWindow    Mechanism = "start_window"
+	MechStoredBegins   Mechanism = "stored_begins"
 )
 
 // Mechanisms lists them all.
@@ -35,7 +36,7 @@
 	return []Mechanism{
 		MechHeadroom, MechClaims, MechWaitForEnds, MechReservations, MechRackPatience, MechEstimates, MechSickWorkers,
 		MechEvacuation, MechSuspectDomains, MechDemoteLate, MechCheapVictims, MechPacking, MechRackOrder, MechRestartClaims, MechResends,
-		MechPollWindow, MechStartWindow,
+		MechPollWindow, MechStartWindow, MechStoredBegins,
 	}
 }
 
--- a/internal/emulator/leader.go
+++ b/internal/emulator/leader.go
@@ -127,6 +127,8 @@
 	}
 	h.core = dispatch.New(pl.deployment.bounds, h.epoch, pl.time(), earlier)
 	h.core.Tune(pl.tuning)
+	h.core.TrustBegins()
+	h.core.StoreBegins(true)
 	h.core.Configure(pl.deployment.config)
 	listed := pl.deployment.list()
 	h.core.Listed(listed, pl.time(), pl.wall())
--- a/internal/emulator/player.go
+++ b/internal/emulator/player.go
@@ -58,8 +58,8 @@
 	handovers, crashes  []float64
 	// drained are the zones that the leader was told are drained.
 	drained []string
-	random              *rand.Rand
-	tally               tally
+	random  *rand.Rand
+	tally   tally
 	// trace, if set, is told of each action.
 	trace func(at time.Duration, action dispatch.Action)
 }
--- a/internal/emulator/tally.go
+++ b/internal/emulator/tally.go
@@ -30,11 +30,11 @@
 	preempted int
 	// drainedStarts counts starts in zones that had been drained for drainBound.
 	drainedStarts int
-	all       share
-	bySort    map[sort]*share
-	byZone    map[int]*share
-	byAccount map[string]*share
-	byWindow  map[int]*share
+	all           share
+	bySort        map[sort]*share
+	byZone        map[int]*share
+	byAccount     map[string]*share
+	byWindow      map[int]*share
 	// urgent are the times from submission to start of urgent jobs, in seconds.
 	urgent []float64
 	// value is what the users' weights make of it.
