--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -218,7 +218,7 @@
 	return i.replica.sizes(func(addr string) bool { return ready[addr] })
 }
 
-// calm reports whether this leader could hand the lease on now.
+// synced reports whether this leader could hand the lease on now.
 func (i *Instance) synced() bool {
 	leader := i.leader.Load()
 	return leader != nil && leader.synced.Load()
--- a/internal/deployment/leader.go
+++ b/internal/deployment/leader.go
@@ -71,7 +71,7 @@
 	begins *beginsMode
 	// startsHeld says that nothing starts until it is known which zones are drained.
 	startsHeld bool
-	// calm says, for the lease, that no worker is waited for.
+	// synced says, for the lease, that no worker is waited for.
 	synced atomic.Bool
 	// a closing leader decides nothing any more; underWay counts the orders and
 	// writes that are not answered.
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -406,7 +406,7 @@
 	return ids
 }
 
-// notedWorkers lists the workers that are in the table.
+// storedWorkers lists the workers that are in the table.
 func (r *replica) storedWorkers() []workload.Worker {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/dispatch/begins.go
+++ b/internal/dispatch/begins.go
@@ -82,6 +82,7 @@
 func (c *Core) startOrStore(u *pendingStep, places []*room) {
 	if c.awaitsBegin(u.step.job) {
 		takeRoom(u, places)
+		c.recordReason(u, "its begin is being stored")
 		return
 	}
 	c.startAt(u, places)
--- a/internal/dispatch/begins_test.go
+++ b/internal/dispatch/begins_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -33,7 +34,10 @@
 	record, err := DecodeRecord(list[0].Record)
 	assert.NilError(t, err)
 	assert.Assert(t, record.Began)
+	b.now = b.now.Add(2 * reasonAfter)
 	assert.Equal(t, b.startsOf("job"), 0, "the store has not answered")
+	assert.Equal(t, len(b.reasons), 1)
+	assert.Assert(t, strings.HasPrefix(b.reasons[0], "its begin is being stored; "), b.reasons[0])
 	assert.Assert(t, b.core.BeginsLate(-time.Millisecond))
 	b.core.Recorded(list, b.now, b.wallMS)
 	assert.Assert(t, !b.core.BeginsLate(-time.Millisecond))
--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -102,6 +102,16 @@
 			},
 			OutcomeLost, CauseLease, 6 * time.Second,
 		},
+		"a wait for the store to know of the begin is told from others": {
+			func(l *log) {
+				l.submit(0, "j", "")
+				l.wait(200, "j", "its begin is being stored")
+				l.start(1000, "j", 1)
+				l.end(2000, "j", 1, "done")
+				l.ended(2010, "j")
+			},
+			OutcomeLate, CauseBegin, time.Second,
+		},
 		"a broken run is time that was not the job's own": {
 			func(l *log) {
 				l.submit(0, "j", "")
--- a/internal/losses/timeline.go
+++ b/internal/losses/timeline.go
@@ -19,6 +19,8 @@
 	// CauseLease is the wait for workers that a new leader has not heard of: what
 	// an earlier one started may run there.
 	CauseLease Cause = "lease"
+	// CauseBegin is the wait for the store to know that the job begins.
+	CauseBegin Cause = "begin"
 	// CauseRoom is the wait for room that nobody frees for it.
 	CauseRoom Cause = "room"
 	// CauseStop is the wait for others to be stopped.
@@ -36,7 +38,7 @@
 
 // Causes lists them in the order of a job's way.
 func Causes() []Cause {
-	return []Cause{CauseAccept, CauseLeader, CauseLease, CauseRoom, CauseStop, CauseStart, CauseAgain, CauseRun, CauseRecord}
+	return []Cause{CauseAccept, CauseLeader, CauseLease, CauseBegin, CauseRoom, CauseStop, CauseStart, CauseAgain, CauseRun, CauseRecord}
 }
 
 // causeOfWait gives the cause for the reason of a wait line, which ends at its
@@ -45,6 +47,7 @@
 	"room is being freed":              CauseStop,
 	"others are stopped":               CauseStop,
 	"workers that have not answered":   CauseLease,
+	"its begin is being stored":        CauseBegin,
 	"others end in time":               CauseRoom,
 	"room is kept for it":              CauseRoom,
 	"no room":                          CauseRoom,
