A run whose worker was lost has a log line and a counter, with the cause

That a worker is lost and what ran there could only be inferred, from a stop order that met 'gone' and from 'worker no longer listed' seconds later; a crash and a lease that ran out behind a cut looked alike.

'run lost' names task, attempt, worker, epoch, cause (replaced: another life of the worker answered; silent: no answer for longer than any lease), how long it ran and how many runs were lost beside it, one line for each run; corianderbank_deployment_lost_runs_total counts them by cause.

--- a/internal/deployment/orders.go
+++ b/internal/deployment/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -37,6 +38,8 @@
 		c.polls.Submit(func() { c.poll(action) })
 	case dispatch.ActReason:
 		c.logger.Info("wait", append(taskFields(action.Order.Task), zap.Int64("epoch", action.Order.Epoch), zap.String("reason", action.Reason))...)
+	case dispatch.ActLost:
+		c.logLost(action)
 	case dispatch.ActAsk:
 		c.orders.Submit(func() { c.ask(action.Ask) })
 	}
@@ -67,6 +70,15 @@
 	return append(fields, more...)
 }
 
+// logLost says that a run is over because its worker was lost.
+func (c *leader) logLost(action dispatch.Action) {
+	o, lost := action.Order, action.Lost
+	metrics.GetOrCreateCounter(fmt.Sprintf(`corianderbank_deployment_lost_runs_total{cause="%s"}`, lost.Cause)).Inc()
+	c.logger.Warn("run lost", append(taskFields(o.Task), zap.Int64("attempt", o.Attempt), zap.String("worker", o.Worker),
+		zap.Int64("epoch", o.Epoch), zap.String("cause", string(lost.Cause)), zap.Int64("ran_ms", lost.Ran.Milliseconds()),
+		zap.Int("beside", lost.Beside))...)
+}
+
 // taskFields name a task in a log line.
 func taskFields(t workload.TaskID) []zap.Field {
 	return []zap.Field{
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -18,6 +18,8 @@
 	ActAsk
 	// ActReason is for the log only: why a step waits.
 	ActReason
+	// ActLost is for the log only: a run is over because its worker was lost.
+	ActLost
 )
 
 // Action is something for the driver to do. Its answer comes back as an event.
@@ -37,8 +39,31 @@
 	Reason string
 	// First, on one start of each job, says how long it waited for it.
 	First *FirstStart
+	// Lost says of a lost run how it was lost.
+	Lost *LostRun
 }
 
+// LostRun is a run that is over because its worker was lost.
+type LostRun struct {
+	Cause LossCause
+	// Ran is the time since its start, as far as this epoch knows.
+	Ran time.Duration
+	// Beside is the number of other runs that were lost with it.
+	Beside int
+}
+
+// LossCause says how a leader knows that what ran on a worker is over.
+type LossCause string
+
+// The causes.
+const (
+	// LossReplaced means that another life of the worker answered.
+	LossReplaced LossCause = "replaced"
+	// LossSilent means that the worker was silent for longer than any lease: it may have
+	// crashed, or run on behind a cut.
+	LossSilent LossCause = "silent"
+)
+
 // FirstStart is the moment at which a job begins.
 type FirstStart struct {
 	// Guaranteed says that the job lies within its client account's guarantee.
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -22,6 +22,8 @@
 	// refusing workers refuse connections: what is sent to them is not carried out, and
 	// what runs there may run on behind a cut.
 	refusing map[string]bool
+	// replaced workers are over: another life answers at their address.
+	replaced map[string]bool
 	// unlisted workers are missing in the platform's list.
 	unlisted      map[string]bool
 	starts, stops int
@@ -40,6 +42,8 @@
 	tickets map[string]bool
 	// told is what the core said of waiting steps.
 	reasons []string
+	// lost are the runs that it took for lost.
+	lost []Action
 }
 
 type fakeWorker struct {
@@ -70,7 +74,7 @@
 func newBench(t testing.TB, workers int, earlier bool) *bench {
 	b := &bench{t: t, now: epochStart, wallMS: 1_700_000_000_000, workers: make(map[string]*fakeWorker), silent: make(map[string]bool)}
 	b.leaving, b.tickets = make(map[string]time.Duration), make(map[string]bool)
-	b.refusing, b.unlisted = make(map[string]bool), make(map[string]bool)
+	b.refusing, b.unlisted, b.replaced = make(map[string]bool), make(map[string]bool), make(map[string]bool)
 	var before time.Time
 	if earlier {
 		before = b.now
@@ -113,7 +117,7 @@
 		left, leaving := b.leaving[id]
 		rack := "r" + id[1:len(id)-1]
 		list = append(list, workload.Worker{
-			ID: id, Addr: id, Pool: "pool", Zone: b.zones[rack], Rack: rack, Room: w.room, Leaving: leaving, LeavesInMS: left.Milliseconds(),
+			ID: id, Addr: id[1:], Pool: "pool", Zone: b.zones[rack], Rack: rack, Room: w.room, Leaving: leaving, LeavesInMS: left.Milliseconds(),
 		})
 	}
 	b.core.Listed(list, b.now, b.wallMS)
@@ -139,6 +143,10 @@
 }
 
 func (b *bench) carryOut(a Action) {
+	if a.Kind == ActLost {
+		b.lost = append(b.lost, a)
+		return
+	}
 	if a.Kind == ActReason {
 		b.reasons = append(b.reasons, a.Reason)
 		return
@@ -152,6 +160,10 @@
 		b.startedAt = append(b.startedAt, id)
 	}
 	w := b.workers[id]
+	if b.replaced[id] {
+		b.withoutAnswer(a, workload.VerdictGone)
+		return
+	}
 	if b.refusing[id] {
 		b.withoutAnswer(a, workload.VerdictClosed)
 		return
--- a/internal/dispatch/leases.go
+++ b/internal/dispatch/leases.go
@@ -47,7 +47,7 @@
 func (c *Core) expireLeases() {
 	for _, w := range slices.Clone(c.fleet) {
 		if w.misses > 0 && len(w.runs)+len(w.unknownRuns) > 0 && w.surelyLapsed(c.now, c.bounds.StopTime) {
-			c.lapse(w)
+			c.lapse(w, LossSilent)
 		}
 		if w.known && !w.unlistedSince.IsZero() && len(w.runs)+len(w.unknownRuns) == 0 {
 			c.unstore(w)
@@ -61,16 +61,19 @@
 	}
 }
 
-func (c *Core) lapse(w *worker) {
+// lapse ends all runs of a worker.
+func (c *Core) lapse(w *worker, cause LossCause) {
 	w.unknownRuns = nil
-	for _, r := range w.inOrder(anyRun) {
+	lost := w.inOrder(anyRun)
+	for _, r := range lost {
+		c.recordLost(r, cause, len(lost)-1)
 		c.ended(r, workload.EndLapsed)
 	}
 }
 
 // lostWorker takes that another life of the worker answered: this one is over.
 func (c *Core) lostWorker(w *worker) {
-	c.lapse(w)
+	c.lapse(w, LossReplaced)
 	w.known = true
 	w.unlistedSince = c.now
 	w.holdOff = c.now.Add(time.Hour)
--- a/internal/dispatch/reasons.go
+++ b/internal/dispatch/reasons.go
@@ -35,6 +35,15 @@
 	c.recordReasonOf(j.steps[0], why, fmt.Sprintf("%s; waited %d ms", why, c.now.Sub(j.received).Milliseconds()))
 }
 
+// recordLost says how a run was lost.
+func (c *Core) recordLost(r *run, cause LossCause, beside int) {
+	c.actions = append(c.actions, Action{
+		Kind:  ActLost,
+		Order: workload.Order{Worker: r.worker.ID, Zone: r.worker.Zone, Task: r.task.id(), Attempt: r.attempt, Epoch: c.epoch},
+		Lost:  &LostRun{Cause: cause, Ran: c.now.Sub(r.since), Beside: beside},
+	})
+}
+
 func (c *Core) worthRecording(s *step, why string) bool {
 	since := c.now.Sub(s.waitReasonAt)
 	return since >= reasonEvery || why != s.waitReason && since >= reasonChange
