--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -98,6 +98,21 @@
 	}
 }
 
+// taskOf is guilty for one task of a job.
+func taskOf(job string, index int) func(workload.TaskID) bool {
+	return func(task workload.TaskID) bool { return task.Job == job && task.Index == index }
+}
+
+func TestATaskThatTakesDownItsWorkersIsNotStartedWithoutEnd(t *testing.T) {
+	c := newCrashes(t, 12, taskOf("crashing", 0))
+	c.add(looseJob("crashing", 3))
+	c.pass(40 * time.Second)
+	task := workload.TaskID{Job: "crashing"}
+	assert.Assert(t, c.crashesOf[task] <= 3, "%d workers were taken down", c.crashesOf[task])
+	assert.Equal(t, c.startsOf[task], c.crashesOf[task])
+	assert.Equal(t, c.state("crashing"), FinalFailed)
+}
+
 func TestALostRunIsSaidWithItsCause(t *testing.T) {
 	for name, c := range map[string]struct {
 		lose  func(b *crashes)
