A job of which a task takes its workers down is given up, also after a takeover

What callers saw: a job that crashes every worker it starts on was never shown as ended; every 3.4 s it took a worker down, and with it what others ran there.

Cause: a run that was lost with its worker ends as 'lapsed', and nothing counts that. attempts bounds only runs that end failed. The class of fault: a retry without a bound, because the effect falls on the executor and not on the task; the count has to live where retries are decided and outlive whoever decides.

Change: - quarantine.Crashes says what the workers that went down under a task lead to; at three its job is given up ('job given up', state failed). A run of a minute, a worker that had said that it leaves, and a start that the next life refused count for nothing. A worker that fell silent is possible until it answers, another life does, or a longest lease has passed; a task does not start while these could make three. - The count stands in the job's record, and a task with crashes starts once the store has it together with the number of the attempt that is about to begin. A later leader that sees neither that run nor its end takes it for a crash. A leader that lost a worker before it had heard from it stores the attempts of all older work in the same way. - A worker's row is removed after the records of what was lost with it, not before.

--- a/internal/deployment/orders.go
+++ b/internal/deployment/orders.go
@@ -38,6 +38,8 @@
 		c.polls.Submit(func() { c.poll(action) })
 	case dispatch.ActReason:
 		c.logger.Info("wait", append(taskFields(action.Order.Task), zap.Int64("epoch", action.Order.Epoch), zap.String("reason", action.Reason))...)
+	case dispatch.ActGaveUp:
+		c.logger.Warn("job given up", append(taskFields(action.Order.Task), zap.Int64("epoch", action.Order.Epoch), zap.String("reason", action.Reason))...)
 	case dispatch.ActLost:
 		c.logLost(action)
 	case dispatch.ActAsk:
--- a/internal/deployment/records.go
+++ b/internal/deployment/records.go
@@ -39,7 +39,10 @@
 	b := batch{records: core.Unpersisted(recordsAtOnce)}
 	left := entriesAtOnce - 1 - 2*len(b.records)
 	b.workers = core.Unstored(left)
-	b.gone = core.Gone((left - len(b.workers)) / 2)
+	if len(b.records) < recordsAtOnce {
+		// The records of what was lost with a worker go before the worker's row does.
+		b.gone = core.Gone((left - len(b.workers)) / 2)
+	}
 	return b
 }
 
--- a/internal/dispatch/begins.go
+++ b/internal/dispatch/begins.go
@@ -85,5 +85,10 @@
 		c.recordReason(u, "its begin is being stored")
 		return
 	}
+	if c.awaitsTrial(u, len(places)) {
+		c.holdForTrial(u, places)
+		c.recordReason(u, "workers went down under it, and its next trial is being stored")
+		return
+	}
 	c.startAt(u, places)
 }
--- a/internal/dispatch/completions.go
+++ b/internal/dispatch/completions.go
@@ -60,9 +60,12 @@
 	case workload.EndFailed:
 		c.failed(t, e.Attempt)
 	}
-	if r != nil {
+	switch {
+	case r != nil:
 		w.health.ended(e, c.now)
 		c.ended(r, e.Kind)
+	case t.inherits(e.Attempt):
+		c.endTrial(t, e.Attempt)
 	}
 }
 
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -18,6 +18,8 @@
 	ActAsk
 	// ActReason is for the log only: why a step waits.
 	ActReason
+	// ActGaveUp is for the log only: a job is given up, and why.
+	ActGaveUp
 	// ActLost is for the log only: a run is over because its worker was lost.
 	ActLost
 )
@@ -101,7 +103,12 @@
 	// trustBegins says that an earlier epoch stored begins, storeBegins that this does.
 	trustBegins, storeBegins bool
 	unsynced                 unsyncedWorkers
-	dirty                    map[string]*job
+	// waitEnded says that no worker is waited for any more.
+	waitEnded bool
+	// lostUnseen says that a worker was lost on which an earlier epoch may have started
+	// work that this one never saw.
+	lostUnseen bool
+	dirty      map[string]*job
 	// suspicions are racks and zones of which somebody does not answer, by since when.
 	suspects map[domain]time.Time
 	// ordered are the runs whose start is not answered, in the order of their starts.
--- a/internal/dispatch/leases.go
+++ b/internal/dispatch/leases.go
@@ -45,16 +45,20 @@
 // refuses connections may run on behind a cut. Then it forgets workers that are no
 // longer listed and run nothing.
 func (c *Core) expireLeases() {
+	c.endWait()
 	for _, w := range slices.Clone(c.fleet) {
 		if w.misses > 0 && len(w.runs)+len(w.unknownRuns) > 0 && w.surelyLapsed(c.now, c.bounds.StopTime) {
 			c.lapse(w, LossSilent)
 		}
+		c.settleUnheard(w)
 		if w.known && !w.unlistedSince.IsZero() && len(w.runs)+len(w.unknownRuns) == 0 {
 			c.unstore(w)
 		}
 		if !w.unlistedSince.IsZero() && len(w.runs)+len(w.unknownRuns) == 0 && c.now.Sub(w.unlistedSince) > slowest(c.bounds.LongestLease) &&
 			(w.known || !c.now.Before(c.surelyQuiet)) {
+			c.noteUnseen(w)
 			c.unstore(w)
+			c.settleLapsed(w, true)
 			delete(c.workers, w.ID)
 			c.fleet = slices.DeleteFunc(c.fleet, func(other *worker) bool { return other == w })
 		}
@@ -67,12 +71,15 @@
 	lost := w.inOrder(anyRun)
 	for _, r := range lost {
 		c.recordLost(r, cause, len(lost)-1)
+		c.lostWith(r, cause)
 		c.ended(r, workload.EndLapsed)
 	}
 }
 
 // lostWorker takes that another life of the worker answered: this one is over.
 func (c *Core) lostWorker(w *worker) {
+	c.noteUnseen(w)
+	c.settleLapsed(w, true)
 	c.lapse(w, LossReplaced)
 	w.known = true
 	w.unlistedSince = c.now
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/corianderbank/corianderbank/internal/quarantine"
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
@@ -88,8 +89,11 @@
 			c.recordHeldBack(j, why)
 			continue
 		}
+		if j.inherited {
+			c.inheritTrials(j)
+		}
 		q := c.config.Queue(j.Queue)
-		if q == nil {
+		if q == nil || j.record.Final != "" {
 			continue // its queue was dropped: nothing says where it may run
 		}
 		list = c.pendingStepsOf(list, j, q)
@@ -125,9 +129,15 @@
 		}
 		u := &pendingStep{step: s, queue: q, length: c.estimates.of(s)}
 		for i := range s.tasks {
-			if t := &s.tasks[i]; !t.done && len(t.runs) == 0 {
-				u.tasks = append(u.tasks, t)
+			t := &s.tasks[i]
+			if t.done || len(t.runs) > 0 {
+				continue
+			}
+			if t.standing() == quarantine.Undecided {
+				c.recordHeldBack(j, "whether workers went down under it is not known yet")
+				continue
 			}
+			u.tasks = append(u.tasks, t)
 		}
 		if len(u.tasks) == 0 || s.spec.Gang && (s.gang != nil || len(u.tasks) < s.open) {
 			continue
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -19,6 +19,8 @@
 	// state is one of charts/run.json.
 	state chart.State
 	gang  *gang
+	// trial says that the store knows that this run of a task with crashes may run.
+	trial bool
 	need  workload.Resources
 	since time.Time
 	// settledBy is the sequence after which a poll is sure to know of the
@@ -44,6 +46,7 @@
 		task: t, worker: w, attempt: attempt, state: runChart.Initial, gang: g, need: t.step.spec.Counted(), since: c.now,
 		checkpoint: t.step.job.record.Saved[t.name()],
 	}
+	r.trial = t.beginsTrial(attempt)
 	c.attach(r)
 	c.ordered = append(c.ordered, r)
 	until := w.clock(c.now) + startWithin.Milliseconds()
@@ -90,6 +93,9 @@
 		return
 	}
 	r.step(runGone)
+	if r.trial {
+		c.endTrial(r.task, r.attempt)
+	}
 	delete(r.worker.runs, key)
 	r.worker.used = r.worker.used.Sub(r.need)
 	t := r.task
@@ -142,6 +148,9 @@
 // StartAnswered takes the answer to a start.
 func (c *Core) StartAnswered(order workload.Order, receipt workload.Receipt, now time.Time, wallMS int64) {
 	w, r := c.answered(order, receipt, now, wallMS)
+	if r == nil && w != nil {
+		c.startSettled(w, runKey{order.Task, order.Attempt}, receipt.Verdict)
+	}
 	if r == nil {
 		return
 	}
@@ -161,6 +170,7 @@
 	case workload.VerdictFenced:
 		c.fenced = true
 	case workload.VerdictGone:
+		c.rejected(r, "start not sent: its worker is over")
 		c.lostWorker(w)
 	case workload.VerdictNoTicket:
 		delete(r.task.step.advice.tickets, w.ID)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -134,8 +134,9 @@
 func (c *Core) startAt(u *pendingStep, places []*room) {
 	delete(c.coming, u.queue.Pool) // these runs will end as well
 	var g *gang
-	attempt := c.nextAttempt()
+	attempt := int64(0)
 	if u.step.spec.Gang {
+		attempt = c.attemptOf(u.tasks)
 		g = &gang{attempt: attempt}
 		u.step.gang, u.step.claim = g, nil
 	}
@@ -146,8 +147,8 @@
 		first = &FirstStart{Guaranteed: u.rank.class == 0, Priority: u.queue.Priority, Waited: c.now.Sub(c.earliestStart(u.step))}
 	}
 	for i, r := range places {
-		if g == nil && i > 0 {
-			attempt = c.nextAttempt()
+		if g == nil {
+			attempt = c.attemptOf(u.tasks[i : i+1])
 		}
 		need := u.step.spec.Counted()
 		r.free = r.free.Sub(need)
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -37,6 +37,8 @@
 	// acknowledged, told the last one that was.
 	heard, persisted, acknowledged int64
 	unpersisted                    []unpersistedEnd
+	// lapsed are runs that were lost with it before it was known what became of it.
+	lapsed []lapsedRun
 	// heardAt is when it answered last.
 	heardAt  time.Time
 	polling  bool
@@ -194,6 +196,7 @@
 		// from now on the worker refuses them.
 		w.lease(w.clockMS + c.bounds.LongestLease.Milliseconds())
 	}
+	c.settleLapsed(w, false)
 	w.misses, w.nextPoll, w.known = 0, time.Time{}, true
 	w.acknowledged = max(w.acknowledged, sent.Poll.Acknowledged)
 	if report.Unread > 0 {
@@ -314,6 +317,7 @@
 		r.gang = c.gangOf(t.step, running.Attempt)
 	}
 	surplus := t.done || len(t.runs) > 0 || t.step.job.record.Final != "" || running.Attempt > c.epoch*attemptsPerEpoch
+	r.trial = t.inherits(running.Attempt)
 	c.attach(r)
 	if surplus {
 		c.stop(r, "surplus run")
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -33,7 +33,13 @@
 	// Failed holds, by occurrence, step and task ("0.1.7"; a gang has no
 	// task: "0.1"), the attempts that ended failed.
 	Failed map[string][]int64 `json:"failed,omitempty"`
-	// Saved holds, by the same names, the last checkpoint.
+	// Crashed holds, by occurrence, step and task, also of a gang, the attempts under
+	// which the task's worker went down.
+	Crashed map[string][]int64 `json:"crashed,omitempty"`
+	// Trials holds, by the same names, the attempts that may be under way of tasks under
+	// which a worker may have gone down before.
+	Trials map[string][]int64 `json:"trials,omitempty"`
+	// Saved holds, by the names of Failed, the last checkpoint.
 	Saved map[string]string `json:"saved,omitempty"`
 }
 
@@ -62,6 +68,7 @@
 func (r *Record) clone() Record {
 	c := *r
 	c.Done, c.Saved, c.Failed = maps.Clone(r.Done), maps.Clone(r.Saved), maps.Clone(r.Failed)
+	c.Crashed, c.Trials = maps.Clone(r.Crashed), maps.Clone(r.Trials)
 	return c
 }
 
@@ -100,16 +107,37 @@
 
 // addFailed notes a failed attempt; false if it was noted before.
 func (r *Record) addFailed(name string, attempt int64) bool {
-	if slices.Contains(r.Failed[name], attempt) {
+	return addAttempt(&r.Failed, name, attempt)
+}
+
+// addCrash notes an attempt under which the task's worker went down.
+func (r *Record) addCrash(name string, attempt int64) { addAttempt(&r.Crashed, name, attempt) }
+
+// addAttempt notes an attempt; false if it was noted before.
+func addAttempt(attempts *map[string][]int64, name string, attempt int64) bool {
+	if slices.Contains((*attempts)[name], attempt) {
 		return false
 	}
-	if r.Failed == nil {
-		r.Failed = make(map[string][]int64)
+	if *attempts == nil {
+		*attempts = make(map[string][]int64)
 	}
-	r.Failed[name] = append(slices.Clone(r.Failed[name]), attempt)
+	(*attempts)[name] = append(slices.Clone((*attempts)[name]), attempt)
 	return true
 }
 
+// beginTrial notes an attempt that may be under way from now on.
+func (r *Record) beginTrial(name string, attempt int64) { addAttempt(&r.Trials, name, attempt) }
+
+// endTrial notes that it is over.
+func (r *Record) endTrial(name string, attempt int64) {
+	left := slices.DeleteFunc(slices.Clone(r.Trials[name]), func(a int64) bool { return a == attempt })
+	if len(left) == 0 {
+		delete(r.Trials, name)
+		return
+	}
+	r.Trials[name] = left
+}
+
 func (r *Record) setSaved(name, checkpoint string) {
 	if r.Saved == nil {
 		r.Saved = make(map[string]string)
