--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -40,7 +40,9 @@
 	Checkpoint string  `json:"checkpoint,omitempty"`
 	ProgressS  float64 `json:"progress_s,omitempty"`
 	// FailedOn lists the workers on which its tasks failed, once for each time.
-	FailedOn    []string  `json:"failed_on,omitempty"`
+	FailedOn []string `json:"failed_on,omitempty"`
+	// CrashedOn lists the workers that went down under it, once for each time.
+	CrashedOn   []string  `json:"crashed_on,omitempty"`
 	SubmittedAt time.Time `json:"submitted_at"`
 	// StartedAt is the time of the last start.
 	StartedAt time.Time `json:"started_at,omitzero"`
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -144,6 +144,8 @@
 	chartState chart.State
 	// nextRenewal is when the worker is due to be asked again.
 	nextRenewal time.Time
+	// silent are the gangs that were stopped because it fell silent.
+	silent map[*entry]bool
 }
 
 // core is owned by one goroutine; see the package comment.
--- a/internal/placer/core_test.go
+++ b/internal/placer/core_test.go
@@ -280,3 +280,74 @@
 	assert.Assert(t, api.IsKind(err, api.KindNoPlacer), "%v", err)
 	assert.Equal(t, len(p.Status(context.Background()).Zones), 0)
 }
+
+// newLife is a report of a worker's next incarnation, which knows of no gang.
+func newLife(worker string) reportEvent {
+	report := testReport(worker, 1, 1)
+	report.sentAt = testStart.Add(3 * testLease)
+	report.report.Incarnation = 2
+	return report
+}
+
+// lostPart is a report of the same life, which knows of no gang any more.
+func lostPart(worker string) reportEvent {
+	report := testReport(worker, 1, 1)
+	report.sentAt = testStart.Add(3 * testLease)
+	return report
+}
+
+// crashedGang is a core with a gang that runs on a and b, and under which other workers
+// went down before.
+func crashedGang(t *testing.T, before ...string) (*core, *entry) {
+	c := newTestCore(3)
+	record := testRecord("j", jobstore.PhaseStarted, true)
+	record.CrashedOn = before
+	held := make(map[string]api.ReservationReport)
+	for _, worker := range []string{"a", "b"} {
+		ref := api.GangRef{Epoch: 1, Gang: "j", Attempt: 1}
+		held[worker] = api.ReservationReport{GangRef: ref, Tasks: 1, Accelerators: 8, State: api.TaskRunning}
+	}
+	c.adopt(record, held, testStart)
+	e := c.jobs["j"]
+	assert.Equal(t, e.state, stRunning)
+	return c, e
+}
+
+func TestAGangThatTakesDownItsWorkersIsNotStartedWithoutEnd(t *testing.T) {
+	for name, test := range map[string]struct {
+		before []string
+		report reportEvent
+		state  chart.State
+		counts bool
+	}{
+		"the first worker":                        {nil, newLife("a"), stStopping, true},
+		"the second worker":                       {[]string{"x"}, newLife("a"), stStopping, true},
+		"the third worker":                        {[]string{"x", "y"}, newLife("a"), stFailed, true},
+		"a part that is missing on the same life": {[]string{"x", "y"}, lostPart("a"), stStopping, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, e := crashedGang(t, test.before...)
+			c.apply(test.report, testStart.Add(3*testLease))
+			assert.Equal(t, e.state, test.state)
+			assert.Equal(t, len(e.record.CrashedOn) > len(test.before), test.counts)
+		})
+	}
+}
+
+func TestAWorkerThatFellSilentAndComesBackNewCountsAsCrashed(t *testing.T) {
+	for name, test := range map[string]struct {
+		report  reportEvent
+		crashed int
+	}{
+		"its next life": {newLife("a"), 1},
+		"the same life": {lostPart("a"), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, e := crashedGang(t)
+			c.checkSilence(testStart.Add(2 * testLease))
+			assert.Equal(t, e.state, stStopping)
+			c.apply(test.report, testStart.Add(3*testLease))
+			assert.Equal(t, len(e.record.CrashedOn), test.crashed)
+		})
+	}
+}
--- a/internal/placer/reports.go
+++ b/internal/placer/reports.go
@@ -89,12 +89,13 @@
 	if ev.err != nil {
 		return
 	}
+	newLife := w.Incarnation != 0 && ev.report.Incarnation > w.Incarnation
 	c.noteWorker(w, ev, now)
 	c.fence(ev.report.HighestEpoch)
 	if !c.held {
 		return
 	}
-	c.noteReservations(ev, now)
+	c.noteReservations(ev, newLife, now)
 }
 
 // fence steps down for good under any epoch below least: a worker has seen a
@@ -111,7 +112,9 @@
 	report := ev.report
 	if w.Incarnation != 0 && report.Incarnation > w.Incarnation {
 		c.stepWorker(w, wkNew)
+		c.countSilent(w)
 	}
+	clear(w.silent)
 	w.Incarnation = report.Incarnation
 	w.Rack, w.Accelerators = report.Rack, report.Accelerators
 	w.lastReport, w.LastReport = now, now
@@ -122,7 +125,7 @@
 }
 
 // noteReservations compares a report with what the gangs expect of the worker.
-func (c *core) noteReservations(ev reportEvent, now time.Time) {
+func (c *core) noteReservations(ev reportEvent, newLife bool, now time.Time) {
 	seen := make(map[string]bool)
 	for _, r := range ev.report.Reservations {
 		e, ok := c.jobs[r.Gang]
@@ -140,7 +143,7 @@
 	for _, e := range c.gangsOn(ev.worker) {
 		if e.state == stRunning {
 			if !seen[e.record.ID] && ev.sentAt.After(e.reports[ev.worker].renewedAt) {
-				c.stop(e, evWorkerLost, "worker "+ev.worker+" no longer has its part", now)
+				c.partLost(e, ev.worker, newLife, now)
 				continue
 			}
 			c.judge(e, now)
@@ -148,6 +151,40 @@
 	}
 }
 
+// partLost takes that a worker no longer has its part of a gang. A gang may take down each
+// worker that it runs on; it is not started again without end.
+func (c *core) partLost(e *entry, worker string, crashed bool, now time.Time) {
+	reason := "worker " + worker + " no longer has its part"
+	if crashed {
+		e.record.CrashedOn = append(e.record.CrashedOn, worker)
+	}
+	if (quarantine.Crashes{Seen: len(e.record.CrashedOn)}).Standing() != quarantine.Guilty {
+		c.stop(e, evWorkerLost, reason, now)
+		return
+	}
+	c.do(stopAction{ref: e.ref, parts: e.parts, within: stopWithin})
+	c.step(e, evFail, reason+"; workers that went down under it: "+strings.Join(e.record.CrashedOn, ", "), now)
+}
+
+// noteSilent keeps which gang was stopped because a worker fell silent.
+func (w *workerState) noteSilent(e *entry) {
+	if w.silent == nil {
+		w.silent = make(map[*entry]bool)
+	}
+	w.silent[e] = true
+}
+
+// countSilent counts a worker that had crashed against the gangs that were stopped when
+// it fell silent. They are judged at the next crash.
+func (c *core) countSilent(w *workerState) {
+	for e := range w.silent {
+		e.record.CrashedOn = append(e.record.CrashedOn, w.ID)
+		if !c.chart.Final(e.state) {
+			c.markUnsaved(e)
+		}
+	}
+}
+
 func (e *entry) holds(worker string) bool {
 	for _, p := range e.parts {
 		if p.worker == worker {
@@ -297,6 +334,9 @@
 	case stRunning:
 		for _, p := range e.parts {
 			if now.Sub(e.reports[p.worker].renewedAt) > c.workerLease {
+				if w := c.workers[p.worker]; w != nil {
+					w.noteSilent(e)
+				}
 				c.stop(e, evWorkerLost, "worker "+p.worker+" is silent longer than its lease", now)
 				return
 			}
