Emulator: workers that crash and come back, and jobs that take them down

A worker has lives: after a crash it refuses connections for 3 s, then another id answers at its address and calls for the former one meet 'gone'. New figures: lives that crashed, and jobs given up that took nothing down.

--- a/internal/emulator/arrivals.go
+++ b/internal/emulator/arrivals.go
@@ -35,6 +35,8 @@
 	runs int
 	// poison: every run of it fails by its own fault.
 	poison bool
+	// crashing: its first task takes down each worker that starts it.
+	crashing bool
 	// cancelAt is zero unless the caller cancels.
 	cancelAt time.Duration
 	// objective is how long it may take, value what it earns in time.
@@ -88,6 +90,9 @@
 	if of.Poison > 0 {
 		a.poison = random.Float64() < of.Poison
 	}
+	if share := day.crashes(of.Sort, at); share > 0 {
+		a.crashing = random.Float64() < share
+	}
 	account := d.config.Accounts[random.IntN(len(d.config.Accounts))].Name
 	a.job = &workload.Job{Queue: of.Queue, Account: account, Steps: []workload.Step{step}}
 	longest := time.Duration(0)
--- a/internal/emulator/day.go
+++ b/internal/emulator/day.go
@@ -15,6 +15,8 @@
 	Workers []workerTrouble `json:"workers,omitempty"`
 	Cuts    []cut           `json:"cuts,omitempty"`
 	Outages []stretch       `json:"outages,omitempty"`
+	// Crashing are jobs that take down their workers.
+	Crashing []crashing `json:"crashing,omitempty"`
 	// Drains are zones that operators drain.
 	Drains []drained `json:"drains,omitempty"`
 	// Handovers are planned changes of the leader, Crashes are others, by their times
@@ -54,6 +56,16 @@
 	Loses float64 `json:"loses,omitempty"`
 	// Silent workers are cut off from everybody and run on.
 	Silent bool `json:"silent,omitempty"`
+	// CrashEvery is the mean time between two crashes of such a worker, in seconds; zero
+	// is never.
+	CrashEvery float64 `json:"crash_every_s,omitempty"`
+}
+
+// crashing makes a share of the jobs that arrive take down each worker that starts them.
+type crashing struct {
+	stretch
+	Of    sort    `json:"of"`
+	Share float64 `json:"share"`
 }
 
 // cut parts a zone from the others and from the store.
@@ -98,6 +110,17 @@
 	return factor
 }
 
+// crashes is the share of a kind's jobs that take down their workers.
+func (d *Day) crashes(of sort, at time.Duration) float64 {
+	share := 0.0
+	for _, c := range d.Crashing {
+		if c.Of == of && c.holds(at) {
+			share += c.Share
+		}
+	}
+	return share
+}
+
 func (d *Day) storeAway(at time.Duration) bool {
 	for _, o := range d.Outages {
 		if o.holds(at) {
--- a/internal/emulator/leader.go
+++ b/internal/emulator/leader.go
@@ -130,9 +130,7 @@
 	h.core.TrustBegins()
 	h.core.StoreBegins(true)
 	h.core.Configure(pl.deployment.config)
-	listed := pl.deployment.list()
-	h.core.Listed(listed, pl.time(), pl.wall())
-	h.core.Stored(listed)
+	pl.tellWorkers()
 	pl.tellDrains()
 	for _, a := range pl.accepted {
 		record, announced := pl.table[a.job.ID], pl.announced[a.job.ID]
--- a/internal/emulator/player.go
+++ b/internal/emulator/player.go
@@ -124,7 +124,7 @@
 		tally:      newTally(),
 	}
 	for i, listed := range d.list() {
-		w := &worker{Worker: listed, zone: i / d.WorkersPerRack / d.RacksPerZone, speed: d.Speeds[random.IntN(len(d.Speeds))]}
+		w := &worker{Worker: listed, machine: listed.ID, zone: i / d.WorkersPerRack / d.RacksPerZone, speed: d.Speeds[random.IntN(len(d.Speeds))]}
 		for t := range day.Workers {
 			if random.Float64() < day.Workers[t].Share {
 				w.troubles = append(w.troubles, &day.Workers[t])
@@ -212,9 +212,22 @@
 	pathOpen route = iota
 	pathSilent
 	pathRefused
+	// pathReplaced reaches another life of the worker.
+	pathReplaced
 )
 
-func (pl *player) pathTo(w *worker) route {
+func (pl *player) pathTo(w *worker, life string) route {
+	if w.backAt > 0 {
+		return pathRefused
+	}
+	if p := pl.wayTo(w); p != pathOpen || life == w.ID {
+		return p
+	}
+	return pathReplaced
+}
+
+// wayTo is how the leader reaches a worker's machine.
+func (pl *player) wayTo(w *worker) route {
 	if t := w.troubled(pl.now); t != nil && t.Silent {
 		return pathSilent
 	}
@@ -234,8 +247,11 @@
 
 // lost is the verdict on a call that a path does not carry, and how long it takes.
 func (p route) lost(timeout time.Duration) (workload.Verdict, time.Duration) {
-	if p == pathRefused {
+	switch p {
+	case pathRefused:
 		return workload.VerdictClosed, tick
+	case pathReplaced:
+		return workload.VerdictGone, tick
 	}
 	return workload.VerdictUnknown, timeout
 }
@@ -260,7 +276,7 @@
 // give carries an order out, if it reaches its worker.
 func (pl *player) give(order workload.Order, do func(w *worker)) (workload.Receipt, time.Duration) {
 	w := pl.workers[order.Worker]
-	if p := pl.pathTo(w); p != pathOpen {
+	if p := pl.pathTo(w, order.Worker); p != pathOpen {
 		verdict, after := p.lost(orderTimeout)
 		return workload.Receipt{Verdict: verdict}, after
 	}
@@ -273,7 +289,7 @@
 
 func (pl *player) poll(action dispatch.Action) {
 	w := pl.workers[action.Poll.Worker]
-	if p := pl.pathTo(w); p != pathOpen {
+	if p := pl.pathTo(w, action.Poll.Worker); p != pathOpen {
 		verdict, after := p.lost(action.Poll.Wait + pollTimeout)
 		pl.later(after, func(core *dispatch.Core) {
 			core.PollAnswered(action, workload.Report{Verdict: verdict}, pl.time(), pl.wall())
@@ -294,7 +310,7 @@
 	if w.poll == nil {
 		return
 	}
-	if p := pl.pathTo(w); p != pathOpen {
+	if p := pl.pathTo(w, w.poll.Poll.Worker); p != pathOpen {
 		sent := *w.poll
 		w.poll = nil
 		verdict, after := p.lost(max(w.lookBy-pl.now, 0) + pollTimeout)
@@ -383,6 +399,9 @@
 	for _, u := range core.EndedUnpersisted(announceAfter) {
 		pl.announce(u)
 	}
+	if !pl.day.storeAway(pl.now) {
+		core.Removed(core.Gone(recordsAtOnce))
+	}
 	list := core.Unpersisted(recordsAtOnce)
 	if len(list) == 0 || pl.writing || pl.day.storeAway(pl.now) {
 		return
@@ -393,6 +412,7 @@
 			panic(err) // the core has just encoded it
 		}
 		pl.table[u.Job] = record
+		pl.tally.gaveUp(pl.jobs[u.Job], &record)
 		if u.Final == dispatch.FinalCompleted {
 			pl.tally.completed(pl.jobs[u.Job], pl.now)
 		}
--- a/internal/emulator/tally.go
+++ b/internal/emulator/tally.go
@@ -4,7 +4,9 @@
 	"slices"
 	"time"
 
+	"github.com/corianderbank/corianderbank/internal/dispatch"
 	"github.com/corianderbank/corianderbank/internal/measure"
+	"github.com/corianderbank/corianderbank/internal/quarantine"
 )
 
 const (
@@ -30,11 +32,14 @@
 	preempted int
 	// drainedStarts counts starts in zones that had been drained for drainBound.
 	drainedStarts int
-	all           share
-	bySort        map[sort]*share
-	byZone        map[int]*share
-	byAccount     map[string]*share
-	byWindow      map[int]*share
+	// crashes counts the workers that went down, wronglyGivenUp the jobs that were given
+	// up for it and had not taken them down.
+	crashes, wronglyGivenUp int
+	all                     share
+	bySort                  map[sort]*share
+	byZone                  map[int]*share
+	byAccount               map[string]*share
+	byWindow                map[int]*share
 	// urgent are the times from submission to start of urgent jobs, in seconds.
 	urgent []float64
 	// value is what the users' weights make of it.
@@ -77,6 +82,19 @@
 	}
 }
 
+// gaveUp counts jobs that were given up because workers went down under them.
+func (t *tally) gaveUp(a *arrival, record *dispatch.Record) {
+	if record.Final != dispatch.FinalFailed || a.crashing {
+		return
+	}
+	for _, attempts := range record.Crashed {
+		if len(attempts) >= quarantine.CrashLimit {
+			t.wronglyGivenUp++
+			return
+		}
+	}
+}
+
 // thrownAway counts the work of a run that did not end done, beyond what it had at its
 // start, unless it is saved.
 func (t *tally) thrownAway(r *run) {
@@ -102,7 +120,7 @@
 func (t *tally) close(d *Deployment, list []*arrival) {
 	t.jobs = list
 	for _, a := range list {
-		if a.cancelAt > 0 || a.poison {
+		if a.cancelAt > 0 || a.poison || a.crashing {
 			continue
 		}
 		got := t.earned(a)
@@ -171,6 +189,8 @@
 		measure.Figure{Name: "urgent start p95", Value: quantile(t.urgent, 0.95), Unit: "s"},
 		measure.Figure{Name: "thrown away", Value: t.lost / 1000, Unit: "1000 core-s"},
 		measure.Figure{Name: "preempted", Value: float64(t.preempted), Unit: "runs"},
+		measure.Figure{Name: "workers crashed", Value: float64(t.crashes), Unit: "lives"},
+		measure.Figure{Name: "wrongly given up", Value: float64(t.wronglyGivenUp), Unit: "jobs"},
 	)
 }
 
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -62,6 +62,11 @@
 	// poll is the poll that waits for an end, until lookBy.
 	poll   *dispatch.Action
 	lookBy time.Duration
+	// machine names the worker over all its lives, lives counts them.
+	machine string
+	lives   int
+	// backAt is when the next life begins; zero while this one lasts.
+	backAt time.Duration
 }
 
 // rate is how fast a run goes on now, in work a unit of time.
@@ -104,6 +109,9 @@
 
 // work moves the runs of a worker on by a tick.
 func (pl *player) work(w *worker) {
+	if pl.isDown(w) || pl.takeDown(w) {
+		return
+	}
 	lapsed := pl.wall() > w.leaseUntil
 	for _, r := range slices.Clone(w.runs) {
 		if !slices.Contains(w.runs, r) {
