Healthy work is not given up with what crashes beside it, nor for a machine that flaps

A worker goes down with several tasks, and one of them, or the machine, is at fault. And a machine that goes down by turns is empty whenever it is back, so on a full deployment it draws the same healthy tasks each time.

Guards: no more than a quarter of a pool is left out (an outage is not the machines' fault); crashes under a task that turned out guilty are taken back; placing apart is a preference, nothing waits for it. The ways stay switchable (choice 'suspects', mechanism 'flapping_workers').

--- a/internal/dispatch/choices.go
+++ b/internal/dispatch/choices.go
@@ -24,6 +24,8 @@
 	ChoiceOrder Choice = "order"
 	// ChoiceVictims orders the runs that may be stopped on a worker.
 	ChoiceVictims Choice = "victims"
+	// ChoiceSuspects orders the workers that can take a task under which others went down.
+	ChoiceSuspects Choice = "suspects"
 )
 
 // A placeWay orders two workers for a task of a step: the better one first.
@@ -65,9 +67,20 @@
 	"oldest_last": func(_ *Core, a, b *run) int { return b.since.Compare(a.since) },
 }
 
+// A suspectWay orders two workers for a step with tasks under which workers went down,
+// before anything else does.
+type suspectWay func(c *Core, u *pendingStep, a, b *room) int
+
+var suspectWays = map[string]suspectWay{
+	"anywhere": func(*Core, *pendingStep, *room, *room) int { return 0 },
+	"apart":    compareApart,
+	"alone":    compareAlone,
+}
+
 // defaultWays are the ways in force where a tuning names none.
 var defaultWays = map[Choice]string{
 	ChoicePlace: "fullest", ChoiceSpread: "anywhere", ChoiceOrder: "due", ChoiceVictims: "least_work",
+	ChoiceSuspects: "alone",
 }
 
 // waysOf lists the ways of a choice, in order.
@@ -81,25 +94,29 @@
 		return slices.Sorted(maps.Keys(orderWays))
 	case ChoiceVictims:
 		return slices.Sorted(maps.Keys(victimWays))
+	case ChoiceSuspects:
+		return slices.Sorted(maps.Keys(suspectWays))
 	}
 	return nil
 }
 
 // ways are the ways in force.
 type ways struct {
-	place   placeWay
-	spread  spreadWay
-	order   orderWay
-	victims victimWay
+	place    placeWay
+	spread   spreadWay
+	order    orderWay
+	victims  victimWay
+	suspects suspectWay
 }
 
 func newWays(chosen map[Choice]string) ways {
 	way := func(choice Choice) string { return cmp.Or(chosen[choice], defaultWays[choice]) }
 	return ways{
-		place:   placeWays[way(ChoicePlace)],
-		spread:  spreadWays[way(ChoiceSpread)],
-		order:   orderWays[way(ChoiceOrder)],
-		victims: victimWays[way(ChoiceVictims)],
+		place:    placeWays[way(ChoicePlace)],
+		spread:   spreadWays[way(ChoiceSpread)],
+		order:    orderWays[way(ChoiceOrder)],
+		victims:  victimWays[way(ChoiceVictims)],
+		suspects: suspectWays[way(ChoiceSuspects)],
 	}
 }
 
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -105,6 +105,8 @@
 	unsynced                 unsyncedWorkers
 	// waitEnded says that no worker is waited for any more.
 	waitEnded bool
+	// machineCrashes are the times that workers went down lately, by their addresses.
+	machineCrashes map[string][]machineCrash
 	// lostUnseen says that a worker was lost on which an earlier epoch may have started
 	// work that this one never saw.
 	lostUnseen bool
@@ -155,22 +157,23 @@
 // there was none.
 func New(bounds workload.Bounds, epoch int64, now, earlier time.Time) *Core {
 	c := &Core{
-		bounds:      bounds,
-		ways:        newWays(nil),
-		epoch:       epoch,
-		jobs:        make(map[string]*job),
-		workers:     make(map[string]*worker),
-		dirty:       make(map[string]*job),
-		estimates:   newEstimates(),
-		now:         now,
-		urgentUse:   make(map[string]float64),
-		quietSince:  make(map[string]time.Time),
-		waiting:     make(map[int]int),
-		urgentAt:    now,
-		suspects:    make(map[domain]time.Time),
-		repeats:     repeatsMost,
-		pollWindow:  newPollWindow(),
-		startWindow: newWindow(),
+		bounds:         bounds,
+		ways:           newWays(nil),
+		epoch:          epoch,
+		jobs:           make(map[string]*job),
+		workers:        make(map[string]*worker),
+		dirty:          make(map[string]*job),
+		estimates:      newEstimates(),
+		now:            now,
+		urgentUse:      make(map[string]float64),
+		quietSince:     make(map[string]time.Time),
+		waiting:        make(map[int]int),
+		urgentAt:       now,
+		suspects:       make(map[domain]time.Time),
+		machineCrashes: make(map[string][]machineCrash),
+		repeats:        repeatsMost,
+		pollWindow:     newPollWindow(),
+		startWindow:    newWindow(),
 	}
 	if !earlier.IsZero() {
 		c.earlier = earlier
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -127,6 +127,7 @@
 		Order:  workload.Order{Task: t.id(), Epoch: c.epoch},
 		Reason: fmt.Sprintf("%d workers went down under it, in attempts %v", len(attempts), attempts),
 	})
+	c.acquitMachines(attempts)
 	c.final(j, FinalFailed)
 }
 
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -12,7 +12,7 @@
 	var list []*room
 	spec := u.step.spec
 	for _, r := range rooms {
-		if r.Has(spec.Label) && r.Room.Holds(spec.Counted()) && !r.disturbs(spec) && !c.isFailing(r.worker) {
+		if r.Has(spec.Label) && r.Room.Holds(spec.Counted()) && !r.disturbs(spec) && !c.isFailing(r.worker) && !r.flapping {
 			list = append(list, r)
 		}
 	}
@@ -108,9 +108,9 @@
 	}
 	slices.SortFunc(order, func(a, b int) int {
 		if !c.has(MechPacking) {
-			return cmp.Compare(a, b)
+			return cmp.Or(c.suspectOrder(u, rooms[a], rooms[b]), cmp.Compare(a, b))
 		}
-		return cmp.Or(c.ways.place(c, u, rooms[a], rooms[b]), cmp.Compare(a, b))
+		return cmp.Or(c.suspectOrder(u, rooms[a], rooms[b]), c.ways.place(c, u, rooms[a], rooms[b]), cmp.Compare(a, b))
 	})
 	return takeSlots(rooms, counts, order, n)
 }
--- /dev/null
+++ b/internal/dispatch/flapping.go
@@ -0,0 +1,95 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// This file answers machines that go down and come back by turns. Each time one is back it
+// is empty, so what is waiting on a full deployment starts there, and is lost with it: the
+// machine draws work as long as it flaps, and the same healthy tasks lose one worker after
+// the other. A machine that went down twice within a while gets nothing new. Crashes under
+// a task that turned out to be guilty are not held against the machine.
+
+// crashMemory is how long a worker that went down is avoided by such tasks.
+const crashMemory = 30 * time.Second
+
+// flappingAfter crashes within crashMemory, nothing new is started on a machine.
+const flappingAfter = 2
+
+// flappingMost bounds the workers that are left out to one in so many of a pool.
+const flappingMost = 4
+
+// machineCrash is one time that a worker's machine went down, with what ran there.
+type machineCrash struct {
+	at       time.Time
+	attempts []int64
+}
+
+// noteCrashed notes that a worker went down.
+func (c *Core) noteCrashed(w *worker) {
+	for addr, list := range c.machineCrashes {
+		list = slices.DeleteFunc(list, func(m machineCrash) bool { return c.now.Sub(m.at) >= crashMemory })
+		c.setMachineCrashes(addr, list)
+	}
+	crash := machineCrash{at: c.now}
+	for _, r := range w.runs {
+		crash.attempts = append(crash.attempts, r.attempt)
+	}
+	for _, lost := range w.lapsed {
+		crash.attempts = append(crash.attempts, lost.attempt)
+	}
+	c.machineCrashes[w.Addr] = append(c.machineCrashes[w.Addr], crash)
+}
+
+func (c *Core) setMachineCrashes(addr string, list []machineCrash) {
+	if len(list) == 0 {
+		delete(c.machineCrashes, addr)
+		return
+	}
+	c.machineCrashes[addr] = list
+}
+
+// acquitMachines takes back what was held against the machines on which a guilty task ran.
+func (c *Core) acquitMachines(attempts []int64) {
+	guilty := func(m machineCrash) bool {
+		return slices.ContainsFunc(m.attempts, func(a int64) bool { return slices.Contains(attempts, a) })
+	}
+	for addr, list := range c.machineCrashes {
+		c.setMachineCrashes(addr, slices.DeleteFunc(list, guilty))
+	}
+}
+
+// crashesOf counts how often a worker's machine went down lately.
+func (c *Core) crashesOf(w *worker) int {
+	count := 0
+	for _, m := range c.machineCrashes[w.Addr] {
+		if c.now.Sub(m.at) < crashMemory {
+			count++
+		}
+	}
+	return count
+}
+
+// noteFlapping marks the workers that get nothing new because their machine went down again
+// and again, under tasks that are not known to be guilty. If they are many, something else
+// than the machines is at fault, and none is left out.
+func (c *Core) noteFlapping(pools map[string][]*room) {
+	if len(c.machineCrashes) == 0 || !c.has(MechFlappingWorkers) {
+		return
+	}
+	for _, rooms := range pools {
+		var flapping []*room
+		for _, r := range rooms {
+			if c.crashesOf(r.worker) >= flappingAfter {
+				flapping = append(flapping, r)
+			}
+		}
+		if flappingMost*len(flapping) > len(rooms) {
+			continue
+		}
+		for _, r := range flapping {
+			r.flapping = true
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/isolate.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"cmp"
+
+	"github.com/corianderbank/corianderbank/internal/quarantine"
+)
+
+// This file answers crashes of workers with several tasks, of which one is at fault. All
+// of them become pending at once and look for the same room: placed as usual they meet on
+// one worker again, the next crash counts against all of them once more, and healthy work
+// is given up with the guilty. So tasks under which workers went down start apart from
+// those of other jobs and away from machines that went down lately, and the start that may
+// be their last one beside as little as there is. It is a preference: none of them waits
+// for it.
+
+// suspectsOn says whose tasks run on a worker under which others went down.
+type suspectsOn struct {
+	job     *job
+	several bool
+}
+
+func (s *suspectsOn) add(j *job) {
+	s.several = s.several || s.job != nil && s.job != j
+	s.job = j
+}
+
+// besideOthers reports whether tasks of other jobs are among them.
+func (s *suspectsOn) besideOthers(j *job) bool { return s.several || s.job != nil && s.job != j }
+
+// noteSuspects notes which of a step's tasks others went down under.
+func (u *pendingStep) noteSuspects() {
+	for _, t := range u.tasks {
+		if t.standing() != quarantine.Clear {
+			u.crashes = max(u.crashes, t.suspicion.Seen)
+		}
+	}
+}
+
+// noteOn notes that a step with suspect tasks will use a worker.
+func (u *pendingStep) noteOn(r *room) {
+	if u.crashes > 0 {
+		r.suspects.add(u.step.job)
+	}
+}
+
+// compareApart puts the workers first that run no suspect task of another job, and of
+// those the ones that did not go down lately.
+func compareApart(c *Core, u *pendingStep, a, b *room) int {
+	worse := func(r *room) int {
+		score := 0
+		if r.suspects.besideOthers(u.step.job) {
+			score += 2
+		}
+		if c.crashesOf(r.worker) > 0 {
+			score++
+		}
+		return score
+	}
+	return cmp.Compare(worse(a), worse(b))
+}
+
+// suspectOrder orders two workers for a step with suspect tasks.
+func (c *Core) suspectOrder(u *pendingStep, a, b *room) int {
+	if u.crashes == 0 {
+		return 0
+	}
+	return c.ways.suspects(c, u, a, b)
+}
+
+// compareAlone does so, and puts those first that run the least for a task of which one
+// more crash gives its job up.
+func compareAlone(c *Core, u *pendingStep, a, b *room) int {
+	byApart := compareApart(c, u, a, b)
+	if byApart != 0 || u.crashes < quarantine.CrashLimit-1 {
+		return byApart
+	}
+	return cmp.Compare(len(a.runs), len(b.runs))
+}
--- a/internal/dispatch/leases.go
+++ b/internal/dispatch/leases.go
@@ -79,6 +79,10 @@
 // lostWorker takes that another life of the worker answered: this one is over.
 func (c *Core) lostWorker(w *worker) {
 	c.noteUnseen(w)
+	if !w.over && !w.Leaving {
+		c.noteCrashed(w)
+	}
+	w.over = true
 	c.settleLapsed(w, true)
 	c.lapse(w, LossReplaced)
 	w.known = true
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -21,6 +21,8 @@
 	// length is the estimated run time of a task.
 	length time.Duration
 	rank   rank
+	// crashes is the most workers that went down under one of the tasks.
+	crashes int
 	// claimed is the room of the step's claim, one entry a task.
 	claimed []*room
 }
@@ -142,6 +144,7 @@
 		if len(u.tasks) == 0 || s.spec.Gang && (s.gang != nil || len(u.tasks) < s.open) {
 			continue
 		}
+		u.noteSuspects()
 		if s.readySince.IsZero() {
 			s.readySince = c.now
 		}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -15,6 +15,7 @@
 	}
 	rooms := c.rooms()
 	c.pools = rooms
+	c.noteFlapping(rooms)
 	c.noteUrgent(rooms)
 	c.noteQuiet(rooms)
 	c.applyRestartClaims(rooms)
@@ -157,6 +158,7 @@
 			r.guarded = r.guarded.Add(need)
 		}
 		r.countSort(u.step.spec)
+		u.noteOn(r)
 		c.start(u.tasks[i], r.worker, attempt, g, reason)
 	}
 	c.actions[len(c.actions)-1].First = first
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -19,6 +19,8 @@
 	// known workers have answered in this epoch: they refuse older epochs, and
 	// all that runs there is in runs.
 	known bool
+	// over says that another life has answered.
+	over bool
 	// stored workers are in the product's table, so that a leader which never saw the
 	// platform list them asks them all the same; storedLeaving is what it says there.
 	stored, storedLeaving bool
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/corianderbank/corianderbank/internal/quarantine"
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
@@ -26,6 +27,10 @@
 	// urgent is the number of accelerators that work of the first priority uses.
 	urgent int64
 	order  int
+	// flapping workers get nothing new.
+	flapping bool
+	// suspects are the tasks here under which other workers went down.
+	suspects suspectsOn
 	// stuck is what runs use whose ends cannot be counted on, once it was worked out.
 	overdueUse   workload.Resources
 	overdueKnown bool
@@ -43,6 +48,9 @@
 		r := &room{worker: w, free: free, soon: free, urgentOnly: true}
 		for _, run := range w.runs {
 			r.countSort(run.task.step.spec)
+			if run.task.standing() != quarantine.Clear {
+				r.suspects.add(run.task.step.job)
+			}
 			r.count(run, c.config.Queue(run.task.step.job.Queue))
 			if run.task.step.job.protected {
 				r.guarded = r.guarded.Add(run.need)
@@ -105,6 +113,7 @@
 	for _, r := range places {
 		r.soon = r.soon.Sub(need)
 		r.free = r.free.Sub(need)
+		u.noteOn(r)
 	}
 }
 
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -11,24 +11,25 @@
 
 // The mechanisms.
 const (
-	MechHeadroom       Mechanism = "headroom"
-	MechClaims         Mechanism = "claims"
-	MechWaitForEnds    Mechanism = "wait_for_ends"
-	MechReservations   Mechanism = "reservations"
-	MechRackPatience   Mechanism = "rack_patience"
-	MechEstimates      Mechanism = "estimates"
-	MechSickWorkers    Mechanism = "sick_workers"
-	MechEvacuation     Mechanism = "evacuation"
-	MechSuspectDomains Mechanism = "suspect_domains"
-	MechDemoteLate     Mechanism = "demote_late"
-	MechCheapVictims   Mechanism = "cheap_victims"
-	MechPacking        Mechanism = "packing"
-	MechRackOrder      Mechanism = "rack_order"
-	MechRestartClaims  Mechanism = "restart_claims"
-	MechResends        Mechanism = "resends"
-	MechPollWindow     Mechanism = "poll_window"
-	MechStartWindow    Mechanism = "start_window"
-	MechStoredBegins   Mechanism = "stored_begins"
+	MechHeadroom        Mechanism = "headroom"
+	MechClaims          Mechanism = "claims"
+	MechWaitForEnds     Mechanism = "wait_for_ends"
+	MechReservations    Mechanism = "reservations"
+	MechRackPatience    Mechanism = "rack_patience"
+	MechEstimates       Mechanism = "estimates"
+	MechSickWorkers     Mechanism = "sick_workers"
+	MechEvacuation      Mechanism = "evacuation"
+	MechSuspectDomains  Mechanism = "suspect_domains"
+	MechDemoteLate      Mechanism = "demote_late"
+	MechCheapVictims    Mechanism = "cheap_victims"
+	MechPacking         Mechanism = "packing"
+	MechRackOrder       Mechanism = "rack_order"
+	MechRestartClaims   Mechanism = "restart_claims"
+	MechResends         Mechanism = "resends"
+	MechPollWindow      Mechanism = "poll_window"
+	MechStartWindow     Mechanism = "start_window"
+	MechStoredBegins    Mechanism = "stored_begins"
+	MechFlappingWorkers Mechanism = "flapping_workers"
 )
 
 // Mechanisms lists them all.
@@ -36,7 +37,7 @@
 	return []Mechanism{
 		MechHeadroom, MechClaims, MechWaitForEnds, MechReservations, MechRackPatience, MechEstimates, MechSickWorkers,
 		MechEvacuation, MechSuspectDomains, MechDemoteLate, MechCheapVictims, MechPacking, MechRackOrder, MechRestartClaims, MechResends,
-		MechPollWindow, MechStartWindow, MechStoredBegins,
+		MechPollWindow, MechStartWindow, MechStoredBegins, MechFlappingWorkers,
 	}
 }
 
