Crash counting in the field's words; recorded attempts in a file of their own

Read again after a break: trial, guilty, suspicion, acquit and standing were one metaphor; 'suspects' named both silent racks and tasks. Now: crash history, recorded attempt, CrashDecision (StartFreely, StartRecorded, AwaitEvidence, GiveUp), crash suspects. crash.go counts, recorded.go keeps later leaders informed.

No behaviour changes: digests as before, tests with their demands.

--- a/internal/dispatch/begins.go
+++ b/internal/dispatch/begins.go
@@ -85,9 +85,9 @@
 		c.recordReason(u, "its begin is being stored")
 		return
 	}
-	if c.awaitsTrial(u, len(places)) {
-		c.holdForTrial(u, places)
-		c.recordReason(u, "workers went down under it, and its next trial is being stored")
+	if c.awaitsAttempt(u, len(places)) {
+		c.holdWhileRecording(u, places)
+		c.recordReason(u, "workers went down under it, and its next attempt is being stored")
 		return
 	}
 	c.startAt(u, places)
--- a/internal/dispatch/choices.go
+++ b/internal/dispatch/choices.go
@@ -24,8 +24,8 @@
 	ChoiceOrder Choice = "order"
 	// ChoiceVictims orders the runs that may be stopped on a worker.
 	ChoiceVictims Choice = "victims"
-	// ChoiceSuspects orders the workers that can take a task under which others went down.
-	ChoiceSuspects Choice = "suspects"
+	// ChoiceCrashSuspects orders the workers that can take a task under which others went down.
+	ChoiceCrashSuspects Choice = "crash_suspects"
 )
 
 // A placeWay orders two workers for a task of a step: the better one first.
@@ -67,11 +67,11 @@
 	"oldest_last": func(_ *Core, a, b *run) int { return b.since.Compare(a.since) },
 }
 
-// A suspectWay orders two workers for a step with tasks under which workers went down,
+// A crashSuspectWay orders two workers for a step with tasks under which workers went down,
 // before anything else does.
-type suspectWay func(c *Core, u *pendingStep, a, b *room) int
+type crashSuspectWay func(c *Core, u *pendingStep, a, b *room) int
 
-var suspectWays = map[string]suspectWay{
+var crashSuspectWays = map[string]crashSuspectWay{
 	"anywhere": func(*Core, *pendingStep, *room, *room) int { return 0 },
 	"apart":    compareApart,
 	"alone":    compareAlone,
@@ -80,7 +80,7 @@
 // defaultWays are the ways in force where a tuning names none.
 var defaultWays = map[Choice]string{
 	ChoicePlace: "fullest", ChoiceSpread: "anywhere", ChoiceOrder: "due", ChoiceVictims: "least_work",
-	ChoiceSuspects: "alone",
+	ChoiceCrashSuspects: "alone",
 }
 
 // waysOf lists the ways of a choice, in order.
@@ -94,29 +94,29 @@
 		return slices.Sorted(maps.Keys(orderWays))
 	case ChoiceVictims:
 		return slices.Sorted(maps.Keys(victimWays))
-	case ChoiceSuspects:
-		return slices.Sorted(maps.Keys(suspectWays))
+	case ChoiceCrashSuspects:
+		return slices.Sorted(maps.Keys(crashSuspectWays))
 	}
 	return nil
 }
 
 // ways are the ways in force.
 type ways struct {
-	place    placeWay
-	spread   spreadWay
-	order    orderWay
-	victims  victimWay
-	suspects suspectWay
+	place         placeWay
+	spread        spreadWay
+	order         orderWay
+	victims       victimWay
+	crashSuspects crashSuspectWay
 }
 
 func newWays(chosen map[Choice]string) ways {
 	way := func(choice Choice) string { return cmp.Or(chosen[choice], defaultWays[choice]) }
 	return ways{
-		place:    placeWays[way(ChoicePlace)],
-		spread:   spreadWays[way(ChoiceSpread)],
-		order:    orderWays[way(ChoiceOrder)],
-		victims:  victimWays[way(ChoiceVictims)],
-		suspects: suspectWays[way(ChoiceSuspects)],
+		place:         placeWays[way(ChoicePlace)],
+		spread:        spreadWays[way(ChoiceSpread)],
+		order:         orderWays[way(ChoiceOrder)],
+		victims:       victimWays[way(ChoiceVictims)],
+		crashSuspects: crashSuspectWays[way(ChoiceCrashSuspects)],
 	}
 }
 
--- a/internal/dispatch/completions.go
+++ b/internal/dispatch/completions.go
@@ -64,8 +64,8 @@
 	case r != nil:
 		w.health.ended(e, c.now)
 		c.ended(r, e.Kind)
-	case t.inherits(e.Attempt):
-		c.endTrial(t, e.Attempt)
+	case t.takeEarlier(e.Attempt):
+		c.endAttempt(t, e.Attempt)
 	}
 }
 
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -10,19 +10,16 @@
 )
 
 // This file counts the workers that went down under each task, and gives a job up of
-// which a task takes its workers down (quarantine/crashes.go says when, and why). The
-// count is part of the job's record. Before a task with crashes starts, the store knows
-// of them and that a trial of the task begins: a later leader that finds no trace of that
-// run takes it for one more crash.
+// which a task takes its workers down. When that is, and why, quarantine/crashes.go says;
+// recorded.go has later leaders know of the count.
 
-// suspicion is what is held against a task.
-type suspicion struct {
+// crashHistory is what is known of the workers that went down under a task.
+type crashHistory struct {
 	quarantine.Crashes
-	// inherited are the attempts that earlier leaders tried, until something is seen of
-	// them.
-	inherited []int64
-	// next is the attempt that is to be its next trial, zero if there is none; the record
-	// tells of it with nextChange, asked for at nextAsked.
+	// earlier are the recorded attempts of earlier leaders of which nothing was seen yet.
+	earlier []int64
+	// next is the attempt reserved for the next start, zero if none is. The job's record
+	// has it with nextChange, which was made at nextAsked.
 	next       int64
 	nextChange uint64
 	nextAsked  time.Time
@@ -30,70 +27,67 @@
 
 // lapsedRun is a run whose worker fell silent: the worker may have crashed, or be cut off.
 type lapsedRun struct {
-	task    *task
-	attempt int64
-	trial   bool
+	task     *task
+	attempt  int64
+	recorded bool
 	// copies is how often its start was sent.
 	copies int
 	ran    time.Duration
 	since  time.Time
 }
 
-// trialPatience is how long room is held for a trial that the store does not know of yet.
-const trialPatience = 150 * time.Millisecond
-
 // ownName is the task's name in the record of crashes. Members of a gang do not share it:
 // one may take its worker down and the others not.
 func (t *task) ownName() string { return taskName(t.step.occurrence, t.step.number, t.index) }
 
-// suspect returns what is held against a task, to add to it.
-func (t *task) suspect() *suspicion {
-	if t.suspicion == nil {
-		t.suspicion = &suspicion{}
+// ensureCrashes returns the crash history of a task, to add to it.
+func (t *task) ensureCrashes() *crashHistory {
+	if t.crashes == nil {
+		t.crashes = &crashHistory{}
 	}
-	return t.suspicion
+	return t.crashes
 }
 
-func (t *task) standing() quarantine.Standing {
-	if t.suspicion == nil {
-		return quarantine.Clear
+func (t *task) crashDecision() quarantine.CrashDecision {
+	if t.crashes == nil {
+		return quarantine.StartFreely
 	}
-	return t.suspicion.Standing()
+	return t.crashes.Decide()
 }
 
 // over reports whether it no longer matters what a task does.
 func (t *task) over() bool { return t.done || t.step.job.record.Final != "" }
 
-// loadSuspicion takes what the record holds against a task.
-func (t *task) loadSuspicion() {
+// loadCrashes takes what the record holds against a task.
+func (t *task) loadCrashes() {
 	j := t.step.job
-	if len(j.record.Crashed)+len(j.record.Trials) == 0 {
+	if len(j.record.Crashed)+len(j.record.Attempts) == 0 {
 		return
 	}
-	crashes, trials := len(j.record.Crashed[t.ownName()]), j.record.Trials[t.ownName()]
-	if crashes+len(trials) > 0 {
-		s := t.suspect()
-		s.Seen, s.inherited = crashes, slices.Clone(trials)
-		j.inherited = j.inherited || len(trials) > 0
+	crashed, recorded := len(j.record.Crashed[t.ownName()]), j.record.Attempts[t.ownName()]
+	if crashed+len(recorded) > 0 {
+		s := t.ensureCrashes()
+		s.Seen, s.earlier = crashed, slices.Clone(recorded)
+		j.hasEarlier = j.hasEarlier || len(recorded) > 0
 	}
 }
 
-// lostWith takes that a run was lost with its worker. Of a start that was not answered yet
+// noteLost takes that a run was lost with its worker. Of a start that was not answered yet
 // its answer will say whether it was carried out.
-func (c *Core) lostWith(r *run, cause LossCause) {
+func (c *Core) noteLost(r *run, cause LossCause) {
 	if r.worker.Leaving {
 		return // it went as it had said
 	}
-	lost := lapsedRun{task: r.task, attempt: r.attempt, trial: r.trial, copies: r.copies, ran: c.now.Sub(r.since), since: c.now}
-	r.trial = false
+	lost := lapsedRun{task: r.task, attempt: r.attempt, recorded: r.recorded, copies: r.copies, ran: c.now.Sub(r.since), since: c.now}
+	r.recorded = false
 	if cause == LossReplaced && r.state != stRunOrdered {
 		c.countCrash(lost)
 		return
 	}
-	r.task.suspect().Possible++
-	if !lost.trial && !r.task.over() {
-		lost.trial = true
-		c.beginTrial(r.task, r.attempt)
+	r.task.ensureCrashes().Possible++
+	if !lost.recorded && !r.task.over() {
+		lost.recorded = true
+		c.beginAttempt(r.task, r.attempt)
 	}
 	r.worker.lapsed = append(r.worker.lapsed, lost)
 }
@@ -105,15 +99,15 @@
 		return
 	}
 	record := &t.step.job.record
-	record.endTrial(t.ownName(), lost.attempt)
+	record.endAttempt(t.ownName(), lost.attempt)
 	if quarantine.Proven(lost.ran) {
 		delete(record.Crashed, t.ownName())
 	} else {
 		record.addCrash(t.ownName(), lost.attempt)
 	}
-	t.suspect().Seen = len(record.Crashed[t.ownName()])
+	t.ensureCrashes().Seen = len(record.Crashed[t.ownName()])
 	c.change(t.step.job)
-	if t.standing() == quarantine.Guilty {
+	if t.crashDecision() == quarantine.GiveUp {
 		c.giveUp(t)
 	}
 }
@@ -127,33 +121,18 @@
 		Order:  workload.Order{Task: t.id(), Epoch: c.epoch},
 		Reason: fmt.Sprintf("%d workers went down under it, in attempts %v", len(attempts), attempts),
 	})
-	c.acquitMachines(attempts)
+	c.forgetMachineCrashes(attempts)
 	c.final(j, FinalFailed)
 }
 
-// beginTrial has the store know of an attempt that may be under way.
-func (c *Core) beginTrial(t *task, attempt int64) {
-	t.step.job.record.beginTrial(t.ownName(), attempt)
-	c.change(t.step.job)
-}
-
-// endTrial takes that a trial ended, and its worker did not.
-func (c *Core) endTrial(t *task, attempt int64) {
-	if t.over() {
-		return
-	}
-	t.step.job.record.endTrial(t.ownName(), attempt)
-	c.change(t.step.job)
-}
-
 // settle takes what has become of the worker of a run that lapsed.
 func (c *Core) settle(lost lapsedRun, crashed bool) {
-	lost.task.suspicion.Possible--
+	lost.task.crashes.Possible--
 	switch {
 	case crashed:
 		c.countCrash(lost)
-	case lost.trial:
-		c.endTrial(lost.task, lost.attempt)
+	case lost.recorded:
+		c.endAttempt(lost.task, lost.attempt)
 	}
 }
 
@@ -189,114 +168,3 @@
 		return
 	}
 }
-
-// inheritTrials takes trials that an earlier leader began and that nobody lists for
-// crashes, once all workers have answered or their leases are over.
-func (c *Core) inheritTrials(j *job) {
-	j.inherited = false
-	for _, s := range j.steps {
-		for i := range s.tasks {
-			t := &s.tasks[i]
-			if t.suspicion == nil {
-				continue
-			}
-			for _, attempt := range t.suspicion.inherited {
-				c.countCrash(lapsedRun{task: t, attempt: attempt})
-			}
-			t.suspicion.inherited = nil
-		}
-	}
-}
-
-// inherits reports whether an attempt is a trial of an earlier leader of which nothing was
-// seen until now.
-func (t *task) inherits(attempt int64) bool {
-	if t.suspicion == nil {
-		return false
-	}
-	at := slices.Index(t.suspicion.inherited, attempt)
-	if at >= 0 {
-		t.suspicion.inherited = slices.Delete(t.suspicion.inherited, at, at+1)
-	}
-	return at >= 0
-}
-
-// noteUnseen takes that a worker was lost, or is no longer waited for, before it answered
-// this epoch. Any task that an earlier leader started may have run there; the next leader
-// is to know more than this one.
-func (c *Core) noteUnseen(w *worker) {
-	c.lostUnseen = c.lostUnseen || w.mayRunUnsynced()
-}
-
-// endWait does so, once, for the workers that are no longer waited for.
-func (c *Core) endWait() {
-	if c.waitEnded || c.now.Before(c.surelyQuiet) {
-		return
-	}
-	c.waitEnded = true
-	for _, w := range c.fleet {
-		c.noteUnseen(w)
-	}
-}
-
-// awaitsTrial reports whether one of the first tasks of a step may not start yet because
-// the store does not know of its trial, and has it stored.
-func (c *Core) awaitsTrial(u *pendingStep, count int) bool {
-	waits := false
-	j := u.step.job
-	for _, t := range u.tasks[:count] {
-		if t.standing() == quarantine.Clear && !(c.lostUnseen && j.old) {
-			continue
-		}
-		s := t.suspect()
-		if s.next == 0 {
-			s.next = c.reserveAttempt(t)
-			c.beginTrial(t, s.next)
-			s.nextChange, s.nextAsked = j.changed, c.now
-		}
-		waits = waits || j.stored < s.nextChange
-	}
-	return waits
-}
-
-// reserveAttempt is the number of a task's next trial; members of a gang share it.
-func (c *Core) reserveAttempt(t *task) int64 {
-	if t.step.spec.Gang {
-		for i := range t.step.tasks {
-			if s := t.step.tasks[i].suspicion; s != nil && s.next != 0 {
-				return s.next
-			}
-		}
-	}
-	return c.nextAttempt()
-}
-
-// attemptOf is the number of the next start of a task, or of the gang that begins with it.
-func (c *Core) attemptOf(tasks []*task) int64 {
-	for _, t := range tasks {
-		if t.suspicion != nil && t.suspicion.next != 0 {
-			return t.suspicion.next
-		}
-	}
-	return c.nextAttempt()
-}
-
-// holdForTrial holds the rooms of a step whose trial is being stored, unless the store is
-// slow: others may use them then.
-func (c *Core) holdForTrial(u *pendingStep, places []*room) {
-	for _, t := range u.tasks[:len(places)] {
-		if s := t.suspicion; s != nil && s.next != 0 && c.now.Sub(s.nextAsked) > trialPatience {
-			return
-		}
-	}
-	takeRoom(u, places)
-}
-
-// beginsTrial reports whether an attempt of a task is the trial that the store knows of.
-func (t *task) beginsTrial(attempt int64) bool {
-	if t.suspicion == nil || t.suspicion.next != attempt {
-		return false
-	}
-	t.suspicion.next = 0
-	return true
-}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -13,8 +13,8 @@
 // of the worker answers at its address after a while. All other runs end done.
 type crashes struct {
 	*bench
-	// guilty tasks take their worker down.
-	guilty func(task workload.TaskID) bool
+	// crashing tasks take their worker down.
+	crashing func(task workload.TaskID) bool
 	// down are the workers that have crashed, by when their next life begins; it never
 	// does if downFor is zero.
 	down    map[string]time.Time
@@ -29,20 +29,20 @@
 	storeAway bool
 }
 
-// crashAfter is how long a guilty task runs.
+// crashAfter is how long a crashing task runs.
 const crashAfter = 10 * time.Millisecond
 
 func nobody(workload.TaskID) bool { return false }
 
-// taskOf is guilty for one task of a job.
+// taskOf is crashing for one task of a job.
 func taskOf(job string, index int) func(workload.TaskID) bool {
 	return func(task workload.TaskID) bool { return task.Job == job && task.Index == index }
 }
 
-func newCrashes(t *testing.T, workers int, guilty func(task workload.TaskID) bool) *crashes {
+func newCrashes(t *testing.T, workers int, crashing func(task workload.TaskID) bool) *crashes {
 	c := &crashes{
 		bench:     newBench(t, workers, false),
-		guilty:    guilty,
+		crashing:  crashing,
 		down:      make(map[string]time.Time),
 		downFor:   3 * time.Second,
 		startsOf:  make(map[workload.TaskID]int),
@@ -100,12 +100,12 @@
 	}
 }
 
-// work ends what is due, and takes workers down that run a guilty task.
+// work ends what is due, and takes workers down that run a crashing task.
 func (c *crashes) work() {
 	for id, w := range c.workers {
 		for key, r := range w.running {
 			switch {
-			case c.guilty(key.task) && c.now.Sub(r.began) >= crashAfter:
+			case c.crashing(key.task) && c.now.Sub(r.began) >= crashAfter:
 				c.crashesOf[key.task]++
 				c.crash(id)
 			case c.now.Sub(r.began) >= c.runTime && c.whole(key):
@@ -180,7 +180,7 @@
 		takeover func(c *crashes) bool
 		downFor  time.Duration
 	}{
-		"replaced as a trial begins": {func(c *crashes) bool { return c.startsOf[task] > 1 && c.core.jobs["crashing"].runs > 0 }, 3 * time.Second},
+		"replaced as a recorded attempt begins": {func(c *crashes) bool { return c.startsOf[task] > 1 && c.core.jobs["crashing"].runs > 0 }, 3 * time.Second},
 		"replaced before it hears of a crash": {
 			func(c *crashes) bool { return c.crashesOf[task] > 1 && len(c.down) > 0 && each(time.Second)(c) }, 3 * time.Second,
 		},
@@ -276,12 +276,12 @@
 }
 
 func TestAGangOfWhichAMemberTakesItsWorkersDownIsGivenUp(t *testing.T) {
-	for name, guilty := range map[string]func(workload.TaskID) bool{
+	for name, crashing := range map[string]func(workload.TaskID) bool{
 		"one member":   taskOf("gang", 2),
 		"every member": func(task workload.TaskID) bool { return task.Job == "gang" },
 	} {
 		t.Run(name, func(t *testing.T) {
-			c := newCrashes(t, 24, guilty)
+			c := newCrashes(t, 24, crashing)
 			c.add(gangJob("gang", "urgent", "acme", 4, 4))
 			c.pass(30 * time.Second)
 			assert.Equal(t, c.state("gang"), FinalFailed)
@@ -343,7 +343,7 @@
 	}
 }
 
-func TestATrialOfWhichTheNextLeaderSeesMoreIsNoCrash(t *testing.T) {
+func TestARecordedAttemptOfWhichTheNextLeaderSeesMoreIsNoCrash(t *testing.T) {
 	for name, meanwhile := range map[string]func(c *crashes, key runKey, host *fakeWorker){
 		"it runs":           func(*crashes, runKey, *fakeWorker) {},
 		"it ended":          func(c *crashes, key runKey, host *fakeWorker) { c.end(host, key.task, key.attempt, workload.EndDone) },
@@ -356,7 +356,7 @@
 			c.pass(500 * time.Millisecond)
 			c.crash(c.hostOf("unlucky"))
 			c.pass(4 * time.Second)
-			assert.Equal(t, len(c.table["unlucky"].Trials["0.0.0"]), 1)
+			assert.Equal(t, len(c.table["unlucky"].Attempts["0.0.0"]), 1)
 			host := c.workers[c.hostOf("unlucky")]
 			for key := range host.running {
 				meanwhile(c, key, host)
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -108,9 +108,9 @@
 	}
 	slices.SortFunc(order, func(a, b int) int {
 		if !c.has(MechPacking) {
-			return cmp.Or(c.suspectOrder(u, rooms[a], rooms[b]), cmp.Compare(a, b))
+			return cmp.Or(c.crashOrder(u, rooms[a], rooms[b]), cmp.Compare(a, b))
 		}
-		return cmp.Or(c.suspectOrder(u, rooms[a], rooms[b]), c.ways.place(c, u, rooms[a], rooms[b]), cmp.Compare(a, b))
+		return cmp.Or(c.crashOrder(u, rooms[a], rooms[b]), c.ways.place(c, u, rooms[a], rooms[b]), cmp.Compare(a, b))
 	})
 	return takeSlots(rooms, counts, order, n)
 }
--- a/internal/dispatch/flapping.go
+++ b/internal/dispatch/flapping.go
@@ -9,7 +9,7 @@
 // is empty, so what is waiting on a full deployment starts there, and is lost with it: the
 // machine draws work as long as it flaps, and the same healthy tasks lose one worker after
 // the other. A machine that went down twice within a while gets nothing new. Crashes under
-// a task that turned out to be guilty are not held against the machine.
+// a task that was given up for them are not held against the machine.
 
 // crashMemory is how long a worker that went down is avoided by such tasks.
 const crashMemory = 30 * time.Second
@@ -50,13 +50,13 @@
 	c.machineCrashes[addr] = list
 }
 
-// acquitMachines takes back what was held against the machines on which a guilty task ran.
-func (c *Core) acquitMachines(attempts []int64) {
-	guilty := func(m machineCrash) bool {
+// forgetMachineCrashes forgets the crashes under a task that was given up for them.
+func (c *Core) forgetMachineCrashes(attempts []int64) {
+	blamed := func(m machineCrash) bool {
 		return slices.ContainsFunc(m.attempts, func(a int64) bool { return slices.Contains(attempts, a) })
 	}
 	for addr, list := range c.machineCrashes {
-		c.setMachineCrashes(addr, slices.DeleteFunc(list, guilty))
+		c.setMachineCrashes(addr, slices.DeleteFunc(list, blamed))
 	}
 }
 
@@ -72,7 +72,7 @@
 }
 
 // noteFlapping marks the workers that get nothing new because their machine went down again
-// and again, under tasks that are not known to be guilty. If they are many, something else
+// and again, under tasks that were not given up for it. If they are many, something else
 // than the machines is at fault, and none is left out.
 func (c *Core) noteFlapping(pools map[string][]*room) {
 	if len(c.machineCrashes) == 0 || !c.has(MechFlappingWorkers) {
--- a/internal/dispatch/isolate.go
+++ b/internal/dispatch/isolate.go
@@ -9,38 +9,38 @@
 // This file answers crashes of workers with several tasks, of which one is at fault. All
 // of them become pending at once and look for the same room: placed as usual they meet on
 // one worker again, the next crash counts against all of them once more, and healthy work
-// is given up with the guilty. So tasks under which workers went down start apart from
+// is given up with the one at fault. So tasks under which workers went down start apart from
 // those of other jobs and away from machines that went down lately, and the start that may
 // be their last one beside as little as there is. It is a preference: none of them waits
 // for it.
 
-// suspectsOn says whose tasks run on a worker under which others went down.
-type suspectsOn struct {
+// crashSuspects says whose tasks run on a worker under which others went down.
+type crashSuspects struct {
 	job     *job
 	several bool
 }
 
-func (s *suspectsOn) add(j *job) {
+func (s *crashSuspects) add(j *job) {
 	s.several = s.several || s.job != nil && s.job != j
 	s.job = j
 }
 
 // besideOthers reports whether tasks of other jobs are among them.
-func (s *suspectsOn) besideOthers(j *job) bool { return s.several || s.job != nil && s.job != j }
+func (s *crashSuspects) besideOthers(j *job) bool { return s.several || s.job != nil && s.job != j }
 
-// noteSuspects notes which of a step's tasks others went down under.
-func (u *pendingStep) noteSuspects() {
+// noteCrashes notes which of a step's tasks others went down under.
+func (u *pendingStep) noteCrashes() {
 	for _, t := range u.tasks {
-		if t.standing() != quarantine.Clear {
-			u.crashes = max(u.crashes, t.suspicion.Seen)
+		if t.crashDecision() != quarantine.StartFreely {
+			u.crashes = max(u.crashes, t.crashes.Seen)
 		}
 	}
 }
 
 // noteOn notes that a step with suspect tasks will use a worker.
-func (u *pendingStep) noteOn(r *room) {
+func (u *pendingStep) markRoom(r *room) {
 	if u.crashes > 0 {
-		r.suspects.add(u.step.job)
+		r.crashSuspects.add(u.step.job)
 	}
 }
 
@@ -49,7 +49,7 @@
 func compareApart(c *Core, u *pendingStep, a, b *room) int {
 	worse := func(r *room) int {
 		score := 0
-		if r.suspects.besideOthers(u.step.job) {
+		if r.crashSuspects.besideOthers(u.step.job) {
 			score += 2
 		}
 		if c.crashesOf(r.worker) > 0 {
@@ -60,12 +60,12 @@
 	return cmp.Compare(worse(a), worse(b))
 }
 
-// suspectOrder orders two workers for a step with suspect tasks.
-func (c *Core) suspectOrder(u *pendingStep, a, b *room) int {
+// crashOrder orders two workers for a step with suspect tasks.
+func (c *Core) crashOrder(u *pendingStep, a, b *room) int {
 	if u.crashes == 0 {
 		return 0
 	}
-	return c.ways.suspects(c, u, a, b)
+	return c.ways.crashSuspects(c, u, a, b)
 }
 
 // compareAlone does so, and puts those first that run the least for a task of which one
--- a/internal/dispatch/isolate_test.go
+++ b/internal/dispatch/isolate_test.go
@@ -24,7 +24,7 @@
 }
 
 // The third start is beside nothing as long as some worker is empty.
-func TestTheLastTrialOfATaskIsBesideNothing(t *testing.T) {
+func TestTheLastAttemptOfATaskIsBesideNothing(t *testing.T) {
 	c := newCrashes(t, 8, taskOf("crashing", 0))
 	c.runTime = time.Hour
 	c.add(looseJob("beside", 3))
@@ -79,7 +79,7 @@
 	}
 }
 
-func TestCrashesUnderAGuiltyTaskAreNotHeldAgainstItsMachines(t *testing.T) {
+func TestCrashesUnderATaskThatIsGivenUpAreNotHeldAgainstItsMachines(t *testing.T) {
 	c := newCrashes(t, 2, func(task workload.TaskID) bool { return task.Job != "after" })
 	c.add(looseJob("one", 1))
 	c.pass(20 * time.Second)
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -39,8 +39,8 @@
 	index int
 	done  bool
 	runs  []*run
-	// suspicion is what is held against it, nil if nothing ever was.
-	suspicion *suspicion
+	// crashes is its crash history, nil if it has none.
+	crashes *crashHistory
 }
 
 // gang is one attempt at all tasks of a step.
@@ -68,8 +68,8 @@
 	runs            int
 	// broken counts the gangs of the job that were broken, and the runs stopped for others.
 	broken int
-	// inherited says that tasks have trials of earlier leaders.
-	inherited bool
+	// hasEarlier says that tasks have recorded attempts of earlier leaders.
+	hasEarlier bool
 	// protected jobs lie within their account's guarantee.
 	protected bool
 	received  time.Time
@@ -117,7 +117,7 @@
 			s.open++
 		}
 		s.began = s.began || done
-		s.tasks[i].loadSuspicion()
+		s.tasks[i].loadCrashes()
 	}
 	j.began = j.began || s.began
 	return s
--- a/internal/dispatch/leases.go
+++ b/internal/dispatch/leases.go
@@ -71,7 +71,7 @@
 	lost := w.inOrder(anyRun)
 	for _, r := range lost {
 		c.recordLost(r, cause, len(lost)-1)
-		c.lostWith(r, cause)
+		c.noteLost(r, cause)
 		c.ended(r, workload.EndLapsed)
 	}
 }
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -91,8 +91,8 @@
 			c.recordHeldBack(j, why)
 			continue
 		}
-		if j.inherited {
-			c.inheritTrials(j)
+		if j.hasEarlier {
+			c.countEarlier(j)
 		}
 		q := c.config.Queue(j.Queue)
 		if q == nil || j.record.Final != "" {
@@ -135,7 +135,7 @@
 			if t.done || len(t.runs) > 0 {
 				continue
 			}
-			if t.standing() == quarantine.Undecided {
+			if t.crashDecision() == quarantine.AwaitEvidence {
 				c.recordHeldBack(j, "whether workers went down under it is not known yet")
 				continue
 			}
@@ -144,7 +144,7 @@
 		if len(u.tasks) == 0 || s.spec.Gang && (s.gang != nil || len(u.tasks) < s.open) {
 			continue
 		}
-		u.noteSuspects()
+		u.noteCrashes()
 		if s.readySince.IsZero() {
 			s.readySince = c.now
 		}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -19,10 +19,10 @@
 	// state is one of charts/run.json.
 	state chart.State
 	gang  *gang
-	// trial says that the store knows that this run of a task with crashes may run.
-	trial bool
-	need  workload.Resources
-	since time.Time
+	// recorded says that the store knows that this attempt may be under way.
+	recorded bool
+	need     workload.Resources
+	since    time.Time
 	// settledBy is the sequence after which a poll is sure to know of the
 	// run's start (running) or of its stop (stopping, unclear).
 	settledBy uint64
@@ -46,7 +46,7 @@
 		task: t, worker: w, attempt: attempt, state: runChart.Initial, gang: g, need: t.step.spec.Counted(), since: c.now,
 		checkpoint: t.step.job.record.Saved[t.name()],
 	}
-	r.trial = t.beginsTrial(attempt)
+	r.recorded = t.takeReserved(attempt)
 	c.attach(r)
 	c.ordered = append(c.ordered, r)
 	until := w.clock(c.now) + startWithin.Milliseconds()
@@ -93,8 +93,8 @@
 		return
 	}
 	r.step(runGone)
-	if r.trial {
-		c.endTrial(r.task, r.attempt)
+	if r.recorded {
+		c.endAttempt(r.task, r.attempt)
 	}
 	delete(r.worker.runs, key)
 	r.worker.used = r.worker.used.Sub(r.need)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -158,7 +158,7 @@
 			r.guarded = r.guarded.Add(need)
 		}
 		r.countSort(u.step.spec)
-		u.noteOn(r)
+		u.markRoom(r)
 		c.start(u.tasks[i], r.worker, attempt, g, reason)
 	}
 	c.actions[len(c.actions)-1].First = first
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -319,7 +319,7 @@
 		r.gang = c.gangOf(t.step, running.Attempt)
 	}
 	surplus := t.done || len(t.runs) > 0 || t.step.job.record.Final != "" || running.Attempt > c.epoch*attemptsPerEpoch
-	r.trial = t.inherits(running.Attempt)
+	r.recorded = t.takeEarlier(running.Attempt)
 	c.attach(r)
 	if surplus {
 		c.stop(r, "surplus run")
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -36,9 +36,9 @@
 	// Crashed holds, by occurrence, step and task, also of a gang, the attempts under
 	// which the task's worker went down.
 	Crashed map[string][]int64 `json:"crashed,omitempty"`
-	// Trials holds, by the same names, the attempts that may be under way of tasks under
+	// Attempts holds, by the same names, those that may be under way of tasks under
 	// which a worker may have gone down before.
-	Trials map[string][]int64 `json:"trials,omitempty"`
+	Attempts map[string][]int64 `json:"attempts,omitempty"`
 	// Saved holds, by the names of Failed, the last checkpoint.
 	Saved map[string]string `json:"saved,omitempty"`
 }
@@ -68,7 +68,7 @@
 func (r *Record) clone() Record {
 	c := *r
 	c.Done, c.Saved, c.Failed = maps.Clone(r.Done), maps.Clone(r.Saved), maps.Clone(r.Failed)
-	c.Crashed, c.Trials = maps.Clone(r.Crashed), maps.Clone(r.Trials)
+	c.Crashed, c.Attempts = maps.Clone(r.Crashed), maps.Clone(r.Attempts)
 	return c
 }
 
@@ -125,17 +125,17 @@
 	return true
 }
 
-// beginTrial notes an attempt that may be under way from now on.
-func (r *Record) beginTrial(name string, attempt int64) { addAttempt(&r.Trials, name, attempt) }
+// beginAttempt notes an attempt that may be under way from now on.
+func (r *Record) beginAttempt(name string, attempt int64) { addAttempt(&r.Attempts, name, attempt) }
 
-// endTrial notes that it is over.
-func (r *Record) endTrial(name string, attempt int64) {
-	left := slices.DeleteFunc(slices.Clone(r.Trials[name]), func(a int64) bool { return a == attempt })
+// endAttempt notes that it is over.
+func (r *Record) endAttempt(name string, attempt int64) {
+	left := slices.DeleteFunc(slices.Clone(r.Attempts[name]), func(a int64) bool { return a == attempt })
 	if len(left) == 0 {
-		delete(r.Trials, name)
+		delete(r.Attempts, name)
 		return
 	}
-	r.Trials[name] = left
+	r.Attempts[name] = left
 }
 
 func (r *Record) setSaved(name, checkpoint string) {
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -30,7 +30,7 @@
 	// flapping workers get nothing new.
 	flapping bool
 	// suspects are the tasks here under which other workers went down.
-	suspects suspectsOn
+	crashSuspects crashSuspects
 	// stuck is what runs use whose ends cannot be counted on, once it was worked out.
 	overdueUse   workload.Resources
 	overdueKnown bool
@@ -48,8 +48,8 @@
 		r := &room{worker: w, free: free, soon: free, urgentOnly: true}
 		for _, run := range w.runs {
 			r.countSort(run.task.step.spec)
-			if run.task.standing() != quarantine.Clear {
-				r.suspects.add(run.task.step.job)
+			if run.task.crashDecision() != quarantine.StartFreely {
+				r.crashSuspects.add(run.task.step.job)
 			}
 			r.count(run, c.config.Queue(run.task.step.job.Queue))
 			if run.task.step.job.protected {
@@ -113,7 +113,7 @@
 	for _, r := range places {
 		r.soon = r.soon.Sub(need)
 		r.free = r.free.Sub(need)
-		u.noteOn(r)
+		u.markRoom(r)
 	}
 }
 
--- a/internal/dispatch/victims.go
+++ b/internal/dispatch/victims.go
@@ -37,7 +37,7 @@
 		need := u.step.spec.Counted().Times(p.slots)
 		p.room.soon = p.room.soon.Sub(need)
 		p.room.free = p.room.free.Sub(need)
-		u.noteOn(p.room)
+		u.markRoom(p.room)
 	}
 	c.claimRooms(u, places)
 	return true
@@ -91,7 +91,7 @@
 		offers = append(offers, c.offers(u, r)...)
 	}
 	slices.SortStableFunc(offers, func(a, b offer) int {
-		return cmp.Or(c.suspectOrder(u, a.room, b.room), cmp.Compare(a.cost, b.cost), cmp.Compare(a.room.order, b.room.order))
+		return cmp.Or(c.crashOrder(u, a.room, b.room), cmp.Compare(a.cost, b.cost), cmp.Compare(a.room.order, b.room.order))
 	})
 	// Each offer is for one more slot of its worker and holds the victims of
 	// the ones before it, so the last one taken of a worker stands for all.
--- a/internal/placer/reports.go
+++ b/internal/placer/reports.go
@@ -158,7 +158,7 @@
 	if crashed {
 		e.record.CrashedOn = append(e.record.CrashedOn, worker)
 	}
-	if (quarantine.Crashes{Seen: len(e.record.CrashedOn)}).Standing() != quarantine.Guilty {
+	if (quarantine.Crashes{Seen: len(e.record.CrashedOn)}).Decide() != quarantine.GiveUp {
 		c.stop(e, evWorkerLost, reason, now)
 		return
 	}
--- a/internal/quarantine/crashes.go
+++ b/internal/quarantine/crashes.go
@@ -6,12 +6,12 @@
 // themselves. It answers jobs of which each start costs a worker and all that runs
 // there: without it such a job is started again as often as its worker comes back.
 // A crash counts against every task that ran on the worker, since nothing says which one
-// it was; all but the guilty ones are cleared by running on elsewhere. Whoever counts
-// stores the count before the next start of a suspect task, so that no change of leader
+// it was; those that are not to blame run on elsewhere. Whoever counts
+// stores the count before the next start of such a task, so that no change of leader
 // begins anew.
 
-// CrashLimit is the number of workers that may go down under a task. Beside the guilty
-// one a worker had others, and may itself be at fault: one or two say nothing for certain.
+// CrashLimit is the number of workers that may go down under a task. A worker had
+// other tasks beside it, and may itself be at fault: one or two say nothing for certain.
 const CrashLimit = 3
 
 // provenAfter is how long a task runs that surely does not take its worker down: what
@@ -26,32 +26,32 @@
 	Possible int
 }
 
-// Standing is what a task's crashes lead to.
-type Standing int
+// CrashDecision is what a task's crashes lead to.
+type CrashDecision int
 
-// The standings.
+// The decisions.
 const (
-	// Clear tasks start like any other.
-	Clear Standing = iota
-	// Suspect tasks start once the store knows what is held against them.
-	Suspect
-	// Undecided tasks do not start before it is known whether a worker has crashed.
-	Undecided
-	// Guilty tasks do not start again.
-	Guilty
+	// StartFreely: nothing is held against the task.
+	StartFreely CrashDecision = iota
+	// StartRecorded: the task starts once the store knows what is held against it.
+	StartRecorded
+	// AwaitEvidence: it does not start before it is known whether a worker has crashed.
+	AwaitEvidence
+	// GiveUp: it does not start again.
+	GiveUp
 )
 
-// Standing judges a task by its crashes.
-func (c Crashes) Standing() Standing {
+// Decide judges a task by its crashes.
+func (c Crashes) Decide() CrashDecision {
 	switch {
 	case c.Seen >= CrashLimit:
-		return Guilty
+		return GiveUp
 	case c.Seen+c.Possible >= CrashLimit:
-		return Undecided
+		return AwaitEvidence
 	case c.Seen > 0:
-		return Suspect
+		return StartRecorded
 	}
-	return Clear
+	return StartFreely
 }
 
 // Proven reports whether a run was so long that the crash of its worker says nothing
--- a/internal/quarantine/crashes_test.go
+++ b/internal/quarantine/crashes_test.go
@@ -7,21 +7,21 @@
 	"gotest.tools/v3/assert"
 )
 
-func TestStandingOfATask(t *testing.T) {
+func TestWhatTheCrashesOfATaskLeadTo(t *testing.T) {
 	for name, c := range map[string]struct {
 		crashes Crashes
-		want    Standing
+		want    CrashDecision
 	}{
-		"no worker went down under it":                   {Crashes{}, Clear},
-		"one may have":                                   {Crashes{Possible: 1}, Clear},
-		"one has, which others may have taken down":      {Crashes{Seen: 1}, Suspect},
-		"two have, which may be chance":                  {Crashes{Seen: 2}, Suspect},
-		"a third may have: whether it has is waited for": {Crashes{Seen: 2, Possible: 1}, Undecided},
-		"three may have, and nothing is known of any":    {Crashes{Possible: 3}, Undecided},
-		"three have":                             {Crashes{Seen: 3}, Guilty},
-		"three have, whatever else is not known": {Crashes{Seen: 3, Possible: 2}, Guilty},
+		"no worker went down under it":                   {Crashes{}, StartFreely},
+		"one may have":                                   {Crashes{Possible: 1}, StartFreely},
+		"one has, which others may have taken down":      {Crashes{Seen: 1}, StartRecorded},
+		"two have, which may be chance":                  {Crashes{Seen: 2}, StartRecorded},
+		"a third may have: whether it has is waited for": {Crashes{Seen: 2, Possible: 1}, AwaitEvidence},
+		"three may have, and nothing is known of any":    {Crashes{Possible: 3}, AwaitEvidence},
+		"three have":                             {Crashes{Seen: 3}, GiveUp},
+		"three have, whatever else is not known": {Crashes{Seen: 3, Possible: 2}, GiveUp},
 	} {
-		t.Run(name, func(t *testing.T) { assert.Equal(t, c.crashes.Standing(), c.want) })
+		t.Run(name, func(t *testing.T) { assert.Equal(t, c.crashes.Decide(), c.want) })
 	}
 }
 
