Starts that the next life of a worker refuses one after the other are no crashes

Found by reading. A worker that runs nothing is not polled, so several starts may meet its next life at once. The first refusal ends what was ordered there; the others' own refusals, on their way, were to settle that they never ran. Any other word from that life in between (a poll, a stop) settled them as crashes instead: a healthy task got one crash, two of three in the test, for a start that was refused.

A start that had no answer when the next life was met is settled by its own answer, or after a longest lease without one.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -32,8 +32,11 @@
 	recorded bool
 	// copies is how often its start was sent.
 	copies int
-	ran    time.Duration
-	since  time.Time
+	// unanswered says that its start had no answer when the next life of its worker
+	// answered: that answer tells whether it ran.
+	unanswered bool
+	ran        time.Duration
+	since      time.Time
 }
 
 // ownName is the task's name in the record of crashes. Members of a gang do not share it:
@@ -84,6 +87,7 @@
 		c.countCrash(lost)
 		return
 	}
+	lost.unanswered = cause == LossReplaced
 	r.task.ensureCrashes().Possible++
 	if !lost.recorded && !r.task.over() {
 		lost.recorded = true
@@ -145,6 +149,20 @@
 	}
 }
 
+// settleReplaced takes that another life of a worker has answered. What its own answer
+// will settle waits for that.
+func (c *Core) settleReplaced(w *worker) {
+	list := w.lapsed
+	w.lapsed = nil
+	for _, lost := range list {
+		if lost.unanswered {
+			w.lapsed = append(w.lapsed, lost)
+			continue
+		}
+		c.settle(lost, true)
+	}
+}
+
 // settleUnheard takes workers for crashed that have been silent for so long that nothing
 // will be learned of them in time.
 func (c *Core) settleUnheard(w *worker) {
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -370,3 +370,26 @@
 		})
 	}
 }
+
+// Several starts reach the next life of a worker at once, and their answers come back
+// among those of polls.
+func TestStartsThatTheNextLifeRefusesOneAfterTheOtherAreNoCrashes(t *testing.T) {
+	b := newBench(t, 1, false)
+	b.pass(100 * time.Millisecond)
+	b.add(looseJob("job", 3))
+	var starts []Action
+	for _, a := range b.core.Decide(b.now, b.wallMS) {
+		if a.Kind == ActStart {
+			starts = append(starts, a)
+		}
+	}
+	assert.Equal(t, len(starts), 3)
+	gone := workload.Receipt{Verdict: workload.VerdictGone}
+	poll := Action{Kind: ActPoll, Poll: workload.Poll{Worker: "w00"}}
+	for _, a := range starts {
+		b.core.StartAnswered(a.Order, gone, b.now, b.wallMS)
+		b.core.PollAnswered(poll, workload.Report{Verdict: workload.VerdictGone}, b.now, b.wallMS)
+	}
+	assert.Equal(t, len(b.core.jobs["job"].record.Crashed), 0)
+	assert.Equal(t, b.core.jobs["job"].runs, 0)
+}
--- a/internal/dispatch/leases.go
+++ b/internal/dispatch/leases.go
@@ -83,7 +83,7 @@
 		c.noteCrashed(w)
 	}
 	w.over = true
-	c.settleLapsed(w, true)
+	c.settleReplaced(w)
 	c.lapse(w, LossReplaced)
 	w.known = true
 	w.unlistedSince = c.now
