A start that reached nobody takes no worker down: only confirmed runs count as crashes

A healthy gang of 9 was given up: 3 workers went down under task 3. The log: a wave of workers had crashed behind a cut; one was known to run the task (9.2 s); the next two starts went to workers whose lives had already ended unnoticed, 849 and 18 ms before the next lives answered. One was never answered; the other was unanswered when another member's loss broke the gang, and the stop moved it out of the state that the code asked for.

Cause: 'may have run' was taken from the state of the run, which a stop changes, and an unanswered start counted like a run that the worker had confirmed.

Change: a run is confirmed once its worker has said that it is there; only such runs count as crashes. Starts that were lost without an answer are kept apart, in the record too. Three confirmed crashes give a job up, or two and five lost starts in all, so that lost answers do not carry a task past the platform's limit.

TestStartsThatReachNobodyAreNoCrashes fails before (a single task 1, a gang 3) and passes; TestATaskWhoseStartsAreNotAnsweredIsGivenUpInTime holds the other side.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -32,11 +32,10 @@
 	recorded bool
 	// copies is how often its start was sent.
 	copies int
-	// unanswered says that its start had no answer when the next life of its worker
-	// answered: that answer tells whether it ran.
-	unanswered bool
-	ran        time.Duration
-	since      time.Time
+	// confirmed runs were there: the worker had said so.
+	confirmed bool
+	ran       time.Duration
+	since     time.Time
 }
 
 // ownName is the task's name in the record of crashes. Members of a gang do not share it:
@@ -64,35 +63,39 @@
 // loadCrashes takes what the record holds against a task.
 func (t *task) loadCrashes() {
 	j := t.step.job
-	if len(j.record.Crashed)+len(j.record.Attempts) == 0 {
+	if len(j.record.Crashed)+len(j.record.Unanswered)+len(j.record.Attempts) == 0 {
 		return
 	}
-	crashed, recorded := len(j.record.Crashed[t.ownName()]), j.record.Attempts[t.ownName()]
-	if crashed+len(recorded) > 0 {
+	name := t.ownName()
+	crashed, unanswered, recorded := len(j.record.Crashed[name]), len(j.record.Unanswered[name]), j.record.Attempts[name]
+	if crashed+unanswered+len(recorded) > 0 {
 		s := t.ensureCrashes()
-		s.Seen, s.earlier = crashed, slices.Clone(recorded)
+		s.Seen, s.Unsure, s.earlier = crashed, unanswered, slices.Clone(recorded)
 		j.hasEarlier = j.hasEarlier || len(recorded) > 0
 	}
 }
 
-// noteLost takes that a run was lost with its worker. Of a start that was not answered yet
-// its answer will say whether it was carried out.
+// noteLost takes that a run was lost with its worker. Where the worker never said that it
+// was there, the answer to its start may still tell.
 func (c *Core) noteLost(r *run, cause LossCause) {
 	if r.worker.Leaving {
 		return // it went as it had said
 	}
-	lost := lapsedRun{task: r.task, attempt: r.attempt, recorded: r.recorded, copies: r.copies, ran: c.now.Sub(r.since), since: c.now}
+	lost := lapsedRun{task: r.task, attempt: r.attempt, recorded: r.recorded, copies: r.copies, confirmed: r.confirmed, ran: c.now.Sub(r.since), since: c.now}
 	r.recorded = false
-	if cause == LossReplaced && r.state != stRunOrdered {
+	if cause == LossReplaced && r.confirmed {
 		c.countCrash(lost)
 		return
 	}
-	lost.unanswered = cause == LossReplaced
 	r.task.ensureCrashes().Possible++
 	if !lost.recorded && !r.task.over() {
 		lost.recorded = true
 		c.beginAttempt(r.task, r.attempt)
 	}
+	if cause == LossReplaced && r.unanswered {
+		c.settle(lost, true)
+		return
+	}
 	r.worker.lapsed = append(r.worker.lapsed, lost)
 }
 
@@ -102,14 +105,18 @@
 	if t.over() {
 		return
 	}
-	record := &t.step.job.record
-	record.endAttempt(t.ownName(), lost.attempt)
-	if quarantine.Proven(lost.ran) {
-		delete(record.Crashed, t.ownName())
-	} else {
-		record.addCrash(t.ownName(), lost.attempt)
+	record, name := &t.step.job.record, t.ownName()
+	record.endAttempt(name, lost.attempt)
+	switch {
+	case quarantine.Proven(lost.ran):
+		delete(record.Crashed, name)
+		delete(record.Unanswered, name)
+	case lost.confirmed:
+		record.addCrash(name, lost.attempt)
+	default:
+		record.addUnanswered(name, lost.attempt)
 	}
-	t.ensureCrashes().Seen = len(record.Crashed[t.ownName()])
+	t.ensureCrashes().Seen, t.crashes.Unsure = len(record.Crashed[name]), len(record.Unanswered[name])
 	c.change(t.step.job)
 	if t.crashDecision() == quarantine.GiveUp {
 		c.giveUp(t)
@@ -121,9 +128,10 @@
 	j := t.step.job
 	attempts := j.record.Crashed[t.ownName()]
 	c.actions = append(c.actions, Action{
-		Kind:   ActGaveUp,
-		Order:  workload.Order{Task: t.id(), Epoch: c.epoch},
-		Reason: fmt.Sprintf("%d workers went down under it, in attempts %v", len(attempts), attempts),
+		Kind:  ActGaveUp,
+		Order: workload.Order{Task: t.id(), Epoch: c.epoch},
+		Reason: fmt.Sprintf("%d workers went down under it, in attempts %v; unanswered starts lost: %d",
+			len(attempts), attempts, t.crashes.Unsure),
 	})
 	c.forgetMachineCrashes(attempts)
 	c.final(j, FinalFailed)
@@ -149,13 +157,16 @@
 	}
 }
 
+// answeredWithin is by when a start is answered or its call has timed out.
+const answeredWithin = time.Second
+
 // settleReplaced takes that another life of a worker has answered. What its own answer
 // will settle waits for that.
 func (c *Core) settleReplaced(w *worker) {
 	list := w.lapsed
 	w.lapsed = nil
 	for _, lost := range list {
-		if lost.unanswered {
+		if !lost.confirmed && c.now.Sub(lost.since) < answeredWithin {
 			w.lapsed = append(w.lapsed, lost)
 			continue
 		}
@@ -171,17 +182,22 @@
 	}
 }
 
-// startSettled takes the answer to a start whose run was lost meanwhile: one that was
-// surely not carried out took no worker down.
+// startSettled takes the answer to a start whose run was lost meanwhile.
 func (c *Core) startSettled(w *worker, key runKey, verdict workload.Verdict) {
 	for i, lost := range w.lapsed {
 		if lost.task.id() != key.task || lost.attempt != key.attempt {
 			continue
 		}
-		maybe := verdict == workload.VerdictDone || verdict == workload.VerdictUnknown
-		if !maybe && lost.copies <= 1 {
-			w.lapsed = append(w.lapsed[:i], w.lapsed[i+1:]...)
+		lost.confirmed = verdict == workload.VerdictDone
+		carriedOut := lost.confirmed || verdict == workload.VerdictUnknown || lost.copies > 1
+		w.lapsed = append(w.lapsed[:i], w.lapsed[i+1:]...)
+		switch {
+		case !carriedOut:
 			c.settle(lost, false)
+		case w.over:
+			c.settle(lost, true)
+		default:
+			w.lapsed = append(w.lapsed, lost)
 		}
 		return
 	}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -27,6 +27,8 @@
 	jobs      []*workload.Job
 	table     map[string]Record
 	storeAway bool
+	// loseAnswer says which starts are carried out and not answered.
+	loseAnswer func(o workload.Order) bool
 }
 
 // crashAfter is how long a crashing task runs.
@@ -70,6 +72,11 @@
 			if a.Kind == ActStart {
 				c.startsOf[a.Order.Task]++
 			}
+			if a.Kind == ActStart && c.loseAnswer != nil && c.loseAnswer(a.Order) {
+				c.begin(c.workers[a.Order.Worker], a.Order)
+				c.core.StartAnswered(a.Order, workload.Receipt{Verdict: workload.VerdictUnknown}, c.now, c.wallMS)
+				continue
+			}
 			c.carryOut(a)
 		}
 		if !c.storeAway {
@@ -393,3 +400,56 @@
 	assert.Equal(t, len(b.core.jobs["job"].record.Crashed), 0)
 	assert.Equal(t, b.core.jobs["job"].runs, 0)
 }
+
+// Idle workers go down behind a cut: starts that are sent to them get no answer, and then
+// their next lives answer.
+func TestStartsThatReachNobodyAreNoCrashes(t *testing.T) {
+	for name, job := range map[string]*workload.Job{
+		"a single task": looseJob("job", 1),
+		"a gang":        gangJob("job", "urgent", "acme", 3, 8),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCrashes(t, 16, nobody)
+			c.pass(200 * time.Millisecond)
+			dead := []string{"w00", "w01", "w02", "w03", "w04", "w05", "w06", "w07", "w08", "w09", "w10", "w11"}
+			for _, id := range dead {
+				c.silent[id] = true
+				c.crash(id)
+				c.down[id] = c.now.Add(time.Hour)
+			}
+			c.refusing = make(map[string]bool)
+			c.add(job)
+			for range 12 {
+				c.pass(300 * time.Millisecond)
+				for id := range c.core.workers {
+					if c.silent[id] && len(c.core.workers[id].runs) > 0 {
+						delete(c.silent, id)
+						c.down[id] = c.now
+						break
+					}
+				}
+			}
+			c.pass(20 * time.Second)
+			assert.Equal(t, c.state("job"), FinalCompleted)
+			assert.Equal(t, len(c.core.jobs["job"].record.Crashed), 0)
+			assert.Assert(t, len(c.core.jobs["job"].record.Unanswered) > 0)
+		})
+	}
+}
+
+// The answers to starts get lost as well: a task that takes its workers down is given up
+// before the platform's limit all the same.
+func TestATaskWhoseStartsAreNotAnsweredIsGivenUpInTime(t *testing.T) {
+	c := newCrashes(t, 12, taskOf("crashing", 0))
+	c.add(looseJob("crashing", 1))
+	task := workload.TaskID{Job: "crashing"}
+	lost := 0
+	c.loseAnswer = func(o workload.Order) bool {
+		lost++
+		return o.Task == task && lost%2 == 0
+	}
+	c.pass(time.Minute)
+	assert.Equal(t, c.state("crashing"), FinalFailed)
+	assert.Assert(t, c.startsOf[task] <= platformLimit, "%d starts", c.startsOf[task])
+	assert.Assert(t, len(c.core.jobs["crashing"].record.Unanswered) > 0)
+}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -19,6 +19,9 @@
 	// state is one of charts/run.json.
 	state chart.State
 	gang  *gang
+	// confirmed runs are there, as their worker has said; unanswered says that the call
+	// with their start has ended without an answer.
+	confirmed, unanswered bool
 	// recorded says that the store knows that this attempt may be under way.
 	recorded bool
 	need     workload.Resources
@@ -159,12 +162,14 @@
 	case workload.VerdictDone:
 		c.repeats.answered()
 		r.step(runStarted)
+		r.confirmed = true
 		r.order = nil
 		r.settledBy = c.sequence
 	case workload.VerdictUnknown:
 		if r.state == stRunRunning {
 			return // the worker lists it, or has answered another copy
 		}
+		r.unanswered = true
 		c.missed(w)
 		c.unclear(r, "start without an answer")
 	case workload.VerdictFenced:
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -340,6 +340,7 @@
 }
 
 func (c *Core) progress(r *run, running workload.Running) {
+	r.confirmed = true
 	if r.state == stRunOrdered {
 		r.step(runStarted)
 		r.settledBy = c.sequence
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -39,6 +39,9 @@
 	// Attempts holds, by the same names, those that may be under way of tasks under
 	// which a worker may have gone down before.
 	Attempts map[string][]int64 `json:"attempts,omitempty"`
+	// Unanswered holds, by the same names, the attempts that were lost with their worker and
+	// of which it never said that they were there.
+	Unanswered map[string][]int64 `json:"unanswered,omitempty"`
 	// Saved holds, by the names of Failed, the last checkpoint.
 	Saved map[string]string `json:"saved,omitempty"`
 }
@@ -69,6 +72,7 @@
 	c := *r
 	c.Done, c.Saved, c.Failed = maps.Clone(r.Done), maps.Clone(r.Saved), maps.Clone(r.Failed)
 	c.Crashed, c.Attempts = maps.Clone(r.Crashed), maps.Clone(r.Attempts)
+	c.Unanswered = maps.Clone(r.Unanswered)
 	return c
 }
 
@@ -113,6 +117,9 @@
 // addCrash notes an attempt under which the task's worker went down.
 func (r *Record) addCrash(name string, attempt int64) { addAttempt(&r.Crashed, name, attempt) }
 
+// addUnanswered notes an attempt that was lost and may never have begun.
+func (r *Record) addUnanswered(name string, attempt int64) { addAttempt(&r.Unanswered, name, attempt) }
+
 // addAttempt notes an attempt; false if it was noted before.
 func addAttempt(attempts *map[string][]int64, name string, attempt int64) bool {
 	if slices.Contains((*attempts)[name], attempt) {
--- a/internal/dispatch/recorded.go
+++ b/internal/dispatch/recorded.go
@@ -41,7 +41,7 @@
 				continue
 			}
 			for _, attempt := range t.crashes.earlier {
-				c.countCrash(lapsedRun{task: t, attempt: attempt})
+				c.countCrash(lapsedRun{task: t, attempt: attempt, confirmed: true})
 			}
 			t.crashes.earlier = nil
 		}
--- a/internal/quarantine/crashes.go
+++ b/internal/quarantine/crashes.go
@@ -14,14 +14,21 @@
 // other tasks beside it, and may itself be at fault: one or two say nothing for certain.
 const CrashLimit = 3
 
+// LossLimit is the number of starts that may be lost with their workers, counting those of
+// which nobody knows whether they were carried out.
+const LossLimit = 5
+
 // provenAfter is how long a task runs that surely does not take its worker down: what
 // does so does it sooner.
 const provenAfter = time.Minute
 
 // Crashes is what is known of the workers that went down under a task.
 type Crashes struct {
-	// Seen have surely crashed.
+	// Seen have surely crashed, and surely ran the task.
 	Seen int
+	// Unsure have crashed and never answered the task's start: they may have gone down
+	// before it reached them.
+	Unsure int
 	// Possible fell silent, and whether they have crashed is not known yet.
 	Possible int
 }
@@ -44,11 +51,11 @@
 // Decide judges a task by its crashes.
 func (c Crashes) Decide() CrashDecision {
 	switch {
-	case c.Seen >= CrashLimit:
+	case c.Seen >= CrashLimit, c.Seen >= CrashLimit-1 && c.Seen+c.Unsure >= LossLimit:
 		return GiveUp
 	case c.Seen+c.Possible >= CrashLimit:
 		return AwaitEvidence
-	case c.Seen > 0:
+	case c.Seen+c.Unsure > 0:
 		return StartRecorded
 	}
 	return StartFreely
--- a/internal/quarantine/crashes_test.go
+++ b/internal/quarantine/crashes_test.go
@@ -18,8 +18,10 @@
 		"two have, which may be chance":                  {Crashes{Seen: 2}, StartRecorded},
 		"a third may have: whether it has is waited for": {Crashes{Seen: 2, Possible: 1}, AwaitEvidence},
 		"three may have, and nothing is known of any":    {Crashes{Possible: 3}, AwaitEvidence},
-		"three have":                             {Crashes{Seen: 3}, GiveUp},
-		"three have, whatever else is not known": {Crashes{Seen: 3, Possible: 2}, GiveUp},
+		"three have": {Crashes{Seen: 3}, GiveUp},
+		"starts that were lost unanswered say little": {Crashes{Seen: 1, Unsure: 6}, StartRecorded},
+		"two have, and starts were lost beside them":  {Crashes{Seen: 2, Unsure: 3}, GiveUp},
+		"three have, whatever else is not known":      {Crashes{Seen: 3, Possible: 2}, GiveUp},
 	} {
 		t.Run(name, func(t *testing.T) { assert.Equal(t, c.crashes.Decide(), c.want) })
 	}
