Workers that fall with many others say little of a task that ran there

How many fell at that moment tells a rack, a zone or a switch from a task.

Change: a crash is judged a second later. With five or more machines down within a second of it that ran nothing of the same job it is 'shared'. Three crashes alone give a job up, or five of either sort, or two and five lost starts in all. While what is not decided yet could make that, the task waits.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -107,6 +107,8 @@
 	waitEnded bool
 	// machineCrashes are the times that workers went down lately, by their addresses.
 	machineCrashes map[string][]machineCrash
+	// crashed are the runs whose worker went down just now.
+	crashed []lapsedRun
 	// lostUnseen says that a worker was lost on which an earlier epoch may have started
 	// work that this one never saw.
 	lostUnseen bool
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -32,10 +32,11 @@
 	recorded bool
 	// copies is how often its start was sent.
 	copies int
-	// confirmed runs were there: the worker had said so.
-	confirmed bool
-	ran       time.Duration
-	since     time.Time
+	// confirmed runs were there: the worker had said so. shared ones were lost as many
+	// workers went down.
+	confirmed, shared bool
+	ran               time.Duration
+	since             time.Time
 }
 
 // ownName is the task's name in the record of crashes. Members of a gang do not share it:
@@ -63,16 +64,20 @@
 // loadCrashes takes what the record holds against a task.
 func (t *task) loadCrashes() {
 	j := t.step.job
-	if len(j.record.Crashed)+len(j.record.Unanswered)+len(j.record.Attempts) == 0 {
+	record, name := &j.record, t.ownName()
+	if len(record.Crashed[name])+len(record.Shared[name])+len(record.Unanswered[name])+len(record.Attempts[name]) == 0 {
 		return
 	}
-	name := t.ownName()
-	crashed, unanswered, recorded := len(j.record.Crashed[name]), len(j.record.Unanswered[name]), j.record.Attempts[name]
-	if crashed+unanswered+len(recorded) > 0 {
-		s := t.ensureCrashes()
-		s.Seen, s.Unsure, s.earlier = crashed, unanswered, slices.Clone(recorded)
-		j.hasEarlier = j.hasEarlier || len(recorded) > 0
-	}
+	t.countRecorded()
+	t.crashes.earlier = slices.Clone(record.Attempts[name])
+	j.hasEarlier = j.hasEarlier || len(t.crashes.earlier) > 0
+}
+
+// countRecorded brings a task's counts in line with the record.
+func (t *task) countRecorded() {
+	record, name := &t.step.job.record, t.ownName()
+	h := t.ensureCrashes()
+	h.Seen, h.Shared, h.Unsure = len(record.Crashed[name]), len(record.Shared[name]), len(record.Unanswered[name])
 }
 
 // noteLost takes that a run was lost with its worker. Where the worker never said that it
@@ -83,20 +88,21 @@
 	}
 	lost := lapsedRun{task: r.task, attempt: r.attempt, recorded: r.recorded, copies: r.copies, confirmed: r.confirmed, ran: c.now.Sub(r.since), since: c.now}
 	r.recorded = false
-	if cause == LossReplaced && r.confirmed {
-		c.countCrash(lost)
-		return
-	}
-	r.task.ensureCrashes().Possible++
 	if !lost.recorded && !r.task.over() {
 		lost.recorded = true
 		c.beginAttempt(r.task, r.attempt)
 	}
-	if cause == LossReplaced && r.unanswered {
-		c.settle(lost, true)
-		return
+	h := r.task.ensureCrashes()
+	switch {
+	case cause == LossReplaced && r.confirmed:
+		h.Recent++
+		c.crashed = append(c.crashed, lost)
+	case cause == LossReplaced && r.unanswered:
+		c.countCrash(lost)
+	default:
+		h.Possible++
+		r.worker.lapsed = append(r.worker.lapsed, lost)
 	}
-	r.worker.lapsed = append(r.worker.lapsed, lost)
 }
 
 // countCrash counts a crash against a task, and gives its job up at the limit.
@@ -109,14 +115,15 @@
 	record.endAttempt(name, lost.attempt)
 	switch {
 	case quarantine.Proven(lost.ran):
-		delete(record.Crashed, name)
-		delete(record.Unanswered, name)
+		record.forgetCrashes(name)
+	case lost.shared:
+		record.addShared(name, lost.attempt)
 	case lost.confirmed:
 		record.addCrash(name, lost.attempt)
 	default:
 		record.addUnanswered(name, lost.attempt)
 	}
-	t.ensureCrashes().Seen, t.crashes.Unsure = len(record.Crashed[name]), len(record.Unanswered[name])
+	t.countRecorded()
 	c.change(t.step.job)
 	if t.crashDecision() == quarantine.GiveUp {
 		c.giveUp(t)
@@ -126,7 +133,7 @@
 // giveUp ends the job of a task that takes its workers down.
 func (c *Core) giveUp(t *task) {
 	j := t.step.job
-	attempts := j.record.Crashed[t.ownName()]
+	attempts := slices.Concat(j.record.Crashed[t.ownName()], j.record.Shared[t.ownName()])
 	c.actions = append(c.actions, Action{
 		Kind:  ActGaveUp,
 		Order: workload.Order{Task: t.id(), Epoch: c.epoch},
@@ -141,6 +148,10 @@
 func (c *Core) settle(lost lapsedRun, crashed bool) {
 	lost.task.crashes.Possible--
 	switch {
+	case crashed && lost.confirmed:
+		lost.task.crashes.Recent++
+		lost.since = c.now
+		c.crashed = append(c.crashed, lost)
 	case crashed:
 		c.countCrash(lost)
 	case lost.recorded:
@@ -148,6 +159,17 @@
 	}
 }
 
+// settleCrashed settles crashes once it is known how many workers went down with theirs.
+func (c *Core) settleCrashed() {
+	for len(c.crashed) > 0 && c.now.Sub(c.crashed[0].since) > outageWithin {
+		lost := c.crashed[0]
+		c.crashed = c.crashed[1:]
+		lost.shared = c.fellBeside(lost.task.step.job, lost.since) >= outageLeast
+		lost.task.crashes.Recent--
+		c.countCrash(lost)
+	}
+}
+
 // settleLapsed does so for all runs that lapsed on a worker.
 func (c *Core) settleLapsed(w *worker, crashed bool) {
 	list := w.lapsed
--- a/internal/dispatch/flapping.go
+++ b/internal/dispatch/flapping.go
@@ -20,10 +20,17 @@
 // flappingMost bounds the workers that are left out to one in so many of a pool.
 const flappingMost = 4
 
+const (
+	// outageLeast machines that go down within outageWithin of a crash make it one of many.
+	outageLeast  = 5
+	outageWithin = time.Second
+)
+
 // machineCrash is one time that a worker's machine went down, with what ran there.
 type machineCrash struct {
 	at       time.Time
 	attempts []int64
+	jobs     []*job
 }
 
 // noteCrashed notes that a worker went down.
@@ -34,14 +41,32 @@
 	}
 	crash := machineCrash{at: c.now}
 	for _, r := range w.runs {
-		crash.attempts = append(crash.attempts, r.attempt)
+		crash.add(r.task, r.attempt)
 	}
 	for _, lost := range w.lapsed {
-		crash.attempts = append(crash.attempts, lost.attempt)
+		crash.add(lost.task, lost.attempt)
 	}
 	c.machineCrashes[w.Addr] = append(c.machineCrashes[w.Addr], crash)
 }
 
+func (m *machineCrash) add(t *task, attempt int64) {
+	m.attempts = append(m.attempts, attempt)
+	m.jobs = append(m.jobs, t.step.job)
+}
+
+// fellBeside counts the machines that went down about a time and ran nothing of a job.
+func (c *Core) fellBeside(j *job, at time.Time) int {
+	count := 0
+	for _, list := range c.machineCrashes {
+		if slices.ContainsFunc(list, func(m machineCrash) bool {
+			return m.at.Sub(at).Abs() <= outageWithin && !slices.Contains(m.jobs, j)
+		}) {
+			count++
+		}
+	}
+	return count
+}
+
 func (c *Core) setMachineCrashes(addr string, list []machineCrash) {
 	if len(list) == 0 {
 		delete(c.machineCrashes, addr)
--- a/internal/dispatch/isolate.go
+++ b/internal/dispatch/isolate.go
@@ -31,8 +31,8 @@
 // noteCrashes notes which of a step's tasks others went down under.
 func (u *pendingStep) noteCrashes() {
 	for _, t := range u.tasks {
-		if t.crashDecision() != quarantine.StartFreely {
-			u.crashes = max(u.crashes, t.crashes.Seen)
+		if t.crashes != nil {
+			u.crashes = max(u.crashes, t.crashes.Seen+t.crashes.Shared+t.crashes.Recent)
 		}
 	}
 }
--- a/internal/dispatch/leases.go
+++ b/internal/dispatch/leases.go
@@ -45,6 +45,7 @@
 // refuses connections may run on behind a cut. Then it forgets workers that are no
 // longer listed and run nothing.
 func (c *Core) expireLeases() {
+	c.settleCrashed()
 	c.endWait()
 	for _, w := range slices.Clone(c.fleet) {
 		if w.misses > 0 && len(w.runs)+len(w.unknownRuns) > 0 && w.surelyLapsed(c.now, c.bounds.StopTime) {
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -39,6 +39,8 @@
 	// Attempts holds, by the same names, those that may be under way of tasks under
 	// which a worker may have gone down before.
 	Attempts map[string][]int64 `json:"attempts,omitempty"`
+	// Shared holds, by the same names, such attempts where many workers went down at once.
+	Shared map[string][]int64 `json:"shared,omitempty"`
 	// Unanswered holds, by the same names, the attempts that were lost with their worker and
 	// of which it never said that they were there.
 	Unanswered map[string][]int64 `json:"unanswered,omitempty"`
@@ -72,7 +74,7 @@
 	c := *r
 	c.Done, c.Saved, c.Failed = maps.Clone(r.Done), maps.Clone(r.Saved), maps.Clone(r.Failed)
 	c.Crashed, c.Attempts = maps.Clone(r.Crashed), maps.Clone(r.Attempts)
-	c.Unanswered = maps.Clone(r.Unanswered)
+	c.Shared, c.Unanswered = maps.Clone(r.Shared), maps.Clone(r.Unanswered)
 	return c
 }
 
@@ -117,6 +119,16 @@
 // addCrash notes an attempt under which the task's worker went down.
 func (r *Record) addCrash(name string, attempt int64) { addAttempt(&r.Crashed, name, attempt) }
 
+// addShared notes one under which it went down among many others.
+func (r *Record) addShared(name string, attempt int64) { addAttempt(&r.Shared, name, attempt) }
+
+// forgetCrashes forgets all of them.
+func (r *Record) forgetCrashes(name string) {
+	delete(r.Crashed, name)
+	delete(r.Shared, name)
+	delete(r.Unanswered, name)
+}
+
 // addUnanswered notes an attempt that was lost and may never have begun.
 func (r *Record) addUnanswered(name string, attempt int64) { addAttempt(&r.Unanswered, name, attempt) }
 
--- a/internal/emulator/crash.go
+++ b/internal/emulator/crash.go
@@ -19,11 +19,18 @@
 func (pl *player) takeDown(w *worker) bool {
 	due := false
 	for _, r := range w.runs {
-		due = due || r.job.crashing && r.key.task.Index == 0 && pl.now-r.began >= crashAfter
+		if r.job.crashing && r.key.task.Index == 0 && pl.now-r.began >= crashAfter {
+			pl.tally.crashesOf[r.job]++
+			due = true
+		}
 	}
-	if t := w.troubled(pl.now); t != nil && t.CrashEvery > 0 {
+	t := w.troubled(pl.now)
+	if t != nil && t.CrashEvery > 0 {
 		due = due || pl.random.Float64() < 1-math.Exp(-tick.Seconds()/t.CrashEvery)
 	}
+	if t != nil && t.Reborn && w.rebornIn != t {
+		w.rebornIn, due = t, true
+	}
 	if due {
 		pl.crash(w)
 	}
--- a/internal/emulator/day.go
+++ b/internal/emulator/day.go
@@ -56,6 +56,8 @@
 	Loses float64 `json:"loses,omitempty"`
 	// Silent workers are cut off from everybody and run on.
 	Silent bool `json:"silent,omitempty"`
+	// Reborn workers are cut off from everybody, crash meanwhile and come back as others.
+	Reborn bool `json:"reborn,omitempty"`
 	// CrashEvery is the mean time between two crashes of such a worker, in seconds; zero
 	// is never.
 	CrashEvery float64 `json:"crash_every_s,omitempty"`
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -128,3 +128,29 @@
 	}
 	assert.Assert(t, poisoned > 0)
 }
+
+// Nobody takes its worker down on this day. On each deployment the seed is one on which
+// counting alone gave healthy jobs up, where there was one.
+func TestNoHealthyJobIsGivenUpAsWorkersCrashBehindCuts(t *testing.T) {
+	p := day(t, "workers crash behind cuts")
+	for name, seed := range map[string]uint64{"klaverveld": 0, "estribo": 0, "lankapowder": 1} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tally := play(deployment(t, name), p, dispatch.Tuning{}, seed)
+			assert.Assert(t, tally.crashes > 0)
+			assert.Equal(t, tally.wronglyGivenUp, 0)
+		})
+	}
+}
+
+func TestNoJobCrashesMoreWorkersThanItMay(t *testing.T) {
+	tally := play(deployment(t, "klaverveld"), day(t, "jobs take down their workers"), dispatch.Tuning{}, 3)
+	failed := 0
+	for a, crashes := range tally.crashesOf {
+		assert.Assert(t, crashes <= 5, "job %s crashed %d workers", a.job.ID, crashes)
+		if tally.failed[a] {
+			failed++
+		}
+	}
+	assert.Assert(t, failed > 0)
+}
--- a/internal/emulator/player.go
+++ b/internal/emulator/player.go
@@ -217,6 +217,9 @@
 )
 
 func (pl *player) pathTo(w *worker, life string) route {
+	if p := pl.wayTo(w); p == pathSilent {
+		return p
+	}
 	if w.backAt > 0 {
 		return pathRefused
 	}
@@ -228,7 +231,7 @@
 
 // wayTo is how the leader reaches a worker's machine.
 func (pl *player) wayTo(w *worker) route {
-	if t := w.troubled(pl.now); t != nil && t.Silent {
+	if t := w.troubled(pl.now); t != nil && (t.Silent || t.Reborn) {
 		return pathSilent
 	}
 	zones := pl.deployment.Zones
--- a/internal/emulator/tally.go
+++ b/internal/emulator/tally.go
@@ -27,6 +27,10 @@
 type tally struct {
 	jobs         []*arrival
 	ends, starts map[*arrival]time.Duration
+	// failed are the jobs that were shown as failed.
+	failed map[*arrival]bool
+	// crashesOf counts the workers that a job took down.
+	crashesOf map[*arrival]int
 	// lost is the work thrown away, in core-seconds.
 	lost      float64
 	preempted int
@@ -49,7 +53,7 @@
 func newTally() tally {
 	return tally{
 		ends: make(map[*arrival]time.Duration), starts: make(map[*arrival]time.Duration), bySort: make(map[sort]*share),
-		byZone: make(map[int]*share), byAccount: make(map[string]*share), byWindow: make(map[int]*share),
+		failed: make(map[*arrival]bool), crashesOf: make(map[*arrival]int), byZone: make(map[int]*share), byAccount: make(map[string]*share), byWindow: make(map[int]*share),
 	}
 }
 
@@ -82,13 +86,18 @@
 	}
 }
 
-// gaveUp counts jobs that were given up because workers went down under them.
+// gaveUp takes a stored record, and counts jobs that were given up because workers went down under them.
 func (t *tally) gaveUp(a *arrival, record *dispatch.Record) {
-	if record.Final != dispatch.FinalFailed || a.crashing {
+	if record.Final != dispatch.FinalFailed {
 		return
 	}
-	for _, attempts := range record.Crashed {
-		if len(attempts) >= quarantine.CrashLimit {
+	t.failed[a] = true
+	if a.crashing {
+		return
+	}
+	for name := range record.Crashed {
+		crashes := quarantine.Crashes{Seen: len(record.Crashed[name]), Shared: len(record.Shared[name]), Unsure: len(record.Unanswered[name])}
+		if crashes.Decide() == quarantine.GiveUp {
 			t.wronglyGivenUp++
 			return
 		}
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -65,6 +65,8 @@
 	// machine names the worker over all its lives, lives counts them.
 	machine string
 	lives   int
+	// rebornIn is the trouble in which it came back as another last.
+	rebornIn *workerTrouble
 	// backAt is when the next life begins; zero while this one lasts.
 	backAt time.Duration
 }
--- a/internal/quarantine/crashes.go
+++ b/internal/quarantine/crashes.go
@@ -14,8 +14,8 @@
 // other tasks beside it, and may itself be at fault: one or two say nothing for certain.
 const CrashLimit = 3
 
-// LossLimit is the number of starts that may be lost with their workers, counting those of
-// which nobody knows whether they were carried out.
+// LossLimit is the number of starts that may be lost with their workers, also where many
+// went down at once or where nobody knows whether the start was carried out.
 const LossLimit = 5
 
 // provenAfter is how long a task runs that surely does not take its worker down: what
@@ -24,8 +24,13 @@
 
 // Crashes is what is known of the workers that went down under a task.
 type Crashes struct {
-	// Seen have surely crashed, and surely ran the task.
+	// Seen have surely crashed, surely ran the task, and fell by themselves.
 	Seen int
+	// Shared ran the task and crashed among many others: a rack, a zone or a switch may
+	// have been at fault.
+	Shared int
+	// Recent crashed just now: whether others did at once is not known yet.
+	Recent int
 	// Unsure have crashed and never answered the task's start: they may have gone down
 	// before it reached them.
 	Unsure int
@@ -50,17 +55,26 @@
 
 // Decide judges a task by its crashes.
 func (c Crashes) Decide() CrashDecision {
+	worst := c
+	worst.Seen += c.Recent + c.Possible
 	switch {
-	case c.Seen >= CrashLimit, c.Seen >= CrashLimit-1 && c.Seen+c.Unsure >= LossLimit:
+	case c.tooMany():
 		return GiveUp
-	case c.Seen+c.Possible >= CrashLimit:
+	case worst.tooMany():
 		return AwaitEvidence
-	case c.Seen+c.Unsure > 0:
+	case c.Seen+c.Shared+c.Recent+c.Unsure > 0:
 		return StartRecorded
 	}
 	return StartFreely
 }
 
+// tooMany reports whether the task may not be started again. Starts that nobody ever
+// answered say so only beside crashes.
+func (c Crashes) tooMany() bool {
+	ran := c.Seen + c.Shared
+	return c.Seen >= CrashLimit || ran >= LossLimit || ran >= CrashLimit-1 && ran+c.Unsure >= LossLimit
+}
+
 // Proven reports whether a run was so long that the crash of its worker says nothing
 // against its task.
 func Proven(ran time.Duration) bool { return ran >= provenAfter }
--- a/internal/quarantine/crashes_test.go
+++ b/internal/quarantine/crashes_test.go
@@ -18,9 +18,14 @@
 		"two have, which may be chance":                  {Crashes{Seen: 2}, StartRecorded},
 		"a third may have: whether it has is waited for": {Crashes{Seen: 2, Possible: 1}, AwaitEvidence},
 		"three may have, and nothing is known of any":    {Crashes{Possible: 3}, AwaitEvidence},
-		"three have": {Crashes{Seen: 3}, GiveUp},
+		"three have":           {Crashes{Seen: 3}, GiveUp},
+		"one has just now":     {Crashes{Recent: 1}, StartRecorded},
+		"a third has just now": {Crashes{Seen: 2, Recent: 1}, AwaitEvidence},
 		"starts that were lost unanswered say little": {Crashes{Seen: 1, Unsure: 6}, StartRecorded},
 		"two have, and starts were lost beside them":  {Crashes{Seen: 2, Unsure: 3}, GiveUp},
+		"four went down among many others":            {Crashes{Shared: 4}, StartRecorded},
+		"a fifth may have":                            {Crashes{Shared: 4, Possible: 1}, AwaitEvidence},
+		"five did":                                    {Crashes{Seen: 1, Shared: 4}, GiveUp},
 		"three have, whatever else is not known":      {Crashes{Seen: 3, Possible: 2}, GiveUp},
 	} {
 		t.Run(name, func(t *testing.T) { assert.Equal(t, c.crashes.Decide(), c.want) })
