An outage of all workers is recognised by its first machines

The count ends once it is enough; the verdict is the same, and so are the tests and the digests. Not measured: no test plays that size.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -164,7 +164,7 @@
 	for len(c.crashed) > 0 && c.now.Sub(c.crashed[0].since) > outageWithin {
 		lost := c.crashed[0]
 		c.crashed = c.crashed[1:]
-		lost.shared = c.fellBeside(lost.task.step.job, lost.since) >= outageLeast
+		lost.shared = c.inOutage(lost.task.step.job, lost.since)
 		lost.task.crashes.Recent--
 		c.countCrash(lost)
 	}
--- a/internal/dispatch/flapping.go
+++ b/internal/dispatch/flapping.go
@@ -54,8 +54,8 @@
 	m.jobs = append(m.jobs, t.step.job)
 }
 
-// fellBeside counts the machines that went down about a time and ran nothing of a job.
-func (c *Core) fellBeside(j *job, at time.Time) int {
+// inOutage reports whether many machines went down about a time that ran nothing of a job.
+func (c *Core) inOutage(j *job, at time.Time) bool {
 	count := 0
 	for _, list := range c.machineCrashes {
 		if slices.ContainsFunc(list, func(m machineCrash) bool {
@@ -63,8 +63,11 @@
 		}) {
 			count++
 		}
+		if count == outageLeast {
+			return true
+		}
 	}
-	return count
+	return false
 }
 
 func (c *Core) setMachineCrashes(addr string, list []machineCrash) {
