--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -239,7 +239,7 @@
 	assert.Assert(t, c.startsOf[workload.TaskID{Job: "crashing"}] <= platformLimit)
 }
 
-func TestWorkThatStandsInForNoCrashIsNotSuspect(t *testing.T) {
+func TestWhatIsNoCrashIsNotCounted(t *testing.T) {
 	for name, lose := range map[string]func(c *crashes){
 		"its worker was cut off for longer than its lease": func(c *crashes) {
 			c.silent["w00"] = true
--- a/internal/dispatch/flapping.go
+++ b/internal/dispatch/flapping.go
@@ -9,18 +9,16 @@
 // is empty, so what is waiting on a full deployment starts there, and is lost with it: the
 // machine draws work as long as it flaps, and the same healthy tasks lose one worker after
 // the other. A machine that went down twice within a while gets nothing new. Crashes under
-// a task that was given up for them are not held against the machine.
-
-// crashMemory is how long a worker that went down is avoided by such tasks.
-const crashMemory = 30 * time.Second
-
-// flappingAfter crashes within crashMemory, nothing new is started on a machine.
-const flappingAfter = 2
-
-// flappingMost bounds the workers that are left out to one in so many of a pool.
-const flappingMost = 4
+// a task that was given up for them are not held against the machine. Machines that go
+// down together tell an outage from a task.
 
 const (
+	// crashMemory is how long it counts that a machine went down.
+	crashMemory = 30 * time.Second
+	// flappingAfter crashes within crashMemory, nothing new starts on a machine.
+	flappingAfter = 2
+	// flappingMost bounds the workers that are left out to one in so many of a pool.
+	flappingMost = 4
 	// outageLeast machines that go down within outageWithin of a crash make it one of many.
 	outageLeast  = 5
 	outageWithin = time.Second
--- a/internal/dispatch/isolate.go
+++ b/internal/dispatch/isolate.go
@@ -28,7 +28,7 @@
 // besideOthers reports whether tasks of other jobs are among them.
 func (s *crashSuspects) besideOthers(j *job) bool { return s.several || s.job != nil && s.job != j }
 
-// noteCrashes notes which of a step's tasks others went down under.
+// noteCrashes notes how many workers went down under the tasks of a step.
 func (u *pendingStep) noteCrashes() {
 	for _, t := range u.tasks {
 		if t.crashes != nil {
@@ -37,15 +37,15 @@
 	}
 }
 
-// noteOn notes that a step with suspect tasks will use a worker.
+// markRoom notes that a step with tasks under which workers went down will use a worker.
 func (u *pendingStep) markRoom(r *room) {
 	if u.crashes > 0 {
 		r.crashSuspects.add(u.step.job)
 	}
 }
 
-// compareApart puts the workers first that run no suspect task of another job, and of
-// those the ones that did not go down lately.
+// compareApart puts the workers first that run no task of another job under which others
+// went down, and of those the ones that did not go down lately.
 func compareApart(c *Core, u *pendingStep, a, b *room) int {
 	worse := func(r *room) int {
 		score := 0
@@ -60,14 +60,6 @@
 	return cmp.Compare(worse(a), worse(b))
 }
 
-// crashOrder orders two workers for a step with suspect tasks.
-func (c *Core) crashOrder(u *pendingStep, a, b *room) int {
-	if u.crashes == 0 {
-		return 0
-	}
-	return c.ways.crashSuspects(c, u, a, b)
-}
-
 // compareAlone does so, and puts those first that run the least for a task of which one
 // more crash gives its job up.
 func compareAlone(c *Core, u *pendingStep, a, b *room) int {
@@ -77,3 +69,11 @@
 	}
 	return cmp.Compare(len(a.runs), len(b.runs))
 }
+
+// crashOrder orders two workers for a step, if workers went down under its tasks.
+func (c *Core) crashOrder(u *pendingStep, a, b *room) int {
+	if u.crashes == 0 {
+		return 0
+	}
+	return c.ways.crashSuspects(c, u, a, b)
+}
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -29,7 +29,7 @@
 	order  int
 	// flapping workers get nothing new.
 	flapping bool
-	// suspects are the tasks here under which other workers went down.
+	// crashSuspects are the tasks here under which other workers went down.
 	crashSuspects crashSuspects
 	// stuck is what runs use whose ends cannot be counted on, once it was worked out.
 	overdueUse   workload.Resources
