--- a/internal/placer/reports.go
+++ b/internal/placer/reports.go
@@ -332,15 +332,19 @@
 func (c *core) checkGangSilence(e *entry, now time.Time) {
 	switch e.state {
 	case stRunning:
+		silent := ""
 		for _, p := range e.parts {
-			if now.Sub(e.reports[p.worker].renewedAt) > c.workerLease {
-				if w := c.workers[p.worker]; w != nil {
-					w.noteSilent(e)
-				}
-				c.stop(e, evWorkerLost, "worker "+p.worker+" is silent longer than its lease", now)
-				return
+			if now.Sub(e.reports[p.worker].renewedAt) <= c.workerLease {
+				continue
+			}
+			silent = p.worker
+			if w := c.workers[p.worker]; w != nil {
+				w.noteSilent(e)
 			}
 		}
+		if silent != "" {
+			c.stop(e, evWorkerLost, "worker "+silent+" is silent longer than its lease", now)
+		}
 	case stStopping, stCancelling:
 		if !e.lapseAt.IsZero() && now.After(e.lapseAt) && !e.stopSent {
 			c.stopped(e, now)
