Deployment: a worker that restarts under its id is another incarnation

Cause: the platform of the two new customers lets a worker start again under the id that it had, with its numbers of completions and its clock from the beginning; only `born` tells. The core knew an incarnation by its id alone: completions of the new life with known numbers were dropped but acknowledged, and their tasks ran again.

Change: the start time of the incarnation goes from entries and answers through hubs into the core. An answer of a later incarnation ends the runs that it does not list, as lost with their worker and counted as a crash; it closes starts that may still reach the new life; numbers, clock, lease and tickets begin anew. A later entry causes a poll only; an earlier entry or answer changes nothing; new work waits until list, answers and the stored table agree. The stored row carries the incarnation, so that the next leader notices a restart before its first answer.

Entries: `born` is checked like the other fields; an entry that lacks what earlier entries of that worker had comes from another writer. Counted in a metric.

--- a/internal/deployment/entries_test.go
+++ b/internal/deployment/entries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -14,8 +15,8 @@
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
-// plainDecoder decodes entries that hold only the name of a pool; "?" cannot be
-// decoded.
+// plainDecoder decodes entries that hold the name of a pool, or pool@incarnation; "?"
+// cannot be decoded.
 type plainDecoder struct{}
 
 // IsConfiguration implements Decoder.
@@ -37,7 +38,9 @@
 	if strings.Contains(string(data), "?") {
 		return workload.Worker{}, errors.New("injected")
 	}
-	return workload.Worker{ID: id, Addr: id, Pool: string(data)}, nil
+	pool, number, _ := strings.Cut(string(data), "@")
+	incarnation, _ := strconv.ParseInt(number, 10, 64)
+	return workload.Worker{ID: id, Addr: id, Pool: pool, Incarnation: incarnation}, nil
 }
 
 func entryRow(id, text string, version int64) workload.Row {
@@ -67,6 +70,26 @@
 	assert.DeepEqual(t, ids(r.list()), map[string]bool{"a": true, "c": true})
 }
 
+func TestAnEntryNeverBringsAnEarlierIncarnationBack(t *testing.T) {
+	r := newRoster(plainDecoder{}, time.Minute, zap.NewNop())
+	incarnation := func() int64 {
+		list := r.list()
+		assert.Equal(t, len(list), 1)
+		return list[0].Incarnation
+	}
+	r.apply([]workload.Row{entryRow("a", "pool@1", 1)})
+	r.apply([]workload.Row{entryRow("a", "pool@2", 2)})
+	assert.Equal(t, incarnation(), int64(2))
+	r.apply([]workload.Row{entryRow("a", "pool@1", 3)})
+	assert.Equal(t, incarnation(), int64(2), "a late entry of the earlier incarnation")
+	r.reload([]workload.Row{entryRow("a", "pool@1", 3)}, 3)
+	assert.Equal(t, incarnation(), int64(2))
+	r.apply([]workload.Row{entryRow("a", "pool", 4)})
+	assert.Equal(t, len(r.list()), 0, "an entry without the incarnation comes from another writer")
+	r.apply([]workload.Row{entryRow("a", "pool@3", 5)})
+	assert.Equal(t, incarnation(), int64(3))
+}
+
 func TestWorkersOfUnconfiguredPoolsAreNotListed(t *testing.T) {
 	settings := defaultSettings()
 	i := New(Options{Settings: &settings, Store: newMemoryStore(), Decoder: plainDecoder{}, Logger: zap.NewNop()})
--- a/internal/deployment/worker_relay.go
+++ b/internal/deployment/worker_relay.go
@@ -139,15 +139,20 @@
 }
 
 func orderResultToProto(id uint64, r workload.OrderResult) *peerpb.WorkerAnswer {
-	return newWorkerAnswer(id, r.Verdict, r.ClockMS, r.Err)
+	answer := newWorkerAnswer(id, r.Verdict, r.ClockMS, r.Err)
+	answer.Incarnation = r.Incarnation
+	return answer
 }
 
 func orderResultFromProto(answer *peerpb.WorkerAnswer) workload.OrderResult {
-	return workload.OrderResult{Verdict: workload.ParseVerdict(answer.GetVerdict()), ClockMS: answer.GetClockMs(), Err: messageError(answer)}
+	return workload.OrderResult{
+		Verdict: workload.ParseVerdict(answer.GetVerdict()), ClockMS: answer.GetClockMs(), Incarnation: answer.GetIncarnation(), Err: messageError(answer),
+	}
 }
 
 func reportToProto(id uint64, r workload.Report) *peerpb.WorkerAnswer {
 	answer := newWorkerAnswer(id, r.Verdict, r.ClockMS, r.Err)
+	answer.Incarnation = r.Incarnation
 	answer.Unread = int32(r.Unparsed)
 	for _, running := range r.Running {
 		answer.Running = append(answer.Running, &peerpb.RunningTask{
@@ -164,7 +169,8 @@
 
 func reportFromProto(answer *peerpb.WorkerAnswer) workload.Report {
 	r := workload.Report{
-		Verdict: workload.ParseVerdict(answer.GetVerdict()), ClockMS: answer.GetClockMs(), Unparsed: int(answer.GetUnread()), Err: messageError(answer),
+		Verdict: workload.ParseVerdict(answer.GetVerdict()), ClockMS: answer.GetClockMs(), Incarnation: answer.GetIncarnation(),
+		Unparsed: int(answer.GetUnread()), Err: messageError(answer),
 	}
 	for _, running := range answer.GetRunning() {
 		r.Running = append(r.Running, workload.Running{
--- a/internal/deployment/workers.go
+++ b/internal/deployment/workers.go
@@ -1,9 +1,11 @@
 package deployment
 
 import (
+	"errors"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"github.com/corianderbank/corianderbank/internal/workload"
@@ -62,12 +64,22 @@
 		return
 	}
 	worker, err := r.decoder.Worker(row.Key, row.Value)
+	if err == nil && known != nil && known.worker.Incarnation != 0 && worker.Incarnation == 0 {
+		err = errNoIncarnation
+	}
 	if err != nil {
 		r.delistUnreadable(row, known, err)
 		return
 	}
 	r.unreadable.forget(row.Key)
+	if known != nil && worker.Incarnation < known.worker.Incarnation {
+		r.logger.Info("entry of an earlier incarnation ignored", zap.String("worker", worker.ID),
+			zap.Int64("incarnation", worker.Incarnation), zap.Int64("known", known.worker.Incarnation))
+		return
+	}
 	switch {
+	case known != nil && worker.Incarnation > known.worker.Incarnation && known.worker.Incarnation != 0:
+		r.logger.Info("worker restarted", zap.String("worker", worker.ID), zap.Int64("incarnation", worker.Incarnation))
 	case known == nil || !known.delistedAt.IsZero():
 		r.logger.Info("worker listed", zap.String("worker", worker.ID), zap.String("rack", worker.Rack), zap.String("pool", worker.Pool))
 	case worker.Leaving && !known.worker.Leaving:
@@ -76,9 +88,14 @@
 	r.entries[row.Key] = &rosterEntry{worker: worker, version: row.Version}
 }
 
+// errNoIncarnation means that an entry lacks the incarnation that earlier entries of the
+// same worker had: another writer wrote it.
+var errNoIncarnation = errors.New("the incarnation is missing")
+
 // delistUnreadable logs an entry that does not decode to a usable worker, once until it
 // can be decoded again, and delists the worker that was listed under it.
 func (r *roster) delistUnreadable(row workload.Row, known *rosterEntry, err error) {
+	metricUnreadableEntries.Inc()
 	if r.unreadable.shouldLog(row.Key, 0) {
 		r.logger.Error("worker's entry cannot be read", zap.String("worker", row.Key), zap.Error(err))
 	}
@@ -124,3 +141,5 @@
 	}
 	return list
 }
+
+var metricUnreadableEntries = metrics.NewCounter("corianderbank_deployment_unreadable_worker_entries_total")
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -54,6 +54,11 @@
 	closed   map[workload.TaskID]int64
 	// leaseUntilMS is the time, on the worker's clock, until which its runs may continue.
 	leaseUntilMS int64
+	// incarnation is in all answers, listedIncarnation in the platform's list. Both are zero on a
+	// platform without incarnations.
+	incarnation, listedIncarnation int64
+	// clockZero is the time, in Unix milliseconds, at which the worker's clock was zero.
+	clockZero int64
 }
 
 type fakeRun struct {
@@ -117,13 +122,14 @@
 		timeLeft, leaving := b.leavesIn[id]
 		rack := "r" + id[1:len(id)-1]
 		list = append(list, workload.Worker{
-			ID: id, Addr: id[1:], Pool: "pool", Zone: b.zones[rack], Rack: rack, Capacity: w.capacity, Leaving: leaving, LeavesInMS: timeLeft.Milliseconds(),
+			ID: id, Incarnation: w.listedIncarnation, Addr: id[1:], Pool: "pool", Zone: b.zones[rack], Rack: rack, Capacity: w.capacity, Leaving: leaving, LeavesInMS: timeLeft.Milliseconds(),
 		})
 	}
 	b.core.WorkersListed(list, b.now, b.wallMS)
 }
 
-func (b *bench) workerClock() int64 { return b.now.UnixMilli() }
+// clockOf returns the reading of a worker's clock.
+func (b *bench) clockOf(w *fakeWorker) int64 { return b.now.UnixMilli() - w.clockZero }
 
 // round runs decisions and executes all actions immediately.
 func (b *bench) round() {
@@ -187,7 +193,7 @@
 			b.endRun(w, a.Order.Task, a.Order.Attempt, workload.CompletionStopped)
 		}
 		w.closed[a.Order.Task] = max(w.closed[a.Order.Task], a.Order.Attempt)
-		b.core.StopAnswered(a.Order, workload.OrderResult{ClockMS: b.workerClock()}, b.now, b.wallMS)
+		b.core.StopAnswered(a.Order, workload.OrderResult{ClockMS: b.clockOf(w), Incarnation: w.incarnation}, b.now, b.wallMS)
 	case ActPoll:
 		b.core.PollAnswered(a, b.report(w, a.Poll), b.now, b.wallMS)
 	}
@@ -207,7 +213,10 @@
 // startRun starts a run; it fails the test if the worker lacks the capacity.
 func (b *bench) startRun(w *fakeWorker, o workload.Order) workload.OrderResult {
 	if o.Attempt <= w.closed[o.Task] {
-		return workload.OrderResult{Verdict: workload.VerdictOld, ClockMS: b.workerClock()}
+		return workload.OrderResult{Verdict: workload.VerdictOld, ClockMS: b.clockOf(w), Incarnation: w.incarnation}
+	}
+	if o.UntilMS < b.clockOf(w) {
+		return workload.OrderResult{Verdict: workload.VerdictLate, ClockMS: b.clockOf(w), Incarnation: w.incarnation}
 	}
 	w.leaseUntilMS = max(w.leaseUntilMS, o.UntilMS)
 	need := b.core.task(o.Task).step.spec.CountedResources()
@@ -217,7 +226,7 @@
 		used = used.Add(r.need)
 	}
 	assert.Assert(b.t, w.capacity.Contains(used), "%s exceeds its capacity: %+v", o.Worker, used)
-	return workload.OrderResult{ClockMS: b.workerClock()}
+	return workload.OrderResult{ClockMS: b.clockOf(w), Incarnation: w.incarnation}
 }
 
 func (b *bench) endRun(w *fakeWorker, task workload.TaskID, attempt int64, kind workload.CompletionKind) {
@@ -232,7 +241,7 @@
 
 func (b *bench) report(w *fakeWorker, poll workload.Poll) workload.Report {
 	w.leaseUntilMS = max(w.leaseUntilMS, poll.UntilMS)
-	report := workload.Report{ClockMS: b.workerClock()}
+	report := workload.Report{ClockMS: b.clockOf(w), Incarnation: w.incarnation}
 	for key := range w.running {
 		report.Running = append(report.Running, workload.Running{Task: key.task, Attempt: key.attempt})
 	}
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -37,7 +37,9 @@
 	// confirmed is set if the worker had reported the run, shared if many workers crashed at
 	// the same time.
 	confirmed, shared bool
-	ran               time.Duration
+	// replaced is set if another incarnation of the worker has answered since.
+	replaced bool
+	ran      time.Duration
 	// lostAt is the time at which the run was lost, or at which its worker's crash was
 	// established if that was later.
 	lostAt time.Time
@@ -91,7 +93,7 @@
 	if r.worker.Leaving {
 		return // the worker left as announced
 	}
-	lost := lostAttempt{task: r.task, attempt: r.attempt, attemptRecorded: r.attemptRecorded, startsSent: r.startsSent, confirmed: r.confirmed, ran: c.now.Sub(r.since), lostAt: c.now}
+	lost := lostAttempt{task: r.task, attempt: r.attempt, attemptRecorded: r.attemptRecorded, startsSent: r.startsSent, confirmed: r.confirmed, replaced: cause == LossReplaced, ran: c.now.Sub(r.since), lostAt: c.now}
 	r.attemptRecorded = false
 	if !lost.attemptRecorded && !r.task.isFinished() {
 		lost.attemptRecorded = true
@@ -223,7 +225,7 @@
 		switch {
 		case !mayHaveStarted:
 			c.settleLostAttempt(lost, false)
-		case w.replaced:
+		case w.replaced || lost.replaced:
 			c.settleLostAttempt(lost, true)
 		default:
 			w.lostAttempts = append(w.lostAttempts, lost)
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,6 +22,10 @@
 	// downtime is zero.
 	restartAt map[string]time.Time
 	downtime  time.Duration
+	// keepsIDs is set if the next incarnation of a worker has the same id.
+	keepsIDs bool
+	// storedWorkers is the stored table of workers; only workers that keep their ids need it.
+	storedWorkers map[string]workload.Worker
 	// startsOf counts the starts of each task, crashesOf those that crashed a worker.
 	startsOf, crashesOf map[workload.TaskID]int
 	// runTime is the run time of tasks that crash nothing.
@@ -42,6 +48,13 @@
 	return func(task workload.TaskID) bool { return task.Job == job && task.Index == index }
 }
 
+// keepIDs makes the workers restart under the ids that they have.
+func (c *crashBench) keepIDs() {
+	c.keepsIDs = true
+	c.storedWorkers = make(map[string]workload.Worker)
+	c.numberIncarnations()
+}
+
 func newCrashBench(t *testing.T, workers int, crashes func(task workload.TaskID) bool) *crashBench {
 	c := &crashBench{
 		bench:     newBench(t, workers, false),
@@ -68,7 +81,7 @@
 		c.restartWorkers()
 		c.endStops()
 		c.runTasks()
-		c.core.WorkersStored(c.core.UnstoredWorkers(len(c.workers)))
+		c.storeWorkers()
 		for _, a := range c.core.Decide(c.now, c.wallMS) {
 			if a.Kind == ActStart {
 				c.startsOf[a.Order.Task]++
@@ -86,6 +99,16 @@
 	}
 }
 
+func (c *crashBench) storeWorkers() {
+	list := c.core.UnstoredWorkers(len(c.workers))
+	if c.keepsIDs {
+		for _, w := range list {
+			c.storedWorkers[w.ID] = w
+		}
+	}
+	c.core.WorkersStored(list)
+}
+
 func (c *crashBench) persist() {
 	list := c.core.UnstoredRecords(50)
 	for _, u := range list {
@@ -102,6 +125,10 @@
 	c.core.Configure(testConfig())
 	c.core.TrustStartIntents()
 	c.core.StoreStartIntents(true)
+	if stored := slices.Collect(maps.Values(c.storedWorkers)); len(stored) > 0 {
+		c.core.WorkersListed(stored, c.now, c.wallMS)
+		c.core.WorkersStored(stored)
+	}
 	c.listWorkers()
 	for _, job := range c.accepted {
 		c.core.AddJob(job, c.table[job.ID], false, c.now, c.wallMS)
@@ -159,6 +186,11 @@
 		}
 		delete(c.restartAt, id)
 		delete(c.refusing, id)
+		if c.keepsIDs {
+			c.restart(id)
+			c.listWorkers()
+			continue
+		}
 		c.replaced[id], c.unlisted[id] = true, true
 		next := string(id[0]+1) + id[1:]
 		c.addWorker(next)
--- /dev/null
+++ b/internal/dispatch/incarnation.go
@@ -0,0 +1,153 @@
+package dispatch
+
+import (
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+// On some platforms a worker that crashed starts again under its id. Its new incarnation runs
+// nothing, and numbers its completions and its clock from the beginning: a completion that was
+// taken for one of the earlier incarnation would be lost, and its task would run twice. Only an
+// answer establishes a new incarnation, because its list of runs shows what is over. An entry of
+// the platform's list that is ahead of the answers merely causes a poll.
+
+// isOutdated reports whether a listed entry describes an earlier incarnation than the one that
+// answers.
+func (w *worker) isOutdated(listed workload.Worker) bool {
+	return listed.Incarnation != 0 && listed.Incarnation < w.incarnation
+}
+
+// restartUnconfirmed reports whether the list names a later incarnation than the one that
+// answers.
+func (w *worker) restartUnconfirmed() bool {
+	return w.incarnation != 0 && w.Incarnation > w.incarnation
+}
+
+// incarnationSettled reports whether the list, the answers and the stored table agree on the
+// incarnation. Until then its capacity and labels may be those of an earlier one.
+func (w *worker) incarnationSettled() bool {
+	answers := w.incarnation == 0 || w.Incarnation == 0 || w.incarnation == w.Incarnation
+	return answers && w.storedIncarnation == w.Incarnation
+}
+
+// admitReport reports whether the answer to a poll concerns the incarnation that is known now,
+// after replacing it if the answer came from a later one.
+func (c *Core) admitReport(w *worker, poll workload.Poll, report workload.Report) bool {
+	switch {
+	case report.Verdict == workload.VerdictFenced:
+		return true
+	case report.Verdict == workload.VerdictDone && report.Incarnation > w.incarnation:
+		c.incarnationAnswered(w, report.Incarnation, reportedRuns(report))
+		return true
+	case report.Incarnation != 0 && report.Incarnation < w.incarnation:
+		return false
+	}
+	return poll.Incarnation == 0 || poll.Incarnation == w.incarnation
+}
+
+// reportedRuns returns the runs that a report lists as running or ended.
+func reportedRuns(report workload.Report) map[runKey]bool {
+	reported := make(map[runKey]bool, len(report.Running)+len(report.Ended))
+	for _, r := range report.Running {
+		reported[runKey{r.Task, r.Attempt}] = true
+	}
+	for _, e := range report.Ended {
+		reported[runKey{e.Task, e.Attempt}] = true
+	}
+	return reported
+}
+
+// admitResult works like admitReport for the answer to an order. It also admits answers about
+// runs that were ordered from an earlier incarnation and are still unsettled.
+func (c *Core) admitResult(w *worker, order workload.Order, result workload.OrderResult) (current bool) {
+	if result.Incarnation > w.incarnation {
+		started := map[runKey]bool{}
+		if result.Verdict == workload.VerdictDone {
+			started[runKey{order.Task, order.Attempt}] = true
+		}
+		c.incarnationAnswered(w, result.Incarnation, started)
+	}
+	if result.Incarnation != 0 {
+		return result.Incarnation == w.incarnation
+	}
+	return order.Incarnation == w.incarnation
+}
+
+// incarnationAnswered records the first answer of an incarnation. present holds the runs that it
+// is known to have.
+func (c *Core) incarnationAnswered(w *worker, incarnation int64, present map[runKey]bool) {
+	if w.incarnation != 0 {
+		c.workerRestarted(w, present)
+	} else if w.firstIncarnation != 0 && w.firstIncarnation < incarnation {
+		c.recordLostUnsynced(w)
+	}
+	w.incarnation = incarnation
+}
+
+// workerRestarted ends the runs of the earlier incarnation of a worker, all but those that the
+// new one has, and resets what was known about the earlier one.
+func (c *Core) workerRestarted(w *worker, present map[runKey]bool) {
+	c.recordLostUnsynced(w)
+	if !w.Leaving {
+		c.recordMachineCrash(w)
+	}
+	c.settleReplaced(w)
+	w.markReplaced()
+	lost := w.sortedRuns(func(r *run) bool { return !present[runKey{r.task.id(), r.attempt}] })
+	for _, r := range lost {
+		if r.mayStartLate() {
+			w.lateStarts = append(w.lateStarts, runKey{r.task.id(), r.attempt})
+		}
+		c.reportLostRun(r, LossReplaced, len(lost)-1)
+		c.recordLostAttempt(r, LossReplaced)
+		c.runEnded(r, workload.CompletionExpired)
+	}
+	for _, j := range c.queue {
+		for _, s := range j.steps {
+			delete(s.advice.tickets, w.ID) // tickets are valid for one incarnation
+		}
+	}
+	*w = worker{
+		Worker: w.Worker, stored: w.stored, storedLeaving: w.storedLeaving, storedIncarnation: w.storedIncarnation,
+		unlistedSince: w.unlistedSince, runs: w.runs, used: w.used, lostAttempts: w.lostAttempts, lateStarts: w.lateStarts,
+		wantPoll: true,
+	}
+}
+
+// mayStartLate reports whether a call with the run's start may still be carried out, by whichever
+// incarnation receives it.
+func (r *run) mayStartLate() bool {
+	return r.state == stRunOrdered || r.state == stRunUnclear && r.settledAfter == 0 || r.startsSent > 1
+}
+
+// closeLateStarts stops, on the new incarnation, the attempts whose start may still reach it. A
+// worker rejects the start of an attempt that was stopped before. Their jobs wait until the next
+// poll.
+func (c *Core) closeLateStarts(w *worker) {
+	for _, key := range w.lateStarts {
+		if w.runs[key] == nil {
+			c.stopUnknownRun(w, workload.Running{Task: key.task, Attempt: key.attempt})
+		}
+	}
+	w.lateStarts = nil
+}
+
+// settleSurvived settles the lost attempts of an incarnation that has answered since: it did not
+// crash. Those of an earlier incarnation wait for the answer to their start.
+func (c *Core) settleSurvived(w *worker) {
+	list := w.lostAttempts
+	w.lostAttempts = nil
+	for _, lost := range list {
+		if lost.replaced {
+			w.lostAttempts = append(w.lostAttempts, lost)
+			continue
+		}
+		c.settleLostAttempt(lost, false)
+	}
+}
+
+// markReplaced marks the lost attempts of a worker as those of an incarnation that is over.
+func (w *worker) markReplaced() {
+	for i := range w.lostAttempts {
+		w.lostAttempts[i].replaced = true
+	}
+}
--- a/internal/dispatch/leaving_test.go
+++ b/internal/dispatch/leaving_test.go
@@ -13,7 +13,7 @@
 func (b *bench) endExpiredRuns() {
 	for _, w := range b.workers {
 		for key := range w.running {
-			if b.workerClock() > w.leaseUntilMS {
+			if b.clockOf(w) > w.leaseUntilMS {
 				b.endRun(w, key.task, key.attempt, workload.CompletionExpired)
 			}
 		}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -58,7 +58,7 @@
 	until := w.estimatedClock(c.now) + startValidity.Milliseconds()
 	w.extendLease(until)
 	r.order = &workload.Order{
-		Worker: w.ID, Addr: w.Addr, Zone: w.Zone, Task: t.id(), Attempt: attempt, Epoch: c.epoch, UntilMS: until,
+		Worker: w.ID, Addr: w.Addr, Zone: w.Zone, Incarnation: w.incarnation, Task: t.id(), Attempt: attempt, Epoch: c.epoch, UntilMS: until,
 		Spec: t.step.job.Spec, Checkpoint: r.checkpoint, Ticket: t.step.advice.tickets[w.ID].ticket,
 	}
 	c.sendStart(r, reason)
@@ -134,26 +134,29 @@
 	r.stopSentAt = c.now
 	r.stopsSent++
 	c.actions = append(c.actions, Action{Kind: ActStop, Reason: r.stopReason, Order: workload.Order{
-		Worker: r.worker.ID, Addr: r.worker.Addr, Zone: r.worker.Zone, Task: r.task.id(), Attempt: r.attempt, Epoch: c.epoch,
+		Worker: r.worker.ID, Addr: r.worker.Addr, Zone: r.worker.Zone, Incarnation: r.worker.incarnation,
+		Task: r.task.id(), Attempt: r.attempt, Epoch: c.epoch,
 	}})
 }
 
 // answerTarget returns the worker and the run that an answer refers to, and samples the
 // worker's clock. Both are nil if the worker has been removed; only the run is nil if the run
-// has been removed.
-func (c *Core) answerTarget(order workload.Order, result workload.OrderResult, now time.Time, wallMS int64) (*worker, *run) {
+// has been removed. current is false if an earlier incarnation of the worker answered.
+func (c *Core) answerTarget(order workload.Order, result workload.OrderResult, now time.Time, wallMS int64) (w *worker, r *run, current bool) {
 	c.tick(now, wallMS)
-	w := c.workers[order.Worker]
+	w = c.workers[order.Worker]
 	if w == nil {
-		return nil, nil
+		return nil, nil, false
 	}
-	w.sampleClock(result.ClockMS, now)
-	return w, w.runs[runKey{order.Task, order.Attempt}]
+	if current = c.admitResult(w, order, result); current {
+		w.sampleClock(result.ClockMS, now)
+	}
+	return w, w.runs[runKey{order.Task, order.Attempt}], current
 }
 
 // StartAnswered processes the answer to a start.
 func (c *Core) StartAnswered(order workload.Order, result workload.OrderResult, now time.Time, wallMS int64) {
-	w, r := c.answerTarget(order, result, now, wallMS)
+	w, r, _ := c.answerTarget(order, result, now, wallMS)
 	if r == nil && w != nil {
 		c.settleLostStart(w, runKey{order.Task, order.Attempt}, result.Verdict)
 	}
@@ -219,8 +222,8 @@
 
 // StopAnswered processes the answer to a stop.
 func (c *Core) StopAnswered(order workload.Order, result workload.OrderResult, now time.Time, wallMS int64) {
-	w, r := c.answerTarget(order, result, now, wallMS)
-	if w == nil {
+	w, r, current := c.answerTarget(order, result, now, wallMS)
+	if w == nil || !current && result.Verdict != workload.VerdictFenced {
 		return
 	}
 	switch result.Verdict {
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -21,9 +21,17 @@
 	synced bool
 	// replaced is set once another incarnation has answered.
 	replaced bool
+	// incarnation is the incarnation that answers, or 0 if it is unknown. The embedded Worker has
+	// the one that the platform lists.
+	incarnation int64
+	// firstIncarnation is the first one that this epoch knew, from the stored table if the worker
+	// was in it.
+	firstIncarnation int64
 	// stored is set if the worker is in the stored table, so that a leader that never saw it in
-	// the platform's list still polls it; storedLeaving is the leaving flag of that row.
+	// the platform's list still polls it; storedLeaving and storedIncarnation are those of that
+	// row.
 	stored, storedLeaving bool
+	storedIncarnation     int64
 	used                  workload.Resources
 	runs                  map[runKey]*run
 	// unknownRuns holds runs of finished or unknown jobs: they were ordered to stop, and
@@ -42,6 +50,8 @@
 	unstored                                      []unstoredCompletion
 	// lostAttempts are runs that were lost with the worker and whose outcome is not known yet.
 	lostAttempts []lostAttempt
+	// lateStarts are attempts ordered from an earlier incarnation that this one may still start.
+	lateStarts []runKey
 	// lastContact is the time of the last answer.
 	lastContact time.Time
 	// polling is set while a poll is in flight, quickPolling while an additional quick poll is.
@@ -91,15 +101,22 @@
 		seen[listed.ID] = true
 		w := c.workers[listed.ID]
 		if w == nil {
-			w = &worker{Worker: listed, runs: make(map[runKey]*run)}
+			w = &worker{Worker: listed, runs: make(map[runKey]*run), firstIncarnation: listed.Incarnation}
 			c.workers[listed.ID] = w
 			c.fleet = append(c.fleet, w)
 		}
+		if w.isOutdated(listed) {
+			w.unlistedSince = time.Time{}
+			continue
+		}
 		if listed.Leaving && listed.LeavesInMS > 0 && (!w.Leaving || w.leavesAt.IsZero() || listed.LeavesInMS != w.LeavesInMS) {
 			w.leavesAt = now.Add(time.Duration(listed.LeavesInMS) * time.Millisecond)
 		}
 		w.Worker = listed
 		w.unlistedSince = time.Time{}
+		if w.restartUnconfirmed() {
+			w.wantPoll, w.nextPollAt = true, time.Time{}
+		}
 	}
 	slices.SortFunc(c.fleet, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
 	for _, w := range c.fleet {
@@ -111,7 +128,7 @@
 
 // usable reports whether a worker may get new work.
 func (w *worker) usable(now time.Time) bool {
-	return w.synced && w.stored && !w.Leaving && w.unlistedSince.IsZero() && !now.Before(w.holdOffUntil) && w.misses == 0
+	return w.synced && w.stored && w.incarnationSettled() && !w.Leaving && w.unlistedSince.IsZero() && !now.Before(w.holdOffUntil) && w.misses == 0
 }
 
 func (w *worker) recordRefusal(now time.Time) { w.holdOffUntil = now.Add(refusalHoldOff) }
@@ -150,7 +167,7 @@
 }
 
 func (c *Core) sendPoll(w *worker, wait time.Duration, quick bool) {
-	poll := workload.Poll{Worker: w.ID, Addr: w.Addr, Zone: w.Zone, Epoch: c.epoch, Acknowledged: w.acknowledgeable, Wait: wait}
+	poll := workload.Poll{Worker: w.ID, Addr: w.Addr, Zone: w.Zone, Incarnation: w.incarnation, Epoch: c.epoch, Acknowledged: w.acknowledgeable, Wait: wait}
 	// A worker that does not answer gets no longer lease: a poll that it never received would
 	// count as an extension, and its runs would never expire.
 	if w.clockMS > 0 && len(w.runs) > 0 && w.misses == 0 && !c.watching {
@@ -176,7 +193,7 @@
 	c.tick(now, wallMS)
 	c.pollWindow.callEnded(sent.class, now.Sub(sent.sentAt), now)
 	w := c.workers[sent.Poll.Worker]
-	if w == nil {
+	if w == nil || !c.admitReport(w, sent.Poll, report) {
 		return
 	}
 	if sent.Quick {
@@ -202,9 +219,11 @@
 		// worker rejects them.
 		w.extendLease(w.clockMS + c.bounds.MaxLease.Milliseconds())
 	}
-	c.settleLostAttempts(w, false)
+	c.settleSurvived(w)
 	w.misses, w.nextPollAt, w.synced = 0, time.Time{}, true
-	w.acknowledged = max(w.acknowledged, sent.Poll.Acknowledged)
+	if sent.Poll.Incarnation == w.incarnation {
+		w.acknowledged = max(w.acknowledged, sent.Poll.Acknowledged)
+	}
 	if report.Unparsed > 0 {
 		c.pollBeforeWork(w) // its free capacity is unknown
 	}
@@ -214,6 +233,7 @@
 	}
 	w.lastPollSequence = sent.Sequence
 	c.reconcileRuns(w, report.Running, sent.Sequence)
+	c.closeLateStarts(w)
 }
 
 // reconcileRuns updates the runs of a worker to match the runs that it lists.
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -23,7 +23,7 @@
 		if slices.Contains(c.pendingRemovals, w.ID) {
 			continue // its old row is removed first
 		}
-		if w.unlistedSince.IsZero() && (!w.stored || w.storedLeaving != w.Leaving) {
+		if w.unlistedSince.IsZero() && (!w.stored || w.storedLeaving != w.Leaving || w.storedIncarnation != w.Incarnation) {
 			list = append(list, w.Worker)
 		}
 	}
@@ -36,7 +36,7 @@
 	for i := range list {
 		w := c.workers[list[i].ID]
 		if w != nil && !slices.Contains(c.pendingRemovals, w.ID) {
-			w.stored, w.storedLeaving = true, list[i].Leaving
+			w.stored, w.storedLeaving, w.storedIncarnation = true, list[i].Leaving, list[i].Incarnation
 		}
 	}
 }
--- a/internal/emulator/crash.go
+++ b/internal/emulator/crash.go
@@ -71,8 +71,12 @@
 	}
 	w.restartAt = 0
 	w.restarts++
-	w.ID = fmt.Sprintf("%s-%d", w.machine, w.restarts)
-	sim.workers[w.ID] = w
+	if sim.day.KeepIDs {
+		w.Incarnation++
+	} else {
+		w.ID = fmt.Sprintf("%s-%d", w.machine, w.restarts)
+		sim.workers[w.ID] = w
+	}
 	if sim.leader.core != nil {
 		sim.notifyWorkers()
 		sim.roundDue = true
@@ -87,6 +91,10 @@
 	for _, w := range sim.workerList {
 		list = append(list, w.Worker)
 	}
+	if sim.day.KeepIDs && len(sim.storedWorkers) > 0 {
+		sim.leader.core.WorkersListed(sim.storedWorkers, sim.clock(), sim.wallMS())
+	}
 	sim.leader.core.WorkersListed(list, sim.clock(), sim.wallMS())
 	sim.leader.core.WorkersStored(list)
+	sim.storedWorkers = list
 }
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"reflect"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"github.com/corianderbank/corianderbank/internal/dispatch"
 	"github.com/corianderbank/corianderbank/internal/measure"
+	"github.com/corianderbank/corianderbank/internal/quarantine"
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
@@ -155,3 +157,29 @@
 	}
 	assert.Assert(t, failed > 0)
 }
+
+// No task may run twice at the same time or after its acknowledged completion, no worker
+// may exceed its capacity, and accepted jobs end or run, also when workers return under the ids
+// that they had.
+func TestWorkersThatReturnUnderTheirIDsRunNothingTwice(t *testing.T) {
+	day := loadDay(t, "workers return under their ids")
+	for _, name := range []string{"klaverveld", "lankapowder"} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s %d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				tally := simulate(loadDeployment(t, name), day, dispatch.Tuning{}, seed)
+				assert.Assert(t, tally.workerCrashes > 10, "%d crashes", tally.workerCrashes)
+				assert.Equal(t, tally.concurrentRuns, 0)
+				assert.Equal(t, tally.startsAfterCompletion, 0)
+				assert.Equal(t, tally.startsOverCapacity, 0)
+				for job, crashes := range tally.crashesByJob {
+					assert.Assert(t, crashes <= quarantine.LossLimit, "job %s crashed %d workers", job.job.ID, crashes)
+				}
+				for _, a := range tally.jobs {
+					_, completed := tally.completedAt[a]
+					assert.Assert(t, completed || a.cancelAt > 0 || tally.failed[a] || tally.runningAtEnd[a], "job %s of %s", a.job.ID, a.kind.Queue)
+				}
+			})
+		}
+	}
+}
--- a/internal/emulator/player.go
+++ b/internal/emulator/player.go
@@ -45,9 +45,11 @@
 	tuning     dispatch.Tuning
 	leader     leader
 	// now is the time since simulationStart.
-	now            time.Duration
-	workers        map[string]*worker
-	workerList     []*worker
+	now        time.Duration
+	workers    map[string]*worker
+	workerList []*worker
+	// storedWorkers are the workers as last stored by a leader.
+	storedWorkers  []workload.Worker
 	jobs           map[string]*arrival
 	gangs          map[runKey]*gang
 	pendingAnswers []pendingAnswer
@@ -110,6 +112,11 @@
 		}
 		sim.advance()
 	}
+	for _, w := range sim.workerList {
+		for _, r := range w.runs {
+			sim.tally.runningAtEnd[r.job] = true
+		}
+	}
 	sim.tally.close(d, list)
 	return &sim.tally
 }
@@ -131,6 +138,9 @@
 	}
 	for i, listed := range d.listWorkers() {
 		w := &worker{Worker: listed, machine: listed.ID, zone: i / d.WorkersPerRack / d.RacksPerZone, speed: d.Speeds[random.IntN(len(d.Speeds))]}
+		if day.KeepIDs {
+			w.Incarnation = 1
+		}
 		for t := range day.WorkerFaults {
 			if random.Float64() < day.WorkerFaults[t].Share {
 				w.faults = append(w.faults, &day.WorkerFaults[t])
@@ -297,7 +307,7 @@
 		return workload.OrderResult{Verdict: workload.VerdictUnknown}, orderTimeout
 	}
 	apply(w)
-	return workload.OrderResult{ClockMS: sim.wallMS()}, tick
+	return workload.OrderResult{ClockMS: sim.wallMS(), Incarnation: w.Incarnation}, tick
 }
 
 func (sim *simulation) sendPoll(action dispatch.Action) {
@@ -342,8 +352,14 @@
 
 // sendReport answers a poll. Completions that the poll acknowledges are dropped first.
 func (sim *simulation) sendReport(w *worker, action dispatch.Action) {
-	w.completions = slices.DeleteFunc(w.completions, func(e workload.Completion) bool { return e.Number <= action.Poll.Acknowledged })
-	report := workload.Report{ClockMS: sim.wallMS(), Running: w.runningTasks(), Ended: slices.Clone(w.completions)}
+	w.completions = slices.DeleteFunc(w.completions, func(e workload.Completion) bool {
+		acknowledged := e.Number <= action.Poll.Acknowledged
+		if acknowledged && e.Kind == workload.CompletionDone {
+			sim.tally.recordAcknowledged(e.Task)
+		}
+		return acknowledged
+	})
+	report := workload.Report{ClockMS: sim.wallMS(), Incarnation: w.Incarnation, Running: w.runningTasks(), Ended: slices.Clone(w.completions)}
 	sim.deliverAfter(tick, func(core *dispatch.Core) { core.PollAnswered(action, report, sim.clock(), sim.wallMS()) })
 }
 
@@ -359,6 +375,7 @@
 		r.workDone -= milliseconds(sim.deployment.RestoreMS)
 	}
 	sim.tally.recordStart(a, sim.now)
+	sim.checkStart(w, order.Task)
 	if sim.drainedFor(w, drainTolerance) {
 		sim.tally.drainedStarts++
 	}
@@ -370,6 +387,26 @@
 	w.startRun(r, g)
 }
 
+// checkStart records what no start may do: run a task beside another run of it or after
+// its acknowledged completion, or exceed the worker's capacity.
+func (sim *simulation) checkStart(w *worker, task workload.TaskID) {
+	if sim.tally.acknowledged[task] {
+		sim.tally.startsAfterCompletion++
+	}
+	for _, other := range sim.workerList {
+		if slices.ContainsFunc(other.runs, func(r *run) bool { return r.key.task == task }) {
+			sim.tally.concurrentRuns++
+		}
+	}
+	used := sim.jobs[task.Job].job.Steps[0].CountedResources()
+	for _, r := range w.runs {
+		used = used.Add(r.job.job.Steps[0].CountedResources())
+	}
+	if !w.Capacity.Contains(used) {
+		sim.tally.startsOverCapacity++
+	}
+}
+
 // drainedFor reports whether a worker's zone has been drained for a duration. Only the
 // start and the end of that period are checked.
 func (sim *simulation) drainedFor(w *worker, d time.Duration) bool {
--- a/internal/emulator/tally.go
+++ b/internal/emulator/tally.go
@@ -7,6 +7,7 @@
 	"github.com/corianderbank/corianderbank/internal/dispatch"
 	"github.com/corianderbank/corianderbank/internal/measure"
 	"github.com/corianderbank/corianderbank/internal/quarantine"
+	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
 const (
@@ -29,6 +30,8 @@
 	completedAt, startedAt map[*arrival]time.Duration
 	// failed holds the jobs that failed permanently.
 	failed map[*arrival]bool
+	// runningAtEnd holds the jobs that run at the end of the simulation.
+	runningAtEnd map[*arrival]bool
 	// crashesByJob counts the workers that a job crashed.
 	crashesByJob map[*arrival]int
 	// wastedWork is measured in core-seconds.
@@ -36,6 +39,12 @@
 	preempted  int
 	// drainedStarts counts starts in zones that had been drained for drainTolerance.
 	drainedStarts int
+	// acknowledged holds the tasks whose successful completion was acknowledged to the
+	// worker.
+	acknowledged map[workload.TaskID]bool
+	// startsAfterCompletion counts starts of such tasks, concurrentRuns starts of tasks
+	// that were running, and startsOverCapacity those that exceeded a worker's capacity.
+	startsAfterCompletion, concurrentRuns, startsOverCapacity int
 	// workerCrashes counts crashes of workers; wronglyFailed counts jobs that failed
 	// permanently because of crashes that they had not caused.
 	workerCrashes, wronglyFailed int
@@ -53,7 +62,9 @@
 func newTally() tally {
 	return tally{
 		completedAt: make(map[*arrival]time.Duration), startedAt: make(map[*arrival]time.Duration), byClass: make(map[jobClass]*score),
-		failed: make(map[*arrival]bool), crashesByJob: make(map[*arrival]int), byZone: make(map[int]*score), byAccount: make(map[string]*score), byWindow: make(map[int]*score),
+		runningAtEnd: make(map[*arrival]bool),
+		acknowledged: make(map[workload.TaskID]bool),
+		failed:       make(map[*arrival]bool), crashesByJob: make(map[*arrival]int), byZone: make(map[int]*score), byAccount: make(map[string]*score), byWindow: make(map[int]*score),
 	}
 }
 
@@ -80,6 +91,8 @@
 	}
 }
 
+func (t *tally) recordAcknowledged(task workload.TaskID) { t.acknowledged[task] = true }
+
 func (t *tally) recordCompletion(a *arrival, at time.Duration) {
 	if _, recorded := t.completedAt[a]; !recorded {
 		t.completedAt[a] = at
--- a/internal/workload/check.go
+++ b/internal/workload/check.go
@@ -62,7 +62,7 @@
 		return fmt.Errorf("address is empty")
 	case w.Pool == "":
 		return fmt.Errorf("pool is empty")
-	case !w.Capacity.valid() || w.LeavesInMS < 0:
+	case !w.Capacity.valid() || w.LeavesInMS < 0 || w.Incarnation < 0:
 		return fmt.Errorf("a field is negative")
 	}
 	return nil
--- a/internal/workload/ports.go
+++ b/internal/workload/ports.go
@@ -89,9 +89,12 @@
 	Worker string
 	Addr   string
 	// Zone is the worker's availability zone.
-	Zone    string
-	Task    TaskID
-	Attempt int64
+	Zone string
+	// Incarnation is the worker's incarnation as known when the order was given. It is
+	// not sent: the worker that carries out the order may be a later one.
+	Incarnation int64
+	Task        TaskID
+	Attempt     int64
 	// Epoch is the fencing token. A worker rejects orders with an epoch lower than
 	// the highest it has seen.
 	Epoch int64
@@ -153,12 +156,13 @@
 	return VerdictUnknown
 }
 
-// OrderResult is the result of an order. ClockMS is the worker's clock, or zero if the
-// answer did not include it.
+// OrderResult is the result of an order. ClockMS is the worker's clock and Incarnation the
+// incarnation that answered; each is zero if the answer did not include it.
 type OrderResult struct {
-	Verdict Verdict
-	ClockMS int64
-	Err     error
+	Verdict     Verdict
+	ClockMS     int64
+	Incarnation int64
+	Err         error
 }
 
 // Running is a run that a worker reports as in progress.
@@ -200,8 +204,10 @@
 type Poll struct {
 	Worker, Addr string
 	// Zone is the worker's availability zone.
-	Zone  string
-	Epoch int64
+	Zone string
+	// Incarnation is the worker's incarnation as known when the poll was sent.
+	Incarnation int64
+	Epoch       int64
 	// Acknowledged is the number of the last completion that was recorded.
 	Acknowledged int64
 	// UntilMS is the new end of the lease on the worker's clock. Zero does not extend
@@ -211,12 +217,13 @@
 	Wait time.Duration
 }
 
-// Report is a worker's answer to a Poll.
+// Report is a worker's answer to a Poll. ClockMS and Incarnation are those of OrderResult.
 type Report struct {
-	Verdict Verdict
-	ClockMS int64
-	Running []Running
-	Ended   []Completion
+	Verdict     Verdict
+	ClockMS     int64
+	Incarnation int64
+	Running     []Running
+	Ended       []Completion
 	// Unparsed counts rows that could not be parsed. Each is a run, in progress or
 	// ended, that cannot be identified.
 	Unparsed int
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -230,8 +230,13 @@
 
 // Worker is one incarnation of a machine that runs tasks, as listed by the platform.
 type Worker struct {
-	// ID identifies this incarnation. A restarted worker has a different one.
-	ID   string `json:"id"`
+	// ID identifies the worker. A restarted worker has a different ID, or the same ID
+	// with a higher Incarnation.
+	ID string `json:"id"`
+	// Incarnation is the start time of this incarnation, or 0 if the platform does not
+	// report it.
+	Incarnation int64 `json:"incarnation,omitempty"`
+
 	Addr string `json:"addr"`
 	Pool string `json:"pool"`
 	Zone string `json:"zone,omitempty"`
