Dispatch: the speeds of the workers are learned, and work is placed where it ends in time

Change: the progress of the runs of a step, between two reports on the worker's clock, is compared within the step (speed.go). Where the speeds differ by more than their uncertainty explains, a step goes to the slowest band of workers on which it ends in time, and an urgent gang rather waits or preempts there than starts late (intime.go); the estimates are of a worker of the usual speed.

--- a/internal/dispatch/choices.go
+++ b/internal/dispatch/choices.go
@@ -24,6 +24,8 @@
 	ChoiceOrder Choice = "order"
 	// ChoiceVictims orders the runs that may be preempted on a worker.
 	ChoiceVictims Choice = "victims"
+	// ChoiceSpeed orders workers of unequal speed.
+	ChoiceSpeed Choice = "speed"
 	// ChoiceCrashSuspects orders the workers for a task whose earlier workers crashed.
 	ChoiceCrashSuspects Choice = "crash_suspects"
 )
@@ -80,7 +82,7 @@
 // defaultPolicies are the policies used where a tuning selects none.
 var defaultPolicies = map[Choice]string{
 	ChoicePlace: "fullest", ChoiceSpread: "anywhere", ChoiceOrder: "due", ChoiceVictims: "least_work",
-	ChoiceCrashSuspects: "alone",
+	ChoiceSpeed: "slack_bands", ChoiceCrashSuspects: "alone",
 }
 
 // policiesOf returns the sorted policy names of a choice.
@@ -94,6 +96,8 @@
 		return slices.Sorted(maps.Keys(orderPolicies))
 	case ChoiceVictims:
 		return slices.Sorted(maps.Keys(victimPolicies))
+	case ChoiceSpeed:
+		return slices.Sorted(maps.Keys(speedPolicies))
 	case ChoiceCrashSuspects:
 		return slices.Sorted(maps.Keys(crashSuspectPolicies))
 	}
@@ -106,6 +110,7 @@
 	spread        spreadPolicy
 	order         orderPolicy
 	victims       victimPolicy
+	speed         speedPolicy
 	crashSuspects crashSuspectPolicy
 }
 
@@ -116,6 +121,7 @@
 		spread:        spreadPolicies[policy(ChoiceSpread)],
 		order:         orderPolicies[policy(ChoiceOrder)],
 		victims:       victimPolicies[policy(ChoiceVictims)],
+		speed:         speedPolicies[policy(ChoiceSpeed)],
 		crashSuspects: crashSuspectPolicies[policy(ChoiceCrashSuspects)],
 	}
 }
--- a/internal/dispatch/completions.go
+++ b/internal/dispatch/completions.go
@@ -100,7 +100,9 @@
 		return
 	}
 	if r != nil && !t.done {
-		c.estimates.learn(s, c.now.Sub(r.since), r.initialPercent)
+		c.observeCompletion(r)
+		runTime := time.Duration(float64(c.now.Sub(r.since)) * c.gangSpeed(r))
+		c.estimates.learn(s, runTime, r.initialPercent)
 	}
 	if !s.spec.Gang {
 		c.markTaskDone(t, r)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -151,6 +151,7 @@
 	// waiting counts the steps that waited in the last round, by priority.
 	waiting   map[int]int
 	estimates estimates
+	speeds    speeds
 	// advisorCalls counts the requests to the advisor in flight.
 	advisorCalls int
 	// watching is set while polls must not extend leases.
@@ -172,6 +173,7 @@
 		workers:        make(map[string]*worker),
 		dirty:          make(map[string]*job),
 		estimates:      newEstimates(),
+		speeds:         speeds{variance: initialSpeedVariance, fastest: 1},
 		now:            now,
 		urgentUsage:    make(map[string]float64),
 		lightLoadSince: make(map[string]time.Time),
@@ -212,6 +214,7 @@
 	c.resendStarts()
 	c.interruptPartialGangs()
 	c.dropFinished()
+	c.learnSpeeds()
 	if c.config != nil && !c.startsHeld {
 		c.place()
 	}
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -103,13 +103,33 @@
 
 func fromLog(ms float64) time.Duration { return time.Duration(math.Exp(ms)) * time.Millisecond }
 
-// remaining returns the expected remaining time of a run.
-func (e *estimates) remaining(r *run, now time.Time) time.Duration {
-	ran := now.Sub(r.since)
+// runDuration returns the expected run time of a run from its start, at the speed of its worker or
+// of its gang.
+func (c *Core) runDuration(r *run) time.Duration {
+	return time.Duration(float64(c.estimates.taskDuration(r.task.step)) / c.gangSpeed(r))
+}
+
+// remaining returns the expected remaining time of a run. Where workers have unequal speeds, the
+// members of a gang wait for the slowest one.
+func (c *Core) remaining(r *run) time.Duration {
+	g := r.gang
+	if g == nil || !c.speeds.unequal {
+		return c.remainingAlone(r)
+	}
+	if g.remainingAsOf != c.sequence {
+		g.remaining, g.remainingAsOf = 0, c.sequence
+		r.task.step.eachMember(g, func(member *run) { g.remaining = max(g.remaining, c.remainingAlone(member)) })
+	}
+	return g.remaining
+}
+
+// remainingAlone returns the expected remaining time of a run regardless of its gang.
+func (c *Core) remainingAlone(r *run) time.Duration {
+	ran := c.now.Sub(r.since)
 	if done := r.percent - r.initialPercent; done >= minProgress {
 		return time.Duration(float64(ran) * float64(100-r.percent) / float64(done))
 	}
-	return max(e.taskDuration(r.task.step)-ran, minRemaining)
+	return max(c.runDuration(r)-ran, minRemaining)
 }
 
 const (
--- a/internal/dispatch/evacuate.go
+++ b/internal/dispatch/evacuate.go
@@ -37,7 +37,7 @@
 	if s.LongRunning {
 		return lastChance
 	}
-	remaining := c.estimates.remaining(r, c.now)
+	remaining := c.remaining(r)
 	if s.Checkpoints {
 		return remaining > timeLeft || lastChance && remaining > timeLeft-c.bounds.MaxStopTime
 	}
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -97,8 +97,8 @@
 	return best, found
 }
 
-// pick takes up to n slots of the matching workers, fullest first, so that whole workers stay
-// free for tasks that need one.
+// pick takes up to n slots of the matching workers: among those of the best speed the fullest
+// first, so that whole workers stay free for tasks that need one.
 func (c *Core) pick(u *pendingStep, workers []*workerCapacity, counts []int64, n int, match func(*workerCapacity) bool) []*workerCapacity {
 	order := make([]int, 0, len(workers))
 	for i, r := range workers {
@@ -108,9 +108,14 @@
 	}
 	slices.SortFunc(order, func(a, b int) int {
 		if !c.enabled(MechPacking) {
-			return cmp.Or(c.crashOrder(u, workers[a], workers[b]), cmp.Compare(a, b))
+			return cmp.Or(c.crashOrder(u, workers[a], workers[b]), c.compareSpeed(u, workers[a], workers[b]), cmp.Compare(a, b))
 		}
-		return cmp.Or(c.crashOrder(u, workers[a], workers[b]), c.policies.place(c, u, workers[a], workers[b]), cmp.Compare(a, b))
+		return cmp.Or(
+			c.crashOrder(u, workers[a], workers[b]),
+			c.compareSpeed(u, workers[a], workers[b]),
+			c.policies.place(c, u, workers[a], workers[b]),
+			cmp.Compare(a, b),
+		)
 	})
 	return takeSlots(workers, counts, order, n)
 }
--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -55,14 +56,29 @@
 	}
 	maxKept := int(c.numberOr(NumHeadroomMaxShare, headroomMaxShare) * float64(len(workers)))
 	wanted := c.numberOr(NumHeadroomFactor, headroomFactor) * c.urgentUsage[pool]
-	return slices.DeleteFunc(slices.Clone(workers), func(r *workerCapacity) bool {
-		kept := maxKept > 0 && wanted > 0 && r.urgentOnly
-		if kept {
+	kept := make(map[*workerCapacity]bool)
+	for _, r := range c.fastWorkersFirst(workers) {
+		if maxKept == 0 || wanted <= 0 {
+			break
+		}
+		if r.urgentOnly {
+			kept[r] = true
 			maxKept--
 			wanted -= float64(r.Capacity.Accelerators)
 		}
-		return kept
-	})
+	}
+	return slices.DeleteFunc(slices.Clone(workers), func(r *workerCapacity) bool { return kept[r] })
+}
+
+// fastWorkersFirst moves the workers that are slower than usual to the end of a list: most urgent
+// work misses its objective on them.
+func (c *Core) fastWorkersFirst(workers []*workerCapacity) []*workerCapacity {
+	if !c.speeds.unequal {
+		return workers
+	}
+	sorted := slices.Clone(workers)
+	slices.SortStableFunc(sorted, func(a, b *workerCapacity) int { return cmp.Compare(max(0, -a.band()), max(0, -b.band())) })
+	return sorted
 }
 
 // loadOf returns the share of the workers' accelerators in use, or that of their processors if
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -28,6 +28,8 @@
 	// durationAsOf.
 	duration     time.Duration
 	durationAsOf uint64
+	// rate is the rate of progress of the tasks, or nil before any is known.
+	rate *stepRate
 	// claim is where an urgent gang will start once the runs there have ended.
 	claim *claim
 	// advice holds the advisor's answers, on queues that have an advisor.
@@ -51,6 +53,13 @@
 	// its members has completed.
 	interrupted bool
 	done        bool
+	// slowest is the speed of the slowest member's worker, as of the pass speedPass and with
+	// speedRuns members. remaining is the longest remaining time of a member, as of the event
+	// remainingAsOf.
+	slowest              float64
+	speedPass, speedRuns int
+	remaining            time.Duration
+	remainingAsOf        uint64
 }
 
 type job struct {
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -18,9 +18,10 @@
 	// dueBy is the time at which the job misses its latency objective, worthlessAfter the time
 	// after which completing it has no value.
 	dueBy, worthlessAfter time.Time
-	// duration is the estimated run time of a task.
-	duration time.Duration
-	rank     rank
+	// duration is the estimated run time of a task on a worker of the usual speed, after that of
+	// the longest chain of steps that follow.
+	duration, after time.Duration
+	rank            rank
 	// maxCrashes is the highest number of workers that crashed under one of the tasks.
 	maxCrashes int
 	// claimedCapacity holds the workers of the step's claim, one entry per task.
@@ -130,7 +131,7 @@
 		if s.claim != nil && s.gang != nil && s.gang.interrupted {
 			c.restarting = append(c.restarting, s)
 		}
-		u := &pendingStep{step: s, queue: q, duration: c.estimates.taskDuration(s)}
+		u := &pendingStep{step: s, queue: q, duration: c.estimates.taskDuration(s), after: c.durationAfter(s)}
 		for i := range s.tasks {
 			t := &s.tasks[i]
 			if t.done || len(t.runs) > 0 {
@@ -165,7 +166,7 @@
 	if j.guaranteed {
 		u.rank.class = 0
 	}
-	switch completion := c.now.Add(u.duration); {
+	switch completion := c.now.Add(c.fastestDuration(u)); {
 	case u.step.spec.LongRunning:
 	case completion.After(u.worthlessAfter):
 		u.rank.timeliness = worthless
@@ -174,6 +175,34 @@
 	}
 }
 
+// fastestDuration returns the run time of a task on the fastest workers, if they are unequal.
+func (c *Core) fastestDuration(u *pendingStep) time.Duration {
+	if !c.speeds.unequal || !c.policies.speed.restricts {
+		return u.duration
+	}
+	return time.Duration(float64(u.duration) / c.speeds.fastest)
+}
+
+// durationAfter returns the estimated duration of the longest chain of steps that follow a step.
+func (c *Core) durationAfter(s *step) time.Duration {
+	j := s.job
+	if len(j.Steps) == 1 {
+		return 0
+	}
+	// longest holds the duration of the longest chain from the step to each later one.
+	longest := make([]time.Duration, len(j.Steps))
+	best := time.Duration(0)
+	for i := s.number + 1; i < len(j.Steps); i++ {
+		for _, earlier := range j.Steps[i].After {
+			if earlier == s.number || earlier < i && longest[earlier] > 0 {
+				longest[i] = max(longest[i], longest[earlier]+c.estimates.taskDuration(j.steps[i]))
+			}
+		}
+		best = max(best, longest[i])
+	}
+	return best
+}
+
 // earliestStart returns the time from which the latency objective counts: when the job was
 // accepted or the occurrence became due.
 func (c *Core) earliestStart(s *step) time.Time {
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -38,6 +38,11 @@
 	stopsSent  int
 	stopSentAt time.Time
 	stopReason string
+	// observedSince is the progress, in percent, in the first report of the run, which the worker
+	// made at observedSinceMS on its clock. observation is what was learned from it since.
+	observedSince   int
+	observedSinceMS int64
+	observation     *speedObservation
 	// percent is the highest progress that the worker has reported.
 	percent int
 	// initialPercent is above zero for a run that was adopted in progress; its total run time
@@ -99,6 +104,7 @@
 		return
 	}
 	r.transition(runGone)
+	c.endObservation(r)
 	if r.attemptRecorded {
 		c.endAttempt(r.task, r.attempt)
 	}
@@ -171,6 +177,7 @@
 		r.confirmed = true
 		r.order = nil
 		r.settledAfter = c.sequence
+		c.observeStart(r)
 	case workload.VerdictUnknown:
 		if r.state == stRunRunning {
 			return // the worker lists the run or has answered a resend
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -62,8 +62,11 @@
 		workers = c.excludeHeadroom(u.queue.Pool, workers)
 	}
 	workers = c.workersWithTicket(u, c.eligible(u, workers))
+	if c.placeInTime(u, workers) {
+		return len(u.tasks) == 0
+	}
 	offRack := c.mayRunOffRack(u, workers)
-	places := c.findPlaces(u, workers, offRack, func(r *workerCapacity) workload.Resources { return r.freeUntil(c.now.Add(u.duration)) })
+	places := c.findPlaces(u, workers, offRack, c.freeFor(u))
 	if len(places) == len(u.tasks) || !u.step.spec.Gang && len(places) > 0 {
 		c.startOrStore(u, places)
 		u.tasks = u.tasks[len(places):]
@@ -79,6 +82,13 @@
 	return false
 }
 
+// The causes of a wait that ends soon.
+const (
+	causeBeingFreed = "room is being freed"
+	causeEndInTime  = "others end in time"
+	causePreempted  = "others are stopped"
+)
+
 // The causes of a wait that apply to all steps of a shape.
 const (
 	causeNoCapacity     = "no room"
@@ -88,7 +98,11 @@
 // placeClaimed starts a gang in its claimed capacity once all of it is free.
 func (c *Core) placeClaimed(u *pendingStep, workers []*workerCapacity) bool {
 	u.releaseClaim()
-	places := c.findPlaces(u, c.workersWithTicket(u, c.eligible(u, workers)), false, func(r *workerCapacity) workload.Resources { return r.freeUntil(c.now.Add(u.duration)) })
+	candidates := c.workersWithTicket(u, c.eligible(u, workers))
+	if fastEnough := c.inTime(u, candidates, speedLikely); fastEnough != nil {
+		candidates = fastEnough
+	}
+	places := c.findPlaces(u, candidates, false, c.freeFor(u))
 	if len(places) == len(u.tasks) {
 		c.startOrStore(u, places)
 		return true
@@ -98,7 +112,7 @@
 		return true
 	}
 	holdCapacity(u, u.claimedCapacity)
-	c.recordReason(u, "room is being freed")
+	c.recordReason(u, causeBeingFreed)
 	return false
 }
 
@@ -113,13 +127,13 @@
 			c.awaitsStartIntent(u.step.job) // store it now, so that the start does not wait for it later
 			c.claimCapacity(u, claimedPlaces(futurePlaces))
 		}
-		return "room is being freed"
+		return causeBeingFreed
 	case u.rank.urgent():
 		if c.enabled(MechWaitForCompletions) && c.waitForCompletions(u, workers, offRack) {
-			return "others end in time"
+			return causeEndInTime
 		}
 		if c.preemptFor(u, workers, offRack, futurePlaces) {
-			return "others are stopped"
+			return causePreempted
 		}
 		return "nothing may be stopped for it"
 	case len(workers) == 0:
@@ -144,6 +158,9 @@
 	}
 	reason := fmt.Sprintf("rank %d, due in %d ms, waited %d ms", u.rank.class,
 		u.dueBy.Sub(c.now).Milliseconds(), c.now.Sub(u.step.readySince).Milliseconds())
+	if c.speeds.unequal {
+		reason += c.describeSpeeds(u, places)
+	}
 	var first *FirstStart
 	if !u.step.job.started {
 		first = &FirstStart{Guaranteed: u.rank.class == 0, Priority: u.queue.Priority, Waited: c.now.Sub(c.earliestStart(u.step))}
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -69,6 +69,7 @@
 	// misses is the number of calls that failed since the last answered poll.
 	misses int
 	health health
+	speed  workerSpeed
 }
 
 // unstoredCompletion is a completion that must not be acknowledged before its job's record
@@ -369,6 +370,7 @@
 		r.transition(runStarted)
 		r.settledAfter = c.sequence
 	}
+	c.observeProgress(r, running.Percent)
 	r.percent = max(r.percent, running.Percent)
 	if running.Checkpoint != "" {
 		r.checkpoint = running.Checkpoint
--- a/internal/dispatch/rack.go
+++ b/internal/dispatch/rack.go
@@ -80,7 +80,7 @@
 }
 
 func (c *Core) isOverdue(r *run) bool {
-	return r.initialPercent == 0 && c.now.Sub(r.since) > overdueFactor*c.estimates.taskDuration(r.task.step)
+	return r.initialPercent == 0 && c.now.Sub(r.since) > overdueFactor*c.runDuration(r)
 }
 
 // recordLightLoad records since when each pool has been less than half in use.
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -124,7 +124,7 @@
 	for _, r := range c.pools[pool] {
 		for _, run := range r.runs {
 			if !run.stopping() && !run.task.step.spec.LongRunning {
-				list = append(list, release{r, run, c.now.Add(c.estimates.remaining(run, c.now)), run.need})
+				list = append(list, release{r, run, c.now.Add(c.remaining(run)), run.need})
 			}
 		}
 	}
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -30,6 +30,7 @@
 	MechStartWindow        Mechanism = "start_window"
 	MechStoredStartIntents Mechanism = "stored_begins"
 	MechFlappingWorkers    Mechanism = "flapping_workers"
+	MechWorkerSpeeds       Mechanism = "worker_speeds"
 )
 
 // Mechanisms returns all mechanisms.
@@ -38,6 +39,7 @@
 		MechHeadroom, MechClaims, MechWaitForCompletions, MechReservations, MechRackWait, MechEstimates, MechUnhealthyWorkers,
 		MechEvacuation, MechSuspectDomains, MechDemoteLate, MechCheapVictims, MechPacking, MechRackOrder, MechRestartClaims, MechResends,
 		MechPollWindow, MechStartWindow, MechStoredStartIntents, MechFlappingWorkers,
+		MechWorkerSpeeds,
 	}
 }
 
--- a/internal/emulator/arrivals.go
+++ b/internal/emulator/arrivals.go
@@ -35,6 +35,8 @@
 	// of a gang as one.
 	seed        uint64
 	startedRuns int
+	// preemptedRuns counts the runs that were stopped for other jobs.
+	preemptedRuns int
 	// poison reports whether every run fails because of the job itself.
 	poison bool
 	// crashing reports whether the first task crashes each worker that starts it.
--- a/internal/emulator/player.go
+++ b/internal/emulator/player.go
@@ -440,6 +440,7 @@
 	r.stopAt = sim.now + time.Duration(share*float64(sim.deployment.bounds.MaxStopTime))
 	if preemption {
 		sim.tally.preempted++
+		r.job.preemptedRuns++
 	}
 }
 
