Dispatch: a clock that begins anew is the first sign of a restarted worker

A start reached the next life unseen, and the first poll acknowledged its completions by the numbers of the earlier one: the worker forgot them, and the task ran again.

Change: an answer whose clock deviates from the expected one by more than an answer may be late makes the next poll acknowledge nothing. The test fails without it.

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -59,6 +59,8 @@
 	// incarnation is in all answers, listedIncarnation in the platform's list. Both are zero on a
 	// platform without incarnations.
 	incarnation, listedIncarnation int64
+	// unnamed is set if answers to orders lack the incarnation.
+	unnamed bool
 	// clockZero is the time, in Unix milliseconds, at which the worker's clock was zero.
 	clockZero int64
 }
@@ -186,7 +188,11 @@
 		if a.Order.Ticket != "" {
 			b.tickets[a.Order.Ticket] = true
 		}
-		b.core.StartAnswered(a.Order, b.startRun(w, a.Order), b.now, b.wallMS)
+		result := b.startRun(w, a.Order)
+		if w.unnamed {
+			result.Incarnation = 0
+		}
+		b.core.StartAnswered(a.Order, result, b.now, b.wallMS)
 	case ActStop:
 		b.stops++
 		if r := w.running[runKey{a.Order.Task, a.Order.Attempt}]; r != nil && b.stopTakes > 0 {
--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
@@ -131,6 +133,28 @@
 	w.lateStarts = nil
 }
 
+// maxClockLag bounds the age of an answer: the clock in it may be that much behind.
+const maxClockLag = 3 * time.Second
+
+// clockRestarted reports whether the clock in an answer cannot be that of the known incarnation.
+// Answers to orders may not name their incarnation, and idle workers are not polled, so this is
+// the first sign of a restart.
+func (w *worker) clockRestarted(clockMS int64, now time.Time) bool {
+	if w.incarnation == 0 || w.clockMS == 0 || clockMS == 0 {
+		return false
+	}
+	elapsed := now.Sub(w.clockAt)
+	deviation := time.Duration(clockMS-w.estimatedClock(now)) * time.Millisecond
+	return deviation.Abs() > maxClockLag+maxElapsed(elapsed)-elapsed
+}
+
+// distrustAcknowledgments makes the next poll acknowledge nothing, and schedules it: acknowledged
+// numbers of an earlier incarnation would make the worker forget completions of this one.
+func (w *worker) distrustAcknowledgments() {
+	w.acknowledgeable, w.acknowledged = 0, 0
+	w.wantPoll, w.nextPollAt = true, time.Time{}
+}
+
 // settleSurvived settles the lost attempts of an incarnation that has answered since: it did not
 // crash. Those of an earlier incarnation wait for the answer to their start.
 func (c *Core) settleSurvived(w *worker) {
--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -118,6 +118,35 @@
 	assert.Equal(t, b.starts, 2)
 }
 
+// The first poll of an incarnation that nobody knew must not acknowledge its completions by the
+// numbers of the earlier one.
+func TestAShortRunOnAnUnknownIncarnationCompletesItsJob(t *testing.T) {
+	b := newIncarnationBench(t, 1)
+	for n := range 3 {
+		b.add(gangJob(fmt.Sprintf("before%d", n), "batch", "other", 1, 8))
+		b.advance(500 * time.Millisecond)
+		b.completeOn("w00")
+		b.advance(500 * time.Millisecond)
+	}
+	b.advance(2 * time.Second)
+	b.restartBeforeItsEntry("w00")
+	b.workers["w00"].unnamed = true
+	b.add(gangJob("short", "batch", "other", 1, 8))
+	for b.starts < 4 {
+		b.now = b.now.Add(10 * time.Millisecond)
+		b.core.WorkersStored(b.core.UnstoredWorkers(1))
+		for _, a := range b.core.Decide(b.now, b.wallMS) {
+			b.execute(a)
+			if a.Kind == ActStart {
+				b.completeOn("w00") // before the next poll
+			}
+		}
+	}
+	b.advance(2 * time.Second)
+	assert.Equal(t, b.finalState("short"), FinalCompleted)
+	assert.Equal(t, b.starts, 4)
+}
+
 func TestANewIncarnationGetsNoWorkBeforeItsEntryIsListedAndStored(t *testing.T) {
 	b := newIncarnationBench(t, 1)
 	b.add(gangJob("lost", "batch", "other", 1, 8))
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -155,6 +155,9 @@
 		return nil, nil, false
 	}
 	if current = c.admitResult(w, order, result); current {
+		if result.Incarnation == 0 && w.clockRestarted(result.ClockMS, now) {
+			w.distrustAcknowledgments()
+		}
 		w.sampleClock(result.ClockMS, now)
 	}
 	return w, w.runs[runKey{order.Task, order.Attempt}], current
