--- a/internal/dispatch/intime.go
+++ b/internal/dispatch/intime.go
@@ -101,12 +101,13 @@
 	if r.speed.isKnown() {
 		duration *= math.Exp(cautiousDeviations * math.Sqrt(r.speed.variance))
 	}
-	return time.Duration(duration * (1 + speedMargin))
+	return time.Duration(duration)
 }
 
 // endsInTime reports whether a step with the given run time meets its objective if it starts now.
 func (c *Core) endsInTime(u *pendingStep, duration time.Duration) bool {
-	return !c.now.Add(startLatency + duration).After(u.dueBy.Add(-u.after))
+	withMargin := time.Duration(float64(duration) * (1 + speedMargin))
+	return !c.now.Add(startLatency + withMargin).After(u.dueBy.Add(-u.after))
 }
 
 // slackForUnknown is the multiple of its expected run time that a step must have left to start on
