Deployment: hubs send their leaves the instances that they do not know

Change: a leaf tells the hubs of its zone up to which version of the store it knows the instances; a hub that knows more sends the difference: those of the zone, and of each other zone the first six, by which a leaf tells whether its zone is cut off. A leaf reads the list itself while no hub responds, at the start, while its hubs are of an earlier build, and each half hour. A leaf that the store does not answer gets its list from a hub.

--- a/internal/deployment/contacts.go
+++ b/internal/deployment/contacts.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
 // This file decides which instances keep in contact. If each of many instances
@@ -31,11 +29,6 @@
 	// hubTimeout is the time without a hello from the hubs of its zone after which a
 	// leaf follows the table itself: two hello intervals.
 	hubTimeout = 2 * helloInterval
-	// instanceListInterval is the interval at which a leaf reads the list of instances,
-	// and minInstanceListInterval the interval while no hub has responded for that
-	// long.
-	instanceListInterval    = 10 * time.Second
-	minInstanceListInterval = time.Second
 	// roleCheckInterval is the interval at which an instance checks whether it is a
 	// hub.
 	roleCheckInterval = 100 * time.Millisecond
@@ -159,29 +152,6 @@
 	return slices.DeleteFunc(slices.Compact(list), func(id string) bool { return id == self })
 }
 
-// listInstances refreshes a leaf's list of instances; a hub has it from the table.
-func (i *Instance) listInstances(ctx context.Context) {
-	var last time.Time
-	for ; ctx.Err() == nil; pause(ctx, roleCheckInterval) {
-		due := instanceListInterval
-		if !i.isListed() {
-			due = 0
-		} else if !i.hubRespondedWithin(minInstanceListInterval) {
-			due = minInstanceListInterval
-		}
-		if i.followsTable() || bootTime().Sub(last) < due {
-			continue
-		}
-		last = bootTime()
-		rows, _, err := readAll(ctx, i.store, workload.SourceOwn, mainPart, instancePrefix, instancePrefix+"\xff")
-		if err != nil {
-			continue
-		}
-		i.replica.apply(rows)
-		i.setListed()
-	}
-}
-
 // setListed records that the list of instances is known. The hubs have hubTimeout to
 // respond from then on.
 func (i *Instance) setListed() {
--- a/internal/deployment/contacts_test.go
+++ b/internal/deployment/contacts_test.go
@@ -132,7 +132,7 @@
 // receiveHubHello delivers a hello from a hub of the zone.
 func (i *Instance) receiveHubHello(id string) {
 	hub := i.hello(true)
-	hub.Hub, hub.StoreReachable = true, true
+	hub.Hub, hub.StoreReachable, hub.InstancesVersion = true, true, 9
 	i.receiveHello(id, hub)
 }
 
--- a/internal/deployment/follow.go
+++ b/internal/deployment/follow.go
@@ -63,6 +63,8 @@
 	// called repeatedly while it is not.
 	wanted        func() bool
 	whileUnwanted func()
+	// advanced, if set, is called with the version up to which all changes were applied.
+	advanced func(version int64)
 	// confirm, if set, is called with the time at which a call was sent, once its
 	// answer has been applied.
 	confirm func(sent time.Time)
@@ -116,6 +118,9 @@
 		f.apply(page.Rows)
 		f.confirmAnswer(sent)
 		version = max(version, page.Version)
+		if f.advanced != nil {
+			f.advanced(version)
+		}
 		pause(ctx, f.gap())
 	}
 }
--- a/internal/deployment/gossip.go
+++ b/internal/deployment/gossip.go
@@ -41,6 +41,7 @@
 		Hub:              i.followsTable() && i.replica.isLoaded(),
 		Leader:           i.leaderAddr(),
 		CutOff:           i.partition.isCutOff(),
+		InstancesVersion: i.replica.knownInstancesVersion(),
 	}
 	if g := i.lease.current(); g != nil && !g.ended() {
 		h.Epoch = g.epoch
@@ -122,6 +123,7 @@
 		cutOff:         hello.GetCutOff(),
 		leaderAddr:     hello.GetLeader(),
 		pending:        hello.GetPending(),
+		sendsInstances: hello.GetHub() && hello.GetInstancesVersion() > 0,
 		receivedAt:     now,
 	})
 	switch {
@@ -133,15 +135,19 @@
 	if hello.GetEpoch() > 0 {
 		i.replica.setStarted(hello.GetEpoch(), hello.GetBegan())
 	}
+	i.sendInstances(id, hello, now)
 	if row := i.configRow.Load(); row != nil && hello.GetConfigVersion() < i.configVersion() && i.peers.mayPush(id, row.Version, now) {
 		i.peerCalls.Go(func() { i.sendRows(id, workload.SourceConfiguration, []workload.Row{*row}) })
 	}
 }
 
 func (i *Instance) sendRows(id string, source workload.Source, rows []workload.Row) {
+	i.sendNote(id, &peerpb.RowsNote{Source: string(source), Rows: rowsToProto(rows)})
+}
+
+func (i *Instance) sendNote(id string, message *peerpb.RowsNote) {
 	ctx, cancel := context.WithTimeout(context.Background(), rowsTimeout)
 	defer cancel()
-	message := &peerpb.RowsNote{Source: string(source), Rows: rowsToProto(rows)}
 	compressRows(message.Rows)
 	if _, err := i.node.Call(ctx, id, &peerpb.Request{Body: &peerpb.Request_Rows{Rows: message}}); err != nil {
 		i.logger.Debug("passing rows on failed", zap.String("peer", id), zap.Error(err))
@@ -206,5 +212,7 @@
 		i.applyConfiguration(rows)
 	case sourceAnnounced:
 		i.replica.applyAnnounced(rows)
+	case sourceInstances:
+		i.receiveInstances(rows, message.GetVersion())
 	}
 }
--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -368,6 +368,7 @@
 		logger:        i.logger,
 		reload:        i.replica.reload,
 		apply:         i.replica.apply,
+		advanced:      i.replica.advanceInstances,
 		gap:           i.tableGap,
 		wanted:        i.followsTable,
 		whileUnwanted: i.dropTable,
--- a/internal/deployment/peerviews.go
+++ b/internal/deployment/peerviews.go
@@ -16,8 +16,10 @@
 	leaderAddr string
 	// pending is the number of jobs of each queue that have not started; nil if the
 	// peer did not report it.
-	pending    map[string]int64
-	receivedAt time.Time
+	pending map[string]int64
+	// sendsInstances is set if the peer is a hub that sends changes of the list of instances.
+	sendsInstances bool
+	receivedAt     time.Time
 }
 
 // peers holds the reported states of the peers. It is safe for concurrent use.
@@ -26,19 +28,18 @@
 	views map[string]peerView
 	// misses holds the consecutive hellos that a peer left unanswered.
 	misses map[string]missedHellos
-	// pushed holds the configuration last sent to a peer.
-	pushed map[string]sentConfiguration
+	// pushed holds the configuration last sent to a peer, instances the list of instances.
+	pushed, instances map[string]sentVersion
 }
 
-// sentConfiguration is the version of a configuration that was sent to a peer, and
-// when.
-type sentConfiguration struct {
+// sentVersion is the version of what was sent to a peer, and when.
+type sentVersion struct {
 	version int64
 	sentAt  time.Time
 }
 
-// pushRepeatInterval is the minimum time between sending the same configuration to a
-// peer again. Other hubs send it as well, and more copies only fill a slow link.
+// pushRepeatInterval is the minimum time between sending the same version to a peer
+// again. Other hubs send it as well, and more copies only fill a slow link.
 const pushRepeatInterval = 2 * time.Second
 
 // mayPush reports whether a version of the configuration should be sent to a peer now,
@@ -46,10 +47,21 @@
 func (p *peers) mayPush(id string, version int64, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if last := p.pushed[id]; last.version == version && now.Sub(last.sentAt) < pushRepeatInterval {
+	return maySend(p.pushed, id, version, now)
+}
+
+// maySendInstances works like mayPush for the list of instances.
+func (p *peers) maySendInstances(id string, version int64, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maySend(p.instances, id, version, now)
+}
+
+func maySend(sent map[string]sentVersion, id string, version int64, now time.Time) bool {
+	if last := sent[id]; last.version == version && now.Sub(last.sentAt) < pushRepeatInterval {
 		return false
 	}
-	p.pushed[id] = sentConfiguration{version, now}
+	sent[id] = sentVersion{version, now}
 	return true
 }
 
@@ -61,7 +73,7 @@
 }
 
 func newPeers() *peers {
-	return &peers{views: make(map[string]peerView), misses: make(map[string]missedHellos), pushed: make(map[string]sentConfiguration)}
+	return &peers{views: make(map[string]peerView), misses: make(map[string]missedHellos), pushed: make(map[string]sentVersion), instances: make(map[string]sentVersion)}
 }
 
 func (p *peers) set(id string, view peerView) {
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -81,6 +81,9 @@
 	startedEpoch int64
 	leader       seenLeader
 	instances    map[string]instanceRow
+	// instancesVersion is the version of the store up to which the instances are known, on a
+	// leaf those that it needs. newestInstanceRow is the version of their newest row.
+	instancesVersion, newestInstanceRow int64
 	// workers holds the workers that may run something, by id.
 	workers map[string]workload.Worker
 	// loaded is set once the whole table was read, and while it is followed.
@@ -158,6 +161,7 @@
 			return change{}, false
 		}
 		r.instances[id] = peer
+		r.newestInstanceRow = max(r.newestInstanceRow, row.Version)
 	case workerPrefix:
 		var worker workload.Worker
 		if err := json.Unmarshal(row.Value, &worker); err != nil || worker.ID != id {
@@ -269,6 +273,7 @@
 		}
 	}
 	r.loaded = true
+	r.instancesVersion = max(r.instancesVersion, at)
 }
 
 func (r *replica) keepAll() {
