--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -63,3 +63,33 @@
 		})
 	}
 }
+
+// BenchmarkLearnSpeeds measures one computation of the speeds, with three observed runs on each
+// worker. It takes place at most each half second for each thousand workers.
+func BenchmarkLearnSpeeds(b *testing.B) {
+	for _, workers := range []int{350, 3000, 6000} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			d := newBench(b, 0, false)
+			for n := range workers {
+				d.addWorker(fmt.Sprintf("w%04d", n))
+			}
+			d.listWorkers()
+			rates := make([]*stepRate, workers/10)
+			for n := range rates {
+				rates[n] = &stepRate{variance: taskDeviation * taskDeviation}
+			}
+			for n, w := range d.core.fleet {
+				for k := range 3 {
+					o := &speedObservation{step: rates[(n+k*7)%len(rates)], rate: float64(n%3) / 2, rounding: 0.001}
+					w.speed.observations = append(w.speed.observations, o)
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				d.core.now = d.core.now.Add(time.Minute)
+				d.core.speeds.changed = true
+				d.core.learnSpeeds()
+			}
+		})
+	}
+}
