Dispatch: guaranteed work does not wait for fast workers beyond its reclaim bound

Found by reading: a guaranteed gang with a long objective could wait for capacity on fast workers that is being freed until its objective came near; the bound on reclaiming is shorter. From the time at which it also leaves its rack it starts wherever it can. The test (all stops lost) fails without.

--- a/internal/dispatch/intime.go
+++ b/internal/dispatch/intime.go
@@ -135,7 +135,7 @@
 // inTime returns the workers of at most a rank for a gang, or nil if the gang is not restricted to
 // them: all workers are, or none, or a gang bound to one rack fits on no rack of them.
 func (c *Core) inTime(u *pendingStep, workers []*workerCapacity, rank speedRank) []*workerCapacity {
-	if !c.speeds.unequal || !c.policies.speed.restricts || !u.step.spec.Gang || u.rank.timeliness != onTime {
+	if !c.speeds.unequal || !c.policies.speed.restricts || !u.step.spec.Gang || u.rank.timeliness != onTime || c.reclaimDue(u) {
 		return nil
 	}
 	var list []*workerCapacity
@@ -150,6 +150,11 @@
 	return list
 }
 
+// reclaimDue reports whether a step inside a guarantee has to start now, wherever it can.
+func (c *Core) reclaimDue(u *pendingStep) bool {
+	return u.rank.class == 0 && c.now.Sub(u.step.readySince) > c.bounds.MaxReclaimTime-c.bounds.MaxStopTime-reclaimMargin
+}
+
 // placeInTime places a gang on workers on which it meets its objective. It returns false if neither
 // they have the capacity nor, for urgent work, will have it soon. Capacity on workers that are only
 // likely to be fast enough is preferred to stopping other work.
--- a/internal/dispatch/intime_test.go
+++ b/internal/dispatch/intime_test.go
@@ -91,6 +91,23 @@
 	assert.DeepEqual(t, s.speedsUsed("urgent"), []float64{0.6, 0.6})
 }
 
+// Every stop on the fast workers is lost, so that their capacity is never free. The guarantee goes
+// before the objective.
+func TestGuaranteedWorkStartsWithinItsBoundOnSlowWorkersIfFastOnesAreNotFreed(t *testing.T) {
+	s := newLearnedBench(t, 12, 0.6, 1, 1.6)
+	s.workOf = func(workload.TaskID) time.Duration { return time.Minute }
+	s.add(singleJob("filler", "batch", "other", 12, 8))
+	s.play(200 * time.Millisecond)
+	s.completeOn("w00")
+	s.play(200 * time.Millisecond)
+	s.dropStops = func() bool { return true }
+	long := gangJob("guaranteed", "urgent", "acme", 1, 8)
+	long.Steps[0].Image, long.Steps[0].EstimateMS = "long", 20_000 // its objective leaves it time to wait
+	s.add(long)
+	s.play(testBounds.MaxReclaimTime)
+	assert.Equal(t, len(s.speedsUsed("guaranteed")), 1)
+}
+
 func TestWorkThatIsLateAnywayWaitsForNoFastWorker(t *testing.T) {
 	s := newLearnedBench(t, 12, 0.6, 1, 1.6)
 	s.unlistFast()
--- a/internal/dispatch/rack.go
+++ b/internal/dispatch/rack.go
@@ -37,7 +37,7 @@
 	}
 	waited := c.now.Sub(u.step.readySince)
 	if u.rank.class == 0 {
-		return waited > c.bounds.MaxReclaimTime-c.bounds.MaxStopTime-reclaimMargin
+		return c.reclaimDue(u)
 	}
 	since := c.lightLoadSince[u.queue.Pool]
 	return !since.IsZero() && min(c.now.Sub(since), waited) > lightLoadWaitLimit
