Deployment: the collector keeps below the memory of the instance

Cause: a leader lets its heap grow to four times its live size. On the fleet it took 606 MB; 525 of the 585 instances have 184 MB, where the process would be ended. memory_mb was read and not used.

--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -299,6 +299,7 @@
 		Drain:    servers.Drain,
 		Close:    func(context.Context) error { i.close(servers); return nil },
 	})
+	limitMemory(i.settings)
 	i.startLoops()
 	i.logger.Info("started", zap.Duration("took", time.Since(started)), zap.Int("pid", os.Getpid()))
 	i.awaitStop(signals)
