Deployment: a whole read of the workers is one log line

The lines grew with the fleet, the volume that the log takes does not.

Change: a whole read that adds more than fifty workers logs their number; changes are logged one by one. The test counts lines at 1,000 and 2,000 workers.

--- a/internal/deployment/entries_test.go
+++ b/internal/deployment/entries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strconv"
 	"strings"
 	"testing"
@@ -70,6 +71,23 @@
 	assert.DeepEqual(t, ids(r.list()), map[string]bool{"a": true, "c": true})
 }
 
+// The lines of a takeover must not grow with the number of workers: the log drops what exceeds its
+// volume, and with it the lines that explain the takeover.
+func TestAWholeReadOfManyWorkersIsOneLogLine(t *testing.T) {
+	for _, size := range []int{1000, 2000} {
+		core, logs := observer.New(zap.InfoLevel)
+		r := newRoster(plainDecoder{}, time.Minute, zap.New(core))
+		var rows []workload.Row
+		for n := range size {
+			rows = append(rows, entryRow(fmt.Sprint(n), "pool", int64(n+1)))
+		}
+		r.reload(rows, int64(size))
+		assert.Equal(t, logs.Len(), 1)
+		r.apply([]workload.Row{entryRow("new", "pool", int64(size+1))})
+		assert.Equal(t, logs.FilterMessage("worker listed").Len(), 1, "changes are logged one by one")
+	}
+}
+
 func TestAnEntryNeverBringsAnEarlierIncarnationBack(t *testing.T) {
 	r := newRoster(plainDecoder{}, time.Minute, zap.NewNop())
 	incarnation := func() int64 {
--- a/internal/deployment/workers.go
+++ b/internal/deployment/workers.go
@@ -44,14 +44,19 @@
 	}
 	r.mu.Lock()
 	for _, row := range rows {
-		r.applyRow(row)
+		r.applyRow(row, r.logger)
 	}
 	onChange := r.onChange
 	r.mu.Unlock()
 	onChange()
 }
 
-func (r *roster) applyRow(row workload.Row) {
+// maxListedLines is the number of workers up to which a whole read logs each one that it adds. A new
+// leader reads thousands at once; a line for each would crowd out the other lines of its takeover.
+const maxListedLines = 50
+
+// applyRow applies a change, and logs it to the given logger.
+func (r *roster) applyRow(row workload.Row, logger *zap.Logger) {
 	known := r.entries[row.Key]
 	if known != nil && row.Version < known.version {
 		return
@@ -59,7 +64,7 @@
 	if row.Deleted {
 		if known != nil && known.delistedAt.IsZero() {
 			known.delistedAt, known.version = bootTime(), row.Version
-			r.logger.Info("worker no longer listed", zap.String("worker", row.Key), zap.Bool("leaving", known.worker.Leaving))
+			logger.Info("worker no longer listed", zap.String("worker", row.Key), zap.Bool("leaving", known.worker.Leaving))
 		}
 		return
 	}
@@ -73,17 +78,17 @@
 	}
 	r.unreadable.forget(row.Key)
 	if known != nil && worker.Incarnation < known.worker.Incarnation {
-		r.logger.Info("entry of an earlier incarnation ignored", zap.String("worker", worker.ID),
+		logger.Info("entry of an earlier incarnation ignored", zap.String("worker", worker.ID),
 			zap.Int64("incarnation", worker.Incarnation), zap.Int64("known", known.worker.Incarnation))
 		return
 	}
 	switch {
 	case known != nil && worker.Incarnation > known.worker.Incarnation && known.worker.Incarnation != 0:
-		r.logger.Info("worker restarted", zap.String("worker", worker.ID), zap.Int64("incarnation", worker.Incarnation))
+		logger.Info("worker restarted", zap.String("worker", worker.ID), zap.Int64("incarnation", worker.Incarnation))
 	case known == nil || !known.delistedAt.IsZero():
-		r.logger.Info("worker listed", zap.String("worker", worker.ID), zap.String("rack", worker.Rack), zap.String("pool", worker.Pool))
+		logger.Info("worker listed", zap.String("worker", worker.ID), zap.String("rack", worker.Rack), zap.String("pool", worker.Pool))
 	case worker.Leaving && !known.worker.Leaving:
-		r.logger.Info("worker leaving", zap.String("worker", worker.ID), zap.Int64("leaves_in_ms", worker.LeavesInMS))
+		logger.Info("worker leaving", zap.String("worker", worker.ID), zap.Int64("leaves_in_ms", worker.LeavesInMS))
 	}
 	r.entries[row.Key] = &rosterEntry{worker: worker, version: row.Version}
 }
@@ -113,8 +118,13 @@
 	}
 	r.mu.Lock()
 	now := bootTime()
+	logger := r.logger
+	if added := len(rows) - len(r.entries); added > maxListedLines {
+		logger = zap.NewNop()
+		r.logger.Info("workers listed", zap.Int("count", len(rows)), zap.Int("known_before", len(r.entries)))
+	}
 	for _, row := range rows {
-		r.applyRow(row)
+		r.applyRow(row, logger)
 	}
 	for id, known := range r.entries {
 		if !present[id] && known.delistedAt.IsZero() {
