Dispatch: guaranteed gangs get their bound also where only larger work can make room

A worker of 8 accelerators full of 1x8 gave nothing to a guaranteed 2x4, 4x2 or 8x1, one of 2x4 nothing to 4x2 or 8x1, one of 4x2 nothing to 8x1 (6 of 16 pairs of shapes; the test fails on these without the change).

Larger work is mostly about to end by itself, and stopping it throws work away.

--- a/internal/dispatch/victims.go
+++ b/internal/dispatch/victims.go
@@ -109,6 +109,9 @@
 		}
 	}
 	if left > 0 {
+		if c.reclaimDue(u) {
+			return c.blockPlanOn(u, workers)
+		}
 		return nil, 0
 	}
 	var plan []offer
