--- a/internal/dispatch/speed_test.go
+++ b/internal/dispatch/speed_test.go
@@ -73,7 +73,7 @@
 	}
 }
 
-// speedsRelativeTo returns the ratios of the known speeds to the true ones.
+// ratios returns the ratios of the known speeds to the true ones.
 func (s *speedBench) ratios() map[string]float64 {
 	ratios := make(map[string]float64)
 	for id, speed := range s.core.Speeds() {
@@ -201,9 +201,9 @@
 		s.add(gangJob(fmt.Sprintf("slow%d", n), "batch", "other", 4, 8))
 		s.play(5 * time.Second)
 	}
-	estimate := s.core.estimates.taskDuration(s.core.jobs["slow5"].probeStep(s.core))
+	estimate := s.core.estimates.taskDuration(s.core.jobs["slow5"].probeStep())
 	assert.Assert(t, estimate > 1700*time.Millisecond && estimate < 2400*time.Millisecond, "%s", estimate)
 }
 
 // probeStep returns a step like those of a finished job.
-func (j *job) probeStep(c *Core) *step { return &step{job: j, spec: &j.Steps[0]} }
+func (j *job) probeStep() *step { return &step{job: j, spec: &j.Steps[0]} }
