--- a/internal/deployment/records.go
+++ b/internal/deployment/records.go
@@ -115,12 +115,13 @@
 // applyWritten applies a successful write to the replica and sends completions to the
 // hubs.
 func (c *leader) applyWritten(b *batch, tx workload.Write, version int64) {
-	for n := range tx.Put {
-		tx.Put[n].Version = version
-		c.recordVersions[tx.Put[n].Key] = version
+	rows := slices.Clone(tx.Put) // a second route may still be sending the write
+	for n := range rows {
+		rows[n].Version = version
+		c.recordVersions[rows[n].Key] = version
 	}
-	c.instance.replica.apply(tx.Put)
-	if finals := finalRows(b, tx.Put); len(finals) > 0 {
+	c.instance.replica.apply(rows)
+	if finals := finalRows(b, rows); len(finals) > 0 {
 		c.instance.sendToHubs(workload.SourceOwn, finals)
 	}
 	c.logEndedJobs(b.records)
