--- a/internal/deployment/records_test.go
+++ b/internal/deployment/records_test.go
@@ -67,3 +67,15 @@
 	assert.Equal(t, rows[0].Key, recordPrefix+"b")
 	assert.Equal(t, rows[1].Key, recordPrefix+"d")
 }
+
+// While a write is slow, a second route sends it too, and may still read its rows when the first
+// route has been answered.
+func TestTheRowsOfAWriteAreNotChangedOnceItIsStored(t *testing.T) {
+	i := newTestLeaf(t)
+	c := newLeader(t.Context(), i, &grant{})
+	defer c.stopPools()
+	tx := workload.Write{Put: []workload.Row{{Key: recordPrefix + "a", Value: []byte("{}")}}}
+	c.applyWritten(&batch{}, tx, 7)
+	assert.Equal(t, tx.Put[0].Version, int64(0))
+	assert.Equal(t, c.recordVersions[recordPrefix+"a"], int64(7))
+}
