--- a/internal/deployment/instances.go
+++ b/internal/deployment/instances.go
@@ -11,9 +11,9 @@
 // This file keeps the leaves' lists of instances up to date. If every leaf read the rows of
 // all instances from the store at an interval, the bytes read would grow with the square of
 // the number of instances, and on a large deployment they would be most of what the store
-// sends. A leaf needs the instances of its own zone, and some of each other zone to tell
-// whether its zone is cut off: it tells the hubs of its zone up to which version it knows
-// them, and receives the difference.
+// sends. A leaf needs the instances of its own zone, and some of each other zone to detect
+// that its zone is cut off. Its hello states up to which version it knows them, and the hubs
+// of its zone send the difference.
 
 const (
 	// sourceInstances marks the rows in a peer's message as those of the instances of one
--- a/internal/deployment/instances_test.go
+++ b/internal/deployment/instances_test.go
@@ -108,7 +108,7 @@
 	assert.Equal(t, leaf.instanceListDue(), instanceListInterval, "a hub of an earlier build sends no list")
 }
 
-// A leaf tells by some instances of the other zones whether its own is cut off.
+// A leaf detects that its zone is cut off by probing some instances of the others.
 func TestALeafKnowsSomeInstancesOfEachOtherZone(t *testing.T) {
 	for _, size := range []int{4, 40} {
 		hub := newReplica(zap.NewNop())
