Tests: the test of a write's rows uses no pools

The test added for the race stopped a leader's pools; that uses the library's default pool, which another test may have created inside a bubble of virtual time.

--- a/internal/deployment/records_test.go
+++ b/internal/deployment/records_test.go
@@ -72,8 +72,7 @@
 // route has been answered.
 func TestTheRowsOfAWriteAreNotChangedOnceItIsStored(t *testing.T) {
 	i := newTestLeaf(t)
-	c := newLeader(t.Context(), i, &grant{})
-	defer c.stopPools()
+	c := &leader{instance: i, logger: i.logger, recordVersions: make(map[string]int64)}
 	tx := workload.Write{Put: []workload.Row{{Key: recordPrefix + "a", Value: []byte("{}")}}}
 	c.applyWritten(&batch{}, tx, 7)
 	assert.Equal(t, tx.Put[0].Version, int64(0))
