Dispatch: what a leader has learned is stored for the next one; kinds of workers

The speeds form kinds, towards which an observation is drawn. The last run times are computed anew as speeds become known; the usual speed is that of sound workers, not the mean. Work that has time goes to workers of unknown speed first. A new incarnation is expected to be as fast as the earlier one, and not known.

--- a/internal/deployment/leader.go
+++ b/internal/deployment/leader.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/corianderbank/corianderbank/internal/dispatch"
+	"github.com/corianderbank/corianderbank/internal/knowledge"
 )
 
 const (
@@ -72,6 +73,8 @@
 	unreadableReports unreadableRows
 	// intents decides whether a start intent is stored before the first start of a job.
 	intents *intentMode
+	// learned decides which knowledge is stored for the next leader; nil if none is.
+	learned *knowledge.Tracker
 	// startsHeld is set while nothing starts because the copy of the drained zones is
 	// too old.
 	startsHeld bool
--- a/internal/deployment/orders.go
+++ b/internal/deployment/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -26,7 +27,7 @@
 func (c *leader) execute(action dispatch.Action) {
 	switch action.Kind {
 	case dispatch.ActStart:
-		c.logOrder("start", action, zap.Bool("resumes", action.Order.Checkpoint != ""))
+		c.logOrder("start", action, startFields(action)...)
 		recordFirstStart(action.First)
 		c.inFlight.Add(1)
 		c.orders.Submit(func() { c.sendOrder("start", action, c.instance.routedWorkers.Start, (*dispatch.Core).StartAnswered) })
@@ -67,6 +68,16 @@
 	c.logger.Info("order", append(fields, more...)...)
 }
 
+// startFields returns the log fields that only starts have. The speed of the worker is
+// left out where it is not known or the workers are equal.
+func startFields(action dispatch.Action) []zap.Field {
+	fields := []zap.Field{zap.Bool("resumes", action.Order.Checkpoint != "")}
+	if action.WorkerSpeed > 0 {
+		fields = append(fields, zap.String("worker_speed", strconv.FormatFloat(action.WorkerSpeed, 'f', 2, 64)))
+	}
+	return fields
+}
+
 // orderFields returns the log fields that identify an order.
 func orderFields(kind string, o workload.Order, more ...zap.Field) []zap.Field {
 	fields := append([]zap.Field{zap.String("order", kind)}, taskFields(o.Task)...)
--- a/internal/deployment/records.go
+++ b/internal/deployment/records.go
@@ -28,11 +28,12 @@
 )
 
 // batch is the content of one write: records, workers that may get work once they are
-// stored, and workers to remove.
+// stored, workers to remove, and what the leader has learned.
 type batch struct {
 	records []dispatch.UnstoredRecord
 	workers []workload.Worker
 	removed []string
+	learned learnedRows
 }
 
 // nextBatch returns the next changes of the core that fit into one transaction.
@@ -60,6 +61,7 @@
 	if b.empty() {
 		return
 	}
+	c.addKnowledge(&b)
 	c.writing = true
 	c.inFlight.Add(1)
 	c.orders.Submit(func() { c.writeBatch(&b) })
@@ -84,6 +86,7 @@
 		tx.Expect = append(tx.Expect, workload.Row{Key: key, Version: c.recordVersion(key)})
 		tx.Remove = append(tx.Remove, key)
 	}
+	b.learned.addTo(&tx)
 	return tx
 }
 
@@ -108,6 +111,7 @@
 			core.MarkRecordsStored(b.records, now, wallMS)
 			core.WorkersStored(b.workers)
 			core.WorkersRemoved(b.removed)
+			c.knowledgeStored(&b.learned)
 		}
 	})
 }
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -11,18 +11,20 @@
 	"go.uber.org/zap"
 
 	"github.com/corianderbank/corianderbank/internal/dispatch"
+	"github.com/corianderbank/corianderbank/internal/knowledge"
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
 // The keys of the product's table; parts.go assigns them to parts.
 const (
-	epochKey       = "a/epoch"
-	leaderKey      = "a/leader"
-	cancelPrefix   = "c/"
-	recordPrefix   = "e/"
-	jobPrefix      = "j/"
-	instancePrefix = "n/"
-	workerPrefix   = "w/"
+	epochKey        = "a/epoch"
+	leaderKey       = "a/leader"
+	cancelPrefix    = "c/"
+	recordPrefix    = "e/"
+	jobPrefix       = "j/"
+	knowledgePrefix = "k/"
+	instancePrefix  = "n/"
+	workerPrefix    = "w/"
 )
 
 // knownJob is the state of one job as this instance has it.
@@ -86,6 +88,8 @@
 	instancesVersion, newestInstanceRow int64
 	// workers holds the workers that may run something, by id.
 	workers map[string]workload.Worker
+	// knowledge holds the rows of what earlier leaders learned, by key.
+	knowledge map[string][]byte
 	// loaded is set once the whole table was read, and while it is followed.
 	loaded bool
 	// allRows is set if all rows are kept. A leaf keeps only those of the instances.
@@ -106,7 +110,7 @@
 func newReplica(logger *zap.Logger) *replica {
 	return &replica{
 		logger: logger, versions: make(map[string]int64), jobs: make(map[string]*knownJob),
-		started: make(map[string]bool), instances: make(map[string]instanceRow), workers: make(map[string]workload.Worker), onChange: func(change) {}, allRows: true,
+		started: make(map[string]bool), instances: make(map[string]instanceRow), workers: make(map[string]workload.Worker), knowledge: make(map[string][]byte), onChange: func(change) {}, allRows: true,
 	}
 }
 
@@ -171,6 +175,8 @@
 			worker = workload.Worker{ID: id}
 		}
 		r.workers[id] = worker
+	case knowledgePrefix:
+		r.knowledge[id] = row.Value
 	default:
 		r.applyLeader(row)
 	}
@@ -234,6 +240,8 @@
 		delete(r.instances, id)
 	case workerPrefix:
 		delete(r.workers, id)
+	case knowledgePrefix:
+		delete(r.knowledge, id)
 	}
 	if prefix != "a/" {
 		delete(r.versions, key)
@@ -304,6 +312,7 @@
 	}
 	r.allRows, r.loaded = false, false
 	r.jobs, r.started, r.workers = make(map[string]*knownJob), make(map[string]bool), make(map[string]workload.Worker)
+	r.knowledge = make(map[string][]byte)
 	r.leader = seenLeader{}
 	versions := make(map[string]int64)
 	for key, version := range r.versions {
@@ -423,6 +432,17 @@
 	return slices.Collect(maps.Values(r.workers))
 }
 
+// knowledgeRows returns the rows of what earlier leaders learned.
+func (r *replica) knowledgeRows() []knowledge.Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var rows []knowledge.Row
+	for _, key := range slices.Sorted(maps.Keys(r.knowledge)) {
+		rows = append(rows, knowledge.Row{Key: key, Value: r.knowledge[key]})
+	}
+	return rows
+}
+
 // startedJobs returns the jobs that have started and are neither final nor cancelled.
 func (r *replica) startedJobs() []string {
 	r.mu.Lock()
--- a/internal/deployment/takeover.go
+++ b/internal/deployment/takeover.go
@@ -75,6 +75,7 @@
 	c.intents = newIntentMode(&c.grant.promise, c.core, c.instance.settings.Tuning, c.logger)
 	c.core.Configure(c.instance.configuration.Load())
 	c.core.SetDrainedZones(c.instance.drains.list(), now, wallMS)
+	c.restoreKnowledge(now, wallMS)
 	// Workers that are stored but not listed may still run tasks behind a network
 	// partition that began before this instance led. Other workers that are no longer
 	// listed run nothing: a worker gets work only once it is stored, and it remains
--- a/internal/dispatch/completions.go
+++ b/internal/dispatch/completions.go
@@ -101,8 +101,7 @@
 	}
 	if r != nil && !t.done {
 		c.observeCompletion(r)
-		runTime := time.Duration(float64(c.now.Sub(r.since)) * c.gangSpeed(r))
-		c.estimates.learn(s, runTime, r.initialPercent)
+		c.learnRunTime(r)
 	}
 	if !s.spec.Gang {
 		c.markTaskDone(t, r)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/corianderbank/corianderbank/internal/knowledge"
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
@@ -41,6 +42,9 @@
 	sentAt time.Time
 	// Reason is logged with the action and states the deciding values.
 	Reason string
+	// WorkerSpeed is the observed speed of the worker of a start, relative to the usual one; zero
+	// if it is not known or the workers count as equal.
+	WorkerSpeed float64
 	// First is set on one start of each job and states how long the job waited for it.
 	First *FirstStart
 	// Lost describes how a run was lost.
@@ -152,6 +156,9 @@
 	waiting   map[int]int
 	estimates estimates
 	speeds    speeds
+	// inheritedSpeeds holds the speeds that earlier leaders observed of workers that are not
+	// listed yet.
+	inheritedSpeeds map[string]knowledge.Speed
 	// advisorCalls counts the requests to the advisor in flight.
 	advisorCalls int
 	// watching is set while polls must not extend leases.
@@ -173,7 +180,7 @@
 		workers:        make(map[string]*worker),
 		dirty:          make(map[string]*job),
 		estimates:      newEstimates(),
-		speeds:         speeds{variance: initialSpeedVariance, fastest: 1},
+		speeds:         speeds{speedPrior: speedPrior{variance: initialSpeedVariance}, fastest: 1},
 		now:            now,
 		urgentUsage:    make(map[string]float64),
 		lightLoadSince: make(map[string]time.Time),
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -22,6 +22,10 @@
 //	advice.go       tickets of the placement advisor
 //	evacuate.go     runs to stop before their worker leaves
 //	estimate.go     expected run times
+//	speed.go        speeds of workers
+//	kinds.go        kinds of workers by their speed
+//	intime.go       workers on which a step ends in time
+//	knowledge.go    what a leader has learned, for the next one
 //	health.go       workers with repeated failures
 //	flapping.go     machines that crash repeatedly
 //	crash.go        tasks that crash their workers
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -19,9 +19,24 @@
 	trustDeclared bool
 }
 
-// history holds the observations of one image or queue. Times are logarithms, because run times
-// and errors vary by factors.
+// history holds the observations of one image or queue. recent are the newest ones, and base the
+// moments without them: where workers have unequal speeds, the speed of a run's worker may be
+// known only later.
 type history struct {
+	moments
+	base   moments
+	recent []runObservation
+}
+
+// runObservation is the run time of a completed run, and the workers of its gang or its own.
+type runObservation struct {
+	runTime, declared time.Duration
+	workers           []*worker
+}
+
+// moments summarizes observed run times. Times are logarithms, because run times and errors vary
+// by factors.
+type moments struct {
 	count float64
 	// runTime and runTimeVariance are the mean and variance of the run time.
 	runTime, runTimeVariance float64
@@ -50,24 +65,85 @@
 	return "queue " + s.job.Queue
 }
 
-// learn records the run time of a task that was observed from start to end.
-func (e *estimates) learn(s *step, runTime time.Duration, initialPercent int) {
-	if s.spec.EstimateMS <= 0 || runTime <= 0 || initialPercent > 0 {
+// maxRecentRuns is the number of observations per image or queue that are corrected as speeds
+// become known. Older ones have no weight left.
+const maxRecentRuns = 32
+
+// learnRunTime records the run time of a task that was observed from start to end.
+func (c *Core) learnRunTime(r *run) {
+	s, runTime := r.task.step, c.now.Sub(r.since)
+	if s.spec.EstimateMS <= 0 || runTime <= 0 || r.initialPercent > 0 {
 		return
 	}
+	h := c.estimates.historyOf(s)
+	o := runObservation{runTime: runTime, declared: time.Duration(s.spec.EstimateMS) * time.Millisecond, workers: []*worker{r.worker}}
+	if r.gang != nil {
+		o.workers = o.workers[:0]
+		s.eachMember(r.gang, func(member *run) { o.workers = append(o.workers, member.worker) })
+	}
+	h.addRecent(o, c)
+	h.learn(time.Duration(float64(runTime)*c.gangSpeed(r)), o.declared)
+	c.estimates.observations++
+}
+
+// historyOf returns the history that a step's run times belong to.
+func (e *estimates) historyOf(s *step) *history {
 	key := estimateKey(s)
 	h := e.histories[key]
 	if h == nil {
 		h = &history{}
 		e.histories[key] = h
 	}
-	h.count++
-	e.observations++
-	weight := max(minObservationWeight, 1/h.count)
+	return h
+}
+
+// addRecent keeps an observation, so that it can be corrected.
+func (h *history) addRecent(o runObservation, c *Core) {
+	if len(h.recent) == 0 {
+		h.base = h.moments
+	}
+	if len(h.recent) == maxRecentRuns {
+		h.base.learn(h.recent[0].usualRunTime(c), h.recent[0].declared)
+		h.recent = h.recent[1:]
+	}
+	h.recent = append(h.recent, o)
+}
+
+// usualRunTime returns the run time on workers of the usual speed, as their speeds are known now.
+func (o *runObservation) usualRunTime(c *Core) time.Duration {
+	slowest := math.Inf(1)
+	for _, w := range o.workers {
+		slowest = min(slowest, c.speedOf(w))
+	}
+	return time.Duration(float64(o.runTime) * slowest)
+}
+
+// correctRunTimes computes the observed run times anew from the speeds that are known now. Without
+// it the runs on slow workers that end before their speed is known make all objectives of their
+// queue longer, and urgent work starts late as if it were in time.
+func (c *Core) correctRunTimes() {
+	if !c.speeds.unequal || !c.enabled(MechCorrectedRunTimes) {
+		return
+	}
+	for _, h := range c.estimates.histories {
+		if len(h.recent) == 0 {
+			continue
+		}
+		h.moments = h.base
+		for i := range h.recent {
+			h.learn(h.recent[i].usualRunTime(c), h.recent[i].declared)
+		}
+	}
+}
+
+// learn adds a run time and the declared one.
+func (m *moments) learn(runTime, declared time.Duration) {
+	m.count++
+	weight := max(minObservationWeight, 1/m.count)
 	logRunTime := math.Log(float64(runTime.Milliseconds() + 1))
-	updateMoments(&h.runTime, &h.runTimeVariance, logRunTime, weight)
-	declaredError := logRunTime - math.Log(float64(s.spec.EstimateMS))
-	updateMoments(&h.declaredError, &h.declaredErrorVariance, max(-maxLogError, min(maxLogError, declaredError)), weight)
+	updateMoments(&m.runTime, &m.runTimeVariance, logRunTime, weight)
+	declaredError := logRunTime - math.Log(float64(declared.Milliseconds()))
+	updateMoments(&m.declaredError, &m.declaredErrorVariance, max(-maxLogError, min(maxLogError, declaredError)), weight)
 }
 
 // updateMoments moves an exponentially weighted mean and variance towards a value.
--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -111,7 +111,7 @@
 	*w = worker{
 		Worker: w.Worker, stored: w.stored, storedLeaving: w.storedLeaving, storedIncarnation: w.storedIncarnation,
 		unlistedSince: w.unlistedSince, runs: w.runs, used: w.used, lostAttempts: w.lostAttempts, lateStarts: w.lateStarts,
-		wantPoll: true,
+		wantPoll: true, speed: w.speed.afterRestart(&c.speeds.speedPrior),
 	}
 }
 
--- a/internal/dispatch/intime.go
+++ b/internal/dispatch/intime.go
@@ -57,7 +57,26 @@
 	if rankA >= speedLikely {
 		return cmp.Compare(b.band(), a.band())
 	}
-	return cmp.Compare(a.band(), b.band())
+	return cmp.Or(c.compareUnknown(u, a, b), cmp.Compare(a.band(), b.band()))
+}
+
+// explores reports whether a step is used to learn speeds: it has time on any worker. Workers that
+// have just joined are then known within a few seconds; urgent work would otherwise be the first to
+// run on many of them.
+func (c *Core) explores(u *pendingStep) bool {
+	return c.speeds.unequal && c.policies.speed.restricts && !u.step.spec.LongRunning && !u.rank.urgent() &&
+		c.slackFactor(u) > slackForUnknown && c.enabled(MechExploreSpeeds)
+}
+
+// compareUnknown sorts workers of unknown speed first for a step that explores.
+func (c *Core) compareUnknown(u *pendingStep, a, b *workerCapacity) int {
+	switch {
+	case a.speed.isKnown() == b.speed.isKnown() || !c.explores(u):
+		return 0
+	case b.speed.isKnown():
+		return -1
+	}
+	return 1
 }
 
 // speedRank states how sure it is that a step meets its objective on a worker.
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -71,7 +71,7 @@
 
 func (c *Core) sendStart(r *run, reason string) {
 	r.startsSent++
-	c.actions = append(c.actions, Action{Kind: ActStart, Reason: reason, Order: *r.order})
+	c.actions = append(c.actions, Action{Kind: ActStart, Reason: reason, Order: *r.order, WorkerSpeed: c.observedSpeed(r.worker)})
 }
 
 // startValidity limits, on the worker's clock, when a start may be carried out. After it an
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -98,6 +98,7 @@
 func (c *Core) WorkersListed(list []workload.Worker, now time.Time, wallMS int64) {
 	c.tick(now, wallMS)
 	seen := make(map[string]bool, len(list))
+	inherited := false
 	for _, listed := range list {
 		seen[listed.ID] = true
 		w := c.workers[listed.ID]
@@ -105,6 +106,7 @@
 			w = &worker{Worker: listed, runs: make(map[runKey]*run), firstIncarnation: listed.Incarnation}
 			c.workers[listed.ID] = w
 			c.fleet = append(c.fleet, w)
+			inherited = c.inheritSpeed(w) || inherited
 		}
 		if w.isOutdated(listed) {
 			w.unlistedSince = time.Time{}
@@ -120,6 +122,9 @@
 		}
 	}
 	slices.SortFunc(c.fleet, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	if inherited {
+		c.useInheritedSpeeds()
+	}
 	for _, w := range c.fleet {
 		if !seen[w.ID] && w.unlistedSince.IsZero() {
 			w.unlistedSince = now
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -101,7 +101,7 @@
 
 // speeds holds what is known about the speeds of all workers.
 type speeds struct {
-	variance float64
+	speedPrior
 	// unequal is set while the speeds differ by more than their uncertainty explains.
 	unequal bool
 	// fastest is the speed, as a factor, that one in fastShare of the workers reaches.
@@ -187,15 +187,17 @@
 	for range speedPasses {
 		c.computeStepRates()
 		for _, w := range c.fleet {
-			w.speed.compute(c.speeds.variance)
+			w.speed.compute(&c.speeds.speedPrior)
 		}
 		c.centerSpeeds()
 	}
 	c.compareSpeeds()
+	c.findKinds()
 	for _, w := range c.fleet {
 		w.speed.setFactor()
 		w.speed.settle()
 	}
+	c.correctRunTimes()
 	c.estimates.observations++ // the expected run times depend on the speeds
 }
 
@@ -252,7 +254,7 @@
 }
 
 // compute computes a worker's speed from earlier and present runs.
-func (s *workerSpeed) compute(speedVariance float64) {
+func (s *workerSpeed) compute(prior *speedPrior) {
 	weight, sum := s.precision, s.precision*s.settled
 	for _, o := range s.observations {
 		speed, variance, ok := o.evidence()
@@ -270,8 +272,7 @@
 	if weight > 0 {
 		s.observed, s.observedVariance = sum/weight, 1/weight
 	}
-	s.value = sum / (weight + 1/speedVariance)
-	s.variance = 1 / (weight + 1/speedVariance)
+	s.value, s.variance = prior.posterior(sum, weight)
 }
 
 func (s *workerSpeed) setFactor() {
@@ -331,25 +332,37 @@
 // it is above the rounding error of a sum without them.
 const minOthersWeight = 1e-6
 
-// centerSpeeds makes the mean of the observed speeds the usual speed. Comparisons determine only
-// differences: without it all speeds could rise while the rates of all steps fall.
+// centerSpeeds makes the speed of sound workers the usual one. Comparisons determine only
+// differences: without it all speeds could rise while the rates of all steps fall. The mean would
+// count workers that became slow as part of what is usual, and make objectives longer by them.
 func (c *Core) centerSpeeds() {
-	count, mean := 0.0, 0.0
+	var observed []float64
 	for _, w := range c.fleet {
 		if w.speed.isObserved() {
-			count++
-			mean += w.speed.observed
+			observed = append(observed, w.speed.observed)
 		}
 	}
-	if count == 0 {
+	if len(observed) == 0 {
 		return
 	}
-	mean /= count
+	slices.Sort(observed)
+	usual := meanAround(observed[len(observed)/2], observed)
 	for _, w := range c.fleet {
 		if w.speed.isObserved() {
-			w.speed.shift(-mean)
+			w.speed.shift(-usual)
+		}
+	}
+}
+
+// meanAround returns the mean of the values that count as the same speed as the given one.
+func meanAround(speed float64, values []float64) float64 {
+	count, sum := 0.0, 0.0
+	for _, v := range values {
+		if math.Abs(v-speed) <= usualSpeedRange {
+			count, sum = count+1, sum+v
 		}
 	}
+	return sum / count
 }
 
 // shift adds to a speed, as the usual speed changes.
@@ -404,6 +417,15 @@
 	return w.speed.factor
 }
 
+// observedSpeed returns the speed that a worker's runs have shown, without shrinking, or zero if it
+// is not known or the workers count as equal.
+func (c *Core) observedSpeed(w *worker) float64 {
+	if !c.speeds.unequal || !w.speed.isKnown() {
+		return 0
+	}
+	return math.Exp(w.speed.observed)
+}
+
 // gangSpeed returns the speed of the slowest worker of a run's gang, or that of the run's worker if
 // it is not part of one: the members of a gang end together.
 func (c *Core) gangSpeed(r *run) float64 {
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -31,6 +31,10 @@
 	MechStoredStartIntents Mechanism = "stored_begins"
 	MechFlappingWorkers    Mechanism = "flapping_workers"
 	MechWorkerSpeeds       Mechanism = "worker_speeds"
+	MechStoredKnowledge    Mechanism = "stored_knowledge"
+	MechCorrectedRunTimes  Mechanism = "corrected_run_times"
+	MechSpeedKinds         Mechanism = "speed_kinds"
+	MechExploreSpeeds      Mechanism = "explore_speeds"
 )
 
 // Mechanisms returns all mechanisms.
@@ -39,7 +43,7 @@
 		MechHeadroom, MechClaims, MechWaitForCompletions, MechReservations, MechRackWait, MechEstimates, MechUnhealthyWorkers,
 		MechEvacuation, MechSuspectDomains, MechDemoteLate, MechCheapVictims, MechPacking, MechRackOrder, MechRestartClaims, MechResends,
 		MechPollWindow, MechStartWindow, MechStoredStartIntents, MechFlappingWorkers,
-		MechWorkerSpeeds,
+		MechWorkerSpeeds, MechStoredKnowledge, MechCorrectedRunTimes, MechSpeedKinds, MechExploreSpeeds,
 	}
 }
 
--- a/internal/emulator/leader.go
+++ b/internal/emulator/leader.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/corianderbank/corianderbank/internal/dispatch"
+	"github.com/corianderbank/corianderbank/internal/knowledge"
 )
 
 const (
@@ -34,6 +35,8 @@
 	// earlierOrdersUntil is the time until which its predecessor may have sent orders.
 	nextStart          time.Duration
 	earlierOrdersUntil time.Duration
+	// learned is what the predecessors have learned.
+	learned knowledge.Knowledge
 	// storeDownSince is the start of the current store outage, or zero.
 	storeDownSince time.Duration
 }
@@ -67,6 +70,7 @@
 
 func (sim *simulation) loseLeader(delay, ordersUntil time.Duration) {
 	l := &sim.leader
+	l.learned = l.core.Knowledge()
 	l.core, l.nextStart, l.earlierOrdersUntil = nil, sim.now+delay, ordersUntil
 	sim.pendingAnswers = nil
 	for _, w := range sim.workerList {
@@ -136,6 +140,7 @@
 	l.core.TrustStartIntents()
 	l.core.StoreStartIntents(true)
 	l.core.Configure(sim.deployment.config)
+	l.core.Restore(l.learned, sim.clock(), sim.wallMS())
 	sim.notifyWorkers()
 	sim.notifyDrains()
 	for _, a := range sim.accepted {
