Dispatch: victims share a gang where that loses less work

The rest of a victim's gang ran on, and held its workers, until the victim had ended.

Whether a step preempts is decided as before.

Change: where the plan found interrupts a gang, a second plan for the same workers takes the cheapest of free slots, runs, or whole gangs by the work lost for each freed slot; the cheaper plan is used. The rest of a victim's gang is stopped with it.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -152,6 +152,8 @@
 	upcomingReleases    map[string][]release
 	pools               map[string][]*workerCapacity
 	reservationSearches int
+	// gangPlans counts this round's searches for victims that share a gang.
+	gangPlans int
 	// waiting counts the steps that waited in the last round, by priority.
 	waiting   map[int]int
 	estimates estimates
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -18,6 +18,7 @@
 //	reserve.go      capacity reserved for large work, and its use by other work
 //	headroom.go     workers kept free for urgent work
 //	victims.go      preemption for urgent and guaranteed work
+//	gangvictims.go  victims that share a gang
 //	infeasible.go   steps that found no capacity in a round
 //	advice.go       tickets of the placement advisor
 //	evacuate.go     runs to stop before their worker leaves
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -22,6 +22,7 @@
 	c.applyClaims(pending, pools)
 	c.infeasible = make(infeasible)
 	c.upcomingReleases = nil
+	c.gangPlans = 0
 	blocked := 0
 	startsLeft, pendingBefore := c.startsLeft(), len(c.pendingStarts)
 	maxReservations := int(c.numberOr(NumReservations, maxReservingSteps))
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -35,6 +35,7 @@
 	MechCorrectedRunTimes  Mechanism = "corrected_run_times"
 	MechSpeedKinds         Mechanism = "speed_kinds"
 	MechExploreSpeeds      Mechanism = "explore_speeds"
+	MechGangVictims        Mechanism = "gang_victims"
 )
 
 // Mechanisms returns all mechanisms.
@@ -43,7 +44,7 @@
 		MechHeadroom, MechClaims, MechWaitForCompletions, MechReservations, MechRackWait, MechEstimates, MechUnhealthyWorkers,
 		MechEvacuation, MechSuspectDomains, MechDemoteLate, MechCheapVictims, MechPacking, MechRackOrder, MechRestartClaims, MechResends,
 		MechPollWindow, MechStartWindow, MechStoredStartIntents, MechFlappingWorkers,
-		MechWorkerSpeeds, MechStoredKnowledge, MechCorrectedRunTimes, MechSpeedKinds, MechExploreSpeeds,
+		MechWorkerSpeeds, MechStoredKnowledge, MechCorrectedRunTimes, MechSpeedKinds, MechExploreSpeeds, MechGangVictims,
 	}
 }
 
--- a/internal/dispatch/victims.go
+++ b/internal/dispatch/victims.go
@@ -39,10 +39,24 @@
 		p.capacity.free = p.capacity.free.Sub(need)
 		u.markCrashSuspects(p.capacity)
 	}
+	for _, p := range plan {
+		for _, victim := range p.victims {
+			c.stopRestOfGang(victim)
+		}
+	}
 	c.claimCapacity(u, places)
 	return true
 }
 
+// stopRestOfGang stops the other members of a victim's gang at once. Otherwise they would run on,
+// and hold their workers, until the first one has ended. Those that are victims themselves are
+// stopped as such.
+func (c *Core) stopRestOfGang(victim *run) {
+	if victim.gang != nil && c.enabled(MechGangVictims) {
+		c.interruptGang(victim, "a member makes room")
+	}
+}
+
 // offer is the cost of obtaining slots on one worker.
 type offer struct {
 	capacity *workerCapacity
@@ -57,21 +71,51 @@
 // is set.
 func (c *Core) cheapestPlan(u *pendingStep, workers []*workerCapacity, offRack bool) []offer {
 	if !u.step.spec.RackSensitive {
-		plan, _ := c.cheapestPlanOn(u, workers)
-		return plan
+		return c.cheapestPlanAmong(u, workers)
 	}
-	var best []offer
-	bestCost := 0.0
+	var best rackPlan
 	for _, members := range byRack(workers) {
-		plan, cost := c.cheapestPlanOn(u, members)
-		if plan != nil && (best == nil || cost < bestCost) {
-			best, bestCost = plan, cost
+		plan, slotCost := c.cheapestPlanOn(u, members)
+		if plan == nil {
+			continue
 		}
+		plan = c.cheaperForGangs(u, members, plan)
+		next := rackPlan{offers: plan, slotCost: slotCost}
+		next.cost, next.interrupts = c.planCost(plan)
+		if best.offers == nil || next.cheaperThan(best) {
+			best = next
+		}
+	}
+	if best.offers == nil && offRack {
+		return c.cheapestPlanAmong(u, workers)
 	}
-	if best == nil && offRack {
-		best, _ = c.cheapestPlanOn(u, workers)
+	return best.offers
+}
+
+// cheapestPlanAmong returns the cheapest plan that may use all workers together.
+func (c *Core) cheapestPlanAmong(u *pendingStep, workers []*workerCapacity) []offer {
+	plan, _ := c.cheapestPlanOn(u, workers)
+	if plan == nil {
+		return nil
+	}
+	return c.cheaperForGangs(u, workers, plan)
+}
+
+// rackPlan is the plan for one rack. slotCost is the sum of the costs per slot, cost the work lost
+// by all victims.
+type rackPlan struct {
+	offers         []offer
+	slotCost, cost float64
+	interrupts     bool
+}
+
+// cheaperThan compares plans by the work lost as soon as one of them interrupts a gang: the costs
+// per slot count a gang once for each member.
+func (p rackPlan) cheaperThan(other rackPlan) bool {
+	if p.interrupts || other.interrupts {
+		return p.cost < other.cost
 	}
-	return best
+	return p.slotCost < other.slotCost
 }
 
 // byRack groups workers by rack, sorted by rack name.
