Deployment: callers of a silent part of the store are refused before a call begins

And callers of a zone that is cut off used up their five tries within half a second: Retry-After was zero as soon as the entry that was asked would leave the rotation, while the others of its zone were still in it.

Ruled out: one state for the whole store.

Retry-After is zero once all entries of a cut off zone are out of the rotation.

--- a/internal/deployment/accept.go
+++ b/internal/deployment/accept.go
@@ -39,7 +39,13 @@
 // caller has left.
 const retriesInTimeLeft = 3
 
+// retryAfter returns the Retry-After for a caller whose call failed on all routes to the store.
 func (i *Instance) retryAfter(ctx context.Context) time.Duration {
+	return i.retryAfterSilence(ctx, i.store.outageDuration())
+}
+
+// retryAfterSilence returns the Retry-After while the store has answered nobody for a duration.
+func (i *Instance) retryAfterSilence(ctx context.Context, outage time.Duration) time.Duration {
 	if !i.settings.Tuning.enabled(mechRetryAfter) {
 		return minRetryAfter
 	}
@@ -47,7 +53,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		timeLeft = time.Until(deadline)
 	}
-	return retryAfterOutage(i.store.outageDuration(), timeLeft)
+	return retryAfterOutage(outage, timeLeft)
 }
 
 // Caller identifies the queue and the client account of a request.
@@ -160,6 +166,9 @@
 	if i.partition.isCutOff() {
 		return i.cutOffError()
 	}
+	if err := i.refuseInSilence(ctx, write.Part); err != nil {
+		return err
+	}
 	ctx, cancel := i.partition.guard(ctx)
 	defer cancel()
 	unknown := false
--- a/internal/deployment/cut.go
+++ b/internal/deployment/cut.go
@@ -59,6 +59,16 @@
 	return !c.cutOffSince.IsZero()
 }
 
+// since returns the time at which the partition was detected, or the given time if there is none.
+func (c *partitionWatch) since(now time.Time) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cutOffSince.IsZero() {
+		return now
+	}
+	return c.cutOffSince
+}
+
 // markCutOff records that no probe was answered. It returns false if the instance was
 // cut off already.
 func (c *partitionWatch) markCutOff(now time.Time) bool {
@@ -129,7 +139,8 @@
 	case i.partition.isIsolated():
 		after = 0 // the next attempt reaches another instance of the zone
 	default:
-		after = retryAfterElsewhere(i.rotation.timeUntilRemoval(bootTime()))
+		now := bootTime()
+		after = retryAfterElsewhere(max(i.rotation.timeUntilRemoval(now), timeUntilZoneRemoval(i.partition.since(now), now)))
 	}
 	return api.WithRetryAfter(api.NewError(api.KindStoreUnavailable, "%v", errCutOff), after)
 }
--- a/internal/deployment/gossip.go
+++ b/internal/deployment/gossip.go
@@ -214,5 +214,7 @@
 		i.replica.applyAnnounced(rows)
 	case sourceInstances:
 		i.receiveInstances(rows, message.GetVersion())
+	case noteStoreDoubted, noteStoreSilent, noteStoreAnswers:
+		i.receiveStoreNote(workload.Source(message.GetSource()), rows)
 	}
 }
--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -79,6 +79,8 @@
 	drains        *drains
 	lease         *lease
 	partition     *partitionWatch
+	silence       *silenceWatch
+	probeRequests chan string
 	rotation      rotation
 	// unreadable holds the configuration rows that were logged as undecodable.
 	unreadable    unreadableRows
@@ -112,14 +114,16 @@
 func New(o Options) *Instance {
 	s := o.Settings
 	i := &Instance{
-		settings:  s,
-		options:   o,
-		logger:    o.Logger,
-		decoder:   o.Decoder,
-		replica:   newReplica(o.Logger),
-		partition: newPartitionWatch(),
-		peers:     newPeers(),
-		peerCalls: pond.NewPool(maxPeerCalls, pond.WithQueueSize(maxPeerCalls), pond.WithNonBlocking(true)),
+		settings:      s,
+		options:       o,
+		logger:        o.Logger,
+		decoder:       o.Decoder,
+		replica:       newReplica(o.Logger),
+		partition:     newPartitionWatch(),
+		silence:       newSilenceWatch(),
+		probeRequests: make(chan string, jobParts+1),
+		peers:         newPeers(),
+		peerCalls:     pond.NewPool(maxPeerCalls, pond.WithQueueSize(maxPeerCalls), pond.WithNonBlocking(true)),
 	}
 	i.liveSettings.Store(s)
 	i.replica.keepOnlyInstances()
@@ -148,7 +152,7 @@
 	if !s.Tuning.enabled(mechRouteHedging) {
 		i.store.hedgeDelay = routeTimeout
 	}
-	i.store.onAnswer = i.markReconnected
+	i.store.onAnswer, i.store.onPartAnswer, i.store.onOverdue = i.markReconnected, i.storeAnsweredAt, i.storeOverdue
 	retention := 2 * s.bounds().MaxLease
 	i.workers = newRoster(o.Decoder, retention, o.Logger)
 	i.drains = newDrains(o.Decoder, o.Logger)
@@ -399,6 +403,9 @@
 	if i.settings.Tuning.enabled(mechPartitionWatch) {
 		start(i.watchPartition)
 	}
+	if i.settings.Tuning.enabled(mechSilenceWatch) {
+		start(i.watchSilence)
+	}
 	leaseCtx, stopLease := context.WithCancel(ctx)
 	i.stopLease = stopLease
 	i.leaseLoop.Add(1)
--- a/internal/deployment/reach.go
+++ b/internal/deployment/reach.go
@@ -94,6 +94,10 @@
 	relayPeers func() []string
 	// onAnswer, if set, is called with the start of each call that the store answered.
 	onAnswer func(start time.Time)
+	// onPartAnswer, if set, is called in addition for calls to one part of the product's table, and
+	// onOverdue when such a call has not been answered within its hedge delay.
+	onPartAnswer func(part string, start time.Time)
+	onOverdue    func(part string)
 
 	mu sync.Mutex
 	// failedAt is the time at which the direct route last failed; zero after a success.
@@ -113,6 +117,22 @@
 // latency of the store.
 const callFollow = "follow"
 
+// callProbe is the call that finds out whether the store answers at all.
+const callProbe = "probe"
+
+// storeCall describes a call.
+type storeCall struct {
+	name string
+	// part is the part of the product's table that the call concerns, if ofPart is set.
+	part   string
+	ofPart bool
+}
+
+// callOf returns the description of a call to a part of a table.
+func callOf(name string, source workload.Source, part string) storeCall {
+	return storeCall{name, part, source == workload.SourceOwn}
+}
+
 // attempt makes a call on one route.
 type attempt[T any] func(ctx context.Context, store workload.Store) (T, error)
 
@@ -127,7 +147,7 @@
 // tryRoutes tries the routes in turn, the next one as soon as one failed or has not
 // answered for the hedge delay, and returns the first answer. The error wraps
 // workload.ErrUnknown if any attempt may have been performed.
-func tryRoutes[T any](ctx context.Context, r *routedStore, call string, limits limits, try attempt[T]) (T, error) {
+func tryRoutes[T any](ctx context.Context, r *routedStore, call storeCall, limits limits, try attempt[T]) (T, error) {
 	routes := r.routes()
 	attemptsCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -147,10 +167,13 @@
 		select {
 		case o := <-outcomes:
 			ended++
-			r.observeDuration(call, o.route, o.start, o.err)
+			r.observeDuration(call.name, o.route, o.start, o.err)
 			if o.err == nil || errors.Is(o.err, workload.ErrHistoryGone) {
 				r.recordAnsweredBy(o.route, o.start, routes[:started])
-				if o.route == r.direct && call != callFollow {
+				if call.ofPart && r.onPartAnswer != nil {
+					r.onPartAnswer(call.part, o.start)
+				}
+				if o.route == r.direct && call.name != callFollow {
 					r.recordLatency(bootTime().Sub(o.start))
 				}
 				return o.result, o.err
@@ -164,6 +187,9 @@
 				start()
 			}
 		case <-hedge.C:
+			if started == 1 && call.ofPart && call.name != callProbe && r.onOverdue != nil {
+				r.onOverdue(call.part)
+			}
 			if started < len(routes) && ctx.Err() == nil {
 				start()
 			}
@@ -318,25 +344,42 @@
 
 // Write implements workload.Store.
 func (r *routedStore) Write(ctx context.Context, write workload.Write) (workload.WriteResult, error) {
-	return tryRoutes(ctx, r, "write", r.limits(), func(ctx context.Context, store workload.Store) (workload.WriteResult, error) {
+	return tryRoutes(ctx, r, callOf("write", workload.SourceOwn, write.Part), r.limits(), func(ctx context.Context, store workload.Store) (workload.WriteResult, error) {
 		return store.Write(ctx, write)
 	})
 }
 
 // Read implements workload.Store.
 func (r *routedStore) Read(ctx context.Context, source workload.Source, part, from, to string) (workload.Page, error) {
-	return tryRoutes(ctx, r, "read", r.limits(), func(ctx context.Context, store workload.Store) (workload.Page, error) {
+	return tryRoutes(ctx, r, callOf("read", source, part), r.limits(), func(ctx context.Context, store workload.Store) (workload.Page, error) {
 		return store.Read(ctx, source, part, from, to)
 	})
 }
 
 // Follow implements workload.Store.
 func (r *routedStore) Follow(ctx context.Context, source workload.Source, after int64, wait time.Duration) (workload.Page, error) {
-	return tryRoutes(ctx, r, callFollow, limits{wait + followSlack, wait + r.hedgeDelay}, func(ctx context.Context, store workload.Store) (workload.Page, error) {
+	return tryRoutes(ctx, r, storeCall{name: callFollow}, limits{wait + followSlack, wait + r.hedgeDelay}, func(ctx context.Context, store workload.Store) (workload.Page, error) {
 		return store.Follow(ctx, source, after, wait)
 	})
 }
 
+// probeHedgeDelay is the delay between the routes of a probe: all are tried at once.
+const probeHedgeDelay = time.Millisecond
+
+// probe reports whether the store answers for a part by any route.
+func (r *routedStore) probe(ctx context.Context, part string) bool {
+	r.mu.Lock()
+	timeout := min(max(silenceProbeTimeout, silenceProbeFactor*r.avgLatency), maxAttemptTimeout)
+	r.mu.Unlock()
+	_, err := tryRoutes(ctx, r, callOf(callProbe, workload.SourceOwn, part), limits{timeout, probeHedgeDelay}, func(ctx context.Context, store workload.Store) (workload.Page, error) {
+		return store.Read(ctx, workload.SourceOwn, part, probeKey, probeKey+"\x00")
+	})
+	return err == nil
+}
+
+// probeKey is the key that probes read; no row has it.
+const probeKey = "a/probe"
+
 // readAll reads a whole range of a part, page by page. The returned version is that of
 // the first page; the feed has the changes since then.
 func readAll(ctx context.Context, store workload.Store, source workload.Source, part, from, to string) ([]workload.Row, int64, error) {
--- a/internal/deployment/rotation.go
+++ b/internal/deployment/rotation.go
@@ -56,6 +56,13 @@
 	return max(remaining-now.Sub(r.checkedAt), 0)
 }
 
+// timeUntilZoneRemoval returns how long the balancer may still route callers to instances of an
+// availability zone that was cut off at a time. It checks each instance at its own moments, and
+// callers of the zone go to those that are left, so the removal of one of them does not help.
+func timeUntilZoneRemoval(cutOffSince, now time.Time) time.Duration {
+	return max(failedChecksUntilRemoval*balancerCheckInterval-now.Sub(cutOffSince), 0)
+}
+
 // retryAfterElsewhere returns the Retry-After for a caller that the balancer will route
 // to other instances after untilRemoval: zero if the caller's attempts last until then.
 func retryAfterElsewhere(untilRemoval time.Duration) time.Duration {
--- a/internal/deployment/tuning.go
+++ b/internal/deployment/tuning.go
@@ -32,13 +32,14 @@
 	mechQuiesce            dispatch.Mechanism = "finishing"
 	mechRankedTableGap     dispatch.Mechanism = "seldom_reads"
 	mechWorkerRelays       dispatch.Mechanism = "worker_relays"
+	mechSilenceWatch       dispatch.Mechanism = "silence_watch"
 )
 
 // Mechanisms returns the mechanisms of an instance.
 func Mechanisms() []dispatch.Mechanism {
 	return []dispatch.Mechanism{
 		mechEarlyReplacement, mechKeepLeaseInOutages, mechStoreRelays, mechRouteHedging, mechRetryAfter, mechRoundGap, mechPartitionWatch,
-		mechAnnouncements, mechLargerFirst, mechQuiesce, mechRankedTableGap, mechWorkerRelays,
+		mechAnnouncements, mechLargerFirst, mechQuiesce, mechRankedTableGap, mechWorkerRelays, mechSilenceWatch,
 	}
 }
 
