Dispatch: a forecast of urgent demand decides what is kept free for it

Work with checkpoints keeps away where a stop takes longer than the grace period of an urgent queue.

--- a/internal/deployment/silence_test.go
+++ b/internal/deployment/silence_test.go
@@ -55,7 +55,7 @@
 }
 
 // newSilenceInstance returns an instance that runs watchSilence until the context ends.
-func newSilenceInstance(t *testing.T, ctx context.Context, hub bool) (*Instance, *silentStore) {
+func newSilenceInstance(ctx context.Context, t *testing.T, hub bool) (*Instance, *silentStore) {
 	i := newTestLeaf(t)
 	store := &silentStore{memoryStore: newMemoryStore(), answering: make(map[string]bool), latency: 4 * time.Millisecond}
 	i.store.direct = store
@@ -109,7 +109,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer endCalls(cancel)
-		i, store := newSilenceInstance(t, ctx, true)
+		i, store := newSilenceInstance(ctx, t, true)
 		store.silent.Store(true)
 		time.AfterFunc(5*time.Second, func() { store.silent.Store(false) })
 		kinds := submitEach(i, silentPart, 100*time.Millisecond, 6*time.Second)
@@ -132,7 +132,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer endCalls(cancel)
-		i, store := newSilenceInstance(t, ctx, true)
+		i, store := newSilenceInstance(ctx, t, true)
 		store.latency = 260 * time.Millisecond
 		for at, kind := range submitEach(i, silentPart, 100*time.Millisecond, 3*time.Second) {
 			assert.Equal(t, kind, api.Kind(""), "submitted at %s", at)
@@ -150,7 +150,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer endCalls(cancel)
-		i, store := newSilenceInstance(t, ctx, true)
+		i, store := newSilenceInstance(ctx, t, true)
 		store.answering["jobs-4"] = true
 		store.silent.Store(true)
 		i.storeOverdue(silentPart)
@@ -175,7 +175,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer endCalls(cancel)
-		i, store := newSilenceInstance(t, ctx, false)
+		i, store := newSilenceInstance(ctx, t, false)
 		store.silent.Store(true)
 		i.receiveStoreNote(noteStoreSilent, []workload.Row{{Key: silentPart}, {Key: "no part"}})
 		for _, kind := range submitEach(i, silentPart, 100*time.Millisecond, 500*time.Millisecond) {
@@ -191,7 +191,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer endCalls(cancel)
-		i, _ := newSilenceInstance(t, ctx, false)
+		i, _ := newSilenceInstance(ctx, t, false)
 		i.receiveStoreNote(noteStoreSilent, []workload.Row{{Key: silentPart}})
 		assert.Assert(t, i.store.probe(ctx, silentPart))
 		assert.NilError(t, i.refuseInSilence(ctx, silentPart))
@@ -203,7 +203,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer endCalls(cancel)
-		i, store := newSilenceInstance(t, ctx, true)
+		i, store := newSilenceInstance(ctx, t, true)
 		const other = "jobs-4"
 		store.answering[other] = true
 		store.silent.Store(true)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -138,6 +138,8 @@
 	// priority, by pool, as of urgentUsageAt.
 	urgentUsage   map[string]float64
 	urgentUsageAt time.Time
+	// demand holds the forecasts of the demand of urgent work, by pool.
+	demand map[string]*demandForecast
 	// lightLoadSince holds the pools that are less than half in use and the time at which that was
 	// first observed.
 	lightLoadSince map[string]time.Time
@@ -186,6 +188,7 @@
 		now:            now,
 		urgentUsage:    make(map[string]float64),
 		lightLoadSince: make(map[string]time.Time),
+		demand:         make(map[string]*demandForecast),
 		waiting:        make(map[int]int),
 		urgentUsageAt:  now,
 		suspects:       make(map[domain]time.Time),
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -17,6 +17,7 @@
 //	claim.go        capacity that is being freed for urgent gangs
 //	reserve.go      capacity reserved for large work, and its use by other work
 //	headroom.go     workers kept free for urgent work
+//	forecast.go     the demand of urgent work
 //	victims.go      preemption for urgent and guaranteed work
 //	gangvictims.go  victims that share a gang
 //	infeasible.go   steps that found no capacity in a round
--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -42,10 +42,10 @@
 }
 
 // mustAvoidHeadroom reports whether the step must not use the workers kept for urgent work: it is
-// not in a queue of the highest priority, and loses its work if preempted.
+// not in a queue of the highest priority, and either loses its work if preempted or takes long to stop.
 func (c *Core) mustAvoidHeadroom(u *pendingStep) bool {
 	s := u.step.spec
-	return u.queue.Priority != 0 && !s.LongRunning && !s.Checkpoints
+	return u.queue.Priority != 0 && !s.LongRunning && (!s.Checkpoints || c.stopsTakeTooLong(u.queue.Pool))
 }
 
 // excludeHeadroom returns the workers without those that are kept for urgent work. Only workers
@@ -55,7 +55,7 @@
 		return workers
 	}
 	maxKept := int(c.numberOr(NumHeadroomMaxShare, headroomMaxShare) * float64(len(workers)))
-	wanted := c.numberOr(NumHeadroomFactor, headroomFactor) * c.urgentUsage[pool]
+	wanted := c.expectedUrgentUse(pool)
 	kept := make(map[*workerCapacity]bool)
 	for _, r := range c.fastWorkersFirst(workers) {
 		if maxKept == 0 || wanted <= 0 {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -17,6 +17,7 @@
 	c.pools = pools
 	c.markFlapping(pools)
 	c.recordUrgentUsage(pools)
+	c.observeDemand(pending, pools)
 	c.recordLightLoad(pools)
 	c.applyRestartClaims(pools)
 	c.applyClaims(pending, pools)
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -36,6 +36,7 @@
 	MechSpeedKinds         Mechanism = "speed_kinds"
 	MechExploreSpeeds      Mechanism = "explore_speeds"
 	MechGangVictims        Mechanism = "gang_victims"
+	MechDemandForecast     Mechanism = "demand_forecast"
 )
 
 // Mechanisms returns all mechanisms.
@@ -44,7 +45,7 @@
 		MechHeadroom, MechClaims, MechWaitForCompletions, MechReservations, MechRackWait, MechEstimates, MechUnhealthyWorkers,
 		MechEvacuation, MechSuspectDomains, MechDemoteLate, MechCheapVictims, MechPacking, MechRackOrder, MechRestartClaims, MechResends,
 		MechPollWindow, MechStartWindow, MechStoredStartIntents, MechFlappingWorkers,
-		MechWorkerSpeeds, MechStoredKnowledge, MechCorrectedRunTimes, MechSpeedKinds, MechExploreSpeeds, MechGangVictims,
+		MechWorkerSpeeds, MechStoredKnowledge, MechCorrectedRunTimes, MechSpeedKinds, MechExploreSpeeds, MechGangVictims, MechDemandForecast,
 	}
 }
 
