Dispatch: the forecast counts where stops take too long; shards are written in turn

By reading: of more shards of speeds than fit into a write the first ones by name would have taken every turn.

Change: the forecast counts in pools where a stop takes longer than the grace period of an urgent queue; shards after the one written last come first (test: 6,000 workers whose speeds all change).

--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -73,19 +73,21 @@
 	}
 }
 
-// expectedUrgentUse returns the accelerators of a pool to keep for urgent work.
+// expectedUrgentUse returns the accelerators of a pool to keep for urgent work. The forecast counts
+// where stops take too long: elsewhere urgent work that finds too little preempts in time, and
+// capacity that is kept is missed by ordinary work.
 func (c *Core) expectedUrgentUse(pool string) float64 {
 	average := c.numberOr(NumHeadroomFactor, headroomFactor) * c.urgentUsage[pool]
 	f := c.demand[pool]
-	if f == nil || !c.enabled(MechDemandForecast) {
+	if f == nil || !c.stopsTakeTooLong(pool) {
 		return average
 	}
 	return max(average, f.ahead())
 }
 
-// stopsTakeTooLong reports whether urgent work cannot wait for a run to stop: its callers allow less
-// than that on top of the work. All ordinary work then keeps away from what is kept for it, also
-// work that would lose little.
+// stopsTakeTooLong reports whether urgent work of a pool cannot wait for a run to stop: its callers
+// allow less than that on top of the work. All ordinary work then keeps away from what is kept for
+// it, also work that would lose little.
 func (c *Core) stopsTakeTooLong(pool string) bool {
 	if !c.enabled(MechDemandForecast) {
 		return false
--- a/internal/knowledge/changes.go
+++ b/internal/knowledge/changes.go
@@ -37,6 +37,8 @@
 	// outdated holds the keys of shards of another number, which are removed.
 	outdated   []string
 	comparedAt time.Time
+	// lastShard is the shard that was written last.
+	lastShard string
 }
 
 // NewTracker returns the tracker of a new leader, with the keys of the rows that it found and
@@ -84,6 +86,7 @@
 			}
 		}
 		rows = append(rows, Row{key, c.encode()})
+		t.lastShard = key
 	}
 	if len(rows) == 0 {
 		removed = slices.Clone(t.outdated[:min(limit, len(t.outdated))])
@@ -139,7 +142,9 @@
 	return false
 }
 
-// changedShards returns the keys of the shards with a speed that may change a decision.
+// changedShards returns the keys of the shards with a speed that may change a decision, those after
+// the one that was written last first: on a large deployment a few shards at a time are written, and
+// the first ones would take every turn.
 func (t *Tracker) changedShards(k Knowledge) []string {
 	changed := make(map[string]bool)
 	for worker, s := range k.Speeds {
@@ -147,7 +152,9 @@
 			changed[shardOf(worker, t.shards)] = true
 		}
 	}
-	return slices.Sorted(maps.Keys(changed))
+	keys := slices.Sorted(maps.Keys(changed))
+	next, _ := slices.BinarySearch(keys, t.lastShard+"\x00")
+	return slices.Concat(keys[next:], keys[:next])
 }
 
 func speedChanged(stored, now Speed) bool {
--- a/internal/knowledge/knowledge_test.go
+++ b/internal/knowledge/knowledge_test.go
@@ -101,6 +101,31 @@
 	assert.DeepEqual(t, next.outdated, []string{"speeds-1-0"})
 }
 
+// All speeds change all the time, and eight rows are written at a time.
+func TestEachShardIsWrittenInItsTurn(t *testing.T) {
+	const limit = 8
+	rows := make(table)
+	tracker := NewTracker(1, nil, Knowledge{})
+	written := make(map[string]int)
+	for turn := range 2 * shardCount(6000) / limit {
+		k := fleet(6000)
+		for worker, s := range k.Speeds {
+			s.Log += float64(turn%2) / 2
+			k.Speeds[worker] = s
+		}
+		pending, _ := tracker.Pending(k, savedAt, savedMS, limit)
+		for _, row := range pending {
+			rows[row.Key] = row.Value
+			written[row.Key]++
+		}
+		tracker.Stored(k, pending, nil)
+	}
+	for key := range rows {
+		assert.Assert(t, key == workKey || written[key] <= 3, "%s was written %d times", key, written[key])
+	}
+	assert.Equal(t, len(rows), 1+shardCount(6000))
+}
+
 func TestAWriteThatWasLostIsRepeated(t *testing.T) {
 	tracker := NewTracker(1, nil, Knowledge{})
 	lost, _ := tracker.Pending(fleet(20), savedAt, savedMS, 8)
