Deployment: start intents go to the part of their job while records are slow

Ruled out: starting without an intent. The row that promises intents lies in the silent part and cannot be changed.

Change (docs/design/111): an intent that has waited for 60 ms is written to the part of its job, as a row of its own without the epoch; a new leader reads it with the table. Leaders promise begins_anywhere, which an instance of an earlier version does not trust.

Once the lease has run out after 2 s nothing starts.

--- a/internal/deployment/begins_test.go
+++ b/internal/deployment/begins_test.go
@@ -132,10 +132,10 @@
 			g := l.tryTake(t.Context())
 			assert.Assert(t, g != nil)
 			assert.Equal(t, g.trustIntents, c.trustIntents)
-			assert.Equal(t, l.replica.seenLeader().StoresIntents, c.strict)
+			assert.Equal(t, l.replica.seenLeader().promisesIntents(), c.strict)
 			g.promise.request(true)
 			assert.Assert(t, l.renewOnce(t.Context(), g, 1))
-			assert.Assert(t, l.replica.seenLeader().StoresIntents)
+			assert.Assert(t, l.replica.seenLeader().promisesIntents())
 			_, sure := g.promise.confirmed()
 			assert.Assert(t, sure)
 			l.release(g)
@@ -143,7 +143,7 @@
 			assert.NilError(t, err)
 			l.replica.apply(page.Rows)
 			released := l.replica.seenLeader()
-			assert.Assert(t, released.Released && released.StoresIntents)
+			assert.Assert(t, released.Released && released.promisesIntents())
 		})
 	}
 }
@@ -154,7 +154,7 @@
 	g := l.tryTake(t.Context())
 	assert.Assert(t, g != nil)
 	assert.Assert(t, !g.trustIntents)
-	assert.Assert(t, l.replica.seenLeader().StoresIntents)
+	assert.Assert(t, l.replica.seenLeader().promisesIntents())
 }
 
 func TestEveryStartIntentStateHandlesEveryEvent(t *testing.T) {
--- a/internal/deployment/candidate.go
+++ b/internal/deployment/candidate.go
@@ -138,10 +138,10 @@
 	// A leader that did not promise start intents may have started jobs without a
 	// record of it, and until this leader has stored those records, it cannot promise
 	// them either.
-	g.trustIntents = g.hasPredecessor && seen.StoresIntents
+	g.trustIntents = g.hasPredecessor && seen.promisesIntents()
 	g.promise.init(l.tuning.enabled(dispatch.MechStoredStartIntents) && (g.trustIntents || !g.hasPredecessor))
 	sent := bootTime()
-	row := leaderRow{Leader: l.self, Epoch: g.epoch, StoresIntents: g.promise.strict}
+	row := leaderRow{Leader: l.self, Epoch: g.epoch, StoresIntentsAnywhere: g.promise.strict}
 	written, err := l.store.Write(ctx, workload.Write{
 		Expect: []workload.Row{{Key: leaderKey, Version: seen.version}, {Key: epochKey, Version: epochVersion}},
 		Put:    []workload.Row{{Key: leaderKey, Value: encode(row)}, {Key: epochKey, Value: encode(g.epoch)}},
--- a/internal/deployment/leader.go
+++ b/internal/deployment/leader.go
@@ -75,6 +75,8 @@
 	intents *intentMode
 	// learned decides which knowledge is stored for the next leader; nil if none is.
 	learned *knowledge.Tracker
+	// intentWrites holds the jobs whose start intent is being written apart from their record.
+	intentWrites map[string]bool
 	// startsHeld is set while nothing starts because the copy of the drained zones is
 	// too old.
 	startsHeld bool
@@ -125,6 +127,7 @@
 		logger:         i.logger.Named("leader"),
 		recordVersions: make(map[string]int64),
 		announced:      make(map[string]bool),
+		intentWrites:   make(map[string]bool),
 		priorities:     make(map[int]bool),
 	}
 }
@@ -242,6 +245,7 @@
 	c.updateWaitingGauges()
 	c.logUnsynced(started)
 	c.write()
+	c.writeOwedIntents()
 	c.announceCompletions()
 	c.removeExpired()
 	c.instance.replica.setStarted(c.grant.epoch, c.core.StartedJobs())
--- a/internal/deployment/parts.go
+++ b/internal/deployment/parts.go
@@ -13,8 +13,8 @@
 // This file spreads the product's table over parts. The store performs the transactions
 // of one part one after the other: with all rows in one part, jobs queue behind each
 // other, behind records and behind lease renewals, and are refused as soon as a
-// transaction takes longer than the interval between jobs. Jobs and cancellations are
-// therefore spread over parts by their id. The rows that a leader writes under its
+// transaction takes longer than the interval between jobs. Jobs, cancellations and
+// separate start intents are therefore spread over parts by their id. The rows that a leader writes under its
 // epoch share the part of the epoch row.
 
 const (
@@ -26,13 +26,12 @@
 
 // partOf returns the part of a key of the product's table.
 func partOf(key string) string {
-	id, isJob := strings.CutPrefix(key, jobPrefix)
-	if !isJob {
-		if id, isJob = strings.CutPrefix(key, cancelPrefix); !isJob {
-			return mainPart
+	for _, prefix := range []string{jobPrefix, cancelPrefix, intentPrefix} {
+		if id, found := strings.CutPrefix(key, prefix); found {
+			return jobPart(xxhash.Sum64String(id) % jobParts)
 		}
 	}
-	return jobPart(xxhash.Sum64String(id) % jobParts)
+	return mainPart
 }
 
 func jobPart(n uint64) string { return "jobs-" + strconv.FormatUint(n, 10) }
--- a/internal/deployment/records.go
+++ b/internal/deployment/records.go
@@ -205,7 +205,7 @@
 		if parts[part] == nil {
 			parts[part] = &workload.Write{Part: part}
 		}
-		parts[part].Remove = append(parts[part].Remove, jobPrefix+id, cancelPrefix+id)
+		parts[part].Remove = append(parts[part].Remove, jobPrefix+id, cancelPrefix+id, intentPrefix+id)
 	}
 	var list []workload.Write
 	for _, part := range slices.Sorted(maps.Keys(parts)) {
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -24,6 +24,7 @@
 	jobPrefix       = "j/"
 	knowledgePrefix = "k/"
 	instancePrefix  = "n/"
+	intentPrefix    = "b/"
 	workerPrefix    = "w/"
 )
 
@@ -34,6 +35,8 @@
 	record    dispatch.Record
 	// announced is set if the record comes from a leader that could not store it yet.
 	announced bool
+	// begun is set if the start intent is stored apart from the record.
+	begun bool
 	// unreadable is set if the record of the job cannot be decoded.
 	unreadable bool
 }
@@ -47,10 +50,15 @@
 	// Beat changes with each renewal.
 	Beat int64 `json:"beat"`
 	// StoresIntents promises that the record of every started job has its start
-	// intent.
-	StoresIntents bool `json:"begins,omitempty"`
+	// intent. Leaders that may store intents apart from records promise StoresIntentsAnywhere
+	// instead, so that an instance that does not know of these trusts neither.
+	StoresIntents         bool `json:"begins,omitempty"`
+	StoresIntentsAnywhere bool `json:"begins_anywhere,omitempty"`
 }
 
+// promisesIntents reports whether every started job has its start intent stored.
+func (r leaderRow) promisesIntents() bool { return r.StoresIntents || r.StoresIntentsAnywhere }
+
 // seenLeader is the leader row as this instance has seen it.
 type seenLeader struct {
 	leaderRow
@@ -177,6 +185,8 @@
 		r.workers[id] = worker
 	case knowledgePrefix:
 		r.knowledge[id] = row.Value
+	case intentPrefix:
+		r.ensureJob(id).begun = true
 	default:
 		r.applyLeader(row)
 	}
@@ -388,7 +398,9 @@
 	list := make([]knownJob, 0, len(r.jobs))
 	for _, known := range r.jobs {
 		if known.job != nil && !known.unreadable {
-			list = append(list, *known)
+			k := *known
+			k.record.StartIntent = k.record.StartIntent || k.begun
+			list = append(list, k)
 		}
 	}
 	slices.SortFunc(list, func(a, b knownJob) int {
--- a/internal/deployment/tuning.go
+++ b/internal/deployment/tuning.go
@@ -33,13 +33,14 @@
 	mechRankedTableGap     dispatch.Mechanism = "seldom_reads"
 	mechWorkerRelays       dispatch.Mechanism = "worker_relays"
 	mechSilenceWatch       dispatch.Mechanism = "silence_watch"
+	mechSeparateIntents    dispatch.Mechanism = "separate_intents"
 )
 
 // Mechanisms returns the mechanisms of an instance.
 func Mechanisms() []dispatch.Mechanism {
 	return []dispatch.Mechanism{
 		mechEarlyReplacement, mechKeepLeaseInOutages, mechStoreRelays, mechRouteHedging, mechRetryAfter, mechRoundGap, mechPartitionWatch,
-		mechAnnouncements, mechLargerFirst, mechQuiesce, mechRankedTableGap, mechWorkerRelays, mechSilenceWatch,
+		mechAnnouncements, mechLargerFirst, mechQuiesce, mechRankedTableGap, mechWorkerRelays, mechSilenceWatch, mechSeparateIntents,
 	}
 }
 
--- a/internal/dispatch/begins.go
+++ b/internal/dispatch/begins.go
@@ -60,6 +60,26 @@
 	}
 }
 
+// OwedStartIntents returns the jobs whose start intent has been waiting for the store for longer than
+// d, in the order of acceptance.
+func (c *Core) OwedStartIntents(d time.Duration) []string {
+	var ids []string
+	for _, j := range c.queue {
+		if j.owesStartIntent() && c.now.Sub(j.startIntentRequestedAt) > d {
+			ids = append(ids, j.ID)
+		}
+	}
+	return ids
+}
+
+// MarkStartIntentStored records that the store has a job's start intent apart from its record.
+func (c *Core) MarkStartIntentStored(id string, now time.Time, wallMS int64) {
+	c.tick(now, wallMS)
+	if j := c.jobs[id]; j != nil {
+		j.startIntentStored = true
+	}
+}
+
 // StartIntentsStored reports whether the store has the start intent or the final state of every job
 // that may have been started.
 func (c *Core) StartIntentsStored() bool {
