Tests: the test of separate intents does not stop its pool

Stopping a pool uses the library's shared pool, whose context had made its channel in another test's bubble. The test now waits for the answers instead.

--- a/internal/deployment/intents_test.go
+++ b/internal/deployment/intents_test.go
@@ -78,8 +78,9 @@
 // storeIntents writes owed intents and applies the answers.
 func (it *intentTest) storeIntents() {
 	it.writeOwedIntents()
-	it.orders.StopAndWait()
-	it.applyQueued()
+	for range len(it.intentWrites) {
+		it.apply(<-it.events)
+	}
 }
 
 func TestAJobStartsWhileItsRecordCannotBeStored(t *testing.T) {
