--- a/internal/deployment/silence.go
+++ b/internal/deployment/silence.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"github.com/corianderbank/corianderbank/api"
-	peerpb "github.com/corianderbank/corianderbank/api/peer"
 	"github.com/corianderbank/corianderbank/internal/chart"
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
@@ -249,13 +248,13 @@
 }
 
 func (i *Instance) sendStoreNote(note workload.Source, parts, peers []string) {
-	message := &peerpb.RowsNote{Source: string(note)}
-	for _, part := range parts {
-		message.Rows = append(message.Rows, &peerpb.StoreRow{Key: part})
+	rows := make([]workload.Row, len(parts))
+	for n, part := range parts {
+		rows[n].Key = part
 	}
 	for _, id := range peers {
 		if id != i.settings.Listen.Peers {
-			i.peerCalls.Go(func() { i.sendNote(id, message) })
+			i.peerCalls.Go(func() { i.sendRows(id, note, rows) })
 		}
 	}
 }
--- a/internal/dispatch/kinds.go
+++ b/internal/dispatch/kinds.go
@@ -122,17 +122,18 @@
 // kindLimits returns the last bin of each kind: the lowest one between two peaks.
 func kindLimits(counts [kindBins]float64) []int {
 	var limits []int
-	peak, valley := 0.0, 0.0 // of the kind so far, and since its peak
+	peak, valley := 0.0, 0.0 // of the present kind, and since its peak
 	valleyAt := 0
 	for i, count := range counts {
+		isValley := valley < kindValley*peak
 		switch {
-		case count > peak && valley >= kindValley*peak:
-			peak, valley, valleyAt = count, count, i
 		case count < valley:
 			valley, valleyAt = count, i
-		case valley < kindValley*min(peak, count):
+		case isValley && valley < kindValley*count: // the next kind has begun
 			limits = append(limits, valleyAt)
 			peak, valley, valleyAt = count, count, i
+		case !isValley && count > peak: // the present kind has not reached its peak
+			peak, valley, valleyAt = count, count, i
 		}
 	}
 	return append(limits, kindBins-1)
--- a/internal/knowledge/knowledge.go
+++ b/internal/knowledge/knowledge.go
@@ -64,7 +64,7 @@
 	return math.Exp2(-max(age, 0).Seconds() / halfLife.Seconds())
 }
 
-// aged returns knowledge as a leader may rely on it after the given time.
+// aged lowers the weight of knowledge, in place, to what a leader may rely on after the given time.
 func (k Knowledge) aged(age time.Duration) Knowledge {
 	factor := trust(age)
 	for worker, s := range k.Speeds {
