--- a/internal/losses/report.go
+++ b/internal/losses/report.go
@@ -59,8 +59,8 @@
 	Unparsed int `json:"unread_lines"`
 }
 
-// DefaultSeenAfter is the time after its completion at which the caller of a job learns of it:
-// half of the second in which callers ask twice.
+// DefaultSeenAfter is the time after its completion at which the caller of a job learns of it: half
+// the interval at which callers ask, about half a second.
 const DefaultSeenAfter = 250 * time.Millisecond
 
 // Report evaluates the collected lines. seenAfter is the time after its completion at which a
