--- a/internal/deployment/intents.go
+++ b/internal/deployment/intents.go
@@ -25,10 +25,11 @@
 
 // writeOwedIntents writes the start intents that records have not taken yet.
 func (c *leader) writeOwedIntents() {
-	if !c.instance.settings.Tuning.enabled(mechSeparateIntents) {
+	owed := c.core.OwedStartIntents(intentFallbackAfter)
+	if len(owed) == 0 || !c.instance.settings.Tuning.enabled(mechSeparateIntents) || !c.instance.watchesSilence() {
 		return
 	}
-	for _, id := range c.core.OwedStartIntents(intentFallbackAfter) {
+	for _, id := range owed {
 		if c.intentWrites[id] || len(c.intentWrites) >= maxIntentWrites {
 			continue
 		}
--- a/internal/deployment/silence.go
+++ b/internal/deployment/silence.go
@@ -146,9 +146,21 @@
 	return list
 }
 
+// maxSilenceZone is the number of instances of an availability zone up to which silences are watched.
+// The notes of a hub to all its leaves share the bounded peer calls with its hellos; in larger zones
+// they displace them, and leaves without hellos read the whole table.
+const maxSilenceZone = maxPeerCalls / 4
+
+// watchesSilence reports whether this instance looks for silent parts of the store, and works around
+// them.
+func (i *Instance) watchesSilence() bool {
+	zone := i.replica.zones("")[i.settings.AvailabilityZone]
+	return i.settings.Tuning.enabled(mechSilenceWatch) && len(zone) <= maxSilenceZone
+}
+
 // storeOverdue is called when a call to a part has not been answered for longer than calls take.
 func (i *Instance) storeOverdue(part string) {
-	if i.settings.Tuning.enabled(mechSilenceWatch) && i.silence.apply(part, storeOverdue, bootTime()) {
+	if i.watchesSilence() && i.silence.apply(part, storeOverdue, bootTime()) {
 		i.sendStoreNote(noteStoreDoubted, []string{part}, i.zoneHubs())
 		i.requestProbe(part)
 	}
@@ -261,7 +273,7 @@
 
 // receiveStoreNote applies what another instance says about parts of the store.
 func (i *Instance) receiveStoreNote(note workload.Source, parts []workload.Row) {
-	if !i.settings.Tuning.enabled(mechSilenceWatch) {
+	if !i.watchesSilence() {
 		return
 	}
 	now := bootTime()
--- a/internal/deployment/silence_test.go
+++ b/internal/deployment/silence_test.go
@@ -145,6 +145,16 @@
 	return silent
 }
 
+func TestInLargeZonesNoNotesDisplaceHellos(t *testing.T) {
+	i := newTestLeaf(t)
+	assert.Assert(t, i.watchesSilence())
+	for n := range maxSilenceZone {
+		row := workload.Row{Key: fmt.Sprintf("%s10.0.0.%d:1", instancePrefix, n), Value: encode(instanceRow{Zone: "zone-1"}), Version: int64(100 + n)}
+		i.replica.apply([]workload.Row{row})
+	}
+	assert.Assert(t, !i.watchesSilence())
+}
+
 // The first overdue call makes a hub probe all parts.
 func TestAHubFindsAllSilentPartsAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
