Dispatch: lost runs state how long they were seen, jobs given up their cause

'job given up' now comes for both ways, with cause (crashes, attempts), the attempts and the version; 'run lost' has seen_ms and unheard_ms. A 'run lost' line followed by an 'end' with kind=failed of the same attempt shows an end that came after its lease.

No decision changes. Tests: the lost run's times in TestLostRunIsReportedWithItsCause.

--- a/internal/deployment/orders.go
+++ b/internal/deployment/orders.go
@@ -40,7 +40,8 @@
 	case dispatch.ActReason:
 		c.logger.Info("wait", append(taskFields(action.Order.Task), zap.Int64("epoch", action.Order.Epoch), zap.String("reason", action.Reason))...)
 	case dispatch.ActJobAbandoned:
-		c.logger.Warn("job given up", append(taskFields(action.Order.Task), zap.Int64("epoch", action.Order.Epoch), zap.String("reason", action.Reason))...)
+		c.logger.Warn("job given up", append(taskFields(action.Order.Task), zap.Int64("epoch", action.Order.Epoch),
+			zap.String("cause", string(action.FailureCause)), zap.String("reason", action.Reason))...)
 	case dispatch.ActLost:
 		c.logLostRun(action)
 	case dispatch.ActAskAdvisor:
@@ -91,6 +92,7 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`corianderbank_deployment_lost_runs_total{cause="%s"}`, lost.Cause)).Inc()
 	c.logger.Warn("run lost", append(taskFields(o.Task), zap.Int64("attempt", o.Attempt), zap.String("worker", o.Worker),
 		zap.Int64("epoch", o.Epoch), zap.String("cause", string(lost.Cause)), zap.Int64("ran_ms", lost.Ran.Milliseconds()),
+		zap.Int64("seen_ms", lost.Observed.Milliseconds()), zap.Int64("unheard_ms", lost.Unheard.Milliseconds()),
 		zap.Int("beside", lost.OthersLost))...)
 }
 
--- a/internal/dispatch/completions.go
+++ b/internal/dispatch/completions.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/corianderbank/corianderbank/internal/workload"
@@ -158,7 +159,9 @@
 		return
 	}
 	c.markChanged(j)
-	if len(j.record.Failed[t.recordKey()]) >= c.maxAttempts(j) {
+	failed, allowed := j.record.Failed[t.recordKey()], c.maxAttempts(j)
+	if len(failed) >= allowed {
+		c.reportAbandoned(t, FailureAttempts, fmt.Sprintf("attempts %v failed, %d allowed by configuration %d", failed, allowed, c.configVersion()))
 		c.finish(j, FinalFailed)
 	}
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -49,6 +49,8 @@
 	First *FirstStart
 	// Lost describes how a run was lost.
 	Lost *LostRun
+	// FailureCause is the cause of an ActJobAbandoned.
+	FailureCause FailureCause
 }
 
 // LostRun describes a run that ended because its worker was lost.
@@ -56,10 +58,25 @@
 	Cause LossCause
 	// Ran is the time since the run started, or since this epoch adopted it.
 	Ran time.Duration
+	// Observed is the time, on the worker's clock, for which the worker has reported the run.
+	Observed time.Duration
+	// Unheard is the time since the worker's last answer.
+	Unheard time.Duration
 	// OthersLost is the number of other runs that were lost with it.
 	OthersLost int
 }
 
+// FailureCause states why a job failed permanently.
+type FailureCause string
+
+// The causes of a permanent failure.
+const (
+	// FailureAttempts means that the allowed attempts of a task or gang ended in failure.
+	FailureAttempts FailureCause = "attempts"
+	// FailureCrashes means that a task crashed its workers.
+	FailureCrashes FailureCause = "crashes"
+)
+
 // LossCause states how a leader learned that the runs on a worker are over.
 type LossCause string
 
@@ -211,6 +228,14 @@
 // Configure applies a configuration.
 func (c *Core) Configure(config *workload.Configuration) { c.config = config }
 
+// configVersion returns the version of the configuration in force, or zero if there is none.
+func (c *Core) configVersion() int64 {
+	if c.config == nil {
+		return 0
+	}
+	return c.config.Version
+}
+
 // tick starts a new event: it sets the current time and increments the event sequence.
 func (c *Core) tick(now time.Time, wallMS int64) {
 	c.now, c.wallMS = now, wallMS
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -141,12 +141,8 @@
 func (c *Core) failPermanently(t *task) {
 	j := t.step.job
 	attempts := slices.Concat(j.record.Crashed[t.crashKey()], j.record.SharedCrashes[t.crashKey()])
-	c.actions = append(c.actions, Action{
-		Kind:  ActJobAbandoned,
-		Order: workload.Order{Task: t.id(), Epoch: c.epoch},
-		Reason: fmt.Sprintf("%d workers crashed while running it, in attempts %v; unanswered starts lost: %d",
-			len(attempts), attempts, t.crashes.Unacknowledged),
-	})
+	c.reportAbandoned(t, FailureCrashes, fmt.Sprintf("%d workers crashed while running it, in attempts %v; unanswered starts lost: %d",
+		len(attempts), attempts, t.crashes.Unacknowledged))
 	c.forgetMachineCrashes(attempts)
 	c.finish(j, FinalFailed)
 }
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -379,6 +379,8 @@
 				assert.Equal(t, a.Lost.Cause, c.cause)
 				assert.Equal(t, a.Lost.OthersLost, 1)
 				assert.Assert(t, a.Lost.Ran >= c.ran, "ran %v", a.Lost.Ran)
+				assert.Assert(t, a.Lost.Observed <= time.Second, "reported for %v", a.Lost.Observed)
+				assert.Assert(t, a.Lost.Observed+a.Lost.Unheard >= a.Lost.Ran-100*time.Millisecond, "unheard for %v of %v", a.Lost.Unheard, a.Lost.Ran)
 			}
 		})
 	}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -22,6 +22,10 @@
 	// confirmed is set once the worker has reported the run, unanswered once the call with its
 	// start ended without an answer.
 	confirmed, unanswered bool
+	// confirmedAtMS is the worker's clock when it first reported the run, observed the time from
+	// then to its last report.
+	confirmedAtMS int64
+	observed      time.Duration
 	// attemptRecorded is set if the store has this attempt as possibly running.
 	attemptRecorded bool
 	need            workload.Resources
@@ -84,6 +88,17 @@
 	return c.epoch*attemptsPerEpoch + c.attempts
 }
 
+// observeAlive records that the worker reported the run at a time on the worker's clock.
+func (r *run) observeAlive(clockMS int64) {
+	switch {
+	case clockMS <= 0:
+	case r.confirmedAtMS == 0:
+		r.confirmedAtMS = clockMS
+	default:
+		r.observed = max(r.observed, time.Duration(clockMS-r.confirmedAtMS)*time.Millisecond)
+	}
+}
+
 func (c *Core) attach(r *run) {
 	t := r.task
 	t.runs = append(t.runs, r)
@@ -178,6 +193,7 @@
 		c.resends.earn()
 		r.transition(runStarted)
 		r.confirmed = true
+		r.observeAlive(result.ClockMS)
 		r.order = nil
 		r.settledAfter = c.sequence
 		c.observeStart(r)
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -238,16 +238,16 @@
 		return // a later poll was answered first
 	}
 	w.lastPollSequence = sent.Sequence
-	c.reconcileRuns(w, report.Running, sent.Sequence)
+	c.reconcileRuns(w, report, sent.Sequence)
 	c.closeLateStarts(w)
 }
 
 // reconcileRuns updates the runs of a worker to match the runs that it lists.
-func (c *Core) reconcileRuns(w *worker, list []workload.Running, sent uint64) {
-	listed := make(map[runKey]bool, len(list))
+func (c *Core) reconcileRuns(w *worker, report workload.Report, sent uint64) {
+	listed := make(map[runKey]bool, len(report.Running))
 	previouslyUnknown := w.unknownRuns
 	w.unknownRuns = nil
-	for _, running := range list {
+	for _, running := range report.Running {
 		key := runKey{running.Task, running.Attempt}
 		listed[key] = true
 		r := w.runs[key]
@@ -259,6 +259,7 @@
 		}
 		if r != nil {
 			c.applyProgress(r, running)
+			r.observeAlive(report.ClockMS)
 		}
 	}
 	missing := w.sortedRuns(func(r *run) bool {
--- a/internal/dispatch/reasons.go
+++ b/internal/dispatch/reasons.go
@@ -36,12 +36,21 @@
 	c.emitReason(j.steps[0], cause, fmt.Sprintf("%s; waited %d ms", cause, c.now.Sub(j.acceptedAt).Milliseconds()))
 }
 
+// reportAbandoned emits an action that states why a job failed permanently.
+func (c *Core) reportAbandoned(t *task, cause FailureCause, reason string) {
+	c.actions = append(c.actions, Action{
+		Kind: ActJobAbandoned, Order: workload.Order{Task: t.id(), Epoch: c.epoch}, FailureCause: cause, Reason: reason,
+	})
+}
+
 // reportLostRun emits an action that describes how a run was lost.
 func (c *Core) reportLostRun(r *run, cause LossCause, others int) {
 	c.actions = append(c.actions, Action{
 		Kind:  ActLost,
 		Order: workload.Order{Worker: r.worker.ID, Zone: r.worker.Zone, Task: r.task.id(), Attempt: r.attempt, Epoch: c.epoch},
-		Lost:  &LostRun{Cause: cause, Ran: c.now.Sub(r.since), OthersLost: others},
+		Lost: &LostRun{
+			Cause: cause, Ran: c.now.Sub(r.since), Observed: r.observed, Unheard: c.now.Sub(r.worker.lastContact), OthersLost: others,
+		},
 	})
 }
 
