Known red: a sound job is failed for workers that crash under it

Six cases: runs of like length, runs that get further each time, one long run and short ones, a gang, workers that can no longer be reached, a leader that changes after each crash. All six end failed instead of completed.

The counterpart, a job that crashes its workers after 0.3 to 4.5 s of work, with and without changes of the leader, ends on this code and has to go on doing so.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -28,6 +28,8 @@
 	storedWorkers map[string]workload.Worker
 	// startsOf counts the starts of each task, crashesOf those that crashed a worker.
 	startsOf, crashesOf map[workload.TaskID]int
+	// crashDelay is the run time after which a crashing task crashes its worker.
+	crashDelay time.Duration
 	// runTime is the run time of tasks that crash nothing.
 	runTime time.Duration
 	// accepted and table are the contents of the store; storeDown makes it reject writes.
@@ -38,7 +40,7 @@
 	dropAnswer func(o workload.Order) bool
 }
 
-// crashAfter is how long a crashing task runs.
+// crashAfter is how long a crashing task runs, and the length of a simulated step.
 const crashAfter = 10 * time.Millisecond
 
 func noTask(workload.TaskID) bool { return false }
@@ -57,14 +59,15 @@
 
 func newCrashBench(t *testing.T, workers int, crashes func(task workload.TaskID) bool) *crashBench {
 	c := &crashBench{
-		bench:     newBench(t, workers, false),
-		crashes:   crashes,
-		restartAt: make(map[string]time.Time),
-		downtime:  3 * time.Second,
-		startsOf:  make(map[workload.TaskID]int),
-		crashesOf: make(map[workload.TaskID]int),
-		runTime:   2 * time.Second,
-		table:     make(map[string]Record),
+		bench:      newBench(t, workers, false),
+		crashes:    crashes,
+		restartAt:  make(map[string]time.Time),
+		downtime:   3 * time.Second,
+		crashDelay: crashAfter,
+		startsOf:   make(map[workload.TaskID]int),
+		crashesOf:  make(map[workload.TaskID]int),
+		runTime:    2 * time.Second,
+		table:      make(map[string]Record),
 	}
 	c.core.StoreStartIntents(true)
 	return c
@@ -140,7 +143,7 @@
 	for id, w := range c.workers {
 		for key, r := range w.running {
 			switch {
-			case c.crashes(key.task) && c.now.Sub(r.startedAt) >= crashAfter:
+			case c.crashes(key.task) && c.now.Sub(r.startedAt) >= c.crashDelay:
 				c.crashesOf[key.task]++
 				c.crash(id)
 			case c.now.Sub(r.startedAt) >= c.runTime && c.gangIsComplete(key):
@@ -530,3 +533,76 @@
 	}
 	assert.Equal(t, len(c.startsOf), 8)
 }
+
+func TestASoundJobIsNotFailedForWorkersThatCrashUnderIt(t *testing.T) {
+	for name, test := range map[string]struct {
+		job *workload.Job
+		// ran are the run times after which the worker of the job's first task crashes.
+		ran []time.Duration
+		// cutOff is set if the worker can no longer be reached instead.
+		cutOff   bool
+		takeover bool
+	}{
+		"a task that works for seconds each time": {job: independentJob("sound", 1), ran: []time.Duration{2300, 1800, 1600, 2100, 2600}},
+		"a task that gets further and further":    {job: independentJob("sound", 1), ran: []time.Duration{700, 2000, 3800, 4100, 4500}},
+		"a task that once worked for seconds":     {job: independentJob("sound", 1), ran: []time.Duration{2300, 1200, 100, 100, 100, 100}},
+		"a gang":                                  {job: gangJob("sound", "urgent", "acme", 2, 8), ran: []time.Duration{3200, 2700, 2900, 3600}},
+		"workers that can no longer be reached":   {job: independentJob("sound", 1), ran: []time.Duration{2300, 1800, 1600, 2100, 2600}, cutOff: true},
+		"the leader changes after each crash":     {job: independentJob("sound", 1), ran: []time.Duration{2300, 1800, 1600, 2100, 2600}, takeover: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCrashBench(t, 6, noTask)
+			c.runTime = 5 * time.Second
+			c.add(test.job)
+			for _, ran := range test.ran {
+				host := c.hostAfter(workload.TaskID{Job: "sound"}, ran*time.Millisecond)
+				if test.cutOff {
+					c.unresponsive[host] = true
+					c.advance(maxElapsed(testBounds.MaxLease))
+				} else if host != "" {
+					c.crash(host)
+				}
+				c.advance(4500 * time.Millisecond)
+				if test.takeover {
+					c.takeover()
+				}
+			}
+			c.advance(time.Minute)
+			assert.Equal(t, c.finalState("sound"), FinalCompleted)
+		})
+	}
+}
+
+// hostAfter waits until a task has run for a while, and returns its worker.
+func (c *crashBench) hostAfter(task workload.TaskID, ran time.Duration) string {
+	for range 3000 {
+		for id, w := range c.workers {
+			for key, r := range w.running {
+				if key.task == task && c.now.Sub(r.startedAt) >= ran {
+					return id
+				}
+			}
+		}
+		c.advance(crashAfter)
+	}
+	return ""
+}
+
+func TestAJobThatCrashesItsWorkersAfterSecondsOfWorkStillEnds(t *testing.T) {
+	for _, delay := range []time.Duration{300, 1200, 2000, 4500} {
+		for _, takeovers := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d ms, leaders change: %t", delay, takeovers), func(t *testing.T) {
+				c := newCrashBench(t, 12, taskIs("crashing", 0))
+				c.crashDelay, c.runTime = delay*time.Millisecond, 10*time.Second
+				c.add(independentJob("crashing", 1))
+				for range 60 {
+					c.advance(5 * time.Second)
+					if takeovers {
+						c.takeover()
+					}
+				}
+				assert.Equal(t, c.finalState("crashing"), FinalFailed)
+			})
+		}
+	}
+}
