Dispatch: crashes that a run of the task has outlived do not count against it

Cause: three crashed workers under a task were taken for its fault, whatever was known of its runs. A worker that was cut off for two leases counted as a fourth kind of crash.

The change: a task that is at fault crashes its workers at about the same point of its work, so a run that was seen for longer than a crashed one, by the worker's own clock and with the time between two reports allowed for, shows that the task did not cause that crash. Such crashes are discarded, in the record too. A task that was seen at work for half a second may lose twice as many workers; most tasks at fault crash theirs while they start. A worker that stays silent counts like one that fell with many others, because it may be running behind a cut.

Why it works: a sound task's runs are lost at random points, and its longest run clears the shorter ones; a task at fault never outlives its own crash point, so its crashes stay, however many leaders follow.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -35,8 +35,11 @@
 	// startsSent is the number of times its start was sent.
 	startsSent int
 	// confirmed is set if the worker had reported the run, shared if many workers crashed at
-	// the same time.
+	// the same time or the worker may be behind a network partition.
 	confirmed, shared bool
+	// observed is the time for which the worker had reported the run, if that is known.
+	observed      time.Duration
+	observedKnown bool
 	// replaced is set if another incarnation of the worker has answered since.
 	replaced bool
 	ran      time.Duration
@@ -72,9 +75,11 @@
 func (t *task) loadCrashes() {
 	j := t.step.job
 	record, key := &j.record, t.crashKey()
-	if len(record.Crashed[key])+len(record.SharedCrashes[key])+len(record.Unanswered[key])+len(record.Attempts[key]) == 0 {
+	counted := record.Crashes(key)
+	if counted == (quarantine.Crashes{}) && len(record.Attempts[key]) == 0 {
 		return
 	}
+	t.survived = counted.Survived
 	t.refreshCounts()
 	t.crashes.earlierAttempts = slices.Clone(record.Attempts[key])
 	j.hasEarlierAttempts = j.hasEarlierAttempts || len(t.crashes.earlierAttempts) > 0
@@ -82,9 +87,48 @@
 
 // refreshCounts updates a task's crash counts from the record.
 func (t *task) refreshCounts() {
-	record, key := &t.step.job.record, t.crashKey()
 	h := t.ensureCrashes()
-	h.Confirmed, h.Correlated, h.Unacknowledged = len(record.Crashed[key]), len(record.SharedCrashes[key]), len(record.Unanswered[key])
+	counted := t.step.job.record.Crashes(t.crashKey())
+	counted.Survived, counted.Recent, counted.Possible = t.survived, h.Recent, h.Possible
+	h.Crashes = counted
+}
+
+// observeSurvival records that a run was observed for longer than any other of its task, and
+// discards the crashes that it has outlived.
+func (c *Core) observeSurvival(r *run) {
+	t := r.task
+	if r.observed <= t.survived {
+		return
+	}
+	t.survived = r.observed
+	record, key := &t.step.job.record, t.crashKey()
+	if t.crashes == nil || t.isFinished() || !record.discardOutlived(key, t.survived) {
+		return
+	}
+	record.setSurvived(key, t.survived)
+	t.refreshCounts()
+	c.markChanged(t.step.job)
+}
+
+// addTo adds the crash to the record of its task.
+func (lost *lostAttempt) addTo(record *Record, key string) {
+	switch {
+	case lost.shared:
+		record.addSharedCrash(key, lost.attempt)
+	case lost.confirmed:
+		record.addCrash(key, lost.attempt)
+	default:
+		record.addUnanswered(key, lost.attempt)
+	}
+	if lost.observedKnown {
+		record.setObserved(key, lost.attempt, lost.observed)
+	}
+	record.setSurvived(key, lost.task.survived)
+}
+
+// outlived reports whether another run of the task shows that the task did not cause the crash.
+func (lost *lostAttempt) outlived() bool {
+	return lost.observedKnown && quarantine.Outlived(lost.task.survived, lost.observed)
 }
 
 // recordLostAttempt records that a run was lost with its worker. If the worker never confirmed
@@ -93,7 +137,7 @@
 	if r.worker.Leaving {
 		return // the worker left as announced
 	}
-	lost := lostAttempt{task: r.task, attempt: r.attempt, attemptRecorded: r.attemptRecorded, startsSent: r.startsSent, confirmed: r.confirmed, replaced: cause == LossReplaced, ran: c.now.Sub(r.since), lostAt: c.now}
+	lost := lostAttempt{task: r.task, attempt: r.attempt, attemptRecorded: r.attemptRecorded, startsSent: r.startsSent, confirmed: r.confirmed, replaced: cause == LossReplaced, observed: r.observed, observedKnown: !r.adopted, ran: c.now.Sub(r.since), lostAt: c.now}
 	r.attemptRecorded = false
 	if !lost.attemptRecorded && !r.task.isFinished() {
 		lost.attemptRecorded = true
@@ -123,12 +167,8 @@
 	switch {
 	case quarantine.Proven(lost.ran):
 		record.forgetCrashes(key)
-	case lost.shared:
-		record.addSharedCrash(key, lost.attempt)
-	case lost.confirmed:
-		record.addCrash(key, lost.attempt)
-	default:
-		record.addUnanswered(key, lost.attempt)
+	case !lost.outlived():
+		lost.addTo(record, key)
 	}
 	t.refreshCounts()
 	c.markChanged(t.step.job)
@@ -168,7 +208,7 @@
 	for len(c.unsettledCrashes) > 0 && c.now.Sub(c.unsettledCrashes[0].lostAt) > outageWindow {
 		lost := c.unsettledCrashes[0]
 		c.unsettledCrashes = c.unsettledCrashes[1:]
-		lost.shared = c.inOutage(lost.task.step.job, lost.lostAt)
+		lost.shared = lost.shared || c.inOutage(lost.task.step.job, lost.lostAt)
 		lost.task.crashes.Recent--
 		c.countCrash(lost)
 	}
@@ -201,12 +241,21 @@
 	}
 }
 
-// settleUnresponsive counts a worker as crashed once it has not responded for longer than the
-// longest lease since its runs were lost: nothing more will be learned about it in time.
+// settleUnresponsive counts a worker as lost once it has not responded for longer than the
+// longest lease since its runs were lost: nothing more will be learned about it in time. It may
+// have crashed, or be running behind a network partition.
 func (c *Core) settleUnresponsive(w *worker) {
 	if len(w.lostAttempts) > 0 && c.now.Sub(w.lostAttempts[0].lostAt) > maxElapsed(c.bounds.MaxLease) {
-		c.settleLostAttempts(w, true)
+		c.settleUnexplained(w)
+	}
+}
+
+// settleUnexplained settles all lost attempts of a worker that will not respond again.
+func (c *Core) settleUnexplained(w *worker) {
+	for i := range w.lostAttempts {
+		w.lostAttempts[i].shared = !w.lostAttempts[i].replaced
 	}
+	c.settleLostAttempts(w, true)
 }
 
 // settleLostStart processes the answer to a start whose run was lost in the meantime.
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -41,6 +41,8 @@
 	index int
 	done  bool
 	runs  []*run
+	// survived is the longest time for which a run of the task has been observed.
+	survived time.Duration
 	// crashes is the task's crash history, or nil.
 	crashes *crashHistory
 }
--- a/internal/dispatch/leases.go
+++ b/internal/dispatch/leases.go
@@ -59,7 +59,7 @@
 			(w.synced || !c.now.Before(c.definitelyStoppedAt)) {
 			c.recordLostUnsynced(w)
 			c.unstore(w)
-			c.settleLostAttempts(w, true)
+			c.settleUnexplained(w)
 			delete(c.workers, w.ID)
 			c.fleet = slices.DeleteFunc(c.fleet, func(other *worker) bool { return other == w })
 		}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -22,6 +22,8 @@
 	// confirmed is set once the worker has reported the run, unanswered once the call with its
 	// start ended without an answer.
 	confirmed, unanswered bool
+	// adopted is set if an earlier epoch started the run.
+	adopted bool
 	// confirmedAtMS is the worker's clock when it first reported the run, observed the time from
 	// then to its last report.
 	confirmedAtMS int64
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -260,6 +260,7 @@
 		if r != nil {
 			c.applyProgress(r, running)
 			r.observeAlive(report.ClockMS)
+			c.observeSurvival(r)
 		}
 	}
 	missing := w.sortedRuns(func(r *run) bool {
@@ -344,7 +345,7 @@
 	}
 	r := &run{
 		task: t, worker: w, attempt: running.Attempt, state: stRunRunning, need: t.step.spec.CountedResources(),
-		since: c.now, settledAfter: c.sequence, percent: running.Percent, initialPercent: running.Percent,
+		since: c.now, settledAfter: c.sequence, percent: running.Percent, initialPercent: running.Percent, adopted: true,
 	}
 	if t.step.spec.Gang {
 		r.gang = c.adoptedGang(t.step, running.Attempt)
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -6,6 +6,9 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
+
+	"github.com/corianderbank/corianderbank/internal/quarantine"
 )
 
 // Final is the final state of a job, empty while it has none.
@@ -42,6 +45,13 @@
 	// Unanswered maps the same keys to the attempts that were lost with their worker and that
 	// the worker never confirmed.
 	Unanswered map[string][]int64 `json:"unanswered,omitempty"`
+	// ObservedMS maps the same keys to the time, in milliseconds, for which the worker had
+	// reported the run before it was lost, by attempt. An attempt for which it is not known is
+	// missing.
+	ObservedMS map[string]map[int64]int64 `json:"observed_ms,omitempty"`
+	// SurvivedMS maps the same keys to the longest time, in milliseconds, for which a run of the
+	// task has been observed.
+	SurvivedMS map[string]int64 `json:"survived_ms,omitempty"`
 	// Checkpoints maps the keys of Failed to the last checkpoint.
 	Checkpoints map[string]string `json:"saved,omitempty"`
 }
@@ -73,6 +83,7 @@
 	c.Done, c.Checkpoints, c.Failed = maps.Clone(r.Done), maps.Clone(r.Checkpoints), maps.Clone(r.Failed)
 	c.Crashed, c.Attempts = maps.Clone(r.Crashed), maps.Clone(r.Attempts)
 	c.SharedCrashes, c.Unanswered = maps.Clone(r.SharedCrashes), maps.Clone(r.Unanswered)
+	c.ObservedMS, c.SurvivedMS = maps.Clone(r.ObservedMS), maps.Clone(r.SurvivedMS)
 	return c
 }
 
@@ -122,11 +133,64 @@
 	addAttempt(&r.SharedCrashes, key, attempt)
 }
 
+// Crashes returns the counted crashes of a task.
+func (r *Record) Crashes(key string) quarantine.Crashes {
+	return quarantine.Crashes{
+		Survived:       time.Duration(r.SurvivedMS[key]) * time.Millisecond,
+		Confirmed:      len(r.Crashed[key]),
+		Correlated:     len(r.SharedCrashes[key]),
+		Unacknowledged: len(r.Unanswered[key]),
+	}
+}
+
+// setSurvived records the longest time for which a run of the task has been observed.
+func (r *Record) setSurvived(key string, survived time.Duration) {
+	if r.SurvivedMS == nil {
+		r.SurvivedMS = make(map[string]int64)
+	}
+	r.SurvivedMS[key] = survived.Milliseconds()
+}
+
+// setObserved records for how long a run had been observed before it was lost.
+func (r *Record) setObserved(key string, attempt int64, observed time.Duration) {
+	if r.ObservedMS == nil {
+		r.ObservedMS = make(map[string]map[int64]int64)
+	}
+	byAttempt := make(map[int64]int64, len(r.ObservedMS[key])+1)
+	maps.Copy(byAttempt, r.ObservedMS[key])
+	byAttempt[attempt] = observed.Milliseconds()
+	r.ObservedMS[key] = byAttempt
+}
+
+// discardOutlived removes the crashes of a task that a run of it has outlived, and reports whether
+// there were any.
+func (r *Record) discardOutlived(key string, survived time.Duration) bool {
+	kept := make(map[int64]int64, len(r.ObservedMS[key]))
+	for attempt, ms := range r.ObservedMS[key] {
+		if !quarantine.Outlived(survived, time.Duration(ms)*time.Millisecond) {
+			kept[attempt] = ms
+			continue
+		}
+		for _, crashes := range []map[string][]int64{r.Crashed, r.SharedCrashes, r.Unanswered} {
+			removeAttempt(crashes, key, attempt)
+		}
+	}
+	if len(kept) == len(r.ObservedMS[key]) {
+		return false
+	}
+	r.ObservedMS[key] = kept
+	if len(kept) == 0 {
+		delete(r.ObservedMS, key)
+	}
+	return true
+}
+
 // forgetCrashes removes all recorded crashes of a task.
 func (r *Record) forgetCrashes(key string) {
 	delete(r.Crashed, key)
 	delete(r.SharedCrashes, key)
 	delete(r.Unanswered, key)
+	delete(r.ObservedMS, key)
 }
 
 // addUnanswered records an attempt that was lost and may never have started.
@@ -149,12 +213,16 @@
 
 // endAttempt removes an attempt that is over.
 func (r *Record) endAttempt(key string, attempt int64) {
-	left := slices.DeleteFunc(slices.Clone(r.Attempts[key]), func(a int64) bool { return a == attempt })
+	removeAttempt(r.Attempts, key, attempt)
+}
+
+func removeAttempt(attempts map[string][]int64, key string, attempt int64) {
+	left := slices.DeleteFunc(slices.Clone(attempts[key]), func(a int64) bool { return a == attempt })
 	if len(left) == 0 {
-		delete(r.Attempts, key)
+		delete(attempts, key)
 		return
 	}
-	r.Attempts[key] = left
+	attempts[key] = left
 }
 
 func (r *Record) setCheckpoint(key, checkpoint string) {
--- a/internal/emulator/tally.go
+++ b/internal/emulator/tally.go
@@ -110,8 +110,7 @@
 		return
 	}
 	for name := range record.Crashed {
-		crashes := quarantine.Crashes{Confirmed: len(record.Crashed[name]), Correlated: len(record.SharedCrashes[name]), Unacknowledged: len(record.Unanswered[name])}
-		if crashes.Decide() == quarantine.Abandon {
+		if record.Crashes(name).Decide() == quarantine.Abandon {
 			t.wronglyFailed++
 			return
 		}
--- a/internal/quarantine/crashes.go
+++ b/internal/quarantine/crashes.go
@@ -10,27 +10,52 @@
 // must store the counts before the next start of such a task, so that they survive a
 // change of leader.
 
+// A crash says nothing against a task that has run for longer elsewhere, so crashes that a
+// run has outlived do not count. Without this rule a sound job that loses several workers
+// to other causes fails permanently.
+
 // CrashLimit is the number of crashed workers at which a task fails permanently. A
 // worker also ran other tasks and may itself be faulty, so one or two crashes are not
 // conclusive.
 const CrashLimit = 3
 
 // LossLimit is the number of starts lost together with their workers at which a task
-// fails permanently, including those where many workers crashed at once and those where
-// it is unknown whether the start was carried out.
+// fails permanently, including those where many workers crashed at once, those whose
+// worker may be running behind a network partition, and those where it is unknown
+// whether the start was carried out.
 const LossLimit = 5
 
+// survivorFactor multiplies both limits for a task that has run for longer than
+// startupTime: it crashes its workers later, if at all, so that chance is the likelier
+// cause of each crash.
+const survivorFactor = 2
+
+// startupTime is the run time within which most tasks that crash their workers do so.
+const startupTime = 500 * time.Millisecond
+
+// reportDelay is the longest usual time from a worker's last report to its crash.
+const reportDelay = 1500 * time.Millisecond
+
+// Outlived reports whether a run that was observed for the time survived shows that the
+// task did not cause a crash of another run, which had last been observed at the time
+// observed.
+func Outlived(survived, observed time.Duration) bool { return survived > observed+reportDelay }
+
 // provenRunTime is the run time after which a task is known not to crash its worker:
 // tasks that do so do it earlier.
 const provenRunTime = time.Minute
 
 // Crashes counts the workers that crashed, or may have crashed, under a task.
 type Crashes struct {
+	// Survived is the longest time for which a run of the task has been observed. None of the
+	// counts includes a crash that it has outlived.
+	Survived time.Duration
 	// Confirmed counts workers that definitely crashed, definitely ran the task, and
 	// crashed independently of others.
 	Confirmed int
-	// Correlated counts workers that ran the task and crashed together with many others.
-	// The cause may have been a rack, a zone or a switch.
+	// Correlated counts workers that ran the task and either crashed together with many
+	// others, whose cause may have been a rack, a zone or a switch, or stopped responding
+	// for good, perhaps behind a network partition.
 	Correlated int
 	// Recent counts workers that crashed recently. It is not known yet whether others
 	// crashed at the same time.
@@ -73,10 +98,18 @@
 }
 
 // exceedsLimits reports whether the task must not be started again. Starts that were
-// never acknowledged count only in addition to at least CrashLimit-1 crashes.
+// never acknowledged count only in addition to all crashes but one that are allowed.
 func (c Crashes) exceedsLimits() bool {
+	crashLimit, lossLimit := c.limits()
 	ran := c.Confirmed + c.Correlated
-	return c.Confirmed >= CrashLimit || ran >= LossLimit || ran >= CrashLimit-1 && ran+c.Unacknowledged >= LossLimit
+	return c.Confirmed >= crashLimit || ran >= lossLimit || ran >= crashLimit-1 && ran+c.Unacknowledged >= lossLimit
+}
+
+func (c Crashes) limits() (crashes, losses int) {
+	if c.Survived > startupTime {
+		return survivorFactor * CrashLimit, survivorFactor * LossLimit
+	}
+	return CrashLimit, LossLimit
 }
 
 // Proven reports whether a run lasted so long that a crash of its worker does not
