Dispatch: a job keeps its allowed attempts while its queue is not configured

Where the configuration at hand lacked a job's queue, or there was none yet, a task's first failed run ended its job as failed: maxAttempts fell back to 1. Callers would have seen failed after one attempt of several.

Evidence: the four cases of TestAJobIsNotFailedBeforeItsAttemptsWhileItsQueueIsMissing (no configuration, queue removed, each with and without a new leader) ended failed after one run before the change. Now the job keeps the attempts of the last configuration that had its queue; where none is known it stays open, and ends once the queue is back if its attempts are used up by then. Nothing of such a job starts meanwhile, so it cannot use more attempts than it has: the second test counts its starts.

--- a/internal/dispatch/completions.go
+++ b/internal/dispatch/completions.go
@@ -159,21 +159,53 @@
 		return
 	}
 	c.markChanged(j)
-	failed, allowed := j.record.Failed[t.recordKey()], c.maxAttempts(j)
-	if len(failed) >= allowed {
-		c.reportAbandoned(t, FailureAttempts, fmt.Sprintf("attempts %v failed, %d allowed by configuration %d", failed, allowed, c.configVersion()))
-		c.finish(j, FinalFailed)
+	c.failIfExhausted(t)
+}
+
+// failIfExhausted fails the job of a task whose allowed attempts have failed.
+func (c *Core) failIfExhausted(t *task) {
+	j := t.step.job
+	failed, allowed := j.record.Failed[t.recordKey()], c.allowedAttempts(j)
+	if j.record.Final != "" || allowed == 0 || len(failed) < allowed {
+		return
 	}
+	c.reportAbandoned(t, FailureAttempts, fmt.Sprintf("attempts %v failed, %d allowed as of configuration %d", failed, allowed, c.configVersion()))
+	c.finish(j, FinalFailed)
 }
 
-// maxAttempts returns the number of failed attempts after which a task fails its job.
-func (c *Core) maxAttempts(j *job) int {
+// allowedAttempts returns the number of failed attempts after which a task fails its job, as last
+// configured, or zero while no configuration with the job's queue is known.
+func (c *Core) allowedAttempts(j *job) int {
 	if c.config != nil {
 		if q := c.config.Queue(j.Queue); q != nil {
-			return max(q.Attempts, 1)
+			j.allowedAttempts = max(q.Attempts, 1)
+		}
+	}
+	return j.allowedAttempts
+}
+
+// Configure applies a configuration. Jobs whose queue it lacks keep their allowed attempts, and
+// those whose attempts were exhausted before their queue was known fail now.
+func (c *Core) Configure(config *workload.Configuration) {
+	for _, j := range c.queue {
+		c.allowedAttempts(j)
+	}
+	c.config = config
+	for _, j := range c.queue {
+		c.failExhausted(j)
+	}
+}
+
+// failExhausted fails a job with a task whose allowed attempts have failed.
+func (c *Core) failExhausted(j *job) {
+	if len(j.record.Failed) == 0 {
+		return
+	}
+	for _, s := range j.steps {
+		for i := range s.tasks {
+			c.failIfExhausted(&s.tasks[i])
 		}
 	}
-	return 1
 }
 
 // interruptGang stops the remaining members of a gang after one member did not start, ended
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -225,9 +225,6 @@
 // holds the lease.
 func (c *Core) Fenced() bool { return c.fenced }
 
-// Configure applies a configuration.
-func (c *Core) Configure(config *workload.Configuration) { c.config = config }
-
 // configVersion returns the version of the configuration in force, or zero if there is none.
 func (c *Core) configVersion() int64 {
 	if c.config == nil {
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -81,6 +81,9 @@
 	runs                     int
 	// interruptions counts the job's interrupted gangs and its preempted runs.
 	interruptions int
+	// allowedAttempts is the number of attempts allowed by the last configuration with the job's
+	// queue, or zero if there was none.
+	allowedAttempts int
 	// hasEarlierAttempts is set if tasks have recorded attempts of earlier leaders.
 	hasEarlierAttempts bool
 	// guaranteed is set if the job lies within its account's guarantee.
@@ -116,6 +119,7 @@
 		return
 	}
 	c.finishIfDone(j)
+	c.failExhausted(j)
 }
 
 // maxJobAge limits how far back an acceptance time is trusted: the wall clock of another
