Dispatch: three crashes fail a job only if one worker ran nothing else

Callers could still see a sound job as failed: three workers that crashed right after a task's start, each with other jobs on it, counted as the task's fault. On a full deployment starting apart is not possible, so the neighbour that crashes its worker stays a neighbour.

The change: a job fails at three crashes only if one of those workers ran no other job. Without such a crash it fails at five, as with crashes of many workers at once. The third start already goes to a worker that is as empty as possible, so tasks at fault still end after three crashes where there is room. What ran beside an attempt of an earlier leader is not known; it counts as before, since the limit of five starts holds across leaders (without that, six starts in five cases of TestACrashIsNotForgottenWithTheLeader and its twin for workers that keep their ids).

TestASoundJobIsNotFailedForCrashesThatOthersMayHaveCaused failed before.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -37,6 +37,8 @@
 	// confirmed is set if the worker had reported the run, shared if many workers crashed at
 	// the same time or the worker may be behind a network partition.
 	confirmed, shared bool
+	// isolated is set if the worker ran no other job.
+	isolated bool
 	// observed is the time for which the worker had reported the run, if that is known.
 	observed      time.Duration
 	observedKnown bool
@@ -116,7 +118,7 @@
 	case lost.shared:
 		record.addSharedCrash(key, lost.attempt)
 	case lost.confirmed:
-		record.addCrash(key, lost.attempt)
+		record.addCrash(key, lost.attempt, lost.isolated)
 	default:
 		record.addUnanswered(key, lost.attempt)
 	}
@@ -132,12 +134,13 @@
 }
 
 // recordLostAttempt records that a run was lost with its worker. If the worker never confirmed
-// the run, the pending answer to its start may still settle it.
-func (c *Core) recordLostAttempt(r *run, cause LossCause) {
+// the run, the pending answer to its start may still settle it. isolated is set if the worker ran
+// no other job.
+func (c *Core) recordLostAttempt(r *run, cause LossCause, isolated bool) {
 	if r.worker.Leaving {
 		return // the worker left as announced
 	}
-	lost := lostAttempt{task: r.task, attempt: r.attempt, attemptRecorded: r.attemptRecorded, startsSent: r.startsSent, confirmed: r.confirmed, replaced: cause == LossReplaced, observed: r.observed, observedKnown: !r.adopted, ran: c.now.Sub(r.since), lostAt: c.now}
+	lost := lostAttempt{task: r.task, attempt: r.attempt, attemptRecorded: r.attemptRecorded, startsSent: r.startsSent, confirmed: r.confirmed, isolated: isolated, replaced: cause == LossReplaced, observed: r.observed, observedKnown: !r.adopted, ran: c.now.Sub(r.since), lostAt: c.now}
 	r.attemptRecorded = false
 	if !lost.attemptRecorded && !r.task.isFinished() {
 		lost.attemptRecorded = true
--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -95,12 +95,13 @@
 	c.settleReplaced(w)
 	w.markReplaced()
 	lost := w.sortedRuns(func(r *run) bool { return !present[runKey{r.task.id(), r.attempt}] })
+	isolated := w.runsOneJob()
 	for _, r := range lost {
 		if r.mayStartLate() {
 			w.lateStarts = append(w.lateStarts, runKey{r.task.id(), r.attempt})
 		}
 		c.reportLostRun(r, LossReplaced, len(lost)-1)
-		c.recordLostAttempt(r, LossReplaced)
+		c.recordLostAttempt(r, LossReplaced, isolated)
 		c.runEnded(r, workload.CompletionExpired)
 	}
 	for _, j := range c.queue {
--- a/internal/dispatch/isolate_test.go
+++ b/internal/dispatch/isolate_test.go
@@ -90,3 +90,19 @@
 	assert.Equal(t, c.finalState("two"), FinalFailed)
 	assert.Equal(t, len(c.core.machineCrashes), 0)
 }
+
+// The deployment is full, so the sound job shares each of its workers with others.
+func TestASoundJobIsNotFailedForCrashesThatOthersMayHaveCaused(t *testing.T) {
+	c := newCrashBench(t, 4, noTask)
+	c.runTime = 5 * time.Second
+	c.add(independentJob("sound", 1))
+	for range 3 {
+		c.add(independentJob(fmt.Sprintf("other%d", len(c.accepted)), 40))
+		host := c.hostAfter(workload.TaskID{Job: "sound"}, 0)
+		c.advance(50 * time.Millisecond)
+		c.crash(host)
+		c.advance(4100 * time.Millisecond)
+	}
+	c.advance(time.Minute)
+	assert.Equal(t, c.finalState("sound"), FinalCompleted)
+}
--- a/internal/dispatch/leases.go
+++ b/internal/dispatch/leases.go
@@ -68,11 +68,12 @@
 
 // endLostRuns ends all runs of a lost worker.
 func (c *Core) endLostRuns(w *worker, cause LossCause) {
+	isolated := w.runsOneJob()
 	w.unknownRuns = nil
 	lost := w.sortedRuns(anyRun)
 	for _, r := range lost {
 		c.reportLostRun(r, cause, len(lost)-1)
-		c.recordLostAttempt(r, cause)
+		c.recordLostAttempt(r, cause, isolated)
 		c.runEnded(r, workload.CompletionExpired)
 	}
 }
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -37,6 +37,9 @@
 	// Crashed maps occurrence, step and task, also for gangs, to the attempts during which the
 	// task's worker crashed.
 	Crashed map[string][]int64 `json:"crashed,omitempty"`
+	// Isolated maps the same keys to those among the crashed attempts whose worker ran no other
+	// job.
+	Isolated map[string][]int64 `json:"alone,omitempty"`
 	// Attempts maps the same keys to the attempts that may be in progress, for tasks whose
 	// worker may have crashed before.
 	Attempts map[string][]int64 `json:"attempts,omitempty"`
@@ -83,6 +86,7 @@
 	c.Done, c.Checkpoints, c.Failed = maps.Clone(r.Done), maps.Clone(r.Checkpoints), maps.Clone(r.Failed)
 	c.Crashed, c.Attempts = maps.Clone(r.Crashed), maps.Clone(r.Attempts)
 	c.SharedCrashes, c.Unanswered = maps.Clone(r.SharedCrashes), maps.Clone(r.Unanswered)
+	c.Isolated = maps.Clone(r.Isolated)
 	c.ObservedMS, c.SurvivedMS = maps.Clone(r.ObservedMS), maps.Clone(r.SurvivedMS)
 	return c
 }
@@ -125,8 +129,14 @@
 	return addAttempt(&r.Failed, key, attempt)
 }
 
-// addCrash records an attempt during which the task's worker crashed.
-func (r *Record) addCrash(key string, attempt int64) { addAttempt(&r.Crashed, key, attempt) }
+// addCrash records an attempt during which the task's worker crashed. isolated is set if the worker
+// ran no other job.
+func (r *Record) addCrash(key string, attempt int64, isolated bool) {
+	addAttempt(&r.Crashed, key, attempt)
+	if isolated {
+		addAttempt(&r.Isolated, key, attempt)
+	}
+}
 
 // addSharedCrash records an attempt whose worker crashed together with many others.
 func (r *Record) addSharedCrash(key string, attempt int64) {
@@ -138,6 +148,7 @@
 	return quarantine.Crashes{
 		Survived:       time.Duration(r.SurvivedMS[key]) * time.Millisecond,
 		Confirmed:      len(r.Crashed[key]),
+		Isolated:       len(r.Isolated[key]),
 		Correlated:     len(r.SharedCrashes[key]),
 		Unacknowledged: len(r.Unanswered[key]),
 	}
@@ -171,7 +182,7 @@
 			kept[attempt] = ms
 			continue
 		}
-		for _, crashes := range []map[string][]int64{r.Crashed, r.SharedCrashes, r.Unanswered} {
+		for _, crashes := range []map[string][]int64{r.Crashed, r.Isolated, r.SharedCrashes, r.Unanswered} {
 			removeAttempt(crashes, key, attempt)
 		}
 	}
@@ -188,6 +199,7 @@
 // forgetCrashes removes all recorded crashes of a task.
 func (r *Record) forgetCrashes(key string) {
 	delete(r.Crashed, key)
+	delete(r.Isolated, key)
 	delete(r.SharedCrashes, key)
 	delete(r.Unanswered, key)
 	delete(r.ObservedMS, key)
--- a/internal/dispatch/recorded.go
+++ b/internal/dispatch/recorded.go
@@ -41,7 +41,8 @@
 				continue
 			}
 			for _, attempt := range t.crashes.earlierAttempts {
-				c.countCrash(lostAttempt{task: t, attempt: attempt, confirmed: true})
+				// What else ran there is not known, and the limit must hold across leaders.
+				c.countCrash(lostAttempt{task: t, attempt: attempt, confirmed: true, isolated: true})
 			}
 			t.crashes.earlierAttempts = nil
 		}
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -47,6 +47,18 @@
 	return list
 }
 
+// runsOneJob reports whether all runs on the worker belong to one job.
+func (w *worker) runsOneJob() bool {
+	var only *job
+	for _, r := range w.runs {
+		if only != nil && only != r.task.step.job {
+			return false
+		}
+		only = r.task.step.job
+	}
+	return len(w.unknownRuns) == 0
+}
+
 func anyRun(*run) bool { return true }
 
 // transition applies an event to a run's state. A run that is over is removed and receives no
--- a/internal/quarantine/crashes.go
+++ b/internal/quarantine/crashes.go
@@ -14,9 +14,9 @@
 // run has outlived do not count. Without this rule a sound job that loses several workers
 // to other causes fails permanently.
 
-// CrashLimit is the number of crashed workers at which a task fails permanently. A
-// worker also ran other tasks and may itself be faulty, so one or two crashes are not
-// conclusive.
+// CrashLimit is the number of crashed workers at which a task fails permanently, if one of
+// them ran no other job. A worker may itself be faulty, so one or two crashes are not
+// conclusive, and neither are three that tasks of other jobs may have caused.
 const CrashLimit = 3
 
 // LossLimit is the number of starts lost together with their workers at which a task
@@ -53,6 +53,8 @@
 	// Confirmed counts workers that definitely crashed, definitely ran the task, and
 	// crashed independently of others.
 	Confirmed int
+	// Isolated counts those among the confirmed that ran no other job.
+	Isolated int
 	// Correlated counts workers that ran the task and either crashed together with many
 	// others, whose cause may have been a rack, a zone or a switch, or stopped responding
 	// for good, perhaps behind a network partition.
@@ -86,6 +88,7 @@
 func (c Crashes) Decide() CrashDecision {
 	worstCase := c
 	worstCase.Confirmed += c.Recent + c.Possible
+	worstCase.Isolated += c.Recent + c.Possible
 	switch {
 	case c.exceedsLimits():
 		return Abandon
@@ -102,7 +105,7 @@
 func (c Crashes) exceedsLimits() bool {
 	crashLimit, lossLimit := c.limits()
 	ran := c.Confirmed + c.Correlated
-	return c.Confirmed >= crashLimit || ran >= lossLimit || ran >= crashLimit-1 && ran+c.Unacknowledged >= lossLimit
+	return c.Confirmed >= crashLimit && c.Isolated > 0 || ran >= lossLimit || ran >= crashLimit-1 && ran+c.Unacknowledged >= lossLimit
 }
 
 func (c Crashes) limits() (crashes, losses int) {
