Dispatch: workers that fail what they are given are judged by evidence

Hypothesis: a worker that fails each run at once uses up the attempts of many jobs, because two different jobs must fail there in a row before it is closed, the pause of 5 s ends all at once, a success of a run that began earlier clears it, and no placement asks how many attempts a task has left.

The change: internal/soundness weighs each worker's ends against those of the same step elsewhere, as odds that fade; dispatch/unsound.go lets tasks that have failed avoid doubted workers, gives closed ones one probe at a time after growing waits, sends a last attempt to workers proven lately (waits up to 5 s for one), and closes at most half of a pool. What was found goes into the rows of knowledge and is restored by the next leader; a new incarnation keeps half. Line 'worker soundness', gauge of closed workers by pool. The old rule stays as policy consecutive.

The witness test records its ends through the core now; same cases, same answers.

--- a/internal/deployment/leader.go
+++ b/internal/deployment/leader.go
@@ -85,8 +85,10 @@
 	// quiescing is set once the leader makes no more decisions; inFlight counts the
 	// unanswered orders and writes.
 	quiescing atomic.Bool
-	inFlight  atomic.Int64
-	ctx       context.Context
+	// closedPools are the pools that have had closed workers.
+	closedPools map[string]bool
+	inFlight    atomic.Int64
+	ctx         context.Context
 }
 
 // lead schedules until the context ends or the lease is over.
@@ -129,6 +131,7 @@
 		announced:      make(map[string]bool),
 		intentWrites:   make(map[string]bool),
 		priorities:     make(map[int]bool),
+		closedPools:    make(map[string]bool),
 	}
 }
 
@@ -240,9 +243,11 @@
 	took := bootTime().Sub(started)
 	metricRound.Update(took.Seconds())
 	if took > slowRoundThreshold {
+		c.updateClosedGauges()
 		c.logger.Warn("slow round", zap.Duration("took", took), zap.Int64("epoch", c.grant.epoch))
 	}
 	c.updateWaitingGauges()
+	c.updateClosedGauges()
 	c.logUnsynced(started)
 	c.write()
 	c.writeOwedIntents()
@@ -321,6 +326,17 @@
 	}
 }
 
+// updateClosedGauges updates the number of workers that are closed to all but probes, by pool.
+func (c *leader) updateClosedGauges() {
+	closed := c.core.ClosedWorkers()
+	for pool := range closed {
+		c.closedPools[pool] = true
+	}
+	for pool := range c.closedPools {
+		metrics.GetOrCreateGauge(fmt.Sprintf(`corianderbank_deployment_closed_workers{pool=%q}`, pool), nil).Set(float64(closed[pool]))
+	}
+}
+
 // slowRoundThreshold is the duration above which a round is logged as slow: a fifth of
 // the time between two renewals, which compete with rounds for the processor.
 const slowRoundThreshold = renewInterval / 5
--- a/internal/deployment/orders.go
+++ b/internal/deployment/orders.go
@@ -42,6 +42,9 @@
 	case dispatch.ActJobAbandoned:
 		c.logger.Warn("job given up", append(taskFields(action.Order.Task), zap.Int64("epoch", action.Order.Epoch),
 			zap.String("cause", string(action.FailureCause)), zap.String("reason", action.Reason))...)
+	case dispatch.ActWorkerSoundness:
+		c.logger.Warn("worker soundness", zap.String("worker", action.Order.Worker), zap.Int64("epoch", action.Order.Epoch),
+			zap.String("state", action.State), zap.String("reason", action.Reason))
 	case dispatch.ActLost:
 		c.logLostRun(action)
 	case dispatch.ActAskAdvisor:
--- a/internal/dispatch/choices.go
+++ b/internal/dispatch/choices.go
@@ -28,6 +28,8 @@
 	ChoiceSpeed Choice = "speed"
 	// ChoiceCrashSuspects orders the workers for a task whose earlier workers crashed.
 	ChoiceCrashSuspects Choice = "crash_suspects"
+	// ChoiceSoundness decides which workers get no new work after failed runs.
+	ChoiceSoundness Choice = "soundness"
 )
 
 // placePolicy compares two workers for a task of a step; the better one sorts first.
@@ -79,10 +81,14 @@
 	"alone":    compareAlone,
 }
 
+// soundnessPolicies holds the policies for workers with failed runs, and whether they weigh all
+// evidence or count consecutive failures.
+var soundnessPolicies = map[string]bool{"consecutive": false, "evidence": true}
+
 // defaultPolicies are the policies used where a tuning selects none.
 var defaultPolicies = map[Choice]string{
 	ChoicePlace: "fullest", ChoiceSpread: "anywhere", ChoiceOrder: "due", ChoiceVictims: "least_work",
-	ChoiceSpeed: "slack_bands", ChoiceCrashSuspects: "alone",
+	ChoiceSpeed: "slack_bands", ChoiceCrashSuspects: "alone", ChoiceSoundness: "evidence",
 }
 
 // policiesOf returns the sorted policy names of a choice.
@@ -100,6 +106,8 @@
 		return slices.Sorted(maps.Keys(speedPolicies))
 	case ChoiceCrashSuspects:
 		return slices.Sorted(maps.Keys(crashSuspectPolicies))
+	case ChoiceSoundness:
+		return slices.Sorted(maps.Keys(soundnessPolicies))
 	}
 	return nil
 }
@@ -112,6 +120,8 @@
 	victims       victimPolicy
 	speed         speedPolicy
 	crashSuspects crashSuspectPolicy
+	// weighsEvidence is set if workers with failed runs are judged by all evidence.
+	weighsEvidence bool
 }
 
 func newPolicies(chosen map[Choice]string) policies {
@@ -123,6 +133,8 @@
 		victims:       victimPolicies[policy(ChoiceVictims)],
 		speed:         speedPolicies[policy(ChoiceSpeed)],
 		crashSuspects: crashSuspectPolicies[policy(ChoiceCrashSuspects)],
+
+		weighsEvidence: soundnessPolicies[policy(ChoiceSoundness)],
 	}
 }
 
--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -61,7 +61,7 @@
 				continue
 			}
 			w := member.worker
-			if w.health.failedOthers(s.job.ID) {
+			if c.mayFailOthers(w, s.job) {
 				return
 			}
 			if byWorker[w] == nil {
@@ -83,6 +83,14 @@
 	return q != nil && q.Priority == 0
 }
 
+// mayFailOthers reports whether a worker is likely to fail work of other jobs than the given one.
+func (c *Core) mayFailOthers(w *worker, j *job) bool {
+	if c.policies.weighsEvidence {
+		return c.soundness.UnsoundWithout(w.ID, j.ID, c.now) >= avoidedFrom
+	}
+	return w.health.failedOthers(j.ID)
+}
+
 // applyRestartClaims subtracts the capacity in which gangs will restart while their members are
 // still ending.
 func (c *Core) applyRestartClaims(pools map[string][]*workerCapacity) {
--- a/internal/dispatch/completions.go
+++ b/internal/dispatch/completions.go
@@ -63,7 +63,7 @@
 	}
 	switch {
 	case r != nil:
-		w.health.recordCompletion(e, c.now)
+		c.recordEnd(w, e, r.since)
 		c.runEnded(r, e.Kind)
 	case t.removeEarlierAttempt(e.Attempt):
 		c.endAttempt(t, e.Attempt)
@@ -158,6 +158,7 @@
 	if !j.record.addFailed(t.recordKey(), attempt) {
 		return
 	}
+	s.failedAt = c.now
 	c.markChanged(j)
 	c.failIfExhausted(t)
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/corianderbank/corianderbank/internal/knowledge"
+	"github.com/corianderbank/corianderbank/internal/soundness"
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
@@ -21,6 +22,8 @@
 	ActReason
 	// ActJobAbandoned is only logged: a job failed permanently, and why.
 	ActJobAbandoned
+	// ActWorkerSoundness is only logged: a worker was closed to all but probes, or opened again.
+	ActWorkerSoundness
 	// ActLost is only logged: a run ended because its worker was lost.
 	ActLost
 )
@@ -49,6 +52,8 @@
 	First *FirstStart
 	// Lost describes how a run was lost.
 	Lost *LostRun
+	// State is the new state of the worker of an ActWorkerSoundness.
+	State string
 	// FailureCause is the cause of an ActJobAbandoned.
 	FailureCause FailureCause
 }
@@ -176,6 +181,10 @@
 	// waiting counts the steps that waited in the last round, by priority.
 	waiting   map[int]int
 	estimates estimates
+	// provenPools holds the pools with a worker that is proven, or may be once its runs end.
+	provenPools map[string]bool
+	// soundness holds the evidence of failed runs against workers.
+	soundness *soundness.Tracker
 	speeds    speeds
 	// inheritedSpeeds holds the speeds that earlier leaders observed of workers that are not
 	// listed yet.
@@ -201,6 +210,8 @@
 		workers:        make(map[string]*worker),
 		dirty:          make(map[string]*job),
 		estimates:      newEstimates(),
+		provenPools:    make(map[string]bool),
+		soundness:      soundness.NewTracker(),
 		speeds:         speeds{speedPrior: speedPrior{variance: initialSpeedVariance}, fastest: 1},
 		now:            now,
 		urgentUsage:    make(map[string]float64),
@@ -280,6 +291,7 @@
 			kept = append(kept, j)
 			continue
 		}
+		c.forgetEnds(j)
 		j.steps = nil
 	}
 	clear(c.queue[len(kept):])
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -157,6 +157,9 @@
 		b.lostRuns = append(b.lostRuns, a)
 		return
 	}
+	if a.Kind == ActWorkerSoundness {
+		return
+	}
 	if a.Kind == ActReason {
 		b.reasons = append(b.reasons, a.Reason)
 		return
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -28,7 +28,8 @@
 //	kinds.go        kinds of workers by their speed
 //	intime.go       workers on which a step ends in time
 //	knowledge.go    what a leader has learned, for the next one
-//	health.go       workers with repeated failures
+//	health.go       workers with repeated failures, by count
+//	unsound.go      workers that fail what they are given, by evidence
 //	flapping.go     machines that crash repeatedly
 //	crash.go        tasks that crash their workers
 //	isolate.go      placement of tasks whose workers crashed
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -12,17 +12,22 @@
 	var list []*workerCapacity
 	spec := u.step.spec
 	for _, r := range workers {
-		if r.HasLabel(spec.Label) && r.Capacity.Contains(spec.CountedResources()) && !r.wouldInterfere(spec) && !c.isFailing(r.worker) && !r.flapping {
+		if r.HasLabel(spec.Label) && r.Capacity.Contains(spec.CountedResources()) && !r.wouldInterfere(spec) && c.mayTrust(u, r) && !r.flapping {
 			list = append(list, r)
 		}
 	}
 	return list
 }
 
-// isFailing reports whether a worker gets no new work because tasks of several jobs failed on
-// it.
-func (c *Core) isFailing(w *worker) bool {
-	return c.enabled(MechUnhealthyWorkers) && w.health.failing(c.now)
+// mayTrust reports whether a worker on which runs failed may run the step.
+func (c *Core) mayTrust(u *pendingStep, r *workerCapacity) bool {
+	switch {
+	case !c.enabled(MechUnhealthyWorkers):
+		return true
+	case c.policies.weighsEvidence:
+		return c.mayRisk(u, r)
+	}
+	return !r.health.failing(c.now)
 }
 
 // findPlaces returns a worker for each of the step's tasks, or for as many as fit. Tasks bound
@@ -62,6 +67,9 @@
 	if maxPerWorker := u.step.spec.MaxPerWorker; maxPerWorker > 0 {
 		limit = min(limit, int64(maxPerWorker-c.runsOf(u.step, r.worker)))
 	}
+	if r.doubt.maxRuns > 0 {
+		limit = min(limit, int64(r.doubt.maxRuns-len(r.runs)))
+	}
 	return max(free.CountFitting(u.step.spec.CountedResources(), limit), 0)
 }
 
--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -109,6 +109,7 @@
 			delete(s.advice.tickets, w.ID) // tickets are valid for one incarnation
 		}
 	}
+	c.soundness.Halve(w.ID, c.now)
 	*w = worker{
 		Worker: w.Worker, stored: w.stored, storedLeaving: w.storedLeaving, storedIncarnation: w.storedIncarnation,
 		unlistedSince: w.unlistedSince, runs: w.runs, used: w.used, lostAttempts: w.lostAttempts, lateStarts: w.lateStarts,
--- a/internal/dispatch/infeasible.go
+++ b/internal/dispatch/infeasible.go
@@ -18,6 +18,8 @@
 	gang, rackSensitive   bool
 	serving, noHeadroom   bool
 	class                 int
+	// spareAttempts is set if the queue allows more than one attempt.
+	spareAttempts bool
 }
 
 // infeasible records, for one round, the smallest demand of each shape that found no capacity.
@@ -35,7 +37,7 @@
 // it has waited.
 func (c *Core) shapeOf(u *pendingStep) (shape, bool) {
 	s := u.step.spec
-	if s.MaxPerWorker > 0 || u.queue.Advice != nil || u.rank.class == 0 || u.rank.urgent() {
+	if s.MaxPerWorker > 0 || u.queue.Advice != nil || u.rank.class == 0 || u.rank.urgent() || u.failed > 0 {
 		return shape{}, false
 	}
 	if (s.RackSensitive || s.DataRack != "") && !c.lightLoadSince[u.queue.Pool].IsZero() {
@@ -43,7 +45,7 @@
 	}
 	return shape{
 		pool: u.queue.Pool, label: s.Label, dataRack: s.DataRack, need: s.CountedResources(), gang: s.Gang, rackSensitive: s.RackSensitive,
-		serving: s.TargetMS > 0, noHeadroom: c.mustAvoidHeadroom(u), class: u.rank.class,
+		serving: s.TargetMS > 0, noHeadroom: c.mustAvoidHeadroom(u), class: u.rank.class, spareAttempts: u.queue.Attempts > 1,
 	}, true
 }
 
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -21,6 +21,8 @@
 	// readySince is the time from which the step could run, or zero while it cannot.
 	readySince time.Time
 	started    bool
+	// failedAt is the time of the last failed attempt of one of the tasks.
+	failedAt time.Time
 	// loggedCause is the cause of the step's wait that was last logged, at loggedCauseAt.
 	loggedCause   string
 	loggedCauseAt time.Time
--- a/internal/dispatch/knowledge.go
+++ b/internal/dispatch/knowledge.go
@@ -21,6 +21,7 @@
 	k := knowledge.Knowledge{
 		Speeds: make(map[string]knowledge.Speed), RunTimes: c.estimates.moments(),
 		UrgentUse: maps.Clone(c.urgentUsage), Crashes: make(map[string][]int64),
+		Unsound: c.unsoundWorkers(),
 	}
 	if c.speeds.unequal {
 		for _, w := range c.fleet {
@@ -50,6 +51,9 @@
 	}
 	c.estimates.restore(k.RunTimes)
 	maps.Copy(c.urgentUsage, k.UrgentUse)
+	for worker, unsound := range k.Unsound {
+		c.soundness.Restore(worker, unsound, now)
+	}
 	for addr, list := range k.Crashes {
 		for _, at := range list {
 			age := time.Duration(max(wallMS-at, 0)) * time.Millisecond
--- a/internal/dispatch/leases.go
+++ b/internal/dispatch/leases.go
@@ -60,6 +60,7 @@
 			c.recordLostUnsynced(w)
 			c.unstore(w)
 			c.settleUnexplained(w)
+			c.soundness.Remove(w.ID)
 			delete(c.workers, w.ID)
 			c.fleet = slices.DeleteFunc(c.fleet, func(other *worker) bool { return other == w })
 		}
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -24,6 +24,8 @@
 	rank            rank
 	// maxCrashes is the highest number of workers that crashed under one of the tasks.
 	maxCrashes int
+	// failed is the highest number of failed attempts of one of the tasks.
+	failed int
 	// claimedCapacity holds the workers of the step's claim, one entry per task.
 	claimedCapacity []*workerCapacity
 }
@@ -147,6 +149,7 @@
 			continue
 		}
 		u.countCrashes()
+		u.failed = u.failedAttempts()
 		if s.readySince.IsZero() {
 			s.readySince = c.now
 		}
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -67,9 +67,10 @@
 	// holdOffUntil is the time until which the worker gets no new work.
 	holdOffUntil time.Time
 	// misses is the number of calls that failed since the last answered poll.
-	misses int
-	health health
-	speed  workerSpeed
+	misses    int
+	health    health
+	soundness workerSoundness
+	speed     workerSpeed
 }
 
 // unstoredCompletion is a completion that must not be acknowledged before its job's record
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -32,6 +32,8 @@
 	position int
 	// flapping is set if the worker gets no new work because its machine crashed repeatedly.
 	flapping bool
+	// doubt limits what the worker may start if runs have failed there.
+	doubt doubt
 	// crashSuspects are the jobs on the worker whose tasks lost other workers to crashes.
 	crashSuspects crashSuspects
 	// overdueUse is the capacity used by runs without a predictable completion, valid if
@@ -44,6 +46,7 @@
 
 func (c *Core) capacities() map[string][]*workerCapacity {
 	pools := make(map[string][]*workerCapacity)
+	clear(c.provenPools)
 	for _, w := range c.fleet {
 		if !w.usable(c.now) || c.isSuspect(w) || c.isDrained(w) {
 			continue
@@ -60,9 +63,14 @@
 				r.guaranteedUse = r.guaranteedUse.Add(run.need)
 			}
 		}
+		if c.policies.weighsEvidence && c.enabled(MechUnhealthyWorkers) {
+			r.doubt = c.doubtOf(w)
+			c.provenPools[w.Pool] = c.provenPools[w.Pool] || c.isProven(w) || len(w.runs) > 0 && r.doubt.unsound < avoidedFrom
+		}
 		pools[w.Pool] = append(pools[w.Pool], r)
 	}
 	for _, workers := range pools {
+		c.limitClosed(workers)
 		slices.SortFunc(workers, c.compareByRack)
 		for i, r := range workers {
 			r.position = i
--- a/internal/dispatch/witness_test.go
+++ b/internal/dispatch/witness_test.go
@@ -14,11 +14,11 @@
 func TestWhichWitnessKeepsWorkFromAWorker(t *testing.T) {
 	failedBy := func(w *worker, c *Core, jobs ...string) {
 		for _, job := range jobs {
-			w.health.recordCompletion(workload.Completion{Task: workload.TaskID{Job: job}, Kind: workload.CompletionFailed}, c.now)
+			c.recordEnd(w, workload.Completion{Task: workload.TaskID{Job: job}, Kind: workload.CompletionFailed}, c.now)
 		}
 	}
 	done := func(w *worker, c *Core) {
-		w.health.recordCompletion(workload.Completion{Kind: workload.CompletionDone}, c.now)
+		c.recordEnd(w, workload.Completion{Kind: workload.CompletionDone}, c.now.Add(time.Millisecond))
 	}
 	for name, c := range map[string]struct {
 		evidence func(c *Core, w *worker)
--- a/internal/knowledge/changes.go
+++ b/internal/knowledge/changes.go
@@ -25,6 +25,9 @@
 	// and minUse the one in accelerators: less than one worker is not kept free.
 	minUseChange = 0.25
 	minUse       = 8
+	// minUnsoundChange is the change of the probability that a worker is unsound that may
+	// change a decision.
+	minUnsoundChange = 0.15
 )
 
 // Tracker knows what is stored and determines what to write. The caller writes the rows that
@@ -54,7 +57,7 @@
 }
 
 func clone(k Knowledge) Knowledge {
-	c := Knowledge{Speeds: make(map[string]Speed), RunTimes: maps.Clone(k.RunTimes), UrgentUse: maps.Clone(k.UrgentUse), Crashes: maps.Clone(k.Crashes)}
+	c := Knowledge{Speeds: make(map[string]Speed), RunTimes: maps.Clone(k.RunTimes), UrgentUse: maps.Clone(k.UrgentUse), Crashes: maps.Clone(k.Crashes), Unsound: maps.Clone(k.Unsound)}
 	maps.Copy(c.Speeds, k.Speeds)
 	return c
 }
@@ -72,6 +75,7 @@
 	if limit > 0 && t.workChanged(k) {
 		c := header
 		c.RunTimes, c.UrgentUse, c.Crashes = mostObserved(k.RunTimes), k.UrgentUse, k.Crashes
+		c.Unsound = likeliest(k.Unsound)
 		rows = append(rows, Row{workKey, c.encode()})
 	}
 	for _, key := range t.changedShards(k) {
@@ -99,6 +103,7 @@
 	for _, row := range rows {
 		if row.Key == workKey {
 			t.stored.RunTimes, t.stored.UrgentUse, t.stored.Crashes = k.RunTimes, k.UrgentUse, k.Crashes
+			t.stored.Unsound = k.Unsound
 			continue
 		}
 		maps.DeleteFunc(t.stored.Speeds, func(worker string, _ Speed) bool { return shardOf(worker, t.shards) == row.Key })
@@ -134,6 +139,16 @@
 			return true
 		}
 	}
+	for worker, p := range k.Unsound {
+		if math.Abs(p-t.stored.Unsound[worker]) > minUnsoundChange {
+			return true
+		}
+	}
+	for worker, p := range t.stored.Unsound {
+		if _, known := k.Unsound[worker]; !known && p > minUnsoundChange {
+			return true
+		}
+	}
 	for addr, times := range k.Crashes {
 		if !slices.Equal(times, t.stored.Crashes[addr]) {
 			return true
@@ -162,6 +177,18 @@
 		now.Precision > minPrecisionFactor*stored.Precision
 }
 
+// likeliest returns the workers that are stored: those that are the likeliest to be unsound.
+func likeliest(unsound map[string]float64) map[string]float64 {
+	workers := slices.SortedFunc(maps.Keys(unsound), func(a, b string) int {
+		return cmp.Or(cmp.Compare(unsound[b], unsound[a]), cmp.Compare(a, b))
+	})
+	kept := make(map[string]float64)
+	for _, worker := range workers[:min(len(workers), maxUnsound)] {
+		kept[worker] = math.Round(unsound[worker]/unsoundUnit) * unsoundUnit
+	}
+	return kept
+}
+
 // mostObserved returns the run times that are stored: those with the most observations.
 func mostObserved(all map[string]RunTime) map[string]RunTime {
 	keys := slices.SortedFunc(maps.Keys(all), func(a, b string) int {
--- a/internal/knowledge/knowledge.go
+++ b/internal/knowledge/knowledge.go
@@ -26,6 +26,9 @@
 	// Crashes holds the times of recent crashes, in milliseconds since 1970, by the address of
 	// the machine.
 	Crashes map[string][]int64
+	// Unsound is the probability that a worker fails what it is given, by worker. It holds the
+	// workers for which the probability changes decisions, those first that are the likeliest.
+	Unsound map[string]float64
 }
 
 // Speed is the speed of one incarnation of a worker.
@@ -78,5 +81,8 @@
 	for pool := range k.UrgentUse {
 		k.UrgentUse[pool] *= math.Exp(-max(age, 0).Seconds() / urgentUseWindow.Seconds())
 	}
+	for worker := range k.Unsound {
+		k.Unsound[worker] *= factor
+	}
 	return k
 }
--- a/internal/knowledge/knowledge_test.go
+++ b/internal/knowledge/knowledge_test.go
@@ -20,6 +20,7 @@
 		RunTimes:  map[string]RunTime{"queue a": {Count: 12, Time: 7.5, TimeVariance: 0.25, DeclaredError: 0.5}},
 		UrgentUse: map[string]float64{"pool": 48},
 		Crashes:   map[string][]int64{"10.0.0.1:80": {savedMS - 1000}},
+		Unsound:   map[string]float64{"w1": 0.75},
 	}
 	for n := range workers {
 		k.Speeds[fmt.Sprintf("i-%010x", n)] = Speed{Log: -0.5 + float64(n%3)*0.5, Precision: 60, Incarnation: savedMS}
@@ -147,6 +148,7 @@
 		"older than an hour":    {"speeds-1-0", encode(func(c *content) { c.SavedMS -= 2 * time.Hour.Milliseconds() }), "old"},
 		"an impossible speed":   {"speeds-1-0", encode(func(c *content) { c.Speeds["w"] = [3]int64{1 << 40, 1, 1} }), "out of range"},
 		"an impossible time":    {"work", encode(func(c *content) { c.RunTimes = map[string]RunTime{"q": {Count: -1}} }), "out of range"},
+		"a certain fault":       {"work", encode(func(c *content) { c.Unsound = map[string]float64{"w": 1} }), "out of range"},
 		"a negative use":        {"work", encode(func(c *content) { c.UrgentUse = map[string]float64{"p": -1} }), "negative"},
 		"bytes that are no row": {"work", "\x00{", "invalid"},
 		"of another writer":     {"other", encode(func(*content) {}), "unknown"},
--- a/internal/knowledge/rows.go
+++ b/internal/knowledge/rows.go
@@ -28,6 +28,10 @@
 	speedsPerShard = 64
 	// maxRunTimes bounds the run times that are stored.
 	maxRunTimes = 256
+	// maxUnsound bounds the workers that are stored as possibly unsound.
+	maxUnsound = 256
+	// unsoundUnit is the unit of the stored probabilities.
+	unsoundUnit = 0.001
 	// logUnit and precisionUnit are the units of stored speeds: bands of speed are twenty
 	// times as wide.
 	logUnit       = 0.01
@@ -51,6 +55,7 @@
 	RunTimes  map[string]RunTime  `json:"run_times,omitempty"`
 	UrgentUse map[string]float64  `json:"urgent_use,omitempty"`
 	Crashes   map[string][]int64  `json:"crashes,omitempty"`
+	Unsound   map[string]float64  `json:"unsound,omitempty"`
 }
 
 func (c *content) encode() []byte {
@@ -110,6 +115,7 @@
 	k := Knowledge{
 		Speeds: make(map[string]Speed), RunTimes: make(map[string]RunTime),
 		UrgentUse: make(map[string]float64), Crashes: make(map[string][]int64),
+		Unsound: make(map[string]float64),
 	}
 	var problems []error
 	var contents []content
@@ -160,12 +166,17 @@
 			return c, fmt.Errorf("a use is negative")
 		}
 	}
+	for _, unsound := range c.Unsound {
+		if unsound < 0 || unsound >= 1 {
+			return c, fmt.Errorf("a probability is out of range")
+		}
+	}
 	return c, nil
 }
 
 // add merges the content of one row.
 func (k *Knowledge) add(c content, nowMS int64) {
-	stored := Knowledge{Speeds: make(map[string]Speed, len(c.Speeds)), RunTimes: c.RunTimes, UrgentUse: c.UrgentUse}
+	stored := Knowledge{Speeds: make(map[string]Speed, len(c.Speeds)), RunTimes: c.RunTimes, UrgentUse: c.UrgentUse, Unsound: c.Unsound}
 	for worker, s := range c.Speeds {
 		stored.Speeds[worker], _ = decodeSpeed(s) // checked by decodeContent
 	}
@@ -174,4 +185,5 @@
 	maps.Copy(k.RunTimes, stored.RunTimes)
 	maps.Copy(k.UrgentUse, stored.UrgentUse)
 	maps.Copy(k.Crashes, c.Crashes)
+	maps.Copy(k.Unsound, stored.Unsound)
 }
