Placer: crashes that another attempt of a gang has outlived do not count

Evidence: TestASoundGangIsNotFailedForWorkersThatCrashUnderIt; its first three cases end failed with the limit that stood before (three crashes of any kind).

The record keeps the longest run before a crash. A crash after a shorter run does not count, one after a longer run discards the earlier ones, and a gang seen at work has twice the limit. Gangs that crash their workers as they start end after three, as before.

--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -45,7 +45,10 @@
 	FailedOn []string `json:"failed_on,omitempty"`
 	// CrashedOn lists the workers that crashed while running the job, one element
 	// per crash.
-	CrashedOn   []string  `json:"crashed_on,omitempty"`
+	CrashedOn []string `json:"crashed_on,omitempty"`
+	// SurvivedS is the longest time, in seconds, for which the job had been reported to run
+	// before a worker crashed.
+	SurvivedS   float64   `json:"survived_s,omitempty"`
 	SubmittedAt time.Time `json:"submitted_at"`
 	// StartedAt is the time of the last start.
 	StartedAt time.Time `json:"started_at,omitzero"`
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -154,9 +154,9 @@
 	chartState chart.State
 	// nextRenewalAt is the time at which the worker's next renewal is due.
 	nextRenewalAt time.Time
-	// stoppedGangs are the gangs that were stopped because the worker stopped
-	// responding.
-	stoppedGangs map[*entry]bool
+	// stoppedGangs holds the gangs that were stopped because the worker stopped
+	// responding, with the time in seconds for which they had run.
+	stoppedGangs map[*entry]float64
 }
 
 // core is owned by one goroutine; see the package comment.
--- a/internal/placer/core_test.go
+++ b/internal/placer/core_test.go
@@ -334,6 +334,30 @@
 	}
 }
 
+func TestASoundGangIsNotFailedForWorkersThatCrashUnderIt(t *testing.T) {
+	for name, test := range map[string]struct {
+		// earlierS and ranS are the run times of the earlier attempts and of the current one.
+		earlierS, ranS float64
+		before         []string
+		state          chart.State
+	}{
+		"it ran longer than the earlier attempts": {600, 3600, []string{"x", "y"}, stStopping},
+		"an earlier attempt ran longer":           {3600, 600, []string{"x", "y"}, stStopping},
+		"the third crash at about the same point": {600, 600, []string{"x", "y"}, stStopping},
+		"the sixth crash at about the same point": {600, 600, []string{"v", "w", "x", "y", "z"}, stFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, e := newCoreWithRunningGang(t, test.before...)
+			e.record.SurvivedS = test.earlierS
+			report := e.reports["a"]
+			report.runSeconds = test.ranS
+			e.reports["a"] = report
+			c.apply(restartReport("a"), testStart.Add(3*testLease))
+			assert.Equal(t, e.state, test.state)
+		})
+	}
+}
+
 func TestUnresponsiveWorkerThatRestartsCountsAsCrashed(t *testing.T) {
 	for name, test := range map[string]struct {
 		report  reportEvent
--- a/internal/placer/reports.go
+++ b/internal/placer/reports.go
@@ -161,9 +161,9 @@
 func (c *core) handleLostPart(e *entry, worker string, crashed bool, now time.Time) {
 	reason := "worker " + worker + " no longer has its part"
 	if crashed {
-		e.record.CrashedOn = append(e.record.CrashedOn, worker)
+		e.countCrash(worker, e.longestRunSeconds())
 	}
-	if (quarantine.Crashes{Confirmed: len(e.record.CrashedOn)}).Decide() != quarantine.Abandon {
+	if e.crashDecision() != quarantine.Abandon {
 		c.stopGang(e, evWorkerLost, reason, now)
 		return
 	}
@@ -171,20 +171,43 @@
 	c.transition(e, evFail, reason+"; workers that went down under it: "+strings.Join(e.record.CrashedOn, ", "), now)
 }
 
+// countCrash counts the crash of a worker against a gang that had run for a
+// while. Crashes that another attempt has outlived do not count.
+func (e *entry) countCrash(worker string, ranS float64) {
+	r := &e.record
+	survived, ran := seconds(r.SurvivedS), seconds(ranS)
+	if quarantine.Outlived(survived, ran) {
+		return
+	}
+	if quarantine.Outlived(ran, survived) {
+		r.CrashedOn = nil
+	}
+	r.CrashedOn = append(r.CrashedOn, worker)
+	r.SurvivedS = max(r.SurvivedS, ranS)
+}
+
+// crashDecision returns the consequence of the gang's crashes. What else ran on
+// the workers is not recorded, so all of them count as isolated: the limit must
+// hold.
+func (e *entry) crashDecision() quarantine.CrashDecision {
+	crashes := len(e.record.CrashedOn)
+	return quarantine.Crashes{Survived: seconds(e.record.SurvivedS), Confirmed: crashes, Isolated: crashes}.Decide()
+}
+
 // addStoppedGang records a gang that was stopped because the worker stopped
-// responding.
+// responding, and how long it had run.
 func (w *workerState) addStoppedGang(e *entry) {
 	if w.stoppedGangs == nil {
-		w.stoppedGangs = make(map[*entry]bool)
+		w.stoppedGangs = make(map[*entry]float64)
 	}
-	w.stoppedGangs[e] = true
+	w.stoppedGangs[e] = e.longestRunSeconds()
 }
 
 // recordCrash counts the crash of a worker against the gangs that were stopped
 // when it stopped responding. The count is checked at their next crash.
 func (c *core) recordCrash(w *workerState) {
-	for e := range w.stoppedGangs {
-		e.record.CrashedOn = append(e.record.CrashedOn, w.ID)
+	for e, ranS := range w.stoppedGangs {
+		e.countCrash(w.ID, ranS)
 		if !c.gangChart.Final(e.state) {
 			c.markUnsaved(e)
 		}
