Losses: time lost to workers that failed their runs is a cause of its own

A run that failed on a worker that the leader closed at any time of the log, and the members of its gang, now count as 'failing worker'. Test: a row of TestLossesAreAttributedToTheirCause; its time counted as 'again' before. On logs without 'worker soundness' lines nothing changes.

--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -105,6 +105,18 @@
 			},
 			OutcomeLost, CauseLease, 6 * time.Second,
 		},
+		"a run that failed on a worker that was closed later is told from other reruns": {
+			func(l *logBuilder) {
+				l.submit(0, "j", "")
+				l.line(20, "a", "msg=order order=start job=j occurrence=0 step=0 task=0 attempt=1 worker=w")
+				l.end(1020, "j", 1, "failed")
+				l.start(1030, "j", 2)
+				l.end(2030, "j", 2, "done")
+				l.jobEnded(2040, "j")
+				l.line(3000, "a", `msg="worker soundness" worker=w state=closed`)
+			},
+			OutcomeOnTime, CauseFailingWorker, time.Second,
+		},
 		"a wait for the start intent to be stored is distinguished from others": {
 			func(l *logBuilder) {
 				l.submit(0, "j", "")
--- a/internal/losses/report.go
+++ b/internal/losses/report.go
@@ -227,7 +227,7 @@
 
 // causeAt returns the cause that the job's time at a moment is attributed to.
 func (h *history) causeAt(at, lastEnd time.Time, leaderGaps []timeRange) Cause {
-	slowRun, wastedRun := false, false
+	slowRun, wastedRun, failingWorker := false, false, false
 	for _, r := range h.runOrder {
 		switch {
 		case !r.contains(at):
@@ -235,6 +235,8 @@
 			return CauseRun
 		case r.completionKind == "done":
 			slowRun = true
+		case r.onFailingWorker:
+			failingWorker = true
 		default:
 			wastedRun = true
 		}
@@ -242,6 +244,8 @@
 	switch {
 	case slowRun:
 		return CauseSlowWorker
+	case failingWorker:
+		return CauseFailingWorker
 	case wastedRun:
 		return CauseRerun
 	}
--- a/internal/losses/timeline.go
+++ b/internal/losses/timeline.go
@@ -1,6 +1,7 @@
 package losses
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -29,6 +30,9 @@
 	CauseStart Cause = "start"
 	// CauseRerun is the time of runs that were interrupted, failed or were stopped.
 	CauseRerun Cause = "again"
+	// CauseFailingWorker is the time of runs that failed on a worker that the leader closed, and
+	// of those that were interrupted with them.
+	CauseFailingWorker Cause = "failing worker"
 	// CauseRun is the time of runs that completed or are still running.
 	CauseRun Cause = "run"
 	// CauseSlowWorker is the time that completed runs took beyond that on workers of the usual
@@ -40,7 +44,7 @@
 
 // Causes returns the causes in the order in which a job meets them.
 func Causes() []Cause {
-	return []Cause{CauseAccept, CauseLeader, CauseLease, CauseStartIntent, CauseCapacity, CausePreempt, CauseStart, CauseRerun, CauseRun, CauseSlowWorker, CauseRecord}
+	return []Cause{CauseAccept, CauseLeader, CauseLease, CauseStartIntent, CauseCapacity, CausePreempt, CauseStart, CauseRerun, CauseFailingWorker, CauseRun, CauseSlowWorker, CauseRecord}
 }
 
 // causeOfWaitReason maps the reason of a wait line, up to its first semicolon, to a
@@ -83,6 +87,9 @@
 	worker     string
 	// workerSpeed is the speed of the worker that the leader stated, or zero.
 	workerSpeed float64
+	// onFailingWorker is set if it failed on a worker that the leader closed, or was interrupted
+	// by a member of its gang that did.
+	onFailingWorker bool
 	// resumed reports whether it continued from a checkpoint of an earlier run.
 	resumed bool
 }
@@ -123,9 +130,13 @@
 func buildHistories(lines []line) (jobs []*history, leaderGaps []timeRange) {
 	byID := make(map[string]*history)
 	lease := &leaseHistory{lastLineAt: make(map[string]time.Time)}
+	closed := make(map[string]bool)
 	for i := range lines {
 		l := &lines[i]
 		lease.apply(l)
+		if l.message == "worker soundness" && l.fields["state"] == "closed" {
+			closed[l.fields["worker"]] = true
+		}
 		id := l.fields["job"]
 		if id == "" {
 			continue
@@ -138,9 +149,22 @@
 		}
 		h.apply(l)
 	}
+	for _, h := range jobs {
+		h.markFailingWorkers(closed)
+	}
 	return jobs, lease.gaps
 }
 
+// markFailingWorkers marks the runs that were lost to workers that the leader closed.
+func (h *history) markFailingWorkers(closed map[string]bool) {
+	for _, members := range h.gangs {
+		failed := slices.ContainsFunc(members, func(r *run) bool { return r.completionKind == "failed" && closed[r.worker] })
+		for _, r := range members {
+			r.onFailingWorker = failed && r.completionKind != "done"
+		}
+	}
+}
+
 func (h *history) apply(l *line) {
 	switch l.message {
 	case "submit":
