--- a/internal/soundness/soundness.go
+++ b/internal/soundness/soundness.go
@@ -28,6 +28,8 @@
 	halfLife = 5 * time.Minute
 	// maxLogOdds bounds the evidence against a worker, so that some successes can outweigh it.
 	maxLogOdds = 4.0
+	// maxEnds bounds the ends of one kind that count, so that no likelihood underflows to zero.
+	maxEnds = 100
 	// maxFaultyLogOdds bounds the logarithm of the odds that a job is faulty.
 	maxFaultyLogOdds = 20.0
 )
@@ -273,5 +275,5 @@
 
 // likelihood returns the probability of the ends if each run fails with the given probability.
 func likelihood(e *ends, failure float64) float64 {
-	return math.Pow(failure, float64(e.failed)) * math.Pow(1-failure, float64(e.done))
+	return math.Pow(failure, float64(min(e.failed, maxEnds))) * math.Pow(1-failure, float64(min(e.done, maxEnds)))
 }
--- a/internal/soundness/soundness_test.go
+++ b/internal/soundness/soundness_test.go
@@ -47,6 +47,11 @@
 			}
 			r("w", job(20), false)
 		}, 0.9, 1},
+		"a long-running step failed and succeeded a thousand times": {func(r func(string, Step, bool)) {
+			for n := range 2000 {
+				r("w", job(1), n%2 == 0)
+			}
+		}, 0.7, 1},
 		"a chance failure among many successes": {func(r func(string, Step, bool)) {
 			r("w", job(0), true)
 			for n := range 8 {
