Waiting steps: free capacity beside them and what keeps it from them

A step that waits beside free capacity could not be told from one that waits for capacity: the wait line named the cause of the last search alone. It now says how many of its tasks the free capacity of the pool would hold, how many it may use, the load, and which mechanism keeps how much from it. No decision changes (digest test).

--- a/internal/deployment/orders.go
+++ b/internal/deployment/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"strconv"
 	"time"
 
@@ -38,7 +39,7 @@
 	case dispatch.ActPoll:
 		c.polls.Submit(func() { c.poll(action) })
 	case dispatch.ActReason:
-		c.logger.Info("wait", append(taskFields(action.Order.Task), zap.Int64("epoch", action.Order.Epoch), zap.String("reason", action.Reason))...)
+		c.logger.Info("wait", waitFields(action)...)
 	case dispatch.ActJobAbandoned:
 		c.logger.Warn("job given up", append(taskFields(action.Order.Task), zap.Int64("epoch", action.Order.Epoch),
 			zap.String("cause", string(action.FailureCause)), zap.String("reason", action.Reason))...)
@@ -52,6 +53,17 @@
 	}
 }
 
+// waitFields returns the log fields of the reason why a step waits.
+func waitFields(action dispatch.Action) []zap.Field {
+	fields := append(taskFields(action.Order.Task), zap.Int64("epoch", action.Order.Epoch), zap.String("reason", action.Reason))
+	if h := action.Held; h != nil {
+		fields = append(fields, zap.Int64("free_tasks", h.Free), zap.Int64("usable_tasks", h.Usable), zap.Int("free_workers", h.FreeWorkers),
+			zap.Int("usable_workers", h.UsableWorkers), zap.Int("workers", h.Workers), zap.Float64("load", math.Round(h.Load*100)/100),
+			zap.String("holds", h.Holds()))
+	}
+	return fields
+}
+
 // askAdvisor asks the placement advisor and passes its answer to the core.
 func (c *leader) askAdvisor(request workload.AdviceRequest) {
 	ctx, cancel := context.WithTimeout(c.ctx, request.Timeout)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -48,6 +48,8 @@
 	// WorkerSpeed is the observed speed of the worker of a start, relative to the usual one; zero
 	// if it is not known or the workers count as equal.
 	WorkerSpeed float64
+	// Held is the free capacity beside the step of an ActReason, or nil if it was not looked at.
+	Held *HeldCapacity
 	// First is set on one start of each job and states how long the job waited for it.
 	First *FirstStart
 	// Lost describes how a run was lost.
--- a/internal/dispatch/fit.go
+++ b/internal/dispatch/fit.go
@@ -10,9 +10,8 @@
 // eligible returns the workers that may run the step at all.
 func (c *Core) eligible(u *pendingStep, workers []*workerCapacity) []*workerCapacity {
 	var list []*workerCapacity
-	spec := u.step.spec
 	for _, r := range workers {
-		if r.HasLabel(spec.Label) && r.Capacity.Contains(spec.CountedResources()) && !r.wouldInterfere(spec) && c.mayTrust(u, r) && !r.flapping {
+		if c.canRun(u, r) && c.mayTrust(u, r) && !r.flapping {
 			list = append(list, r)
 		}
 	}
--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -48,12 +48,21 @@
 	return u.queue.Priority != 0 && !s.LongRunning && (!s.Checkpoints || c.stopsTakeTooLong(u.queue.Pool))
 }
 
-// excludeHeadroom returns the workers without those that are kept for urgent work. Only workers
-// that run nothing but urgent work, or nothing at all, are kept.
+// excludeHeadroom returns the workers without those that are kept for urgent work.
 func (c *Core) excludeHeadroom(pool string, workers []*workerCapacity) []*workerCapacity {
-	if loadOf(workers) < c.numberOr(NumHeadroomMinLoad, headroomMinLoad) {
+	kept := c.headroom(pool, workers)
+	if len(kept) == 0 {
 		return workers
 	}
+	return slices.DeleteFunc(slices.Clone(workers), func(r *workerCapacity) bool { return kept[r] })
+}
+
+// headroom returns the workers that are kept for urgent work. Only workers that run nothing but
+// urgent work, or nothing at all, are kept.
+func (c *Core) headroom(pool string, workers []*workerCapacity) map[*workerCapacity]bool {
+	if loadOf(workers) < c.numberOr(NumHeadroomMinLoad, headroomMinLoad) {
+		return nil
+	}
 	maxKept := int(c.numberOr(NumHeadroomMaxShare, headroomMaxShare) * float64(len(workers)))
 	wanted := c.expectedUrgentUse(pool)
 	kept := make(map[*workerCapacity]bool)
@@ -67,7 +76,7 @@
 			wanted -= float64(r.Capacity.Accelerators)
 		}
 	}
-	return slices.DeleteFunc(slices.Clone(workers), func(r *workerCapacity) bool { return kept[r] })
+	return kept
 }
 
 // fastWorkersFirst moves the workers that are slower than usual to the end of a list: most urgent
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -28,6 +28,8 @@
 	failed int
 	// claimedCapacity holds the workers of the step's claim, one entry per task.
 	claimedCapacity []*workerCapacity
+	// held is the free capacity beside the step, or nil if it has not been looked at.
+	held *HeldCapacity
 }
 
 // rank orders classes of work; within one rank the order policy decides.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -76,6 +76,9 @@
 	if len(u.tasks) == 0 {
 		return true
 	}
+	if c.mayLogReason(u.step) {
+		u.held = c.heldCapacity(u) // before the step's own reservations count
+	}
 	cause := c.arrangeCapacity(u, workers, offRack, mayReserve)
 	if cacheable && (cause == causeNoCapacity || cause == causeNoRackCapacity) {
 		c.infeasible.record(stepShape, u)
--- a/internal/dispatch/reasons.go
+++ b/internal/dispatch/reasons.go
@@ -25,7 +25,15 @@
 	}
 	reason := fmt.Sprintf("%s%s; rank %d, due in %d ms, waited %d ms, %d tasks of about %d ms", cause, c.drainedSuffix(u.queue.Pool), u.rank.class,
 		u.dueBy.Sub(c.now).Milliseconds(), c.now.Sub(s.readySince).Milliseconds(), len(u.tasks), u.duration.Milliseconds())
-	c.emitReason(s, cause, reason)
+	if u.held == nil {
+		u.held = c.heldCapacity(u)
+	}
+	c.emitReason(s, cause, reason, u.held)
+}
+
+// mayLogReason reports whether a reason for the wait of a step could be logged now.
+func (c *Core) mayLogReason(s *step) bool {
+	return c.now.Sub(s.readySince) >= reasonDelay && c.now.Sub(s.loggedCauseAt) >= changedReasonInterval
 }
 
 // recordBlocked logs why no step of a job may start.
@@ -33,7 +41,7 @@
 	if j.runs > 0 || len(j.steps) == 0 || !c.isReasonDue(j.steps[0], cause) {
 		return
 	}
-	c.emitReason(j.steps[0], cause, fmt.Sprintf("%s; waited %d ms", cause, c.now.Sub(j.acceptedAt).Milliseconds()))
+	c.emitReason(j.steps[0], cause, fmt.Sprintf("%s; waited %d ms", cause, c.now.Sub(j.acceptedAt).Milliseconds()), nil)
 }
 
 // reportAbandoned emits an action that states why a job failed permanently.
@@ -60,8 +68,8 @@
 }
 
 // emitReason emits an action that logs why a step waits.
-func (c *Core) emitReason(s *step, cause, reason string) {
+func (c *Core) emitReason(s *step, cause, reason string, held *HeldCapacity) {
 	s.loggedCause, s.loggedCauseAt = cause, c.now
 	task := workload.TaskID{Job: s.job.ID, Occurrence: s.occurrence, Step: s.number}
-	c.actions = append(c.actions, Action{Kind: ActReason, Reason: reason, Order: workload.Order{Task: task, Epoch: c.epoch}})
+	c.actions = append(c.actions, Action{Kind: ActReason, Reason: reason, Held: held, Order: workload.Order{Task: task, Epoch: c.epoch}})
 }
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -51,7 +51,7 @@
 		if !w.usable(c.now) || c.isSuspect(w) || c.isDrained(w) {
 			continue
 		}
-		free := w.Capacity.Sub(w.used).Sub(w.unknownRunsUse())
+		free := w.freeCapacity()
 		r := &workerCapacity{worker: w, free: free, freeSoon: free, urgentOnly: true}
 		for _, run := range w.runs {
 			r.countKind(run.task.step.spec)
