--- a/internal/dispatch/unsound_test.go
+++ b/internal/dispatch/unsound_test.go
@@ -18,10 +18,12 @@
 	faulty  map[string]bool
 	// failures counts the failed runs by worker.
 	failures map[string]int
+	// runTimes holds the run times of jobs that take longer than the others.
+	runTimes map[string]time.Duration
 }
 
 func newUnsoundBench(t *testing.T, workers int, unsound ...string) *unsoundBench {
-	b := &unsoundBench{bench: newBench(t, workers, false), unsound: make(map[string]bool), faulty: make(map[string]bool), failures: make(map[string]int)}
+	b := &unsoundBench{bench: newBench(t, workers, false), unsound: make(map[string]bool), faulty: make(map[string]bool), failures: make(map[string]int), runTimes: make(map[string]time.Duration)}
 	for _, id := range unsound {
 		b.unsound[id] = true
 	}
@@ -39,7 +41,7 @@
 				case b.unsound[id] && ran >= step || b.faulty[key.task.Job] && ran >= time.Second:
 					b.failures[id]++
 					b.endRun(w, key.task, key.attempt, workload.CompletionFailed)
-				case ran >= 2*time.Second:
+				case ran >= max(2*time.Second, b.runTimes[key.task.Job]):
 					b.endRun(w, key.task, key.attempt, workload.CompletionDone)
 				}
 			}
