Dispatch: headroom and reservations keep a step from free capacity for a bounded time

Cause: headroom keeps up to a third of the workers for urgent work for as long as the pool is 0.6 in use, and a job that cannot be in time any more stands behind all that can. Nothing knew how long a step had been kept out.

A step that has stood for longer than its bound (a fifth of its objective, 2 s at most) starts on any worker that is not doubted, in what headroom and reservations keep; of independent tasks one does. Its start intent is stored from half the bound on.

--- a/internal/dispatch/standing.go
+++ b/internal/dispatch/standing.go
@@ -6,9 +6,12 @@
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
-// A step that waits beside free capacity for twice its need stands. Load: many doubted workers, and
-// work that none of them may start; gangs stood beside workers that nothing but a single task could
-// prove. A step therefore stands for a bounded time, a share of its latency objective.
+// A step that waits beside free capacity for twice its need stands. Each hold has its reason, but
+// none of them knows how long the others have lasted, and some end only by work that may not come:
+// late jobs stood beside idle workers until the last urgent job had ended, and gangs beside workers
+// that nothing but a single task could prove. Load: more work than fits, or many doubted workers.
+// All holds together therefore keep a step from such capacity for a bounded time, a share of its
+// latency objective. Then it starts in what the holds keep, those first that risk nothing of its own.
 
 const (
 	// standShare is the share of its latency objective for which a step stands at most, and maxStand
@@ -84,36 +87,59 @@
 	return min(time.Duration(standShare*float64(objective)), maxStand)
 }
 
-// placeStanding starts a step that has stood for too long as a trial of doubted workers. Of
-// independent tasks it starts one. It returns true if anything has started.
-func (c *Core) placeStanding(u *pendingStep) bool {
+// standsTooLong observes a step, and reports whether it stands and has done so for longer than its
+// bound.
+func (c *Core) standsTooLong(u *pendingStep) bool {
 	c.observeStand(u)
-	if u.step.stood < c.standBound(u) || !c.standsNow(u) {
+	bound := c.standBound(u)
+	if 2*u.step.stood >= bound && c.enabled(MechStandBound) {
+		c.awaitsStartIntent(u.step.job) // store it now, so that the start does not wait for it later
+	}
+	return u.step.stood >= bound && c.standsNow(u)
+}
+
+// placeStanding starts a step that has stood for too long in capacity that holds keep from it: on
+// sound workers if it fits there, and otherwise as a trial of doubted ones. Of independent tasks it
+// starts one, so that the holds go on for the rest. It returns true if anything has started.
+func (c *Core) placeStanding(u *pendingStep) bool {
+	if !c.standsTooLong(u) {
 		return false
 	}
 	first := *u
 	first.tasks = u.tasks[:u.leastTasks()]
-	started := c.startTrial(&first)
+	started := c.startOnSound(&first) || c.startTrial(&first)
 	if started {
 		u.tasks = u.tasks[len(first.tasks):]
 	}
 	return started
 }
 
-// startInFree starts a step on any workers with free capacity, doubted or not.
-func (c *Core) startInFree(u *pendingStep) bool {
+// startOnSound starts a step on workers that are not doubted, also in capacity that is kept for
+// others.
+func (c *Core) startOnSound(u *pendingStep) bool {
+	if !c.enabled(MechStandBound) {
+		return false
+	}
+	return c.startInFree(u, func(r *workerCapacity) bool { return !r.doubt.closed && r.doubt.unsound < doubtedFrom })
+}
+
+// startInFree starts a step on matching workers, in any capacity that is free and not claimed.
+func (c *Core) startInFree(u *pendingStep, match func(*workerCapacity) bool) bool {
 	var workers []*workerCapacity
-	candidates := c.pools[u.queue.Pool]
-	if c.mustAvoidHeadroom(u) && c.enabled(MechHeadroom) {
-		candidates = c.excludeHeadroom(u.queue.Pool, candidates)
+	candidates, capacityOf := c.pools[u.queue.Pool], func(r *workerCapacity) workload.Resources { return r.free }
+	if !c.enabled(MechStandBound) {
+		capacityOf = c.freeFor(u)
+		if c.mustAvoidHeadroom(u) && c.enabled(MechHeadroom) {
+			candidates = c.excludeHeadroom(u.queue.Pool, candidates)
+		}
 	}
 	for _, r := range candidates {
-		if c.canRun(u, r) && !r.flapping {
+		if c.canRun(u, r) && !r.flapping && match(r) {
 			workers = append(workers, r)
 		}
 	}
 	workers = c.workersWithTicket(u, workers)
-	places := c.findPlaces(u, workers, c.mayRunOffRack(u, workers), c.freeFor(u))
+	places := c.findPlaces(u, workers, c.mayRunOffRack(u, workers), capacityOf)
 	if len(places) < len(u.tasks) {
 		return false
 	}
--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -59,7 +59,7 @@
 		return false
 	}
 	u.trial = true
-	if !c.startInFree(u) {
+	if !c.startInFree(u, func(*workerCapacity) bool { return true }) {
 		return false
 	}
 	t := c.trialsOf(u.queue.Pool)
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -37,6 +37,7 @@
 	MechExploreSpeeds      Mechanism = "explore_speeds"
 	MechGangVictims        Mechanism = "gang_victims"
 	MechDemandForecast     Mechanism = "demand_forecast"
+	MechStandBound         Mechanism = "stand_bound"
 	MechTrials             Mechanism = "trials"
 )
 
@@ -46,7 +47,7 @@
 		MechHeadroom, MechClaims, MechWaitForCompletions, MechReservations, MechRackWait, MechEstimates, MechUnhealthyWorkers,
 		MechEvacuation, MechSuspectDomains, MechDemoteLate, MechCheapVictims, MechPacking, MechRackOrder, MechRestartClaims, MechResends,
 		MechPollWindow, MechStartWindow, MechStoredStartIntents, MechFlappingWorkers,
-		MechWorkerSpeeds, MechStoredKnowledge, MechCorrectedRunTimes, MechSpeedKinds, MechExploreSpeeds, MechGangVictims, MechDemandForecast, MechTrials,
+		MechWorkerSpeeds, MechStoredKnowledge, MechCorrectedRunTimes, MechSpeedKinds, MechExploreSpeeds, MechGangVictims, MechDemandForecast, MechStandBound, MechTrials,
 	}
 }
 
