Dispatch: steps behind many blocked ones that stand are looked at in turn

A round placed nothing more after the fortieth, so that a job that fits waited until those before it had ended. Such a step is now looked at once it has stood for longer than its bound, up to eight in a round and each every half second, so that a round stays bounded.

TestAStepBehindManyBlockedOnesDoesNotStand, before: small stands for 7.9 s (to the end of the play); now it passes.

--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -26,6 +26,8 @@
 	// stood is the time for which the step has waited beside free capacity, as of standSeenAt.
 	stood       time.Duration
 	standSeenAt time.Time
+	// consideredAt is the last time at which the step was looked at behind many blocked ones.
+	consideredAt time.Time
 	// loggedCause is the cause of the step's wait that was last logged, at loggedCauseAt.
 	loggedCause   string
 	loggedCauseAt time.Time
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -26,14 +26,19 @@
 	c.settleTrials()
 	c.upcomingReleases = nil
 	c.gangPlans = 0
-	blocked := 0
+	blocked, behind := 0, 0
 	startsLeft, pendingBefore := c.startsLeft(), len(c.pendingStarts)
 	maxReservations := int(c.numberOr(NumReservations, maxReservingSteps))
 	for _, u := range pending {
 		if len(c.pendingStarts)-pendingBefore >= startsLeft {
 			break
 		}
-		if blocked < maxConsidered && c.placeStep(u, pools[u.queue.Pool], blocked < maxReservations) {
+		considered := blocked < maxConsidered
+		if !considered && behind < maxConsideredBehind && c.isDueBehind(u) {
+			behind++
+			considered = true
+		}
+		if considered && c.placeStep(u, pools[u.queue.Pool], blocked < maxReservations) {
 			continue
 		}
 		blocked++
@@ -45,9 +50,11 @@
 	// maxReservingSteps is the maximum number of steps that may reserve capacity. More reservations
 	// would leave most of the capacity to work that cannot start for a long time.
 	maxReservingSteps = 4
-	// maxConsidered is the number of blocked steps after which a round places nothing more: it
-	// bounds the duration of a round when hundreds of jobs wait.
-	maxConsidered = 40
+	// maxConsidered is the number of blocked steps after which a round places nothing more but up
+	// to maxConsideredBehind steps that have stood for too long: it bounds the duration of a round
+	// when hundreds of jobs wait.
+	maxConsidered       = 40
+	maxConsideredBehind = 8
 )
 
 // placeStep starts the tasks of a step that fit. For the rest, the step waits for capacity that
--- a/internal/dispatch/standing.go
+++ b/internal/dispatch/standing.go
@@ -98,6 +98,16 @@
 	return u.step.stood >= bound && c.standsNow(u)
 }
 
+// isDueBehind reports whether a step behind many blocked ones stands too long and is its turn to be
+// looked at.
+func (c *Core) isDueBehind(u *pendingStep) bool {
+	if !c.standsTooLong(u) || c.now.Sub(u.step.consideredAt) < maxStandGap {
+		return false
+	}
+	u.step.consideredAt = c.now
+	return true
+}
+
 // placeStanding starts a step that has stood for too long in capacity that holds keep from it: on
 // sound workers if it fits there, and otherwise as a trial of doubted ones. Of independent tasks it
 // starts one, so that the holds go on for the rest. It returns true if anything has started.
--- a/internal/dispatch/standing_test.go
+++ b/internal/dispatch/standing_test.go
@@ -126,6 +126,18 @@
 	}
 }
 
+func TestAStepBehindManyBlockedOnesDoesNotStand(t *testing.T) {
+	w := newStandWatch(newUnsoundBench(t, 12))
+	for n := range 60 {
+		w.add(gangJob(fmt.Sprint("large", n), "batch", "other", 30+n, 8))
+	}
+	w.watch(time.Second)
+	w.add(singleJob("small", "batch", "other", 3, 1))
+	w.watch(10 * time.Second)
+	assert.Assert(t, w.longest <= statedStand, "%s stands for %s", w.job, w.longest)
+	assert.Equal(t, w.finalState("small"), FinalCompleted)
+}
+
 // replaceLeader lets another leader take over that knows what the one before has learned, and none
 // of its jobs.
 func (b *unsoundBench) replaceLeader() {
