Waiting steps: how long they have stood, as a field and a gauge

stood_ms in the wait line, and corianderbank_deployment_longest_stand_seconds by pool, so that an operator sees a step that stands beside free capacity before its caller does. The gauge of closed workers was set twice in a slow round; once is enough. No decision changes.

--- a/internal/deployment/leader.go
+++ b/internal/deployment/leader.go
@@ -87,6 +87,8 @@
 	quiescing atomic.Bool
 	// closedPools are the pools that have had closed workers.
 	closedPools map[string]bool
+	// standPools are the pools that have had standing steps.
+	standPools map[string]bool
 	inFlight    atomic.Int64
 	ctx         context.Context
 }
@@ -132,6 +134,7 @@
 		intentWrites:   make(map[string]bool),
 		priorities:     make(map[int]bool),
 		closedPools:    make(map[string]bool),
+		standPools:     make(map[string]bool),
 	}
 }
 
@@ -243,11 +246,11 @@
 	took := bootTime().Sub(started)
 	metricRound.Update(took.Seconds())
 	if took > slowRoundThreshold {
-		c.updateClosedGauges()
 		c.logger.Warn("slow round", zap.Duration("took", took), zap.Int64("epoch", c.grant.epoch))
 	}
 	c.updateWaitingGauges()
 	c.updateClosedGauges()
+	c.updateStandGauges()
 	c.logUnsynced(started)
 	c.write()
 	c.writeOwedIntents()
@@ -326,6 +329,18 @@
 	}
 }
 
+// updateStandGauges updates, by pool, the longest time for which a step has stood beside free
+// capacity; pools without such steps go to zero.
+func (c *leader) updateStandGauges() {
+	longest := c.core.LongestStands()
+	for pool := range longest {
+		c.standPools[pool] = true
+	}
+	for pool := range c.standPools {
+		metrics.GetOrCreateGauge(fmt.Sprintf(`corianderbank_deployment_longest_stand_seconds{pool=%q}`, pool), nil).Set(longest[pool].Seconds())
+	}
+}
+
 // updateClosedGauges updates the number of workers that are closed to all but probes, by pool.
 func (c *leader) updateClosedGauges() {
 	closed := c.core.ClosedWorkers()
--- a/internal/deployment/orders.go
+++ b/internal/deployment/orders.go
@@ -62,7 +62,7 @@
 	if h := action.Held; h != nil {
 		fields = append(fields, zap.Int64("free_tasks", h.Free), zap.Int64("usable_tasks", h.Usable), zap.Int("free_workers", h.FreeWorkers),
 			zap.Int("usable_workers", h.UsableWorkers), zap.Int("workers", h.Workers), zap.Float64("load", math.Round(h.Load*100)/100),
-			zap.String("holds", h.Holds()))
+			zap.Int64("stood_ms", h.Stood.Milliseconds()), zap.String("holds", h.Holds()))
 	}
 	return fields
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -174,6 +174,8 @@
 	restarting []*step
 	// trials are the attempts on doubted workers, by pool.
 	trials map[string]*trials
+	// longestStands holds, by pool, the longest time for which a step of the last round has stood.
+	longestStands map[string]time.Duration
 	// freeByNeed caches the free capacity of this round, as a number of tasks by their need.
 	freeByNeed map[need]int64
 	// infeasible records the demands that found no capacity in this round.
@@ -226,6 +228,7 @@
 		lightLoadSince: make(map[string]time.Time),
 		demand:         make(map[string]*demandForecast),
 		trials:         make(map[string]*trials),
+		longestStands:  make(map[string]time.Duration),
 		waiting:        make(map[int]int),
 		urgentUsageAt:  now,
 		suspects:       make(map[domain]time.Time),
--- a/internal/dispatch/holds.go
+++ b/internal/dispatch/holds.go
@@ -7,6 +7,7 @@
 	"math"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
@@ -44,6 +45,8 @@
 	By map[Hold]int64
 	// Load is the share of the pool that is in use.
 	Load float64
+	// Stood is the time for which the step has stood.
+	Stood time.Duration
 }
 
 // Holds lists the holds with what each keeps from the step, largest first.
@@ -67,7 +70,7 @@
 // heldCapacity returns the free capacity beside a step in this round.
 func (c *Core) heldCapacity(u *pendingStep) *HeldCapacity {
 	workers := c.pools[u.queue.Pool]
-	h := &HeldCapacity{Workers: len(workers), By: make(map[Hold]int64), Load: loadOf(workers)}
+	h := &HeldCapacity{Workers: len(workers), By: make(map[Hold]int64), Load: loadOf(workers), Stood: u.step.stood}
 	var kept map[*workerCapacity]bool
 	if c.mustAvoidHeadroom(u) && c.enabled(MechHeadroom) {
 		kept = c.headroom(u.queue.Pool, workers)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -10,6 +10,7 @@
 func (c *Core) place() {
 	pending := c.pendingSteps()
 	clear(c.waiting)
+	clear(c.longestStands)
 	if len(pending) == 0 {
 		return
 	}
--- a/internal/dispatch/standing.go
+++ b/internal/dispatch/standing.go
@@ -39,11 +39,15 @@
 	s.standSeenAt = c.now
 	if c.standsNow(u) {
 		s.stood += elapsed
+		c.longestStands[u.queue.Pool] = max(c.longestStands[u.queue.Pool], s.stood)
 	} else {
 		s.stood = max(s.stood-elapsed, 0)
 	}
 }
 
+// LongestStands returns, by pool, the longest time for which a step of the last round has stood.
+func (c *Core) LongestStands() map[string]time.Duration { return c.longestStands }
+
 // standsNow reports whether nothing of a step's job runs although the free capacity of the pool
 // holds a multiple of what the step needs. Each task of long-running work counts by itself.
 func (c *Core) standsNow(u *pendingStep) bool {
