--- a/internal/dispatch/standing_test.go
+++ b/internal/dispatch/standing_test.go
@@ -201,3 +201,35 @@
 		w.watch(50 * time.Millisecond)
 	}
 }
+
+func TestAGangIsNotKeptByAMemberOnAWorkerThatLeavesBehindACut(t *testing.T) {
+	for name, answers := range map[string]bool{"the worker never answers again": false, "it answers once more and is gone": true} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 6, false)
+			b.add(gangJob("gang", "batch", "other", 2, 8))
+			b.advance(2 * time.Second)
+			leaving := b.hostOf("gang")
+			b.announceLeaving(leaving, 4500*time.Millisecond)
+			b.unresponsive[leaving] = true
+			for id, w := range b.workers {
+				for key := range w.running {
+					if id != leaving {
+						b.endRun(w, key.task, key.attempt, workload.CompletionInterrupted)
+					}
+				}
+			}
+			b.advance(4 * time.Second)
+			if answers {
+				b.endRun(b.workers[leaving], workload.TaskID{Job: "gang"}, 2_000_001, workload.CompletionInterrupted)
+				delete(b.unresponsive, leaving)
+				b.advance(50 * time.Millisecond)
+				b.unresponsive[leaving] = true
+			}
+			b.unlisted[leaving] = true
+			clear(b.workers[leaving].running)
+			b.listWorkers()
+			b.advance(testBounds.MaxLease + statedStand)
+			assert.Equal(t, b.runningOf("gang"), 2)
+		})
+	}
+}
