Dispatch: trials begin with the steps that lose least

Trials took the first step of the round's order, often a large gang with one attempt left beside single tasks that could afford a failure. They now begin with the steps that can afford most failures and need the fewest workers, and the pause grows to 3 s instead of 2.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -174,6 +174,8 @@
 	restarting []*step
 	// trials are the attempts on doubted workers, by pool.
 	trials map[string]*trials
+	// trialCandidates are the steps of this round that stand and fit on no sound workers.
+	trialCandidates []*pendingStep
 	// longestStands holds, by pool, the longest time for which a step of the last round has stood.
 	longestStands map[string]time.Duration
 	// freeByNeed caches the free capacity of this round, as a number of tasks by their need.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -25,6 +25,7 @@
 	c.infeasible = make(infeasible)
 	c.freeByNeed = make(map[need]int64)
 	c.settleTrials()
+	c.trialCandidates = nil
 	c.upcomingReleases = nil
 	c.gangPlans = 0
 	blocked, behind := 0, 0
@@ -45,6 +46,7 @@
 		blocked++
 		c.waiting[u.queue.Priority]++
 	}
+	c.startTrials()
 }
 
 const (
--- a/internal/dispatch/standing.go
+++ b/internal/dispatch/standing.go
@@ -112,20 +112,21 @@
 	return true
 }
 
-// placeStanding starts a step that has stood for too long in capacity that holds keep from it: on
-// sound workers if it fits there, and otherwise as a trial of doubted ones. Of independent tasks it
-// starts one, so that the holds go on for the rest. It returns true if anything has started.
+// placeStanding starts a step that has stood for too long on sound workers, in capacity that holds
+// keep from it. Of independent tasks it starts one, so that the holds go on for the rest. It returns
+// true if anything has started. A step that fits on no sound workers is a candidate for a trial.
 func (c *Core) placeStanding(u *pendingStep) bool {
 	if !c.standsTooLong(u) {
 		return false
 	}
 	first := *u
 	first.tasks = u.tasks[:u.leastTasks()]
-	started := c.startOnSound(&first) || c.startTrial(&first)
-	if started {
+	if c.startOnSound(&first) {
 		u.tasks = u.tasks[len(first.tasks):]
+		return true
 	}
-	return started
+	c.trialCandidates = append(c.trialCandidates, &first)
+	return false
 }
 
 // startOnSound starts a step on workers that are not doubted, also in capacity that is kept for
--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/corianderbank/corianderbank/internal/workload"
@@ -20,7 +21,7 @@
 	// firstTrialPause and maxTrialPause bound the pause after a failed trial; each one in a row
 	// doubles it.
 	firstTrialPause = 500 * time.Millisecond
-	maxTrialPause   = 2 * time.Second
+	maxTrialPause   = 3 * time.Second
 	// maxTrials bounds the trials of a pool at the same time.
 	maxTrials = 64
 )
@@ -53,20 +54,32 @@
 	return t
 }
 
-// startTrial starts a step as a trial of doubted workers.
-func (c *Core) startTrial(u *pendingStep) bool {
-	if !c.mayTry(u) {
-		return false
+// startTrials starts the candidates that may try doubted workers now, those first that lose least by
+// a failure and need the fewest workers.
+func (c *Core) startTrials() {
+	slices.SortStableFunc(c.trialCandidates, func(a, b *pendingStep) int {
+		return cmp.Or(cmp.Compare(b.spareAttempts(), a.spareAttempts()), cmp.Compare(len(a.tasks), len(b.tasks)))
+	})
+	for _, u := range c.trialCandidates {
+		if c.mayTry(u) {
+			c.startTrial(u)
+		}
 	}
+}
+
+// spareAttempts returns the number of failures that a step can afford.
+func (u *pendingStep) spareAttempts() int { return max(u.queue.Attempts, 1) - 1 - u.failed }
+
+// startTrial starts a step as a trial of doubted workers, if it fits.
+func (c *Core) startTrial(u *pendingStep) {
 	u.trial = true
 	if !c.startInFree(u, func(*workerCapacity) bool { return true }) {
-		return false
+		return
 	}
 	t := c.trialsOf(u.queue.Pool)
 	started := &trial{step: u.step, attempt: u.tasks[0].runs[0].attempt, since: c.now}
 	t.running = append(t.running, started)
 	c.reportTrial(started, "started", fmt.Sprintf("%d doubted workers, %d failed attempts of %d, %d trials of %d", u.countDoubted(), u.failed, u.queue.Attempts, len(t.running), t.allowed))
-	return true
 }
 
 // countDoubted returns the number of doubted workers that the step has started on.
@@ -98,9 +111,9 @@
 		return false
 	}
 	t := c.trialsOf(u.queue.Pool)
-	if u.failed < max(u.queue.Attempts, 1)-1 {
+	if u.spareAttempts() > 0 {
 		t.spareAt = c.now
-	} else if t.allowed == 1 && c.now.Sub(t.spareAt) < maxStandGap {
+	} else if t.allowed == 1 && c.now.Sub(t.spareAt) < maxTrialPause {
 		return false
 	}
 	return len(t.running) < t.allowed && !c.now.Before(t.notBefore)
