--- a/internal/deployment/leader.go
+++ b/internal/deployment/leader.go
@@ -89,8 +89,8 @@
 	closedPools map[string]bool
 	// standPools are the pools that have had standing steps.
 	standPools map[string]bool
-	inFlight    atomic.Int64
-	ctx         context.Context
+	inFlight   atomic.Int64
+	ctx        context.Context
 }
 
 // lead schedules until the context ends or the lease is over.
