--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -179,7 +179,7 @@
 	// longestStands holds, by pool, the longest time for which a step of the last round has stood.
 	longestStands map[string]time.Duration
 	// freeByNeed caches the free capacity of this round, as a number of tasks by their need.
-	freeByNeed map[need]int64
+	freeByNeed map[need]freeSlots
 	// infeasible records the demands that found no capacity in this round.
 	infeasible infeasible
 	// upcomingReleases caches the expected releases of this round by pool, pools holds the
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -171,6 +173,7 @@
 	id := a.Order.Worker + a.Poll.Worker
 	if a.Kind == ActStart {
 		b.startHosts = append(b.startHosts, id)
+		b.checkRunsNowhere(a.Order)
 	}
 	w := b.workers[id]
 	if b.replaced[id] {
@@ -210,6 +213,17 @@
 	}
 }
 
+// checkRunsNowhere fails the test if another attempt of a task runs on a worker that answers.
+func (b *bench) checkRunsNowhere(o workload.Order) {
+	for id, w := range b.workers {
+		for key := range w.running {
+			if key.task == o.Task && key.attempt != o.Attempt && !b.unresponsive[id] && !b.refusing[id] && !b.replaced[id] {
+				assert.Assert(b.t, false, "%v is started while attempt %d runs on %s", o.Task, key.attempt, id)
+			}
+		}
+	}
+}
+
 func (b *bench) answerWith(a Action, verdict workload.Verdict) {
 	switch a.Kind {
 	case ActStart:
@@ -253,7 +267,8 @@
 func (b *bench) report(w *fakeWorker, poll workload.Poll) workload.Report {
 	w.leaseUntilMS = max(w.leaseUntilMS, poll.UntilMS)
 	report := workload.Report{ClockMS: b.clockOf(w), Incarnation: w.incarnation}
-	for key, r := range w.running {
+	for _, key := range w.sortedRuns() {
+		r := w.running[key]
 		running := workload.Running{Task: key.task, Attempt: key.attempt}
 		if b.percentOf != nil {
 			running.Percent = b.percentOf(poll.Worker, key, r)
@@ -291,8 +306,10 @@
 
 // endStops ends the runs whose stops take effect.
 func (b *bench) endStops() {
-	for _, w := range b.workers {
-		for key, r := range w.running {
+	for _, id := range slices.Sorted(maps.Keys(b.workers)) {
+		w := b.workers[id]
+		for _, key := range w.sortedRuns() {
+			r := w.running[key]
 			if !r.stopAt.IsZero() && !b.now.Before(r.stopAt) {
 				b.endRun(w, key.task, key.attempt, workload.CompletionStopped)
 			}
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -23,9 +23,10 @@
 	started    bool
 	// failedAt is the time of the last failed attempt of one of the tasks.
 	failedAt time.Time
-	// stood is the time for which the step has waited beside free capacity, as of standSeenAt.
-	stood       time.Duration
-	standSeenAt time.Time
+	// stood is the time for which the step has waited beside free capacity, as of standSeenAt, and
+	// stoodBesideSound that for which sound workers had it.
+	stood, stoodBesideSound time.Duration
+	standSeenAt             time.Time
 	// consideredAt is the last time at which the step was looked at behind many blocked ones.
 	consideredAt time.Time
 	// loggedCause is the cause of the step's wait that was last logged, at loggedCauseAt.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -23,11 +23,12 @@
 	c.applyRestartClaims(pools)
 	c.applyClaims(pending, pools)
 	c.infeasible = make(infeasible)
-	c.freeByNeed = make(map[need]int64)
+	c.freeByNeed = make(map[need]freeSlots)
 	c.settleTrials()
 	c.trialCandidates = nil
 	c.upcomingReleases = nil
 	c.gangPlans = 0
+	c.placeOverdue(pending)
 	blocked, behind := 0, 0
 	startsLeft, pendingBefore := c.startsLeft(), len(c.pendingStarts)
 	maxReservations := int(c.numberOr(NumReservations, maxReservingSteps))
@@ -35,6 +36,9 @@
 		if len(c.pendingStarts)-pendingBefore >= startsLeft {
 			break
 		}
+		if len(u.tasks) == 0 {
+			continue // placed as overdue
+		}
 		considered := blocked < maxConsidered
 		if !considered && behind < maxConsideredBehind && c.isDueBehind(u) {
 			behind++
@@ -176,7 +180,7 @@
 		g = &gang{attempt: attempt}
 		u.step.gang, u.step.claim = g, nil
 	}
-	u.step.stood = 0
+	u.step.stood, u.step.stoodBesideSound = 0, 0
 	reason := fmt.Sprintf("rank %d, due in %d ms, waited %d ms", u.rank.class,
 		u.dueBy.Sub(c.now).Milliseconds(), c.now.Sub(u.step.readySince).Milliseconds())
 	if c.speeds.unequal {
--- a/internal/dispatch/standing.go
+++ b/internal/dispatch/standing.go
@@ -18,6 +18,8 @@
 	// the longest time for any step.
 	standShare = 0.2
 	maxStand   = 2 * time.Second
+	// overdueStand is the multiple of its bound after which a standing step comes first.
+	overdueStand = 1.4
 	// maxStandGap is the longest time between two rounds that counts as standing.
 	maxStandGap = 500 * time.Millisecond
 	// standFactor is the multiple of a step's need that has to be free beside it.
@@ -37,26 +39,36 @@
 	s := u.step
 	elapsed := min(c.now.Sub(s.standSeenAt), maxStandGap)
 	s.standSeenAt = c.now
-	if c.standsNow(u) {
-		s.stood += elapsed
-		c.longestStands[u.queue.Pool] = max(c.longestStands[u.queue.Pool], s.stood)
-	} else {
-		s.stood = max(s.stood-elapsed, 0)
+	all, sound := c.standsNow(u)
+	s.stood = addStand(s.stood, elapsed, all)
+	s.stoodBesideSound = addStand(s.stoodBesideSound, elapsed, sound)
+	c.longestStands[u.queue.Pool] = max(c.longestStands[u.queue.Pool], s.stood)
+}
+
+func addStand(stood, elapsed time.Duration, stands bool) time.Duration {
+	if stands {
+		return stood + elapsed
 	}
+	return max(stood-elapsed, 0)
 }
 
 // LongestStands returns, by pool, the longest time for which a step of the last round has stood.
 func (c *Core) LongestStands() map[string]time.Duration { return c.longestStands }
 
-// standsNow reports whether nothing of a step's job runs although the free capacity of the pool
-// holds a multiple of what the step needs. Each task of long-running work counts by itself.
-func (c *Core) standsNow(u *pendingStep) bool {
+// standsNow reports whether nothing of a step's job runs although the free capacity of the pool holds
+// a multiple of what the step needs, and whether that of its sound workers does. Each task of
+// long-running work counts by itself.
+func (c *Core) standsNow(u *pendingStep) (all, sound bool) {
 	if u.step.job.runs > 0 && !u.step.spec.LongRunning {
-		return false
+		return false, false
 	}
-	return c.freeSlots(u) >= standFactor*int64(u.leastTasks())
+	free := c.freeSlotsFor(u)
+	return free.all >= u.standNeed(), free.sound >= u.standNeed()
 }
 
+// standNeed returns the number of tasks that have to fit for the step to stand.
+func (u *pendingStep) standNeed() int64 { return standFactor * int64(u.leastTasks()) }
+
 // leastTasks returns the number of tasks that a step needs to start with.
 func (u *pendingStep) leastTasks() int {
 	if u.step.spec.Gang {
@@ -65,18 +77,30 @@
 	return 1
 }
 
-// freeSlots returns the number of a step's tasks that the free capacity of its pool holds, computed
-// once per round for all steps with the same need.
-func (c *Core) freeSlots(u *pendingStep) int64 {
+// freeSlots is a number of a step's tasks that the free capacity of its pool holds.
+type freeSlots struct {
+	all int64
+	// sound is the part on workers that are not doubted.
+	sound int64
+}
+
+// freeSlotsFor returns the free capacity for a step, computed once per round for all steps with the
+// same need.
+func (c *Core) freeSlotsFor(u *pendingStep) freeSlots {
 	spec := u.step.spec
 	key := need{u.queue.Pool, spec.Label, spec.CountedResources(), spec.TargetMS > 0}
 	if slots, known := c.freeByNeed[key]; known && spec.MaxPerWorker == 0 {
 		return slots
 	}
-	slots := int64(0)
+	var slots freeSlots
 	for _, r := range c.pools[u.queue.Pool] {
-		if c.canRun(u, r) && !r.flapping {
-			slots += c.countSlots(u, r, r.freeCapacity())
+		if !c.canRun(u, r) || r.flapping {
+			continue
+		}
+		free := c.countSlots(u, r, r.freeCapacity())
+		slots.all += free
+		if !r.isDoubted() {
+			slots.sound += free
 		}
 	}
 	if spec.MaxPerWorker == 0 {
@@ -85,6 +109,9 @@
 	return slots
 }
 
+// isDoubted reports whether a worker is so likely to be unsound that only trials may use it freely.
+func (r *workerCapacity) isDoubted() bool { return r.doubt.closed || r.doubt.unsound >= doubtedFrom }
+
 // standBound returns the time for which holds may keep a step from free capacity.
 func (c *Core) standBound(u *pendingStep) time.Duration {
 	objective := u.dueBy.Sub(c.earliestStart(u.step))
@@ -99,7 +126,25 @@
 	if 2*u.step.stood >= bound && c.enabled(MechStandBound) {
 		c.awaitsStartIntent(u.step.job) // store it now, so that the start does not wait for it later
 	}
-	return u.step.stood >= bound && c.standsNow(u)
+	stands, _ := c.standsNow(u)
+	return stands && u.step.stood >= bound
+}
+
+// placeOverdue places the steps that have stood for well over their bound before all others, if sound
+// workers have the capacity beside which they stand. In its turn such a step finds that claimed for
+// one urgent step after another.
+func (c *Core) placeOverdue(pending []*pendingStep) {
+	for _, u := range pending {
+		if u.claimedCapacity != nil || float64(u.step.stoodBesideSound) < overdueStand*float64(c.standBound(u)) {
+			continue
+		}
+		if _, stands := c.standsNow(u); !stands {
+			continue
+		}
+		if first := u.least(); c.startOnSound(first) {
+			u.tasks = u.tasks[len(first.tasks):]
+		}
+	}
 }
 
 // isDueBehind reports whether a step behind many blocked ones stands too long and is its turn to be
@@ -119,23 +164,29 @@
 	if !c.standsTooLong(u) {
 		return false
 	}
-	first := *u
-	first.tasks = u.tasks[:u.leastTasks()]
-	if c.startOnSound(&first) {
+	first := u.least()
+	if c.startOnSound(first) {
 		u.tasks = u.tasks[len(first.tasks):]
 		return true
 	}
-	c.trialCandidates = append(c.trialCandidates, &first)
+	c.trialCandidates = append(c.trialCandidates, first)
 	return false
 }
 
+// least returns the part of a step that it needs to start with.
+func (u *pendingStep) least() *pendingStep {
+	first := *u
+	first.tasks = u.tasks[:u.leastTasks()]
+	return &first
+}
+
 // startOnSound starts a step on workers that are not doubted, also in capacity that is kept for
 // others.
 func (c *Core) startOnSound(u *pendingStep) bool {
 	if !c.enabled(MechStandBound) {
 		return false
 	}
-	return c.startInFree(u, func(r *workerCapacity) bool { return !r.doubt.closed && r.doubt.unsound < doubtedFrom })
+	return c.startInFree(u, func(r *workerCapacity) bool { return !r.isDoubted() })
 }
 
 // startInFree starts a step on matching workers, in any capacity that is free and not claimed.
--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -61,7 +61,7 @@
 		return cmp.Or(cmp.Compare(b.spareAttempts(), a.spareAttempts()), cmp.Compare(len(a.tasks), len(b.tasks)))
 	})
 	for _, u := range c.trialCandidates {
-		if c.mayTry(u) {
+		if len(u.tasks[0].runs) == 0 && c.mayTry(u) {
 			c.startTrial(u)
 		}
 	}
--- a/internal/dispatch/unsound_test.go
+++ b/internal/dispatch/unsound_test.go
@@ -1,7 +1,10 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,9 +37,10 @@
 func (b *unsoundBench) advance(d time.Duration) {
 	const step = 50 * time.Millisecond
 	for until := b.now.Add(d); b.now.Before(until); {
-		for id, w := range b.workers {
-			for key, r := range w.running {
-				ran := b.now.Sub(r.startedAt)
+		for _, id := range slices.Sorted(maps.Keys(b.workers)) {
+			w := b.workers[id]
+			for _, key := range w.sortedRuns() {
+				ran := b.now.Sub(w.running[key].startedAt)
 				switch {
 				case b.unsound[id] && ran >= step || b.faulty[key.task.Job] && ran >= time.Second:
 					b.failures[id]++
@@ -50,6 +54,13 @@
 	}
 }
 
+// sortedRuns returns the keys of a worker's runs, by job, task and attempt.
+func (w *fakeWorker) sortedRuns() []runKey {
+	return slices.SortedFunc(maps.Keys(w.running), func(a, b runKey) int {
+		return cmp.Or(cmp.Compare(a.task.Job, b.task.Job), cmp.Compare(a.task.Index, b.task.Index), cmp.Compare(a.attempt, b.attempt))
+	})
+}
+
 // addLoad adds a job each 200 ms for a while, and returns their ids.
 func (b *unsoundBench) addLoad(name string, jobs int) []string {
 	var ids []string
