--- a/internal/dispatch/standing_test.go
+++ b/internal/dispatch/standing_test.go
@@ -102,6 +102,7 @@
 		"gangs alone, and another leader takes over":      {10, func(b *unsoundBench, n int) { b.add(gangJob(fmt.Sprint("gang", n), "batch", "other", 3, 8)) }, true},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			b := newUnsoundBench(t, 12)
 			b.configureAttempts(6)
 			for n := range c.unsound {
@@ -165,6 +166,7 @@
 func TestJobsDoNotStandBesideCapacityThatIsKeptForOthers(t *testing.T) {
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprint("more work than fits, seed ", seed), func(t *testing.T) {
+			t.Parallel()
 			b := newUnsoundBench(t, 24)
 			b.configureAttempts(3)
 			b.core.bounds.MaxStopTime = 900 * time.Millisecond
