Dispatch: a late gang that stands does not wait for its rack

Where less than half is in use it left its rack after 2.2 s, above that never. Class as before: a hold without an end of its own. Past its bound such a gang now starts away from its rack; one that can still be in time waits on, because it would be late elsewhere.

TestALateGangDoesNotStandForItsRack, before: gang stands for 9.95 s (to the end of the play); now it passes.

--- a/internal/dispatch/standing.go
+++ b/internal/dispatch/standing.go
@@ -147,6 +147,13 @@
 	}
 }
 
+// mayLeaveRack reports whether a step that stands may start away from its rack: also if it is late
+// anyway, since waiting for the rack gains it nothing any more.
+func (c *Core) mayLeaveRack(u *pendingStep, workers []*workerCapacity) bool {
+	late := u.rank.class != 0 && u.rank.timeliness != onTime
+	return late && c.enabled(MechStandBound) || c.mayRunOffRack(u, workers)
+}
+
 // isDueBehind reports whether a step behind many blocked ones stands too long and is its turn to be
 // looked at.
 func (c *Core) isDueBehind(u *pendingStep) bool {
@@ -205,7 +212,7 @@
 		}
 	}
 	workers = c.workersWithTicket(u, workers)
-	places := c.findPlaces(u, workers, c.mayRunOffRack(u, workers), capacityOf)
+	places := c.findPlaces(u, workers, c.mayLeaveRack(u, workers), capacityOf)
 	if len(places) < len(u.tasks) {
 		return false
 	}
--- a/internal/dispatch/standing_test.go
+++ b/internal/dispatch/standing_test.go
@@ -139,6 +139,23 @@
 	assert.Equal(t, w.finalState("small"), FinalCompleted)
 }
 
+func TestALateGangDoesNotStandForItsRack(t *testing.T) {
+	w := newStandWatch(newUnsoundBench(t, 30))
+	for _, rack := range []string{"r0", "r1", "r2"} {
+		filler := singleJob("filler "+rack, "batch", "other", 6, 8)
+		filler.Steps[0].DataRack, filler.Steps[0].EstimateMS = rack, 40_000
+		w.runTimes[filler.ID] = 40 * time.Second
+		w.add(filler)
+	}
+	w.advance(time.Second)
+	gang := gangJob("gang", "batch", "other", 5, 8)
+	gang.Steps[0].RackSensitive = true
+	w.add(gang)
+	w.advance(10 * time.Second) // a rack will hold it, but no longer in time
+	w.watch(10 * time.Second)
+	assert.Assert(t, w.longest <= statedStand, "%s stands for %s", w.job, w.longest)
+}
+
 // replaceLeader lets another leader take over that knows what the one before has learned, and none
 // of its jobs.
 func (b *unsoundBench) replaceLeader() {
