--- a/internal/emulator/player.go
+++ b/internal/emulator/player.go
@@ -200,6 +200,9 @@
 	for _, action := range decide(sim.clock(), sim.wallMS()) {
 		sim.execute(action)
 	}
+	for _, stood := range core.LongestStands() {
+		sim.tally.longestStand = max(sim.tally.longestStand, stood)
+	}
 	sim.writeRecords(core)
 }
 
--- a/internal/emulator/tally.go
+++ b/internal/emulator/tally.go
@@ -37,6 +37,8 @@
 	// wastedWork is measured in core-seconds.
 	wastedWork float64
 	preempted  int
+	// longestStand is the longest time for which a step stood beside free capacity.
+	longestStand time.Duration
 	// drainedStarts counts starts in zones that had been drained for drainTolerance.
 	drainedStarts int
 	// acknowledged holds the tasks whose successful completion was acknowledged to the
@@ -212,6 +214,7 @@
 		measure.Figure{Name: "urgent start p95", Value: quantile(t.urgentWaits, 0.95), Unit: "s"},
 		measure.Figure{Name: "thrown away", Value: t.wastedWork / 1000, Unit: "1000 core-s"},
 		measure.Figure{Name: "preempted", Value: float64(t.preempted), Unit: "runs"},
+		measure.Figure{Name: "longest stand", Value: t.longestStand.Seconds(), Unit: "s"},
 		measure.Figure{Name: "workers crashed", Value: float64(t.workerCrashes), Unit: "lives"},
 		measure.Figure{Name: "wrongly given up", Value: float64(t.wronglyFailed), Unit: "jobs"},
 	)
