--- a/internal/dispatch/standing.go
+++ b/internal/dispatch/standing.go
@@ -154,8 +154,8 @@
 	return late && c.enabled(MechStandBound) || c.mayRunOffRack(u, workers)
 }
 
-// isDueBehind reports whether a step behind many blocked ones stands too long and is its turn to be
-// looked at.
+// isDueBehind reports whether a step behind many blocked ones has stood for too long and has not been
+// looked at for a while.
 func (c *Core) isDueBehind(u *pendingStep) bool {
 	if !c.standsTooLong(u) || c.now.Sub(u.step.consideredAt) < maxStandGap {
 		return false
