--- a/review/world/deployment.go
+++ b/review/world/deployment.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -146,7 +148,7 @@
 		i.kill()
 		_ = i.logFile.Close()
 	}
-	for _, r := range d.runners {
+	for _, r := range d.allRunners() {
 		r.end()
 	}
 	_ = d.storeServer.Close()
@@ -204,6 +206,14 @@
 	}
 }
 
+// endCounts returns how many runs have ended, by how they ended, and of how many ends the system
+// has taken note.
+func (d *deployment) endCounts() (ends map[string]int, noted int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return maps.Clone(d.ends), d.noted
+}
+
 // startsOf returns the starts of the tasks of a job since a time.
 func (d *deployment) startsOf(id string, since time.Time) []taskStart {
 	d.mu.Lock()
@@ -219,6 +229,13 @@
 	return list
 }
 
+// allRunners returns the newest lives of all runners.
+func (d *deployment) allRunners() []*runner {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.runners)
+}
+
 // runnersOf returns the runners on which tasks of a job have started.
 func (d *deployment) runnersOf(id string) []*runner {
 	ids := make(map[string]bool)
@@ -226,7 +243,7 @@
 		ids[s.runner] = true
 	}
 	var list []*runner
-	for _, r := range d.runners {
+	for _, r := range d.allRunners() {
 		if ids[r.id] {
 			list = append(list, r)
 		}
--- a/review/world/lost.go
+++ b/review/world/lost.go
@@ -80,22 +80,24 @@
 }
 
 // observe returns the task that has waited for idleTime with nothing of its job running while less
-// than half of the capacity was in use and the task's need was free twice over, or "".
-func (c *lostCheck) observe(d *deployment, now time.Time) string {
+// than half of the capacity was in use and the task's need was free twice over, or "", and the cores in
+// use.
+func (c *lostCheck) observe(d *deployment, now time.Time) (task string, coresInUse int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	task := c.job.spec.turnCome(c.job.id, d.done, now)
+	coresInUse = d.cpuInUse / 1000
+	task = c.job.spec.turnCome(c.job.id, d.done, now)
 	if task == "" || d.running[c.job.id] > 0 || d.cpuInUse*2 >= runnerCount*runnerCPU {
 		c.idleSince = time.Time{}
-		return ""
+		return "", coresInUse
 	}
 	if c.idleSince.IsZero() {
 		c.idleSince = now
 	}
 	if now.Sub(c.idleSince) <= idleTime {
-		return ""
+		return "", coresInUse
 	}
-	return task
+	return task, coresInUse
 }
 
 // checkLost watches the jobs from finishTime after the end of the traffic on.
@@ -108,14 +110,15 @@
 	found := make(map[string]bool)
 	for start := time.Now(); time.Since(start) < watchTime; time.Sleep(50 * time.Millisecond) {
 		for _, c := range checks {
-			if task := c.observe(d, time.Now()); task != "" && !found[c.job.id] {
+			if task, coresInUse := c.observe(d, time.Now()); task != "" && !found[c.job.id] {
 				found[c.job.id] = true
 				d.record.say("LOST: job %s has had nothing running for %s, the turn of %s has come, %d of %d cores are in use",
-					c.job.id, idleTime, task, d.cpuInUse/1000, runnerCount*runnerCPU/1000)
+					c.job.id, idleTime, task, coresInUse, runnerCount*runnerCPU/1000)
 			}
 		}
 	}
-	d.record.printf("ends that runners have listed: %v; taken note of: %d", d.ends, d.noted)
+	ends, noted := d.endCounts()
+	d.record.printf("ends that runners have listed: %v; taken note of: %d", ends, noted)
 	for _, j := range jobs {
 		d.record.printf("job %s is shown as %s at the end", j.id, d.state(d.instances[0], j))
 	}
--- a/review/world/main.go
+++ b/review/world/main.go
@@ -10,7 +10,8 @@
 //	client.go     the clients
 //	deployment.go all of it together
 //	lost.go       the check of rule LOST
-//	outage.go, overflow.go, schedules.go: the cases
+//	overflow.go, outage.go, reclaim.go: the cases
+//	schedules.go, entries.go: what the report names beside them
 package main
 
 import (
@@ -34,10 +35,12 @@
 
 // cases are the cases by their names.
 var cases = map[string]func(*deployment, bool) error{
-	"outage":    playOutage,
 	"overflow":  playOverflow,
+	"outage":    playOutage,
 	"reclaim":   playReclaim,
 	"schedules": playSchedules,
+	"crashing":  playCrashing,
+	"rack":      playRack,
 }
 
 func main() {
@@ -56,11 +59,13 @@
 		return exitNotRun
 	}
 	d, err := newDeployment(*binary, *recordFile)
+	if d != nil {
+		defer d.close()
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	defer d.close()
 	stopped := make(chan os.Signal, 1)
 	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
 	go func() {
--- a/review/world/outage.go
+++ b/review/world/outage.go
@@ -91,7 +91,7 @@
 
 // restartRunners starts the next lives of the runners that have crashed.
 func (d *deployment) restartRunners() error {
-	for _, r := range d.runners {
+	for _, r := range d.allRunners() {
 		if r.isGone() {
 			if err := r.restart(); err != nil {
 				return err
--- a/review/world/runner.go
+++ b/review/world/runner.go
@@ -148,6 +148,8 @@
 		return err
 	}
 	r.world.record.printf("runner %s starts where %s was", next.id, r.id)
+	r.world.mu.Lock()
+	defer r.world.mu.Unlock()
 	r.world.runners[r.number] = next
 	return nil
 }
