Log the stored row behind a final state that a caller is shown

`end shown` names the version of the stored record, 0 if there is none; `leading` counts the ended jobs that a new leader found, and those among them that are not stored. No decision changes.

--- a/internal/deployment/query.go
+++ b/internal/deployment/query.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"github.com/corianderbank/corianderbank/api"
 	peerpb "github.com/corianderbank/corianderbank/api/peer"
@@ -27,6 +28,7 @@
 // or from the store.
 func (i *Instance) lookupJob(ctx context.Context, id string) (jobView, error) {
 	if state, job, ok := i.replica.state(id); ok {
+		i.logShown(id, state, i.replica.recordVersion(id))
 		return jobView{known: true, state: state, account: job.Account}, nil
 	}
 	if !i.replica.isLoaded() {
@@ -37,6 +39,14 @@
 	return i.readJob(ctx, id)
 }
 
+// logShown logs a final state that a caller is about to be shown. recordVersion is the version of the
+// stored record behind it.
+func (i *Instance) logShown(id string, state JobState, recordVersion int64) {
+	if state.isFinal() {
+		i.logger.Info("end shown", zap.String("job", id), zap.String("state", string(state)), zap.Int64("record_version", recordVersion))
+	}
+}
+
 // zoneHubs returns the recently active hubs of the zone in the order in which this
 // instance queries them. The first one depends on the instance's address, so that the
 // hubs share the load.
@@ -109,5 +119,6 @@
 	if !ok {
 		return jobView{}, nil // the row cannot be decoded
 	}
+	i.logShown(id, state, replica.recordVersion(id))
 	return jobView{known: true, state: state, account: job.Account}, nil
 }
--- a/internal/deployment/takeover.go
+++ b/internal/deployment/takeover.go
@@ -85,13 +85,19 @@
 	c.core.WorkersListed(c.instance.listedWorkers(), now, wallMS)
 	c.core.WorkersStored(stored)
 	jobs := c.instance.replica.snapshot()
+	ended, unstored := 0, 0
 	for _, known := range jobs {
 		c.core.AddJob(known.job, known.record, known.cancelled, now, wallMS)
+		if known.record.Final != "" {
+			ended++
+		}
 		if known.announced {
+			unstored++
 			c.core.MarkDirty(known.job.ID)
 		}
 	}
-	c.logger.Info("leading", zap.Int64("epoch", c.grant.epoch), zap.Int("jobs", len(jobs)), zap.Int("workers_stored", len(stored)))
+	c.logger.Info("leading", zap.Int64("epoch", c.grant.epoch), zap.Int("jobs", len(jobs)), zap.Int("jobs_ended", ended),
+		zap.Int("ends_unstored", unstored), zap.Int("workers_stored", len(stored)))
 }
 
 // predecessorActiveUntil returns the time until which a previous leader may have given
