Show callers the end of a job only once it is stored

Callers saw `completed`, and later `queued` and a second run: during an outage of the store each instance answered from final records that the leader had announced to it and that the store had not taken. A restart of all instances together with the loss of the workers that list the ends loses every copy, and the next leader runs the jobs again.

The replica keeps what is announced apart from the stored record, and callers, cancellations and the removal of old rows go by the stored one alone; the same for `failed`. The next leader still begins with the ends that its predecessor could not store. The announcement carries its epoch: one of a leader that was replaced and goes on behind a cut is not used, as the successor may have started the job again.

--- a/internal/deployment/announce.go
+++ b/internal/deployment/announce.go
@@ -5,16 +5,14 @@
 
 	"go.uber.org/zap"
 
+	"github.com/corianderbank/corianderbank/internal/dispatch"
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
-// This file announces completions that the store cannot take yet. A job ends when its
-// workers report so, but callers see that only once its record is stored: with the
-// store unreachable for four seconds, every job that ended in that time was shown late.
-// The leader therefore announces the completions that it cannot store to all hubs. They
-// show them to callers, and if one of them leads next, it stores them. Workers list these
-// completions until they are stored, so a leader that received no announcement receives
-// them from the workers, unless the worker is gone too.
+// This file announces completions that the store cannot take yet to all hubs. If one of them leads
+// next, it stores them and does not run the jobs again, although the workers that list the
+// completions may be gone. Callers are shown a completion only once it is stored: a restart of all
+// instances loses what was announced.
 
 const (
 	// sourceAnnounced marks the rows in a peer's message as records that are not stored
@@ -37,7 +35,7 @@
 			continue
 		}
 		c.announced[u.Job] = true
-		rows = append(rows, workload.Row{Key: u.Job, Value: u.Record})
+		rows = append(rows, workload.Row{Key: u.Job, Value: u.Record, Version: c.grant.epoch})
 		c.logger.Info("end announced", zap.String("job", u.Job), zap.String("state", string(u.Final)), zap.Int64("epoch", c.grant.epoch))
 	}
 	if len(rows) == 0 {
@@ -46,3 +44,13 @@
 	c.instance.replica.applyAnnounced(rows)
 	c.instance.sendToHubs(sourceAnnounced, rows)
 }
+
+// recordForLeader returns the record with which the leader of an epoch begins, and whether it is
+// stored. Only the preceding leader's announcement counts: a leader that was replaced, and is cut
+// off, does not know what its successors have started again.
+func (k *knownJob) recordForLeader(epoch int64) (record dispatch.Record, stored bool) {
+	if k.record.Final != "" || k.announced == nil || k.announcedEpoch != epoch-1 {
+		return k.record, true
+	}
+	return *k.announced, false
+}
--- a/internal/deployment/jobstate.go
+++ b/internal/deployment/jobstate.go
@@ -39,18 +39,6 @@
 	return r.stateOf(id, known), known.job, true
 }
 
-// recordVersion returns the version of the stored record that the state of a job comes from, or zero
-// if there is none.
-func (r *replica) recordVersion(id string) int64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	known := r.jobs[id]
-	if known == nil || known.announced {
-		return 0
-	}
-	return r.versions[recordPrefix+id]
-}
-
 func (r *replica) stateOf(id string, known *knownJob) JobState {
 	switch {
 	case known.record.Final != "":
--- a/internal/deployment/query.go
+++ b/internal/deployment/query.go
@@ -28,7 +28,7 @@
 // or from the store.
 func (i *Instance) lookupJob(ctx context.Context, id string) (jobView, error) {
 	if state, job, ok := i.replica.state(id); ok {
-		i.logShown(id, state, i.replica.recordVersion(id))
+		i.logShown(id, state, i.replica.version(recordPrefix+id))
 		return jobView{known: true, state: state, account: job.Account}, nil
 	}
 	if !i.replica.isLoaded() {
@@ -119,6 +119,6 @@
 	if !ok {
 		return jobView{}, nil // the row cannot be decoded
 	}
-	i.logShown(id, state, replica.recordVersion(id))
+	i.logShown(id, state, replica.version(recordPrefix+id))
 	return jobView{known: true, state: state, account: job.Account}, nil
 }
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -32,9 +32,12 @@
 type knownJob struct {
 	job       *workload.Job
 	cancelled bool
-	record    dispatch.Record
-	// announced is set if the record comes from a leader that could not store it yet.
-	announced bool
+	// record is the stored record.
+	record dispatch.Record
+	// announced is the final record that the leader of announcedEpoch could not store yet; nil if
+	// there is none. A restart of all instances loses it, so callers are not shown it.
+	announced      *dispatch.Record
+	announcedEpoch int64
 	// begun is set if the start intent is stored apart from the record.
 	begun bool
 	// unreadable is set if the record of the job cannot be decoded.
@@ -162,10 +165,10 @@
 			return change{}, false
 		}
 		known := r.ensureJob(id)
-		if known.announced && record.Final == "" {
-			break // an older record that arrived late does not replace the announced completion
+		known.record, known.unreadable = record, false
+		if record.Final != "" {
+			known.announced = nil
 		}
-		known.record, known.announced, known.unreadable = record, false, false
 	case instancePrefix:
 		var peer instanceRow
 		if err := json.Unmarshal(row.Value, &peer); err != nil {
@@ -211,8 +214,8 @@
 	return true
 }
 
-// applyAnnounced applies the final records of jobs that a leader could not store yet.
-// Stored final records take precedence.
+// applyAnnounced applies the final records of jobs that a leader could not store yet; their
+// versions are its epoch. Stored final records take precedence.
 func (r *replica) applyAnnounced(rows []workload.Row) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -223,8 +226,8 @@
 			r.logger.Error("announced record cannot be read", zap.String("job", row.Key), zap.Error(err))
 			continue
 		}
-		if known != nil && known.job != nil && known.record.Final == "" {
-			known.record, known.announced = record, true
+		if known != nil && known.job != nil && known.record.Final == "" && row.Version >= known.announcedEpoch {
+			known.announced, known.announcedEpoch = &record, row.Version
 		}
 	}
 }
--- a/internal/deployment/takeover.go
+++ b/internal/deployment/takeover.go
@@ -87,11 +87,12 @@
 	jobs := c.instance.replica.snapshot()
 	ended, unstored := 0, 0
 	for _, known := range jobs {
-		c.core.AddJob(known.job, known.record, known.cancelled, now, wallMS)
-		if known.record.Final != "" {
+		record, isStored := known.recordForLeader(c.grant.epoch)
+		c.core.AddJob(known.job, record, known.cancelled, now, wallMS)
+		if record.Final != "" {
 			ended++
 		}
-		if known.announced {
+		if !isStored {
 			unstored++
 			c.core.MarkDirty(known.job.ID)
 		}
