Return the end of a job of the zone-wide scheduler only once it is stored

If the placer dies then and the workers that report the end are lost, the next placer finds a job that has not ended: an idempotent one runs again, another one is shown as `unknown`.

By reading: core.outcomeVisible made an exception for outages, core.answer copied the state of the chart. The outcome, the state and the time of the end now all wait for the row, and callers who wait for the end are notified then.

Test: TestNotRunIsReturnedOnlyOnceStored demanded the exception ("a finished job does not wait during a store outage"). It is TestAnEndIsReturnedOnlyOnceStored now, with the same five ways to end, one more, and checks of the state, the time and the waiting callers; all six cases failed before.

--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -79,8 +79,10 @@
 
 // entry is one job in the placer's memory.
 type entry struct {
-	record             jobstore.Record
-	state              chart.State
+	record jobstore.Record
+	state  chart.State
+	// stateBeforeEnd is the last state that is not final.
+	stateBeforeEnd     chart.State
 	ref                api.GangRef
 	parts              []part
 	reports            map[string]partReport
@@ -226,7 +228,7 @@
 		return false
 	}
 	c.decide(now, e, "gang", string(next), reason, "")
-	e.state = next
+	e.stateBeforeEnd, e.state = e.state, next
 	recordTransitionMetrics(e, next, now)
 	c.planOutdated = true
 	if c.gangChart.Final(next) {
@@ -322,15 +324,10 @@
 }
 
 // outcomeVisible reports whether the final outcome of an ended job may be
-// returned to callers. not_run is returned only once it is stored: until then,
-// the next placer would find the job accepted and run it. Other outcomes also
-// wait for the row, except during a store outage.
+// returned to callers: only once it is stored. Until then a restart of all
+// instances, together with the loss of the workers that report the end, loses it.
 func (c *core) outcomeVisible(e *entry) bool {
-	if !c.gangChart.Final(e.state) {
-		return false
-	}
-	written := !e.dirty && !e.writeInFlight
-	return written || (!c.platformReachable && e.record.Outcome != api.OutcomeNotRun)
+	return c.gangChart.Final(e.state) && !e.dirty && !e.writeInFlight
 }
 
 func (e *entry) notifyWaiters() {
--- a/internal/placer/core_test.go
+++ b/internal/placer/core_test.go
@@ -221,18 +221,19 @@
 	assert.Assert(t, estimated >= 5*time.Minute && estimated < 10*time.Minute, "%s", estimated)
 }
 
-func TestNotRunIsReturnedOnlyOnceStored(t *testing.T) {
+// A restart of all instances during a store outage loses an end that is not stored.
+func TestAnEndIsReturnedOnlyOnceStored(t *testing.T) {
 	cases := map[string]struct {
 		platformReachable bool
 		end               chart.Event
 		state             chart.State
-		atOnce            bool
 	}{
-		"a cancelled job waits for its row":                  {true, evCancel, stWaiting, false},
-		"a cancelled job waits during a store outage":        {false, evCancel, stWaiting, false},
-		"a refused job waits for its row":                    {true, evRefuse, stWaiting, false},
-		"a finished job waits for its row":                   {true, evFinish, stRunning, false},
-		"a finished job does not wait during a store outage": {false, evFinish, stRunning, true},
+		"a cancelled job waits for its row":           {true, evCancel, stWaiting},
+		"a cancelled job waits during a store outage": {false, evCancel, stWaiting},
+		"a refused job waits for its row":             {true, evRefuse, stWaiting},
+		"a finished job waits for its row":            {true, evFinish, stRunning},
+		"a finished job waits during a store outage":  {false, evFinish, stRunning},
+		"a failed job waits during a store outage":    {false, evFail, stRunning},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -241,11 +242,26 @@
 			e := c.addWaiting(testRecord("j", jobstore.PhaseAccepted, true))
 			e.state = test.state
 			assert.Assert(t, c.transition(e, test.end, "test", testStart))
-			assert.Equal(t, c.answer(e).Outcome != api.OutcomeAccepted, test.atOnce)
+			assertEndHidden := func() {
+				t.Helper()
+				answer := c.answer(e)
+				assert.Equal(t, answer.Outcome, api.OutcomeAccepted)
+				assert.Equal(t, answer.State, string(test.state))
+				assert.Assert(t, answer.EndedAt == nil)
+			}
+			waiter := make(chan struct{})
+			e.waiters[waiter] = true
+			assertEndHidden()
 			c.writeUnsaved(testStart)
-			assert.Equal(t, c.answer(e).Outcome != api.OutcomeAccepted, test.atOnce)
+			assertEndHidden()
+			select {
+			case <-waiter:
+				t.Fatal("a caller that waits for the end was told of it")
+			default:
+			}
 			c.apply(recordWrittenEvent{id: "j", record: e.record}, testStart)
 			assert.Equal(t, c.answer(e).Outcome, e.record.Outcome)
+			assert.Equal(t, c.answer(e).State, string(e.state))
 		})
 	}
 }
--- a/internal/placer/gangs.go
+++ b/internal/placer/gangs.go
@@ -292,9 +292,6 @@
 		return
 	}
 	e.dirty, e.writeInFlight = false, true
-	if !c.platformReachable && c.gangChart.Final(e.state) && c.outcomeVisible(e) {
-		e.notifyWaiters()
-	}
 	e.record.Epoch = c.epoch
 	c.emit(writeRecordAction{record: e.record})
 }
--- a/internal/placer/round.go
+++ b/internal/placer/round.go
@@ -226,6 +226,9 @@
 		answer.RetryAfterS = api.DefaultRetryAfterS(r.ErrorKind)
 		return answer
 	}
+	if c.gangChart.Final(e.state) {
+		answer.State, answer.EndedAt = string(e.stateBeforeEnd), nil
+	}
 	answer.EstimatedFinish = timeOrNil(e.expectedCompletion)
 	for _, p := range e.parts {
 		answer.Placements = append(answer.Placements, p.task)
