Emulator: a job counts as shown once its record is stored, and all instances can restart

Completions count when the record is stored. A start of a job that callers were shown as completed is counted.

--- a/internal/emulator/day.go
+++ b/internal/emulator/day.go
@@ -23,6 +23,8 @@
 	// unplanned ones, in seconds.
 	LeaderHandovers []float64 `json:"handovers_s,omitempty"`
 	LeaderCrashes   []float64 `json:"crashes_s,omitempty"`
+	// Restarts are the times at which all instances are killed and start again, in seconds.
+	Restarts []float64 `json:"restarts_s,omitempty"`
 	// KeepIDs makes crashed workers restart under the ids that they had.
 	KeepIDs bool `json:"keep_ids,omitempty"`
 	// CancelledShare is added to each kind's share of cancelled jobs.
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -195,3 +195,21 @@
 		}
 	}
 }
+
+// All instances restart in an outage of the store, and workers that list ends crash. Only what is stored
+// is left.
+func TestJobsThatWereShownAsCompletedDoNotRunAgainAfterARestart(t *testing.T) {
+	day := loadDay(t, "all instances restart while the store is away")
+	for _, name := range []string{"klaverveld", "lankapowder", "estribo"} {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprintf("%s %d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				tally := simulate(loadDeployment(t, name), day, dispatch.Tuning{}, seed)
+				assert.Assert(t, tally.workerCrashes > 10, "%d crashes", tally.workerCrashes)
+				assert.Equal(t, tally.startsAfterShown, 0)
+				assert.Equal(t, tally.startsAfterCompletion, 0)
+				assert.Equal(t, tally.concurrentRuns, 0)
+			})
+		}
+	}
+}
--- a/internal/emulator/leader.go
+++ b/internal/emulator/leader.go
@@ -44,6 +44,9 @@
 // changeLeader applies the leader changes of this tick.
 func (sim *simulation) changeLeader() {
 	l := &sim.leader
+	if sim.popDue(&sim.restarts) {
+		sim.restartInstances()
+	}
 	if l.core != nil {
 		switch {
 		case sim.popDue(&sim.leaderHandovers):
@@ -78,6 +81,14 @@
 	}
 }
 
+// restartInstances kills all instances: what they held in memory is lost.
+func (sim *simulation) restartInstances() {
+	if sim.leader.core != nil {
+		sim.loseLeader(crashTakeoverDelay, sim.now-renewalAge+leaseDuration)
+	}
+	clear(sim.announced)
+}
+
 // trackStore records store outages. After an outage, the lease cannot be taken until
 // storeRecoveryDelay has passed.
 func (sim *simulation) trackStore() {
--- a/internal/emulator/player.go
+++ b/internal/emulator/player.go
@@ -60,9 +60,9 @@
 	accepted, cancelled []*arrival
 	records, announced  map[string]dispatch.Record
 	writeInFlight       bool
-	// leaderHandovers and leaderCrashes are the times of the remaining leader changes, in
-	// seconds.
-	leaderHandovers, leaderCrashes []float64
+	// leaderHandovers and leaderCrashes are the times of the remaining leader changes, and
+	// restarts those of the remaining restarts of all instances, in seconds.
+	leaderHandovers, leaderCrashes, restarts []float64
 	// reportedDrains are the drained zones last reported to the leader.
 	reportedDrains []string
 	random         *rand.Rand
@@ -133,6 +133,7 @@
 		announced:       make(map[string]dispatch.Record),
 		leaderHandovers: day.LeaderHandovers,
 		leaderCrashes:   day.LeaderCrashes,
+		restarts:        day.Restarts,
 		random:          random,
 		tally:           newTally(),
 	}
@@ -391,11 +392,15 @@
 }
 
 // checkStart records what no start may do: run a task beside another run of it or after
-// its acknowledged completion, or exceed the worker's capacity.
+// its acknowledged completion, run a job that callers were shown as completed, or exceed
+// the worker's capacity.
 func (sim *simulation) checkStart(w *worker, task workload.TaskID) {
 	if sim.tally.acknowledged[task] {
 		sim.tally.startsAfterCompletion++
 	}
+	if _, shown := sim.tally.completedAt[sim.jobs[task.Job]]; shown {
+		sim.tally.startsAfterShown++
+	}
 	for _, other := range sim.workerList {
 		if slices.ContainsFunc(other.runs, func(r *run) bool { return r.key.task == task }) {
 			sim.tally.concurrentRuns++
@@ -488,7 +493,4 @@
 		panic(err) // the core has just encoded it
 	}
 	sim.announced[u.Job] = record
-	if u.Final == dispatch.FinalCompleted {
-		sim.tally.recordCompletion(sim.jobs[u.Job], sim.now)
-	}
 }
--- a/internal/emulator/tally.go
+++ b/internal/emulator/tally.go
@@ -44,9 +44,10 @@
 	// acknowledged holds the tasks whose successful completion was acknowledged to the
 	// worker.
 	acknowledged map[workload.TaskID]bool
-	// startsAfterCompletion counts starts of such tasks, concurrentRuns starts of tasks
-	// that were running, and startsOverCapacity those that exceeded a worker's capacity.
-	startsAfterCompletion, concurrentRuns, startsOverCapacity int
+	// startsAfterCompletion counts starts of such tasks, startsAfterShown starts of jobs that
+	// callers were shown as completed, concurrentRuns starts of tasks that were running, and
+	// startsOverCapacity those that exceeded a worker's capacity.
+	startsAfterCompletion, startsAfterShown, concurrentRuns, startsOverCapacity int
 	// workerCrashes counts crashes of workers; wronglyFailed counts jobs that failed
 	// permanently because of crashes that they had not caused.
 	workerCrashes, wronglyFailed int
@@ -95,6 +96,7 @@
 
 func (t *tally) recordAcknowledged(task workload.TaskID) { t.acknowledged[task] = true }
 
+// recordCompletion records that callers are shown a job as completed from now on.
 func (t *tally) recordCompletion(a *arrival, at time.Duration) {
 	if _, recorded := t.completedAt[a]; !recorded {
 		t.completedAt[a] = at
