Send calls in flight again when a silent store answers

Callers see the ends of an outage only once they are stored, so what the leader loses after the store's return they wait for. Cause: a call that is in flight when the store returns is not answered any more, and sits out its time-outs, up to 1.4 s; the renewal of the lease and the records wait behind it.

When a silent part answers, calls in flight to it and to the parts that are still silent are tried once more, twice at most, and a hub tells the other hubs, which do the same. A store that is slow but not silent is not asked again.

Ruled out: more frequent probes (the probes in flight hang as well).

--- a/internal/deployment/reach.go
+++ b/internal/deployment/reach.go
@@ -111,6 +111,32 @@
 	// avgLatency is the moving average of the latency of direct answers.
 	avgLatency time.Duration
 	directLost bool
+	// resumptions holds, by part, the channel that is closed when the part answers again.
+	resumptions map[string]chan struct{}
+}
+
+// resumption returns a channel that is closed when a silent part answers again.
+func (r *routeState) resumption(part string) <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.resumptions == nil {
+		r.resumptions = make(map[string]chan struct{})
+	}
+	if r.resumptions[part] == nil {
+		r.resumptions[part] = make(chan struct{})
+	}
+	return r.resumptions[part]
+}
+
+// resume makes the calls to a part that are in flight try once more: the store has lost those that
+// it did not answer while it was silent.
+func (r *routeState) resume(part string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if waiting := r.resumptions[part]; waiting != nil {
+		close(waiting)
+		delete(r.resumptions, part)
+	}
 }
 
 // callFollow is the call that waits for changes. Its duration does not measure the
@@ -145,26 +171,41 @@
 }
 
 // tryRoutes tries the routes in turn, the next one as soon as one failed or has not
-// answered for the hedge delay, and returns the first answer. The error wraps
+// answered for the hedge delay, and returns the first answer. If the store was silent and answers
+// again meanwhile, the first route is tried again, up to maxResumptions times. The error wraps
 // workload.ErrUnknown if any attempt may have been performed.
 func tryRoutes[T any](ctx context.Context, r *routedStore, call storeCall, limits limits, try attempt[T]) (T, error) {
 	routes := r.routes()
 	attemptsCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	outcomes := make(chan outcome[T], len(routes))
+	outcomes := make(chan outcome[T], len(routes)+maxResumptions)
 	hedge := time.NewTimer(limits.hedgeDelay)
 	defer hedge.Stop()
-	started := 0
+	attempts, started, resumptions := 0, 0, 0
+	launch := func(route workload.Store) {
+		attempts++
+		go func() { outcomes <- tryRoute(attemptsCtx, route, limits.attemptTimeout, try) }()
+	}
 	start := func() {
-		route := routes[started]
 		started++
 		hedge.Reset(limits.hedgeDelay)
-		go func() { outcomes <- tryRoute(attemptsCtx, route, limits.attemptTimeout, try) }()
+		launch(routes[started-1])
+	}
+	var resumed <-chan struct{}
+	if call.ofPart && call.name != callProbe {
+		resumed = r.resumption(call.part)
 	}
 	start()
 	var f failures
-	for ended := 0; ended < started; {
+	for ended := 0; ended < attempts; {
 		select {
+		case <-resumed:
+			launch(r.routes()[0])
+			resumptions++
+			resumed = nil
+			if resumptions < maxResumptions {
+				resumed = r.resumption(call.part)
+			}
 		case o := <-outcomes:
 			ended++
 			r.observeDuration(call.name, o.route, o.start, o.err)
@@ -242,6 +283,9 @@
 	}
 }
 
+// maxResumptions bounds the attempts of one call that are made because the store answers again.
+const maxResumptions = 2
+
 // maxRelayPeers bounds the peers that are tried for one call.
 const maxRelayPeers = 2
 
--- a/internal/deployment/silence.go
+++ b/internal/deployment/silence.go
@@ -40,7 +40,8 @@
 const (
 	// noteStoreDoubted asks a hub to probe parts.
 	noteStoreDoubted workload.Source = "store doubted"
-	// noteStoreSilent and noteStoreAnswers are the findings of a hub, for the leaves of its zone.
+	// noteStoreSilent and noteStoreAnswers are the findings of a hub, for the leaves of its zone. The
+	// latter also makes other hubs try once more.
 	noteStoreSilent  workload.Source = "store silent"
 	noteStoreAnswers workload.Source = "store answers"
 )
@@ -70,6 +71,8 @@
 type silenceWatch struct {
 	mu    sync.Mutex
 	parts map[string]*partSilence
+	// hubsToldAt is the time at which the other hubs were last told that the store answers.
+	hubsToldAt time.Time
 }
 
 func newSilenceWatch() *silenceWatch { return &silenceWatch{parts: make(map[string]*partSilence)} }
@@ -106,6 +109,18 @@
 	return changed
 }
 
+// mayTellHubs reports whether the other hubs are to be told that the store answers, and counts them
+// as told.
+func (s *silenceWatch) mayTellHubs(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.hubsToldAt) < silenceProbeInterval {
+		return false
+	}
+	s.hubsToldAt = now
+	return true
+}
+
 // answered applies the answer to a call that began at start, and reports whether it ends a silence. A
 // call that began before the silence proves nothing.
 func (s *silenceWatch) answered(part string, start, now time.Time) bool {
@@ -179,7 +194,27 @@
 func (i *Instance) storeAnsweredAt(part string, start time.Time) {
 	if i.silence.answered(part, start, bootTime()) {
 		i.logger.Info("store answers", zap.String("part", part))
+		i.resumeCalls(part)
 		i.tellLeaves(noteStoreAnswers, []string{part})
+		i.tellHubsOfAnswer(part)
+	}
+}
+
+// tellHubsOfAnswer tells the other hubs that a part answers again, once for all parts that answer
+// within the interval between two probes.
+func (i *Instance) tellHubsOfAnswer(part string) {
+	if !i.followsTable() || !i.silence.mayTellHubs(bootTime()) {
+		return
+	}
+	i.sendStoreNote(noteStoreAnswers, []string{part}, i.peers.recent(func(v peerView) bool { return v.hub }))
+}
+
+// resumeCalls makes the calls in flight to a part that answers again try once more, and those to the
+// parts that are still silent: one answer is a reason to expect others.
+func (i *Instance) resumeCalls(part string) {
+	i.store.resume(part)
+	for _, silent := range i.silence.silentParts() {
+		i.store.resume(silent)
 	}
 }
 
@@ -292,7 +327,11 @@
 				i.logger.Warn("store silent", zap.String("part", part), zap.Bool("probed", false))
 			}
 		case noteStoreAnswers:
-			i.silence.apply(part, storeAnswered, now)
+			if i.followsTable() {
+				i.resumeCalls(part) // only its own calls tell whether this hub is answered as well
+			} else if i.silence.apply(part, storeAnswered, now) {
+				i.resumeCalls(part)
+			}
 		}
 	}
 }
--- a/internal/deployment/silence_test.go
+++ b/internal/deployment/silence_test.go
@@ -127,6 +127,74 @@
 	})
 }
 
+// Whenever in its time-out a call is when the store returns, the store does not answer it any more.
+func TestCallsInFlightDoNotSitOutTheirTimeoutsOnceASilentStoreAnswers(t *testing.T) {
+	for inFlight := 50 * time.Millisecond; inFlight < routeTimeout; inFlight += 100 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer endCalls(cancel)
+			i, store := newSilenceInstance(ctx, t, true)
+			store.silent.Store(true)
+			i.storeOverdue(silentPart)
+			time.Sleep(3 * time.Second)
+			answered := make(chan struct{})
+			go func() {
+				defer close(answered)
+				for ctx.Err() == nil {
+					if _, err := i.store.Write(ctx, workload.Write{Part: silentPart, Put: []workload.Row{{Key: "c/1"}}}); err == nil {
+						return
+					}
+					time.Sleep(expiredRenewPause)
+				}
+			}()
+			time.Sleep(inFlight)
+			store.silent.Store(false)
+			returned := time.Now()
+			<-answered
+			took := time.Since(returned)
+			assert.Assert(t, took <= silenceProbeInterval+silenceProbeTimeout, "in flight for %s, answered %s after the store returned", inFlight, took)
+		})
+	}
+}
+
+// The lease, the records and jobs are in different parts.
+func TestAnAnswerOfOnePartResumesTheCallsToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer endCalls(cancel)
+		i, store := newSilenceInstance(ctx, t, true)
+		store.silent.Store(true)
+		i.storeOverdue(silentPart)
+		time.Sleep(3 * time.Second)
+		answered := make(chan time.Time, 1)
+		go func() {
+			_, err := i.store.Write(ctx, workload.Write{Put: []workload.Row{{Key: leaderKey}}})
+			assert.Check(t, err == nil, "%v", err)
+			answered <- time.Now()
+		}()
+		time.Sleep(100 * time.Millisecond)
+		store.silent.Store(false)
+		returned := time.Now()
+		i.storeAnsweredAt(silentPart, returned)
+		assert.Assert(t, (<-answered).Sub(returned) <= 2*store.latency)
+	})
+}
+
+// A slow store is not asked again for what it still works on.
+func TestCallsToAStoreThatIsNotSilentAreSentOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer endCalls(cancel)
+		i, store := newSilenceInstance(ctx, t, true)
+		store.latency = 240 * time.Millisecond
+		for range 10 {
+			_, err := i.store.Write(ctx, workload.Write{Part: silentPart, Put: []workload.Row{{Key: "c/1"}}})
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, store.calls, 10)
+	})
+}
+
 // The store takes fifty times as long as usual.
 func TestASlowStoreIsNotSilent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
