Poll workers whose ends wait for the store

A worker with an end that was not stored yet was not polled: in an outage its other ends stayed unseen until the first one was stored and acknowledged, and its lease was not extended, also while the leader's own lease was valid and records were merely slow.

Such a worker is polled every 0.5 s without waiting, which extends its lease and gathers its ends; acknowledged is only what is stored. A poll carries the number of the last completion received, so that an end is logged once.

--- a/internal/deployment/orders.go
+++ b/internal/deployment/orders.go
@@ -149,7 +149,7 @@
 		c.logger.Error("worker lists what cannot be read", zap.String("worker", action.Poll.Worker), zap.Int("rows", report.Unparsed))
 	}
 	for _, e := range report.Ended {
-		if e.Number > action.Poll.Acknowledged {
+		if e.Number > action.Poll.Received {
 			c.logger.Info("end", append(taskFields(e.Task), zap.Int64("attempt", e.Attempt), zap.String("worker", action.Poll.Worker),
 				zap.String("kind", string(e.Kind)), zap.Int64("number", e.Number))...)
 		}
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -48,6 +48,8 @@
 	// last one that may be acknowledged, and acknowledged that of the last one that was.
 	lastCompletion, acknowledgeable, acknowledged int64
 	unstored                                      []unstoredCompletion
+	// unstoredPollAt is the time from which the worker is polled although unstored is not empty.
+	unstoredPollAt time.Time
 	// lostAttempts are runs that were lost with the worker and whose outcome is not known yet.
 	lostAttempts []lostAttempt
 	// lateStarts are attempts ordered from an earlier incarnation that this one may still start.
@@ -91,6 +93,10 @@
 	leavingWorkerLease = 4 * time.Second
 	// pollRetryPause is the pause after an unanswered poll.
 	pollRetryPause = 300 * time.Millisecond
+	// unstoredPollInterval is the interval of the polls of a worker with completions that wait for
+	// the store. They extend its lease, and bring its further completions, so that one write
+	// stores them all when the store answers.
+	unstoredPollInterval = 500 * time.Millisecond
 	// refusalHoldOff is how long a worker that refused a start gets no further starts.
 	refusalHoldOff = 300 * time.Millisecond
 )
@@ -163,7 +169,9 @@
 		case len(w.unstored) > 0:
 			// Completions are listed again until they are acknowledged, which requires the
 			// store's answer first: a long poll would return immediately.
-			w.nextPollAt = c.now.Add(pollRetryPause)
+			if !c.now.Before(w.unstoredPollAt) {
+				c.sendPoll(w, 0, false)
+			}
 		case len(w.runs) > 0 && !c.awaitsFirstStart(w):
 			c.sendPoll(w, longPollWait, false)
 		case w.acknowledgeable > w.acknowledged:
@@ -174,7 +182,7 @@
 }
 
 func (c *Core) sendPoll(w *worker, wait time.Duration, quick bool) {
-	poll := workload.Poll{Worker: w.ID, Addr: w.Addr, Zone: w.Zone, Incarnation: w.incarnation, Epoch: c.epoch, Acknowledged: w.acknowledgeable, Wait: wait}
+	poll := workload.Poll{Worker: w.ID, Addr: w.Addr, Zone: w.Zone, Incarnation: w.incarnation, Epoch: c.epoch, Acknowledged: w.acknowledgeable, Received: w.lastCompletion, Wait: wait}
 	// A worker that does not answer gets no longer lease: a poll that it never received would
 	// count as an extension, and its runs would never expire.
 	if w.clockMS > 0 && len(w.runs) > 0 && w.misses == 0 && !c.watching {
@@ -235,6 +243,7 @@
 		c.pollBeforeWork(w) // its free capacity is unknown
 	}
 	c.receiveCompletions(w, report.Ended)
+	w.unstoredPollAt = now.Add(unstoredPollInterval)
 	if sent.Sequence < w.lastPollSequence {
 		return // a later poll was answered first
 	}
--- a/internal/workload/ports.go
+++ b/internal/workload/ports.go
@@ -210,6 +210,9 @@
 	Epoch       int64
 	// Acknowledged is the number of the last completion that was recorded.
 	Acknowledged int64
+	// Received is the number of the last completion that was received, recorded or not. It is not
+	// sent to the worker.
+	Received int64
 	// UntilMS is the new end of the lease on the worker's clock. Zero does not extend
 	// the lease.
 	UntilMS int64
