A refused record is held back alone, and all others are stored

One record over the bytes of a row made the store refuse each write that held it.

After a refusal the next write has half of the items, down to the one at fault.

--- a/internal/deployment/leader.go
+++ b/internal/deployment/leader.go
@@ -56,6 +56,8 @@
 	logger   *zap.Logger
 	// writing is set while a write of records is in flight.
 	writing bool
+	// itemLimit bounds the items of the next write.
+	itemLimit itemLimit
 	// recordVersions holds the versions of record and worker rows; only the write in
 	// flight uses it.
 	recordVersions map[string]int64
@@ -129,6 +131,7 @@
 		orders:         pond.NewPool(maxOrders),
 		polls:          pond.NewPool(maxPolls),
 		logger:         i.logger.Named("leader"),
+		itemLimit:      newItemLimit(),
 		recordVersions: make(map[string]int64),
 		announced:      make(map[string]bool),
 		intentWrites:   make(map[string]bool),
--- a/internal/deployment/reach.go
+++ b/internal/deployment/reach.go
@@ -209,7 +209,7 @@
 		case o := <-outcomes:
 			ended++
 			r.observeDuration(call.name, o.route, o.start, o.err)
-			if o.err == nil || errors.Is(o.err, workload.ErrHistoryGone) {
+			if o.err == nil || errors.Is(o.err, workload.ErrHistoryGone) || errors.Is(o.err, workload.ErrRefused) {
 				r.recordAnsweredBy(o.route, o.start, routes[:started])
 				if call.ofPart && r.onPartAnswer != nil {
 					r.onPartAnswer(call.part, o.start)
--- a/internal/deployment/records.go
+++ b/internal/deployment/records.go
@@ -1,10 +1,12 @@
 package deployment
 
 import (
+	"errors"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"github.com/corianderbank/corianderbank/internal/dispatch"
@@ -36,10 +38,11 @@
 	learned learnedRows
 }
 
-// nextBatch returns the next changes of the core that fit into one transaction.
-func nextBatch(core *dispatch.Core) batch {
-	b := batch{records: core.UnstoredRecords(maxRecordsPerWrite)}
-	remaining := maxEntriesPerWrite - 1 - 2*len(b.records)
+// nextBatch returns the next changes of the core that fit into one transaction, at most maxItems of
+// them.
+func nextBatch(core *dispatch.Core, maxItems int) batch {
+	b := batch{records: core.UnstoredRecords(min(maxRecordsPerWrite, maxItems))}
+	remaining := min(maxEntriesPerWrite-1-2*len(b.records), maxItems-len(b.records))
 	b.workers = core.UnstoredWorkers(remaining)
 	if len(b.records) < maxRecordsPerWrite {
 		// The records of runs that were lost with a worker are written before the
@@ -49,7 +52,8 @@
 	return b
 }
 
-func (b *batch) empty() bool { return len(b.records)+len(b.workers)+len(b.removed) == 0 }
+// items returns the number of changes in the batch, without knowledge.
+func (b *batch) items() int { return len(b.records) + len(b.workers) + len(b.removed) }
 
 // write starts storing what the store does not have yet. Only one write is in flight at
 // a time.
@@ -57,11 +61,13 @@
 	if c.writing {
 		return
 	}
-	b := nextBatch(c.core)
-	if b.empty() {
+	b := nextBatch(c.core, c.itemLimit.items)
+	if b.items() == 0 {
 		return
 	}
-	c.addKnowledge(&b)
+	if !c.itemLimit.reduced() {
+		c.addKnowledge(&b)
+	}
 	c.writing = true
 	c.inFlight.Add(1)
 	c.orders.Submit(func() { c.writeBatch(&b) })
@@ -96,6 +102,11 @@
 	tx := c.transaction(b)
 	written, err := c.instance.store.Write(c.ctx, tx)
 	switch {
+	case errors.Is(err, workload.ErrRefused):
+		c.logger.Warn("write refused", zap.Int64("epoch", c.grant.epoch), zap.Int("items", b.items()), zap.Int("bytes", sizeOf(tx)), zap.Error(err))
+		if b.items() == 1 {
+			pause(c.ctx, writeRetryPause) // a worker's row that is refused is tried again
+		}
 	case err != nil:
 		c.logger.Debug("writing records failed", zap.Error(err))
 		pause(c.ctx, writeRetryPause)
@@ -104,18 +115,64 @@
 	default:
 		c.applyWritten(b, tx, written.Version)
 	}
-	stored := err == nil && !written.Conflict
-	c.post(func(core *dispatch.Core, now time.Time, wallMS int64) {
+	stored, refused := err == nil && !written.Conflict, errors.Is(err, workload.ErrRefused)
+	c.post(func(_ *dispatch.Core, now time.Time, wallMS int64) {
 		c.writing = false
-		if stored {
-			core.MarkRecordsStored(b.records, now, wallMS)
-			core.WorkersStored(b.workers)
-			core.WorkersRemoved(b.removed)
-			c.knowledgeStored(&b.learned)
+		switch {
+		case stored:
+			c.batchStored(b, now, wallMS)
+		case refused:
+			c.narrowDown(b, now, wallMS)
 		}
 	})
 }
 
+// batchStored records in the core that the store has a batch.
+func (c *leader) batchStored(b *batch, now time.Time, wallMS int64) {
+	c.itemLimit.widen()
+	c.core.MarkRecordsStored(b.records, now, wallMS)
+	c.core.WorkersStored(b.workers)
+	c.core.WorkersRemoved(b.removed)
+	c.knowledgeStored(&b.learned)
+}
+
+// itemLimit bounds the items of the next write. It shrinks while the store refuses writes, until the
+// item at fault is alone, and grows again with each write that is stored.
+type itemLimit struct{ items int }
+
+func newItemLimit() itemLimit { return itemLimit{maxEntriesPerWrite} }
+
+func (l *itemLimit) reduced() bool { return l.items < maxEntriesPerWrite }
+
+func (l *itemLimit) widen() { l.items = min(2*l.items, maxEntriesPerWrite) }
+
+// narrowDown halves the next write after the store refused one, or holds back the record that it
+// refused on its own.
+func (c *leader) narrowDown(b *batch, now time.Time, wallMS int64) {
+	switch {
+	case len(b.learned.rows)+len(b.learned.removed) > 0 && b.items() == 1:
+		c.itemLimit.items = 1 // once more without knowledge
+	case b.items() > 1:
+		c.itemLimit.items = b.items() / 2
+	case len(b.records) == 1:
+		u := b.records[0]
+		metricRefusedRecords.Inc()
+		c.logger.Error("record held back", zap.String("job", u.Job), zap.Int("bytes", len(u.Record)), zap.Int64("epoch", c.grant.epoch))
+		c.core.RecordRefused(u, now, wallMS)
+	}
+}
+
+// sizeOf returns the bytes of all values of a write.
+func sizeOf(tx workload.Write) int {
+	size := 0
+	for _, row := range tx.Put {
+		size += len(row.Value)
+	}
+	return size
+}
+
+var metricRefusedRecords = metrics.NewCounter("corianderbank_deployment_refused_records_total")
+
 // applyWritten applies a successful write to the replica and sends completions to the
 // hubs.
 func (c *leader) applyWritten(b *batch, tx workload.Write, version int64) {
--- a/internal/deployment/records_test.go
+++ b/internal/deployment/records_test.go
@@ -37,7 +37,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			core := batchCore(c.jobs, c.workers)
-			b := nextBatch(core)
+			b := nextBatch(core, maxEntriesPerWrite)
 			assert.Equal(t, len(b.records), c.records)
 			assert.Equal(t, len(b.workers), c.stored)
 			leader := &leader{grant: &grant{}, recordVersions: make(map[string]int64), instance: &Instance{replica: newReplica(nil)}}
--- a/internal/deployment/relay.go
+++ b/internal/deployment/relay.go
@@ -21,6 +21,7 @@
 	failureUnknown     = "unknown"
 	failureNotDone     = "not_done"
 	failureHistoryGone = "history_gone"
+	failureRefused     = "refused"
 )
 
 // relayError distinguishes a call to a peer that was never sent from one that may have
@@ -66,6 +67,8 @@
 	switch {
 	case errors.Is(err, workload.ErrHistoryGone):
 		return failureHistoryGone
+	case errors.Is(err, workload.ErrRefused):
+		return failureRefused
 	case errors.Is(err, workload.ErrUnknown):
 		return failureUnknown
 	}
@@ -91,6 +94,8 @@
 		return nil, fmt.Errorf("%w: %s", workload.ErrNotDone, answer.GetMessage())
 	case failureHistoryGone:
 		return nil, fmt.Errorf("%w: %s", workload.ErrHistoryGone, answer.GetMessage())
+	case failureRefused:
+		return nil, fmt.Errorf("%w: %w: %s", workload.ErrRefused, workload.ErrNotDone, answer.GetMessage())
 	}
 	return nil, fmt.Errorf("%w: %s", workload.ErrUnknown, answer.GetMessage())
 }
--- a/internal/dispatch/begins.go
+++ b/internal/dispatch/begins.go
@@ -43,7 +43,7 @@
 // StartIntentsLate reports whether a start intent has been waiting for the store for longer than d.
 func (c *Core) StartIntentsLate(d time.Duration) bool {
 	for _, j := range c.dirty {
-		if j.owesStartIntent() && c.now.Sub(j.startIntentRequestedAt) > d {
+		if j.refusal.pause == 0 && j.owesStartIntent() && c.now.Sub(j.startIntentRequestedAt) > d {
 			return true
 		}
 	}
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -86,7 +86,9 @@
 	startIntentRequestedAt time.Time
 	// revision counts changes of the record, storedRevision those that the store has.
 	revision, storedRevision uint64
-	runs                     int
+	// refusal is set while the store refuses the record.
+	refusal recordRefusal
+	runs    int
 	// interruptions counts the job's interrupted gangs and its preempted runs.
 	interruptions int
 	// allowedAttempts is the number of attempts allowed by the last configuration with the job's
@@ -224,12 +226,18 @@
 	StartIntent bool
 }
 
-// UnstoredRecords returns up to limit records that are not stored yet, starting with those that a
+// UnstoredRecords returns up to limit records that are not stored yet, except those that the store
+// refuses: each of these is returned alone once it has changed and its pause is over. It starts with those that a
 // start waits for.
 func (c *Core) UnstoredRecords(limit int) []UnstoredRecord {
 	var list []UnstoredRecord
 	changed := slices.SortedFunc(maps.Values(c.dirty), func(a, b *job) int {
 		switch {
+		case a.refusal.isDue(a.revision, c.now) != b.refusal.isDue(b.revision, c.now):
+			if a.refusal.isDue(a.revision, c.now) {
+				return -1
+			}
+			return 1
 		case a.owesStartIntent() && !b.owesStartIntent():
 			return -1
 		case b.owesStartIntent() && !a.owesStartIntent():
@@ -241,7 +249,13 @@
 		if len(list) == limit {
 			break
 		}
+		if j.refusal.holds(j.revision, c.now) {
+			continue
+		}
 		list = append(list, UnstoredRecord{Job: j.ID, Revision: j.revision, Record: j.record.Encode(), Final: j.record.Final, StartIntent: j.record.StartIntent})
+		if j.refusal.pause > 0 {
+			break // it is sent alone: with others, it would keep them from being stored
+		}
 	}
 	return list
 }
@@ -277,6 +291,7 @@
 		}
 		j.storedRevision = max(j.storedRevision, u.Revision)
 		j.startIntentStored = j.startIntentStored || u.StartIntent
+		j.refusal = recordRefusal{}
 		if j.storedRevision == j.revision {
 			delete(c.dirty, j.ID)
 		}
--- a/internal/workload/ports.go
+++ b/internal/workload/ports.go
@@ -47,6 +47,10 @@
 // ErrNotDone is wrapped by errors of store calls that were definitely not executed.
 var ErrNotDone = errors.New("the store did not perform the call")
 
+// ErrRefused is wrapped, with ErrNotDone, by errors of writes that the store refuses because of what
+// they hold: the same write would be refused again.
+var ErrRefused = errors.New("the store refuses the write")
+
 // ErrHistoryGone is wrapped by errors of Follow calls for changes that the store no
 // longer retains.
 var ErrHistoryGone = errors.New("the store no longer keeps that history")
