Split a record that is too large for a row

A record over the bound becomes a head and parts in rows of their own, by a hash of what they belong to. Batches are filled by entries and bytes; a record that does not fit into one write goes out in several, the head last. What only a further start needs is dropped once a task is done. The bound of a row comes from the platform's settings (`row_bytes`).

Tests, none of which the code before has a way to pass: random records in rows of 4 KB, read back after every write, each write within its bounds; parts whose write had no answer; 10, 4,000 and 20,000 tasks through the replica; a missing part; a job that cannot be stored.

--- a/internal/deployment/accept.go
+++ b/internal/deployment/accept.go
@@ -136,6 +136,9 @@
 	}
 	key := jobPrefix + job.ID
 	row := workload.Row{Key: key, Value: encode(job)}
+	if limit := i.settings.writeLimits().RowBytes; len(row.Value) > limit {
+		return api.NewError(api.KindBodyTooLarge, "the job takes %d bytes in the store, at most %d are allowed", len(row.Value), limit)
+	}
 	return i.writeOnce(ctx, workload.Write{
 		Part: partOf(key), Expect: []workload.Row{{Key: key}}, Put: []workload.Row{row},
 	}, func(rows []workload.Row) error {
--- a/internal/deployment/accept_test.go
+++ b/internal/deployment/accept_test.go
@@ -1,12 +1,36 @@
 package deployment
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
+// The store would refuse its row each time.
+func TestAJobThatCannotBeStoredIsRefusedWhenItIsSubmitted(t *testing.T) {
+	i := newTestLeaf(t)
+	store := newMemoryStore()
+	i.store.direct = store
+	steps := make([]workload.Step, 250)
+	for n := range steps {
+		steps[n] = workload.Step{Count: 1}
+		for earlier := range n {
+			steps[n].After = append(steps[n].After, earlier)
+		}
+	}
+	job := &workload.Job{ID: jobInPart(silentPart, 1), Steps: steps}
+	assert.NilError(t, job.Check())
+	err := i.Submit(t.Context(), Caller{Queue: &workload.Queue{Name: "q"}}, job)
+	assert.Assert(t, api.IsKind(err, api.KindBodyTooLarge), "%v", err)
+	assert.Assert(t, strings.Contains(err.Error(), "at most 49152 are allowed"), "%v", err)
+	assert.Equal(t, store.calls, 0)
+}
+
 func TestCallersTriesOutlastAnOutage(t *testing.T) {
 	for name, c := range map[string]struct{ outage, latest time.Duration }{
 		"short outage, over at the second attempt": {900 * time.Millisecond, 1 * time.Second},
--- a/internal/deployment/knowledge.go
+++ b/internal/deployment/knowledge.go
@@ -67,7 +67,7 @@
 	if c.learned == nil || len(b.records) > maxRecordsBesideKnowledge || !c.learned.Due(now) {
 		return
 	}
-	left := maxEntriesPerWrite - 1 - 2*len(b.records) - len(b.workers) - 2*len(b.removed)
+	left := max(maxEntriesPerWrite-1-b.recordEntries()-len(b.workers)-2*len(b.removed), 0)
 	b.learned.knowledge = c.core.Knowledge()
 	b.learned.rows, b.learned.removed = c.learned.Pending(b.learned.knowledge, now, time.Now().UnixMilli(), min(left, maxKnowledgeRows))
 }
--- a/internal/deployment/parts_test.go
+++ b/internal/deployment/parts_test.go
@@ -40,7 +40,7 @@
 }
 
 func TestAJobIsRemovedBeforeItsRecord(t *testing.T) {
-	list := removals([]string{"a", "b", "c"}, 7)
+	list := removals([]string{"a", "b", "c"}, nil, 7)
 	for n, tx := range list {
 		last := n == len(list)-1
 		assert.Equal(t, tx.Part == mainPart, last)
--- a/internal/deployment/records.go
+++ b/internal/deployment/records.go
@@ -42,12 +42,12 @@
 // them.
 func nextBatch(core *dispatch.Core, maxItems int) batch {
 	b := batch{records: core.UnstoredRecords(min(maxRecordsPerWrite, maxItems))}
-	remaining := min(maxEntriesPerWrite-1-2*len(b.records), maxItems-len(b.records))
+	remaining := min(maxEntriesPerWrite-1-b.recordEntries(), maxItems-len(b.records))
 	b.workers = core.UnstoredWorkers(remaining)
-	if len(b.records) < maxRecordsPerWrite {
+	if len(b.records) < maxRecordsPerWrite && !b.incomplete() {
 		// The records of runs that were lost with a worker are written before the
 		// worker's row is removed.
-		b.removed = core.WorkersToRemove((remaining - len(b.workers)) / 2)
+		b.removed = core.WorkersToRemove(max(remaining-len(b.workers), 0) / 2)
 	}
 	return b
 }
@@ -79,10 +79,12 @@
 // worker's row has the same content regardless of its writer, so the epoch alone guards it.
 func (c *leader) transaction(b *batch) workload.Write {
 	tx := workload.Write{Expect: []workload.Row{{Key: epochKey, Version: c.grant.epochVersion}}}
-	for _, u := range b.records {
-		key := recordPrefix + u.Job
-		tx.Expect = append(tx.Expect, workload.Row{Key: key, Version: c.recordVersion(key)})
-		tx.Put = append(tx.Put, workload.Row{Key: key, Value: u.Record})
+	for n := range b.records {
+		for _, row := range recordRows(&b.records[n]) {
+			tx.Expect = append(tx.Expect, workload.Row{Key: row.Key, Version: c.recordVersion(row.Key)})
+			tx.Put = append(tx.Put, row)
+		}
+		tx.Remove = append(tx.Remove, obsoleteRows(&b.records[n])...)
 	}
 	for i := range b.workers {
 		tx.Put = append(tx.Put, workload.Row{Key: workerPrefix + b.workers[i].ID, Value: encode(b.workers[i])})
@@ -192,10 +194,14 @@
 // have ended. The rest of a record matters only to the next leader, which reads the
 // table.
 func finalRows(b *batch, put []workload.Row) []workload.Row {
+	final := make(map[string]bool)
+	for _, u := range b.records {
+		final[recordPrefix+u.Job] = u.Final != ""
+	}
 	var rows []workload.Row
-	for n, u := range b.records {
-		if u.Final != "" {
-			rows = append(rows, put[n]) // records come first in tx.Put
+	for _, row := range put {
+		if final[row.Key] {
+			rows = append(rows, row)
 		}
 	}
 	return rows
@@ -203,7 +209,7 @@
 
 func (c *leader) logEndedJobs(list []dispatch.UnstoredRecord) {
 	for _, u := range list {
-		if u.Final != "" {
+		if u.Final != "" && !u.Incomplete {
 			c.logger.Info("job ended", zap.String("job", u.Job), zap.String("state", string(u.Final)), zap.Int64("epoch", c.grant.epoch))
 		}
 	}
@@ -254,8 +260,9 @@
 }
 
 // removals returns the writes that remove the rows of ended jobs: the jobs first and
-// their records last, since a job without its record would run again.
-func removals(ids []string, epochVersion int64) []workload.Write {
+// their records last, since a job without its record would run again. partKeys are the rows of the
+// parts of the records.
+func removals(ids, partKeys []string, epochVersion int64) []workload.Write {
 	parts := make(map[string]*workload.Write)
 	for _, id := range ids {
 		part := partOf(jobPrefix + id)
@@ -268,15 +275,18 @@
 	for _, part := range slices.Sorted(maps.Keys(parts)) {
 		list = append(list, *parts[part])
 	}
-	records := workload.Write{Part: mainPart, Expect: []workload.Row{{Key: epochKey, Version: epochVersion}}}
+	keys := slices.Clone(partKeys)
 	for _, id := range ids {
-		records.Remove = append(records.Remove, recordPrefix+id)
+		keys = append(keys, recordPrefix+id)
+	}
+	for chunk := range slices.Chunk(keys, maxEntriesPerWrite-1) {
+		list = append(list, workload.Write{Part: mainPart, Expect: []workload.Row{{Key: epochKey, Version: epochVersion}}, Remove: chunk})
 	}
-	return append(list, records)
+	return list
 }
 
 func (c *leader) removeRows(ids []string) {
-	for _, tx := range removals(ids, c.grant.epochVersion) {
+	for _, tx := range removals(ids, c.instance.replica.recordPartKeys(ids), c.grant.epochVersion) {
 		written, err := c.instance.store.Write(c.ctx, tx)
 		if err != nil || written.Conflict {
 			c.logger.Debug("removing old rows failed", zap.Error(err), zap.Bool("conflict", written.Conflict))
--- a/internal/deployment/refusal_test.go
+++ b/internal/deployment/refusal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -18,6 +19,8 @@
 type refusingStore struct {
 	*memoryStore
 	refuses map[string]bool
+	// rowBytes, if set, bounds the values in base64.
+	rowBytes int
 	// refusals counts the refused writes.
 	refusals int
 }
@@ -25,7 +28,7 @@
 // Write implements workload.Store.
 func (s *refusingStore) Write(ctx context.Context, write workload.Write) (workload.WriteResult, error) {
 	for _, row := range write.Put {
-		if s.refuses[row.Key] {
+		if s.refuses[row.Key] || s.rowBytes > 0 && base64.StdEncoding.EncodedLen(len(row.Value)) > s.rowBytes {
 			s.refusals++
 			return workload.WriteResult{}, fmt.Errorf("%w: %w", workload.ErrRefused, workload.ErrNotDone)
 		}
@@ -36,6 +39,7 @@
 // writer plays the writes of a leader, in the leader's own time.
 type writer struct {
 	*leader
+	t     *testing.T
 	store *refusingStore
 	now   time.Time
 }
@@ -46,7 +50,7 @@
 	i := New(Options{Settings: &settings, Store: store, Decoder: plainDecoder{}, Logger: zap.NewNop()})
 	c := newLeader(t.Context(), i, &grant{epoch: 1})
 	c.core = batchCore(jobs, workers)
-	return &writer{leader: c, store: store, now: time.Unix(1_000_000, 0)}
+	return &writer{leader: c, t: t, store: store, now: time.Unix(1_000_000, 0)}
 }
 
 // writeFor writes what is unstored for a duration, one write each ten milliseconds.
@@ -57,7 +61,10 @@
 		if b.items() == 0 {
 			continue
 		}
-		_, err := w.store.Write(w.ctx, workload.Write{Put: w.transaction(&b).Put})
+		tx := w.transaction(&b)
+		assert.Assert(w.t, len(tx.Expect)+len(tx.Put)+len(tx.Remove) <= maxEntriesPerWrite)
+		assert.Assert(w.t, base64.StdEncoding.EncodedLen(sizeOf(tx)) <= maxWriteBytes)
+		_, err := w.store.Write(w.ctx, workload.Write{Put: tx.Put, Remove: tx.Remove})
 		if err != nil {
 			w.narrowDown(&b, w.now, 0)
 		} else {
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -34,6 +34,8 @@
 	cancelled bool
 	// record is the stored record.
 	record dispatch.Record
+	// recordParts holds the parts of a large record as stored, by the rest of their keys.
+	recordParts map[string][]byte
 	// announced is the final record that the leader of announcedEpoch could not store yet; nil if
 	// there is none. A restart of all instances loses it, so callers are not shown it.
 	announced      *dispatch.Record
@@ -186,6 +188,13 @@
 			worker = workload.Worker{ID: id}
 		}
 		r.workers[id] = worker
+	case recordPartPrefix:
+		job, part := splitPartKey(id)
+		known := r.ensureJob(job)
+		if known.recordParts == nil {
+			known.recordParts = make(map[string][]byte)
+		}
+		known.recordParts[part] = row.Value
 	case knowledgePrefix:
 		r.knowledge[id] = row.Value
 	case intentPrefix:
@@ -255,6 +264,11 @@
 		delete(r.workers, id)
 	case knowledgePrefix:
 		delete(r.knowledge, id)
+	case recordPartPrefix:
+		job, part := splitPartKey(id)
+		if known := r.jobs[job]; known != nil {
+			delete(known.recordParts, part)
+		}
 	}
 	if prefix != "a/" {
 		delete(r.versions, key)
@@ -402,6 +416,12 @@
 	for _, known := range r.jobs {
 		if known.job != nil && !known.unreadable {
 			k := *known
+			record, err := known.wholeRecord()
+			if err != nil {
+				r.logger.Error("record cannot be read", zap.String("job", known.job.ID), zap.Error(err))
+				continue // the job must not run, because what it has completed is unknown
+			}
+			k.record = record
 			k.record.StartIntent = k.record.StartIntent || k.begun
 			list = append(list, k)
 		}
--- a/internal/deployment/settings.go
+++ b/internal/deployment/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	_ "embed"
+	"encoding/base64"
 	"os"
 	"time"
 
@@ -33,6 +34,8 @@
 	// Descriptors is the number of file descriptors that the process may have open;
 	// zero means no bound.
 	Descriptors int `json:"descriptors"`
+	// RowBytes is the largest value of a row that the store takes, in bytes of base64.
+	RowBytes int `json:"row_bytes"`
 	// StopWithinMS is the time that a planned stop may take, in milliseconds.
 	StopWithinMS int64 `json:"stop_within_ms"`
 	// Bounds are the deployment's fixed times and factors.
@@ -103,7 +106,7 @@
 // are cautious, so that guarantees hold: long leases, quick reclaim.
 func defaultSettings() Settings {
 	return Settings{
-		LogLevel: "info", MemoryMB: 256, StopWithinMS: 4500,
+		LogLevel: "info", MemoryMB: 256, RowBytes: 65_536, StopWithinMS: 4500,
 		Bounds: BoundSettings{
 			LongestLeaseMS: 10_000, StopMS: 1000, ReclaimMS: 2000, StatusKeptS: 120, RemoteFactor: 3, DrainZoneMS: 5000,
 		},
@@ -129,6 +132,20 @@
 	return &s, s.Tuning.check()
 }
 
+const (
+	// maxWriteBytes bounds a write to the store, in bytes of its body. writeOverheadBytes is what is
+	// left of it for keys, versions and the rows of workers and knowledge.
+	maxWriteBytes      = 1_000_000
+	writeOverheadBytes = 100_000
+)
+
+// writeLimits returns the bounds of a write, in bytes before their encoding as base64.
+func (s *Settings) writeLimits() workload.WriteLimits {
+	return workload.WriteLimits{
+		RowBytes: base64.StdEncoding.DecodedLen(s.RowBytes), Bytes: base64.StdEncoding.DecodedLen(maxWriteBytes - writeOverheadBytes), Entries: maxEntriesPerWrite,
+	}
+}
+
 // drainLimit returns the time within which starts in a drained zone must cease.
 func (s *Settings) drainLimit() time.Duration {
 	return time.Duration(s.Bounds.DrainZoneMS) * time.Millisecond
--- a/internal/deployment/takeover.go
+++ b/internal/deployment/takeover.go
@@ -68,6 +68,7 @@
 func (c *leader) fillCore() {
 	now, wallMS := bootTime(), time.Now().UnixMilli()
 	c.core = dispatch.New(c.instance.liveSettings.Load().bounds(), c.grant.epoch, now, c.predecessorActiveUntil(now))
+	c.core.LimitWrites(c.instance.settings.writeLimits())
 	c.core.Tune(c.instance.settings.Tuning.coreTuning())
 	if c.grant.trustIntents {
 		c.core.TrustStartIntents()
--- a/internal/dispatch/completions.go
+++ b/internal/dispatch/completions.go
@@ -128,6 +128,7 @@
 	s := t.step
 	s.openTasks--
 	s.job.record.setDone(stepKey(s.occurrence, s.number), t.index, len(s.tasks))
+	s.job.record.forgetProgress(t.recordKey())
 	c.markChanged(s.job)
 	for _, other := range t.runs {
 		sameGang := completedBy != nil && completedBy.gang != nil && other.gang == completedBy.gang
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -134,7 +134,9 @@
 	// trustStartIntents is set if earlier epochs stored start intents, storeStartIntents if
 	// this one does.
 	trustStartIntents, storeStartIntents bool
-	unsynced                             unsyncedWorkers
+	// writeLimits are the bounds of the writes that store records; zero means none.
+	writeLimits workload.WriteLimits
+	unsynced    unsyncedWorkers
 	// unsyncedWaitEnded is set once no worker is waited for any more.
 	unsyncedWaitEnded bool
 	// machineCrashes holds the recent crashes of workers by address.
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -86,6 +86,7 @@
 	startIntentRequestedAt time.Time
 	// revision counts changes of the record, storedRevision those that the store has.
 	revision, storedRevision uint64
+	parts                    recordParts
 	// refusal is set while the store refuses the record.
 	refusal recordRefusal
 	runs    int
@@ -110,6 +111,7 @@
 		return
 	}
 	j := &job{Job: accepted, record: record.clone(), startIntentStored: record.StartIntent, acceptedAt: now}
+	j.parts = recordParts{count: record.Parts, headCount: record.Parts, stored: make([]uint64, record.Parts)}
 	j.fromEarlierEpoch = !c.earlierOrdersUntil.IsZero() && !now.After(c.earlierOrdersUntil) && (record.StartIntent || !c.trustStartIntents)
 	if age := wallMS - accepted.AcceptedMS; age > 0 && age < maxJobAge.Milliseconds() {
 		j.acceptedAt = now.Add(-time.Duration(age) * time.Millisecond)
@@ -221,7 +223,17 @@
 	// Revision is the revision of the record.
 	Revision uint64
 	Record   []byte
-	Final    Final
+	// PartCount is the number of parts of the record, zero if Record is all of it.
+	PartCount int
+	// Parts are the parts of the record that the store may not have.
+	Parts []RecordPart
+	// Obsolete are parts that no reader needs once Record is stored, and
+	// ObsoleteRows how many of them are to be removed with it.
+	Obsolete     ObsoleteParts
+	ObsoleteRows int
+	// Incomplete is set if further parts follow in later writes, and Record is not to be written yet.
+	Incomplete bool
+	Final      Final
 	// StartIntent reports whether the record contains the job's start intent.
 	StartIntent bool
 }
@@ -231,6 +243,7 @@
 // start waits for.
 func (c *Core) UnstoredRecords(limit int) []UnstoredRecord {
 	var list []UnstoredRecord
+	room := writeRoom{limits: c.writeLimits}
 	changed := slices.SortedFunc(maps.Values(c.dirty), func(a, b *job) int {
 		switch {
 		case a.refusal.isDue(a.revision, c.now) != b.refusal.isDue(b.revision, c.now):
@@ -252,7 +265,12 @@
 		if j.refusal.holds(j.revision, c.now) {
 			continue
 		}
-		list = append(list, UnstoredRecord{Job: j.ID, Revision: j.revision, Record: j.record.Encode(), Final: j.record.Final, StartIntent: j.record.StartIntent})
+		u := c.unstored(j)
+		if !room.take(&u, len(list) == 0) {
+			break
+		}
+		j.parts.sent(u.Parts)
+		list = append(list, u)
 		if j.refusal.pause > 0 {
 			break // it is sent alone: with others, it would keep them from being stored
 		}
@@ -260,13 +278,75 @@
 	return list
 }
 
+func (c *Core) unstored(j *job) UnstoredRecord {
+	head, parts := c.encode(j)
+	obsolete := j.parts.obsoleteWithHead()
+	return UnstoredRecord{
+		Job: j.ID, Revision: j.revision, Record: head, PartCount: j.parts.count, Parts: parts, Obsolete: obsolete, ObsoleteRows: obsolete.left(),
+		Final: j.record.Final, StartIntent: j.record.StartIntent,
+	}
+}
+
+// writeRoom is what is left of the bounds of a write.
+type writeRoom struct {
+	limits         workload.WriteLimits
+	bytes, entries int
+}
+
+const (
+	// entriesPerRow are the entries of a row whose version is expected.
+	entriesPerRow = 2
+	// reservedEntries are left for the epoch and for rows of workers.
+	reservedEntries = 1
+)
+
+// take takes the room for a record; it reports false if there is too little. The first record of a
+// write is shortened to the parts that fit.
+func (w *writeRoom) take(u *UnstoredRecord, first bool) bool {
+	if w.limits.Entries == 0 {
+		return true
+	}
+	if first {
+		w.shorten(u)
+	}
+	bytes, entries := len(u.Record), entriesPerRow+entriesPerRow*len(u.Parts)+u.ObsoleteRows
+	for _, p := range u.Parts {
+		bytes += len(p.Data)
+	}
+	if !first && (w.bytes+bytes > w.limits.Bytes || w.entries+entries > w.limits.Entries-reservedEntries) {
+		return false
+	}
+	w.bytes += bytes
+	w.entries += entries
+	return true
+}
+
+// shorten drops the parts that do not fit into one write, and the rows to remove if there is no room
+// for them.
+func (w *writeRoom) shorten(u *UnstoredRecord) {
+	bytes, entries := len(u.Record), entriesPerRow+reservedEntries
+	for n, p := range u.Parts {
+		bytes += len(p.Data)
+		entries += entriesPerRow
+		if n > 0 && (bytes > w.limits.Bytes || entries > w.limits.Entries) {
+			u.Parts, u.Incomplete, u.ObsoleteRows = u.Parts[:n], true, 0
+			return
+		}
+	}
+	u.ObsoleteRows = min(u.ObsoleteRows, w.limits.Entries-entries)
+}
+
 // UnstoredFinalRecords returns the records, not stored yet, of jobs that have been final for at
 // least minAge.
 func (c *Core) UnstoredFinalRecords(minAge time.Duration) []UnstoredRecord {
 	var list []UnstoredRecord
 	for _, j := range c.dirty {
 		if j.record.Final != "" && c.wallMS-j.record.EndedMS >= minAge.Milliseconds() {
-			list = append(list, UnstoredRecord{Job: j.ID, Revision: j.revision, Record: j.record.Encode(), Final: j.record.Final, StartIntent: j.record.StartIntent})
+			record := j.record
+			if j.parts.count > 0 {
+				record = j.record.head(j.parts.count) // nobody needs the rest of an ended job
+			}
+			list = append(list, UnstoredRecord{Job: j.ID, Revision: j.revision, Record: record.Encode(), Final: j.record.Final, StartIntent: j.record.StartIntent})
 		}
 	}
 	slices.SortFunc(list, func(a, b UnstoredRecord) int { return cmp.Compare(a.Job, b.Job) })
@@ -289,9 +369,14 @@
 		if j == nil {
 			continue
 		}
+		j.parts.storedIn(u.Parts)
+		j.refusal = recordRefusal{}
+		if u.Incomplete {
+			continue
+		}
+		j.parts.headStored(u.PartCount, u.Obsolete, u.ObsoleteRows)
 		j.storedRevision = max(j.storedRevision, u.Revision)
 		j.startIntentStored = j.startIntentStored || u.StartIntent
-		j.refusal = recordRefusal{}
 		if j.storedRevision == j.revision {
 			delete(c.dirty, j.ID)
 		}
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -57,6 +57,8 @@
 	SurvivedMS map[string]int64 `json:"survived_ms,omitempty"`
 	// Checkpoints maps the keys of Failed to the last checkpoint.
 	Checkpoints map[string]string `json:"saved,omitempty"`
+	// Parts is the number of parts that hold the maps, zero if the record itself does.
+	Parts int `json:"parts,omitempty"`
 }
 
 // Encode returns the stored form of the record.
@@ -237,6 +239,12 @@
 	attempts[key] = left
 }
 
+// forgetProgress removes what only a further start of a task would need.
+func (r *Record) forgetProgress(key string) {
+	delete(r.Checkpoints, key)
+	delete(r.Failed, key)
+}
+
 func (r *Record) setCheckpoint(key, checkpoint string) {
 	if r.Checkpoints == nil {
 		r.Checkpoints = make(map[string]string)
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -9,9 +9,9 @@
 // and again. It is held back until it has changed, and then sent alone, at growing intervals.
 
 const (
-	// minRefusalPause and MaxRefusalPause bound the time between two writes of a refused record.
-	minRefusalPause = 500 * time.Millisecond
+	// MaxRefusalPause and minRefusalPause bound the time between two writes of a refused record.
 	MaxRefusalPause = 30 * time.Second
+	minRefusalPause = 500 * time.Millisecond
 )
 
 // recordRefusal describes a record that the store refused when it was sent alone.
--- a/internal/workload/ports.go
+++ b/internal/workload/ports.go
@@ -30,6 +30,13 @@
 	Remove []string
 }
 
+// WriteLimits are the bounds of one write.
+type WriteLimits struct {
+	// RowBytes bounds the value of a row, Bytes all values together, and Entries the rows that are
+	// expected, put or removed. Zero means no bound.
+	RowBytes, Bytes, Entries int
+}
+
 // WriteResult is the result of a Write.
 type WriteResult struct {
 	// Version is the new version of the rows that were put.
