Refuse a job that the store refuses without a time to come back

Found by reading the change before: a job whose row the store refuses was answered 503 with a Retry-After, so that its caller sent it again in vain, and the check before the call took the stricter of two readings of the store's bound (49,152 bytes of a row, which is 65,536 of base64), so that it could turn away a job that the store takes.

The check goes by the milder reading, and a refusal by the store is answered 413. Test first: the answer carried a Retry-After.

--- a/internal/deployment/accept.go
+++ b/internal/deployment/accept.go
@@ -136,10 +136,10 @@
 	}
 	key := jobPrefix + job.ID
 	row := workload.Row{Key: key, Value: encode(job)}
-	if limit := i.settings.writeLimits().RowBytes; len(row.Value) > limit {
+	if limit := i.settings.RowBytes; len(row.Value) > limit {
 		return api.NewError(api.KindBodyTooLarge, "the job takes %d bytes in the store, at most %d are allowed", len(row.Value), limit)
 	}
-	return i.writeOnce(ctx, workload.Write{
+	err := i.writeOnce(ctx, workload.Write{
 		Part: partOf(key), Expect: []workload.Row{{Key: key}}, Put: []workload.Row{row},
 	}, func(rows []workload.Row) error {
 		for _, existing := range rows {
@@ -150,6 +150,10 @@
 		}
 		return api.NewError(api.KindResultUnknown, "the store refused the job and showed no row")
 	})
+	if errors.Is(err, workload.ErrRefused) {
+		return api.NewError(api.KindBodyTooLarge, "the store refuses the job's row of %d bytes: %v", len(row.Value), err)
+	}
+	return err
 }
 
 // checkResubmission returns the result of submitting an id that was accepted before: a
