Remove workers only in a write that holds all unstored records

A batch that is cut by its bytes or entries has fewer as well, so that the row could go first, and the next leader would not count these runs.

The batch is compared with the number of unstored records; those that the store refuses are not waited for.

Test: a batch cut by its bytes removed the worker before, and does not now. Batches that are not cut are unchanged.

--- a/internal/deployment/records.go
+++ b/internal/deployment/records.go
@@ -44,7 +44,7 @@
 	b := batch{records: core.UnstoredRecords(min(maxRecordsPerWrite, maxItems))}
 	remaining := min(maxEntriesPerWrite-1-b.recordEntries(), maxItems-len(b.records))
 	b.workers = core.UnstoredWorkers(remaining)
-	if len(b.records) < maxRecordsPerWrite && !b.incomplete() {
+	if len(b.records) == core.UnstoredRecordCount() && !b.incomplete() {
 		// The records of runs that were lost with a worker are written before the
 		// worker's row is removed.
 		b.removed = core.WorkersToRemove(max(remaining-len(b.workers), 0) / 2)
--- a/internal/deployment/records_test.go
+++ b/internal/deployment/records_test.go
@@ -47,6 +47,39 @@
 	}
 }
 
+// A worker's row is removed once the records of the runs that were lost with it are stored.
+func TestWorkersAreRemovedOnlyInAWriteThatHoldsAllRecords(t *testing.T) {
+	for name, c := range map[string]struct {
+		jobs    int
+		limits  workload.WriteLimits
+		removed int
+	}{
+		"all records fit":               {3, workload.WriteLimits{}, 1},
+		"too many records":              {maxRecordsPerWrite + 1, workload.WriteLimits{}, 0},
+		"the bytes of a write are full": {3, workload.WriteLimits{RowBytes: 4096, Bytes: 50, Entries: maxEntriesPerWrite}, 0},
+		"no records":                    {0, workload.WriteLimits{}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			core := batchCore(c.jobs, 1)
+			core.LimitWrites(c.limits)
+			now := time.Unix(1_000_000, 0)
+			core.WorkersStored([]workload.Worker{{ID: "w000"}})
+			core.WorkersListed(nil, now, 0)
+			for range 100 { // the worker answers nothing and is given up
+				now = now.Add(time.Second)
+				for _, a := range core.Decide(now, now.UnixMilli()) {
+					if a.Kind == dispatch.ActPoll {
+						core.PollAnswered(a, workload.Report{Verdict: workload.VerdictConnectionRefused}, now, now.UnixMilli())
+					}
+				}
+			}
+			assert.Equal(t, len(core.WorkersToRemove(10)), 1)
+			b := nextBatch(core, maxEntriesPerWrite)
+			assert.Equal(t, len(b.removed), c.removed)
+		})
+	}
+}
+
 func TestAMissingRowIsExpectedToBeMissing(t *testing.T) {
 	c := &leader{grant: &grant{epochVersion: 5}, recordVersions: map[string]int64{"w/a": 7, "e/b": 8}}
 	expected := []workload.Row{{Key: epochKey, Version: 5}, {Key: "w/a", Version: 7}, {Key: "e/b", Version: 8}}
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -278,6 +278,18 @@
 	return list
 }
 
+// UnstoredRecordCount returns the number of records that are not stored yet, except those that the
+// store refuses.
+func (c *Core) UnstoredRecordCount() int {
+	count := 0
+	for _, j := range c.dirty {
+		if !j.refusal.holds(j.revision, c.now) {
+			count++
+		}
+	}
+	return count
+}
+
 func (c *Core) unstored(j *job) UnstoredRecord {
 	head, parts := c.encode(j)
 	obsolete := j.parts.obsoleteWithHead()
