Release the lease only once the predecessor's has expired

What callers would see: a task that runs twice, after two changes of the leader within two seconds.

Cause: a leader that is replaced early may give orders until its own lease ends. Its successor knows that time. If the successor gives the lease up before it, at a planned stop, its row says that the lease is released, and the third leader begins as if nobody could give orders any more: jobs that it is told of later count as new, and the wait for silent workers is up to 1.3 s too short.

Change: the row is written as released only after the predecessor's time. Until then the lease ends by itself, and the third leader counts from the last renewal.

Result: the new test failed before (the row said released while the predecessor had a minute left) and passes. Cost: a planned stop within two seconds of an early takeover leaves the lease to expire.

--- a/internal/deployment/lease.go
+++ b/internal/deployment/lease.go
@@ -147,7 +147,8 @@
 	<-done
 	l.setHeld(nil)
 	l.logger.Info("lease lost", zap.Int64("epoch", g.epoch), zap.String("reason", reason))
-	if voluntary {
+	// The next leader takes a released lease for one that nobody uses any more.
+	if voluntary && !bootTime().Before(g.predecessorUntil) {
 		l.release(g)
 	}
 }
--- a/internal/deployment/lease_test.go
+++ b/internal/deployment/lease_test.go
@@ -132,3 +132,28 @@
 	l.recordPing(seenLeader{leaderRow: leaderRow{Leader: "third"}}, false)
 	assert.Assert(t, !l.canTake(t.Context()), "missed pings of another leader do not count")
 }
+
+func TestALeaderDoesNotReleaseTheLeaseWhileTheOneBeforeItMayGiveOrders(t *testing.T) {
+	for name, c := range map[string]struct {
+		predecessorUntil time.Time
+		releases         bool
+	}{
+		"it followed no other leader":                 {time.Time{}, true},
+		"the lease of the one before has expired":     {bootTime().Add(-time.Millisecond), true},
+		"the one before may take its lease for valid": {bootTime().Add(time.Minute), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newTestLease(t, "self", newMemoryStore())
+			l.storeLeaderRow(t, leaderRow{Leader: "self", Epoch: 5}, 0)
+			l.lead = func(ctx context.Context, _ *grant) { <-ctx.Done() }
+			ctx, cancel := context.WithCancel(t.Context())
+			cancel()
+			seen := l.replica.seenLeader()
+			l.hold(ctx, &grant{epoch: 5, version: seen.version, expiresAt: bootTime().Add(time.Hour), predecessorUntil: c.predecessorUntil})
+			page, err := l.store.Read(t.Context(), workload.SourceOwn, mainPart, "", "")
+			assert.NilError(t, err)
+			l.replica.apply(page.Rows)
+			assert.Equal(t, l.replica.seenLeader().Released, c.releases)
+		})
+	}
+}
