Stop tasks of work that lasts, within its limit, for a guaranteed claim

Cause: runs of steps that last and limit their unavailable tasks were never victims, and nothing else of the pool ever ended.

Ruled out: that no plan exists within the limits. Each of the six services may have one task unavailable, which makes room for the claim.

Change: a plan for a step inside a guarantee may stop as many tasks of such a step as its limit leaves, counted over all workers and with the tasks that are unavailable for any other cause. Other victims come first. The mechanism service_victims switches it off. cheapestBlocks takes the count as an argument; its test passes an empty one.

--- a/internal/dispatch/blocks.go
+++ b/internal/dispatch/blocks.go
@@ -39,11 +39,12 @@
 	slices.SortStableFunc(blocks, func(a, b block) int {
 		return cmp.Or(
 			c.crashOrder(u, a.to.capacity, b.to.capacity),
+			boolOrder(a.to.stopsLimited())-boolOrder(b.to.stopsLimited()),
 			cmp.Compare(a.costPerSlot(), b.costPerSlot()),
 			cmp.Compare(a.to.capacity.position, b.to.capacity.position),
 		)
 	})
-	plan := slices.Collect(maps.Values(cheapestBlocks(blocks, int64(len(u.tasks)))))
+	plan := slices.Collect(maps.Values(cheapestBlocks(blocks, int64(len(u.tasks)), c.newStoppedTasks())))
 	slices.SortFunc(plan, func(a, b offer) int { return cmp.Compare(a.capacity.position, b.capacity.position) })
 	cost := 0.0
 	for _, o := range plan {
@@ -53,9 +54,9 @@
 }
 
 // cheapestBlocks returns the offers to accept for a number of slots, or nil if there are too few. It
-// takes the blocks in their order. One that adds more slots than are left is taken only if that
+// takes the blocks in their order, but for those whose victims can't be spared. One that adds more slots than are left is taken only if that
 // costs less than filling the rest with later ones.
-func cheapestBlocks(blocks []block, slots int64) map[*workerCapacity]offer {
+func cheapestBlocks(blocks []block, slots int64, stopped stoppedTasks) map[*workerCapacity]offer {
 	accepted := make(map[*workerCapacity]offer)
 	left, cost := slots, 0.0
 	var best map[*workerCapacity]offer
@@ -69,12 +70,17 @@
 			continue // a block before it was too large
 		}
 		added := b.cost()
+		victims := b.to.victims[len(b.from.victims):]
+		if !stopped.take(victims) {
+			continue
+		}
 		if b.slots() <= left {
 			accepted[r] = b.to
 			left -= b.slots()
 			cost += added
 			continue
 		}
+		stopped.drop(victims)
 		if cost+added < bestCost {
 			best, bestCost = maps.Clone(accepted), cost+added
 			o := b.to
--- a/internal/dispatch/blocks_test.go
+++ b/internal/dispatch/blocks_test.go
@@ -68,9 +68,9 @@
 	}
 	assert.DeepEqual(t, sizes, []int64{1, 3, 1})
 	for slots, want := range map[int64]float64{1: 0, 2: 10, 4: 10, 5: 30} {
-		accepted := cheapestBlocks(blocks, slots)
+		accepted := cheapestBlocks(blocks, slots, stoppedTasks{})
 		assert.Equal(t, accepted[r].slots, slots)
 		assert.Assert(t, math.Abs(accepted[r].totalCost()-want) < 1e-9, "%d slots: %.1f", slots, accepted[r].totalCost())
 	}
-	assert.Assert(t, cheapestBlocks(blocks, 6) == nil)
+	assert.Assert(t, cheapestBlocks(blocks, 6, stoppedTasks{}) == nil)
 }
--- a/internal/dispatch/gangvictims.go
+++ b/internal/dispatch/gangvictims.go
@@ -69,7 +69,7 @@
 func (p *gangPlan) victimsOn(r *workerCapacity) []*run {
 	list, known := p.victims[r]
 	if !known {
-		list = p.core.victims(p.step, r)
+		list = slices.DeleteFunc(p.core.victims(p.step, r), func(v *run) bool { return v.task.step.limitsUnavailable() })
 		p.victims[r] = list
 	}
 	return list
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -40,6 +40,9 @@
 	rate *stepRate
 	// claim is where an urgent gang will start once the runs there have ended.
 	claim *claim
+	// spare is the number of tasks that may be made unavailable, as of the event spareAsOf.
+	spare     int
+	spareAsOf uint64
 	// advice holds the advisor's answers, on queues that have an advisor.
 	advice advice
 }
--- a/internal/dispatch/tuning.go
+++ b/internal/dispatch/tuning.go
@@ -39,6 +39,7 @@
 	MechDemandForecast     Mechanism = "demand_forecast"
 	MechStandBound         Mechanism = "stand_bound"
 	MechTrials             Mechanism = "trials"
+	MechServiceVictims     Mechanism = "service_victims"
 )
 
 // Mechanisms returns all mechanisms.
@@ -47,7 +48,7 @@
 		MechHeadroom, MechClaims, MechWaitForCompletions, MechReservations, MechRackWait, MechEstimates, MechUnhealthyWorkers,
 		MechEvacuation, MechSuspectDomains, MechDemoteLate, MechCheapVictims, MechPacking, MechRackOrder, MechRestartClaims, MechResends,
 		MechPollWindow, MechStartWindow, MechStoredStartIntents, MechFlappingWorkers,
-		MechWorkerSpeeds, MechStoredKnowledge, MechCorrectedRunTimes, MechSpeedKinds, MechExploreSpeeds, MechGangVictims, MechDemandForecast, MechStandBound, MechTrials,
+		MechWorkerSpeeds, MechStoredKnowledge, MechCorrectedRunTimes, MechSpeedKinds, MechExploreSpeeds, MechGangVictims, MechDemandForecast, MechStandBound, MechTrials, MechServiceVictims,
 	}
 }
 
--- a/internal/dispatch/victims.go
+++ b/internal/dispatch/victims.go
@@ -31,6 +31,7 @@
 			if !victim.stopping() {
 				victim.task.step.job.interruptions++
 				c.stop(victim, fmt.Sprintf("makes room for %s", u.step.job.ID))
+				victim.task.step.spareAsOf = 0 // one task less can be spared
 				p.capacity.freeSoon = p.capacity.freeSoon.Add(victim.need)
 			}
 		}
@@ -137,17 +138,24 @@
 		offers = append(offers, c.offers(u, r)...)
 	}
 	slices.SortStableFunc(offers, func(a, b offer) int {
-		return cmp.Or(c.crashOrder(u, a.capacity, b.capacity), cmp.Compare(a.cost, b.cost), cmp.Compare(a.capacity.position, b.capacity.position))
+		return cmp.Or(
+			c.crashOrder(u, a.capacity, b.capacity),
+			boolOrder(a.stopsLimited())-boolOrder(b.stopsLimited()),
+			cmp.Compare(a.cost, b.cost),
+			cmp.Compare(a.capacity.position, b.capacity.position),
+		)
 	})
 	// Each offer adds one slot on its worker and includes the victims of the previous offers,
 	// so the last accepted offer of a worker covers all of them.
 	accepted := make(map[*workerCapacity]offer)
+	stopped := c.newStoppedTasks()
 	left := int64(len(u.tasks))
 	for _, o := range offers {
 		if left == 0 {
 			break
 		}
-		if o.slots == accepted[o.capacity].slots+1 {
+		previous := accepted[o.capacity]
+		if o.slots == previous.slots+1 && stopped.take(o.victims[len(previous.victims):]) {
 			accepted[o.capacity] = o
 			left--
 		}
@@ -203,23 +211,24 @@
 	}
 	slices.SortFunc(list, func(a, b *run) int {
 		if !c.enabled(MechCheapVictims) {
-			return cmp.Or(cmp.Compare(a.attempt, b.attempt), cmp.Compare(a.task.index, b.task.index))
+			return cmp.Or(limitedLast(a, b), cmp.Compare(a.attempt, b.attempt), cmp.Compare(a.task.index, b.task.index))
 		}
-		return cmp.Or(c.policies.victims(c, a, b), cmp.Compare(a.attempt, b.attempt), cmp.Compare(a.task.index, b.task.index))
+		return cmp.Or(limitedLast(a, b), c.policies.victims(c, a, b), cmp.Compare(a.attempt, b.attempt), cmp.Compare(a.task.index, b.task.index))
 	})
-	return list
+	return c.withinSpare(list)
 }
 
 // mayPreempt reports whether a run may be stopped for the step: urgent work may preempt lower
-// priorities, and work inside a guarantee anything outside one. Long-running tasks with a limit
-// on how many may be unavailable, and work whose queue was removed, are never preempted.
+// priorities, and work inside a guarantee anything outside one. Of long-running tasks with a limit
+// on how many may be unavailable no more than that are preempted, and only for guaranteed capacity;
+// work whose queue was removed never is.
 func (c *Core) mayPreempt(victim *run, u *pendingStep) bool {
 	s := victim.task.step
 	q := c.config.Queue(s.job.Queue)
 	if s.job.guaranteed || q == nil {
 		return false
 	}
-	if s.spec.LongRunning && s.spec.MaxUnavailable > 0 {
+	if s.limitsUnavailable() && !c.mayMakeUnavailable(victim, u) {
 		return false
 	}
 	return u.rank.class == 0 || q.Priority > u.queue.Priority
