Show a job in the final state that was stored first

What callers saw: a job shown as cancelled and a moment later as completed.

Cause: a cancellation and the end of a job may cross. The cancellation is stored and shown; the leader, which has not heard of it, stores the end, and the record took the place of the cancellation.

Ruled out as a fix: final states from the record alone.

Change: the one of the two that was stored first is shown, by the versions of their rows. A record that is stored again keeps its first version here.

Not covered: an instance that is told of the record before the earlier cancellation reaches it by its feed shows completed until then.

--- a/internal/deployment/jobstate.go
+++ b/internal/deployment/jobstate.go
@@ -39,12 +39,14 @@
 	return r.stateOf(id, known), known.job, true
 }
 
+// stateOf returns the state of a job. A cancellation and the end of a job may cross; the one that was
+// stored first is shown, so that no caller sees one final state after another.
 func (r *replica) stateOf(id string, known *knownJob) JobState {
 	switch {
+	case known.cancelled && (known.record.Final == "" || known.cancelledVersion < known.finalVersion):
+		return StateCancelled
 	case known.record.Final != "":
 		return stateOfFinal[known.record.Final]
-	case known.cancelled:
-		return StateCancelled
 	case r.started[id]:
 		return StateRunning
 	}
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -1,6 +1,7 @@
 package deployment
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -34,6 +35,9 @@
 	cancelled bool
 	// record is the stored record.
 	record dispatch.Record
+	// cancelledVersion and finalVersion are those of the rows with which this instance first had the
+	// cancellation and the final state.
+	cancelledVersion, finalVersion int64
 	// recordParts holds the parts of a large record as stored, by the rest of their keys.
 	recordParts map[string][]byte
 	// announced is the final record that the leader of announcedEpoch could not store yet; nil if
@@ -157,7 +161,10 @@
 	case jobPrefix:
 		return change{job: id}, r.applyJob(id, row)
 	case cancelPrefix:
-		r.ensureJob(id).cancelled = true
+		known := r.ensureJob(id)
+		if !known.cancelled {
+			known.cancelled, known.cancelledVersion = true, row.Version
+		}
 		return change{job: id, cancelled: true}, true
 	case recordPrefix:
 		record, err := dispatch.DecodeRecord(row.Value)
@@ -170,6 +177,7 @@
 		known.record, known.unreadable = record, false
 		if record.Final != "" {
 			known.announced = nil
+			known.finalVersion = cmp.Or(known.finalVersion, row.Version)
 		}
 	case instancePrefix:
 		var peer instanceRow
