End a leader once it has read of a later epoch

What callers saw: two runs of a task at the same time (TWICE).

Cause: the leader of epoch 4 was frozen and replaced while its lease still ran. On waking it read the changes of the table: the later epoch, a job that had been accepted meanwhile, and the job's record, in which its successor had stored the start intent. It took that intent for its own: the job counted as one that may be started, without a write that the store would have refused. The worker that it chose was one that the successor did not reach. The successor trusted the promise that each start has its intent stored before, and had not waited.

Both leaders were in the state strict.

Ruled out: intents stored apart (no such line of epoch 4 or 5 for the job), a start taken for never carried out (none), an end shown and not stored.

Change: the leader compares the epoch row of its copy of the table with its own before each event and each round, and ends its grant. The feed delivers the row of the epoch before anything that is written under it.

Result: TestAReplacedLeaderDoesNotStartJobsOnItsSuccessorsStartIntents failed before (1 start) and passes.

--- a/internal/deployment/leader.go
+++ b/internal/deployment/leader.go
@@ -172,7 +172,7 @@
 		}
 		last = roundTiming{startedAt: time.Now()}
 		next.Reset(maxRoundInterval)
-		if c.grant.ended() {
+		if c.endIfReplaced(); c.grant.ended() {
 			return
 		}
 		if c.quiescing.Load() {
@@ -215,7 +215,22 @@
 	return delayUntilRound(last, now)
 }
 
-func (c *leader) apply(e event) { e(c.core, bootTime(), time.Now().UnixMilli()) }
+// apply applies an event, unless this leader was replaced: what it learns then may be the work of its
+// successor, such as a start intent, which must not pass for its own.
+func (c *leader) apply(e event) {
+	if c.endIfReplaced(); !c.grant.ended() {
+		e(c.core, bootTime(), time.Now().UnixMilli())
+	}
+}
+
+// endIfReplaced ends the grant once this instance's copy of the table has a later epoch.
+func (c *leader) endIfReplaced() {
+	if c.grant.ended() || c.instance.replica.version(epochKey) <= c.grant.epochVersion {
+		return
+	}
+	c.logger.Warn("the table has a higher epoch", zap.Int64("epoch", c.grant.epoch))
+	c.grant.end()
+}
 
 // applyQueued applies all queued events, so that one round handles them.
 func (c *leader) applyQueued() {
--- a/internal/deployment/leader_test.go
+++ b/internal/deployment/leader_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/corianderbank/corianderbank/internal/dispatch"
+	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
 // simulateRounds simulates a second with an event every two milliseconds, and returns
@@ -39,3 +42,19 @@
 		assert.Assert(t, rounds >= 5, "%d rounds of %v in a second", rounds, duration)
 	}
 }
+
+func TestAReplacedLeaderDoesNotStartJobsOnItsSuccessorsStartIntents(t *testing.T) {
+	it := newIntentTest(t)
+	it.instance.leader.Store(it.leader)
+	it.instance.replica.onChange = it.instance.jobChanged
+	started := dispatch.Record{StartIntent: true}
+	job := workload.Job{ID: "00000000000000bb", Queue: "q", Steps: []workload.Step{{Count: 1, EstimateMS: 1000}}}
+	it.instance.replica.apply([]workload.Row{
+		{Key: epochKey, Value: encode(2), Version: 100},
+		{Key: jobPrefix + job.ID, Value: encode(job), Version: 101},
+		{Key: recordPrefix + job.ID, Value: started.Encode(), Version: 102},
+	})
+	it.apply(<-it.events)
+	assert.Equal(t, it.starts(0), 0)
+	assert.Assert(t, it.grant.ended())
+}
