Name the hub in lines about orders that were not carried out

The result of an order carries the hub that made the call, and `order not carried out` names it. A call that a hub refused and the leader then made itself names none.

Test: the result through a hub, with a lost answer, and past hubs that refuse. No change of decisions.

--- a/internal/deployment/orders.go
+++ b/internal/deployment/orders.go
@@ -165,6 +165,9 @@
 	if result.Verdict == workload.VerdictDone {
 		return
 	}
-	c.logger.Warn("order not carried out", orderFields(kind, action.Order,
-		zap.Stringer("verdict", result.Verdict), zap.Error(result.Err))...)
+	fields := orderFields(kind, action.Order, zap.Stringer("verdict", result.Verdict), zap.Error(result.Err))
+	if result.Hub != "" {
+		fields = append(fields, zap.String("hub", result.Hub))
+	}
+	c.logger.Warn("order not carried out", fields...)
 }
--- a/internal/deployment/worker_reach.go
+++ b/internal/deployment/worker_reach.go
@@ -181,9 +181,11 @@
 	case errors.Is(err, errNotRelayed):
 		return direct(ctx, o)
 	case err != nil:
-		return workload.OrderResult{Verdict: workload.VerdictUnknown, Err: err}
+		return workload.OrderResult{Verdict: workload.VerdictUnknown, Hub: hub, Err: err}
 	}
-	return orderResultFromProto(answer)
+	result := orderResultFromProto(answer)
+	result.Hub = hub
+	return result
 }
 
 // Poll implements workload.Workers.
--- a/internal/deployment/worker_reach_test.go
+++ b/internal/deployment/worker_reach_test.go
@@ -116,6 +116,19 @@
 	return counts
 }
 
+func TestTheResultOfAnOrderNamesItsRoute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newRelayNet(&countingWorkers{}, &countingWorkers{}, 1, 1_000_000)
+		order := workload.Order{Worker: "w1", Zone: "zone"}
+		hub := n.leader.hubFor(order.Worker, order.Zone)
+		assert.Equal(t, n.leader.Start(t.Context(), order).Hub, hub)
+		n.dropsAnswers[hub] = true
+		assert.Equal(t, n.leader.Start(t.Context(), order).Hub, hub)
+		n.refusals["hub-1"], n.refusals["hub-2"] = api.NewError(api.KindNotReady, "injected"), api.NewError(api.KindNotReady, "injected")
+		assert.Equal(t, n.leader.Start(t.Context(), order).Hub, "")
+	})
+}
+
 func TestALeaderCallsItsShareOfWorkersAndHubsCallTheRest(t *testing.T) {
 	for name, c := range map[string]struct {
 		maxDirect, workers int
--- a/internal/workload/ports.go
+++ b/internal/workload/ports.go
@@ -173,7 +173,9 @@
 	Verdict     Verdict
 	ClockMS     int64
 	Incarnation int64
-	Err         error
+	// Hub is the instance that made the call for this one, or empty if this one made it.
+	Hub string
+	Err error
 }
 
 // Running is a run that a worker reports as in progress.
