Number the calls through hubs from a random value

A worker's runs can be taken for gone, or a start for refused, and be started again while the first run goes on.

Cause: each process numbered its calls from 1, and an answer was matched by the number and the hub's address. A process that is killed and runs again at the same address got the hubs' answers to the calls of the one before as answers to its own: of another kind, or about another worker.

Evidence: the test has an earlier process send a stop, and the next one, at the same address, a start that the hub never gets. Before: "assertion failed: done (verdict workload.Verdict) != unknown: the start reached no worker".

Numbers begin at a random 64-bit value of the process, so that those of two processes do not meet. Hubs only return the number: nothing changes on the wire, and instances of the version before work with it in both roles. With numbers that do not meet, an answer cannot be one to a call of another kind or worker either.

The test of an answer from an instance that was not called used the number 1, which no call has any more; it uses the number of the call that waits, so that it is as strict as before.

--- a/internal/deployment/worker_reach.go
+++ b/internal/deployment/worker_reach.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -65,10 +66,12 @@
 	// bits of a float64.
 	directShare atomic.Uint64
 	calls       *batcher[*peerpb.WorkerCall]
-	lastID      atomic.Uint64
-	mu          sync.Mutex
-	pending     map[uint64]pendingCall
-	hubsByZone  map[string]hubList
+	// lastID is the id of the last call made by a hub. The first is random: hubs still answer the
+	// calls of a process that ran at the same address before.
+	lastID     atomic.Uint64
+	mu         sync.Mutex
+	pending    map[uint64]pendingCall
+	hubsByZone map[string]hubList
 	// failedAt is the time at which a hub last did not accept a message.
 	failedAt map[string]time.Time
 }
@@ -106,6 +109,7 @@
 		hubsByZone: make(map[string]hubList),
 		failedAt:   make(map[string]time.Time),
 	}
+	r.lastID.Store(rand.Uint64())
 	r.calls = newBatcher(callBatchLinger, maxCallsPerMessage, r.sendCalls)
 	r.setWorkerCount(0)
 	return r
--- a/internal/deployment/worker_reach_test.go
+++ b/internal/deployment/worker_reach_test.go
@@ -244,11 +244,27 @@
 		done := make(chan workload.OrderResult, 1)
 		go func() { done <- n.leader.Start(t.Context(), workload.Order{Worker: "w1", Zone: "zone"}) }()
 		synctest.Wait()
-		n.leader.receiveAnswers("elsewhere", []*peerpb.WorkerAnswer{{Id: 1, Verdict: workload.VerdictDone.String()}})
+		n.leader.receiveAnswers("elsewhere", []*peerpb.WorkerAnswer{{Id: n.leader.lastID.Load(), Verdict: workload.VerdictDone.String()}})
 		assert.Equal(t, (<-done).Verdict, workload.VerdictUnknown)
 	})
 }
 
+func TestAnAnswerToAnEarlierProcessAtTheSameAddressIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newRelayNet(&countingWorkers{}, &countingWorkers{latency: 300 * time.Millisecond}, 1, 1_000_000)
+		order := workload.Order{Worker: "w1", Zone: "zone"}
+		earlier := n.leader
+		go func() { _ = earlier.Stop(t.Context(), order) }()
+		time.Sleep(100 * time.Millisecond)
+		n.leader = newRoutedWorkers(earlier.direct, n, earlier.hubs, 1, zap.NewNop())
+		n.leader.setWorkerCount(1_000_000)
+		n.refusals["hub-1"], n.refusals["hub-2"] = api.NewError(api.KindResultUnknown, "injected"), api.NewError(api.KindResultUnknown, "injected")
+		verdict := n.leader.Start(t.Context(), order).Verdict
+		time.Sleep(time.Second)
+		assert.Equal(t, verdict, workload.VerdictUnknown, "the start reached no worker")
+	})
+}
+
 func TestAFullHubReportsCallsAsUnsent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		hubWorkers := &countingWorkers{latency: 300 * time.Millisecond}
