Take a worker for replaced only at the address that it has

Cause: the answer 421 to any call ended all runs of its worker at once. A call that is under way while the worker's entry gets another address ends at the earlier one; what answers there is another worker, and the runs at the new address were started again beside it.

Evidence: the test answers a start, a stop and a poll that were sent to the earlier address with 421.

An answer 421 from an address that the worker no longer has counts as a missed call: the worker is polled before it gets new work. A start that it answers was not carried out, as before. From the worker's address it ends the runs, as before.

--- a/internal/dispatch/leases.go
+++ b/internal/dispatch/leases.go
@@ -79,6 +79,16 @@
 	}
 }
 
+// otherIncarnationAnswered handles an answer that something else than the worker gave at an address.
+// Only at the worker's address does it mean that the worker is over.
+func (c *Core) otherIncarnationAnswered(w *worker, addr string) {
+	if addr != w.Addr {
+		w.recordMiss(c.now)
+		return
+	}
+	c.workerReplaced(w)
+}
+
 // workerReplaced handles an answer from another incarnation of the worker: this one is over.
 func (c *Core) workerReplaced(w *worker) {
 	c.recordLostUnsynced(w)
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -210,7 +210,7 @@
 		c.fenced = true
 	case workload.VerdictOtherIncarnation:
 		c.settleRejectedStart(r, "start not sent: its worker was replaced")
-		c.workerReplaced(w)
+		c.otherIncarnationAnswered(w, order.Addr)
 	case workload.VerdictNoTicket:
 		delete(r.task.step.advice.tickets, w.ID)
 		c.settleRejectedStart(r, "start rejected: "+result.Verdict.String())
@@ -265,7 +265,7 @@
 	case workload.VerdictFenced:
 		c.fenced = true
 	case workload.VerdictOtherIncarnation:
-		c.workerReplaced(w)
+		c.otherIncarnationAnswered(w, order.Addr)
 	default:
 		c.recordMiss(w)
 	}
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -222,7 +222,7 @@
 		c.fenced = true
 		return
 	case workload.VerdictOtherIncarnation:
-		c.workerReplaced(w)
+		c.otherIncarnationAnswered(w, sent.Poll.Addr)
 		return
 	default:
 		c.recordMiss(w)
--- /dev/null
+++ b/internal/dispatch/route_test.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+// sentStart lets the core start a job, and returns the start without answering it.
+func (b *bench) sentStart(job *workload.Job) Action {
+	b.add(job)
+	for range 100 {
+		b.now, b.wallMS = b.now.Add(50*time.Millisecond), b.wallMS+50
+		b.core.WorkersStored(b.core.UnstoredWorkers(len(b.workers)))
+		for _, a := range b.core.Decide(b.now, b.wallMS) {
+			if a.Kind == ActStart {
+				return a
+			}
+			b.execute(a)
+		}
+	}
+	b.t.Fatal("no start")
+	return Action{}
+}
+
+func TestRunsAreKeptWhenAnAddressThatTheirWorkerNoLongerHasAnswersForAnother(t *testing.T) {
+	for name, kind := range map[string]ActionKind{"a start": ActStart, "a stop": ActStop, "a poll": ActPoll} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 1, false)
+			b.add(gangJob("job", "batch", "other", 1, 4))
+			b.advance(time.Second)
+			w := b.core.workers["w00"]
+			sent := b.sentStart(gangJob("next", "batch", "other", 1, 4))
+			sent.Kind, sent.Poll = kind, workload.Poll{Worker: "w00", Addr: w.Addr}
+			w.Addr = "moved"
+			b.answerWith(sent, workload.VerdictOtherIncarnation)
+			b.advance(time.Second)
+			assert.Equal(t, b.runningOf("job"), 1)
+			assert.Equal(t, len(b.lostRuns), 0)
+			sent.Kind, sent.Poll.Addr = ActPoll, w.Addr
+			b.answerWith(sent, workload.VerdictOtherIncarnation)
+			assert.Equal(t, len(w.runs), 0)
+		})
+	}
+}
