Conclude nothing about unlisted runs from a full list of ends

Cause: a worker lists at most 500 ends in an answer and no longer lists a run that has ended. A run whose end is one of those left out is neither running nor ended in the report. It was taken for gone, stopped, counted as stopped, and started again, although its end, done, came with a later poll.

Evidence: the test has a worker with 5000 ends before that of the run. Before: "assertion failed: 2 (b.starts int) != 1"; now one start, no stop, and the job completes.

From an answer with as many ends as a list holds, runs that it does not list are left as they are until an answer lists fewer; each poll acknowledges the ends that are stored. Rows that cannot be read count as ends. The test workers list as many ends in one answer as real ones. Nothing changes on the wire between instances: the number of ends says it.

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -282,7 +282,11 @@
 		}
 	}
 	w.ended = kept
-	report.Ended = append(report.Ended, kept...)
+	for _, e := range kept {
+		if !report.EndsIncomplete() {
+			report.Ended = append(report.Ended, e)
+		}
+	}
 	return report
 }
 
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -273,6 +273,9 @@
 			c.observeSurvival(r)
 		}
 	}
+	if report.EndsIncomplete() {
+		return // a run that is not listed may have an end that is not listed either
+	}
 	missing := w.sortedRuns(func(r *run) bool {
 		return !listed[runKey{r.task.id(), r.attempt}] && r.settledAfter != 0 && sent >= r.settledAfter
 	})
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -46,3 +46,21 @@
 		})
 	}
 }
+
+func TestARunThatEndedBeyondTheListedEndsIsNotStartedAgain(t *testing.T) {
+	b := newBench(t, 2, false)
+	b.add(gangJob("job", "batch", "other", 1, 8))
+	b.advance(time.Second)
+	host := b.hostOf("job")
+	w := b.workers[host]
+	for range 5000 {
+		w.number++
+		end := workload.Completion{Number: w.number, Task: workload.TaskID{Job: "gone"}, Attempt: 1, Kind: workload.CompletionStopped}
+		w.ended = append(w.ended, end)
+	}
+	b.completeOn(host)
+	b.advance(3 * time.Second)
+	assert.Equal(t, b.finalState("job"), FinalCompleted)
+	assert.Equal(t, b.starts, 1)
+	assert.Equal(t, b.stops, 0)
+}
--- a/internal/workload/ports.go
+++ b/internal/workload/ports.go
@@ -246,6 +246,13 @@
 	Err      error
 }
 
+// maxListedEnds is the number of ends that a worker lists in one answer at most. It lists the others
+// once these have been acknowledged.
+const maxListedEnds = 500
+
+// EndsIncomplete reports whether the worker may have left out ends for their number.
+func (r *Report) EndsIncomplete() bool { return len(r.Ended)+r.Unparsed >= maxListedEnds }
+
 // Workers sends orders and polls to workers.
 type Workers interface {
 	Start(ctx context.Context, order Order) OrderResult
