Wait for all ends of a worker before a new leader relies on it

Cause: a worker counted as known to the new leader after its first answer. With more than 500 ends that no leader has acknowledged, such as after a time without the store, that answer leaves ends out. A task whose end, done, was left out was started again.

Evidence: in the test the end of the task comes after 5000 others. Before: "assertion failed: 1 (b.starts int) != 0"; now nothing starts and the job completes.

A worker is waited for until it has listed all its ends, but no longer than one that does not answer at all. It is polled as soon as more of its ends may be acknowledged, else as often as one whose ends wait for the store.

--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -16,8 +16,8 @@
 // worker is one incarnation of a worker, as seen by this epoch.
 type worker struct {
 	workload.Worker
-	// synced is set once the worker has answered in this epoch: it then rejects older epochs,
-	// and runs holds everything that runs on it.
+	// synced is set once the worker has answered in this epoch and has listed all its ends: it then
+	// rejects older epochs, and runs holds everything that runs on it.
 	synced bool
 	// replaced is set once another incarnation has answered.
 	replaced bool
@@ -235,7 +235,12 @@
 		w.extendLease(w.clockMS + c.bounds.MaxLease.Milliseconds())
 	}
 	c.settleSurvived(w)
-	w.misses, w.nextPollAt, w.synced = 0, time.Time{}, true
+	w.misses, w.nextPollAt = 0, time.Time{}
+	if !w.synced && report.EndsIncomplete() {
+		w.nextPollAt = now.Add(unstoredPollInterval) // or as soon as more ends may be acknowledged
+	} else {
+		w.synced = true
+	}
 	if sent.Poll.Incarnation == w.incarnation {
 		w.acknowledged = max(w.acknowledged, sent.Poll.Acknowledged)
 	}
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -47,20 +47,37 @@
 	}
 }
 
+// addEnds adds ends of a job that is not known any more.
+func (w *fakeWorker) addEnds(count int) {
+	for range count {
+		w.number++
+		w.ended = append(w.ended, workload.Completion{Number: w.number, Task: workload.TaskID{Job: "gone"}, Attempt: 1, Kind: workload.CompletionStopped})
+	}
+}
+
 func TestARunThatEndedBeyondTheListedEndsIsNotStartedAgain(t *testing.T) {
 	b := newBench(t, 2, false)
 	b.add(gangJob("job", "batch", "other", 1, 8))
 	b.advance(time.Second)
 	host := b.hostOf("job")
 	w := b.workers[host]
-	for range 5000 {
-		w.number++
-		end := workload.Completion{Number: w.number, Task: workload.TaskID{Job: "gone"}, Attempt: 1, Kind: workload.CompletionStopped}
-		w.ended = append(w.ended, end)
-	}
+	w.addEnds(5000)
 	b.completeOn(host)
 	b.advance(3 * time.Second)
 	assert.Equal(t, b.finalState("job"), FinalCompleted)
 	assert.Equal(t, b.starts, 1)
 	assert.Equal(t, b.stops, 0)
 }
+
+func TestATaskWhoseEndTheFirstReportToANewLeaderLeftOutIsNotStartedAgain(t *testing.T) {
+	b := newBench(t, 2, true)
+	w := b.workers["w00"]
+	w.addEnds(5000)
+	key := runKey{workload.TaskID{Job: "job"}, 1_000_001}
+	w.running[key] = &fakeRun{need: workload.Resources{Accelerators: 8}}
+	b.endRun(w, key.task, key.attempt, workload.CompletionDone)
+	b.add(gangJob("job", "batch", "other", 1, 8))
+	b.advance(3 * time.Second)
+	assert.Equal(t, b.finalState("job"), FinalCompleted)
+	assert.Equal(t, b.starts, 0)
+}
