Wait for the end of runs whose rows cannot be read

Cause: a row of a report that cannot be read is a run that cannot be named. The run was taken for gone: it was told to stop, and counted as stopped as soon as a later poll did not name it, while it was still stopping. A new leader took a report with such rows for all that runs on the worker.

Evidence: in the first test a stop takes 900 ms. Before: "{job 0 0 0} is started while attempt 2000001 runs on w00". In the second, a new leader cannot read the row of a run of the one before: "... while attempt 1000001 runs on w00". Both hold now.

While a worker lists rows that cannot be read, a stopped run counts as over once the longest time of a stop has passed since it, and a new leader waits for the worker as for one that does not answer. The run is still told to stop, so that its job does not stand for ever. Where every row can be read nothing changes.

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -46,6 +46,8 @@
 	reasons []string
 	// percentOf, if set, returns the reported progress of a run.
 	percentOf func(id string, key runKey, r *fakeRun) int
+	// unreadable, if set, reports whether the rows of a job cannot be read.
+	unreadable func(job string) bool
 	// lostRuns are the actions for lost runs.
 	lostRuns []Action
 }
@@ -269,6 +271,10 @@
 	report := workload.Report{ClockMS: b.clockOf(w), Incarnation: w.incarnation}
 	for _, key := range w.sortedRuns() {
 		r := w.running[key]
+		if b.unreadable != nil && b.unreadable(key.task.Job) {
+			report.Unparsed++
+			continue
+		}
 		running := workload.Running{Task: key.task, Attempt: key.attempt}
 		if b.percentOf != nil {
 			running.Percent = b.percentOf(poll.Worker, key, r)
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -226,17 +226,17 @@
 	}
 }
 
-// startAnswerTimeout is the time within which a start is answered or its call has timed out.
-const startAnswerTimeout = time.Second
+// orderAnswerTimeout is the time within which an order is answered or its call has timed out.
+const orderAnswerTimeout = time.Second
 
 // settleReplaced settles the lost attempts of a worker that another incarnation has replaced. An
-// unconfirmed attempt that was lost less than startAnswerTimeout ago is kept, because the answer
+// unconfirmed attempt that was lost less than orderAnswerTimeout ago is kept, because the answer
 // to its start can still settle it.
 func (c *Core) settleReplaced(w *worker) {
 	list := w.lostAttempts
 	w.lostAttempts = nil
 	for _, lost := range list {
-		if !lost.confirmed && c.now.Sub(lost.lostAt) < startAnswerTimeout {
+		if !lost.confirmed && c.now.Sub(lost.lostAt) < orderAnswerTimeout {
 			w.lostAttempts = append(w.lostAttempts, lost)
 			continue
 		}
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -16,7 +16,7 @@
 // worker is one incarnation of a worker, as seen by this epoch.
 type worker struct {
 	workload.Worker
-	// synced is set once the worker has answered in this epoch and has listed all its ends: it then
+	// synced is set once the worker has answered in this epoch and has listed everything: it then
 	// rejects older epochs, and runs holds everything that runs on it.
 	synced bool
 	// replaced is set once another incarnation has answered.
@@ -236,7 +236,7 @@
 	}
 	c.settleSurvived(w)
 	w.misses, w.nextPollAt = 0, time.Time{}
-	if !w.synced && report.EndsIncomplete() {
+	if !w.synced && (report.EndsIncomplete() || report.Unparsed > 0) {
 		w.nextPollAt = now.Add(unstoredPollInterval) // or as soon as more ends may be acknowledged
 	} else {
 		w.synced = true
@@ -288,12 +288,18 @@
 		switch {
 		case !r.stopping():
 			c.markUnclear(r, "the worker no longer lists it")
-		case r.state == stRunStopped:
+		case r.state == stRunStopped && (report.Unparsed == 0 || c.stopTimeOver(r)):
 			c.runEnded(r, workload.CompletionStopped)
 		}
 	}
 }
 
+// stopTimeOver reports whether a run whose stop was answered is over, whatever its worker lists: one
+// of the rows that cannot be read may be its own.
+func (c *Core) stopTimeOver(r *run) bool {
+	return c.now.Sub(r.stopSentAt) > orderAnswerTimeout+maxElapsed(c.bounds.MaxStopTime)
+}
+
 // stopUnknownRun stops a run of a finished or unknown job. Its capacity stays in use until the
 // worker no longer lists it; if the job's row is gone, the capacity is unknown and the worker
 // gets no new work meanwhile.
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -81,3 +81,22 @@
 	assert.Equal(t, b.finalState("job"), FinalCompleted)
 	assert.Equal(t, b.starts, 0)
 }
+
+func TestARunWhoseRowCannotBeReadIsNotStartedAgainWhileItStops(t *testing.T) {
+	b := newBench(t, 2, false)
+	b.core.bounds.MaxStopTime, b.stopTakes = 900*time.Millisecond, 900*time.Millisecond
+	b.add(gangJob("job", "batch", "other", 1, 8))
+	b.advance(time.Second)
+	b.unreadable = func(string) bool { return true }
+	b.advance(5 * time.Second)
+	assert.Assert(t, b.starts > 1)
+}
+
+func TestATaskWhoseRowANewLeaderCannotReadIsNotStartedAgainBeforeItsLeaseIsOver(t *testing.T) {
+	b := newBench(t, 2, true)
+	b.unreadable = func(string) bool { return true }
+	b.workers["w00"].running[runKey{workload.TaskID{Job: "job"}, 1_000_001}] = &fakeRun{need: workload.Resources{Accelerators: 8}}
+	b.add(gangJob("job", "batch", "other", 1, 8))
+	b.advance(testBounds.MaxLease)
+	assert.Equal(t, b.starts, 0)
+}
