Count the longest lease from a new incarnation's answer to an order

Cause: an answer to an order that named a new incarnation reset what was known of the worker, its lease included. A run that this answer showed there had no lease until the first poll was answered. When that poll was missed, the run was taken for expired and started again at once, while its worker, cut off, ran it on.

Evidence: a start reaches a new incarnation, is answered, and the worker falls silent. Before: "assertion failed: 2 (b.starts int) != 1 (int)" within five seconds of a lease of six; now one start.

As after the first poll, the longest lease counts from the answer, and also where it names no time.

--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -113,7 +113,7 @@
 	*w = worker{
 		Worker: w.Worker, stored: w.stored, storedLeaving: w.storedLeaving, storedIncarnation: w.storedIncarnation,
 		unlistedSince: w.unlistedSince, runs: w.runs, used: w.used, lostAttempts: w.lostAttempts, lateStarts: w.lateStarts,
-		wantPoll: true, speed: w.speed.afterRestart(&c.speeds.speedPrior),
+		clockAt: c.now, wantPoll: true, speed: w.speed.afterRestart(&c.speeds.speedPrior),
 	}
 }
 
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -171,11 +171,15 @@
 	if w == nil {
 		return nil, nil, false
 	}
+	known := w.incarnation
 	if current = c.admitResult(w, order, result); current {
 		if result.Incarnation == 0 && w.clockRestarted(result.ClockMS, now) {
 			w.distrustAcknowledgments()
 		}
 		w.sampleClock(result.ClockMS, now)
+		if w.incarnation != known {
+			w.extendLease(w.clockMS + c.bounds.MaxLease.Milliseconds()) // by calls meant for the earlier one
+		}
 	}
 	return w, w.runs[runKey{order.Task, order.Attempt}], current
 }
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -100,3 +100,15 @@
 	b.advance(testBounds.MaxLease)
 	assert.Equal(t, b.starts, 0)
 }
+
+func TestARunOnANewIncarnationIsKeptForTheLongestLeaseWhenItFallsSilentBeforeItsFirstPoll(t *testing.T) {
+	b := newIncarnationBench(t, 2)
+	b.advance(time.Second)
+	sent := b.sentStart(gangJob("job", "batch", "other", 1, 8))
+	b.restart(sent.Order.Worker)
+	b.listWorkers()
+	b.execute(sent)
+	b.unresponsive[sent.Order.Worker] = true
+	b.advance(testBounds.MaxLease - time.Second)
+	assert.Equal(t, b.starts, 1)
+}
