Stop late starts until the new incarnation has answered

It concerns platforms on which a worker restarts under its id.

Cause: a start without an answer may reach the next incarnation of its worker, which has seen no stop of the attempt. The stop that closes it there was sent once and its answer not looked at; the next poll ended the wait for it. When that stop was lost, the task started again, and the late start ran beside it. Before the first poll of the new incarnation nothing waited at all.

Evidence: the first test loses the stop and carries the start out late. Before: "assertion failed: done ... != old". In the second the new incarnation answers an order, then falls silent for a second. Before: "assertion failed: 1 (b.starts int) != 0 (int)". Both hold now.

The job waits from the first answer of the new incarnation until a poll that was sent after the answer to the stop, and the stop is repeated with each poll until then. A further incarnation has to answer it again. If the worker falls silent, the wait ends with its longest lease, as for runs. The stops name the incarnation, so that an answer without one counts.

--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -94,11 +94,14 @@
 	}
 	c.settleReplaced(w)
 	w.markReplaced()
+	for i := range w.lateStarts {
+		w.lateStarts[i].closedAt = 0 // this incarnation has not seen the stop
+	}
 	lost := w.sortedRuns(func(r *run) bool { return !present[runKey{r.task.id(), r.attempt}] })
 	isolated := w.runsOneJob()
 	for _, r := range lost {
 		if r.mayStartLate() {
-			w.lateStarts = append(w.lateStarts, runKey{r.task.id(), r.attempt})
+			w.lateStarts = append(w.lateStarts, lateStart{key: runKey{r.task.id(), r.attempt}})
 		}
 		c.reportLostRun(r, LossReplaced, len(lost)-1)
 		c.recordLostAttempt(r, LossReplaced, isolated)
@@ -123,16 +126,36 @@
 	return r.state == stRunOrdered || r.state == stRunUnclear && r.settledAfter == 0 || r.startsSent > 1
 }
 
+// lateStart is an attempt ordered from an earlier incarnation whose start may still reach this one.
+type lateStart struct {
+	key runKey
+	// closedAt is the sequence from which a poll reflects its stop, or zero until a stop is answered.
+	closedAt uint64
+}
+
 // closeLateStarts stops, on the new incarnation, the attempts whose start may still reach it. A
-// worker rejects the start of an attempt that was stopped before. Their jobs wait until the next
-// poll.
-func (c *Core) closeLateStarts(w *worker) {
-	for _, key := range w.lateStarts {
-		if w.runs[key] == nil {
-			c.stopUnknownRun(w, workload.Running{Task: key.task, Attempt: key.attempt})
+// worker rejects the start of an attempt that was stopped before. Their jobs wait until a poll that
+// was sent after the answer to the stop.
+func (c *Core) closeLateStarts(w *worker, sent uint64) {
+	list := w.lateStarts
+	w.lateStarts = nil
+	for _, late := range list {
+		if w.runs[late.key] != nil || late.closedAt != 0 && sent >= late.closedAt {
+			continue
+		}
+		w.lateStarts = append(w.lateStarts, late)
+		c.stopUnknownRun(w, workload.Running{Task: late.key.task, Attempt: late.key.attempt})
+	}
+}
+
+// lateStartClosed records the answer to the stop of a late start.
+func (c *Core) lateStartClosed(w *worker, key runKey) {
+	for i := range w.lateStarts {
+		if late := &w.lateStarts[i]; late.key == key && late.closedAt == 0 {
+			late.closedAt = c.sequence
+			w.wantPoll = true
 		}
 	}
-	w.lateStarts = nil
 }
 
 // maxClockLag bounds the age of an answer: the clock in it may be that much behind.
--- a/internal/dispatch/leases.go
+++ b/internal/dispatch/leases.go
@@ -48,14 +48,14 @@
 	c.settleCrashes()
 	c.endUnsyncedWait()
 	for _, w := range slices.Clone(c.fleet) {
-		if w.misses > 0 && len(w.runs)+len(w.unknownRuns) > 0 && w.definitelyExpired(c.now, c.bounds.MaxStopTime) {
+		if w.misses > 0 && w.mayRun() && w.definitelyExpired(c.now, c.bounds.MaxStopTime) {
 			c.endLostRuns(w, LossUnresponsive)
 		}
 		c.settleUnresponsive(w)
-		if w.synced && !w.unlistedSince.IsZero() && len(w.runs)+len(w.unknownRuns) == 0 {
+		if w.synced && !w.unlistedSince.IsZero() && !w.mayRun() {
 			c.unstore(w)
 		}
-		if !w.unlistedSince.IsZero() && len(w.runs)+len(w.unknownRuns) == 0 && c.now.Sub(w.unlistedSince) > maxElapsed(c.bounds.MaxLease) &&
+		if !w.unlistedSince.IsZero() && !w.mayRun() && c.now.Sub(w.unlistedSince) > maxElapsed(c.bounds.MaxLease) &&
 			(w.synced || !c.now.Before(c.definitelyStoppedAt)) {
 			c.recordLostUnsynced(w)
 			c.unstore(w)
@@ -67,10 +67,13 @@
 	}
 }
 
+// mayRun reports whether anything may run on the worker, or may start on it yet.
+func (w *worker) mayRun() bool { return len(w.runs)+len(w.unknownRuns)+len(w.lateStarts) > 0 }
+
 // endLostRuns ends all runs of a lost worker.
 func (c *Core) endLostRuns(w *worker, cause LossCause) {
 	isolated := w.runsOneJob()
-	w.unknownRuns = nil
+	w.unknownRuns, w.lateStarts = nil, nil
 	lost := w.sortedRuns(anyRun)
 	for _, r := range lost {
 		c.reportLostRun(r, cause, len(lost)-1)
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -266,6 +266,7 @@
 			r.settledAfter = c.sequence
 			w.wantPoll = true
 		}
+		c.lateStartClosed(w, runKey{order.Task, order.Attempt})
 	case workload.VerdictFenced:
 		c.fenced = true
 	case workload.VerdictOtherIncarnation:
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -53,7 +53,7 @@
 	// lostAttempts are runs that were lost with the worker and whose outcome is not known yet.
 	lostAttempts []lostAttempt
 	// lateStarts are attempts ordered from an earlier incarnation that this one may still start.
-	lateStarts []runKey
+	lateStarts []lateStart
 	// lastContact is the time of the last answer.
 	lastContact time.Time
 	// polling is set while a poll is in flight, quickPolling while an additional quick poll is.
@@ -254,7 +254,7 @@
 	}
 	w.lastPollSequence = sent.Sequence
 	c.reconcileRuns(w, report, sent.Sequence)
-	c.closeLateStarts(w)
+	c.closeLateStarts(w, sent.Sequence)
 }
 
 // reconcileRuns updates the runs of a worker to match the runs that it lists.
@@ -306,7 +306,7 @@
 func (c *Core) stopUnknownRun(w *worker, running workload.Running) {
 	c.pollSoon(w)
 	c.actions = append(c.actions, Action{Kind: ActStop, Reason: "its job is finished or unknown", Order: workload.Order{
-		Worker: w.ID, Addr: w.Addr, Zone: w.Zone, Task: running.Task, Attempt: running.Attempt, Epoch: c.epoch,
+		Worker: w.ID, Addr: w.Addr, Zone: w.Zone, Incarnation: w.incarnation, Task: running.Task, Attempt: running.Attempt, Epoch: c.epoch,
 	}})
 	var need workload.Resources
 	j := c.jobs[running.Task.Job]
@@ -343,7 +343,7 @@
 	return sum
 }
 
-// jobsWithUnknownRuns returns the jobs with an unknown run that may not have ended. A job can
+// jobsWithUnknownRuns returns the jobs with an unknown run that may not have ended or begun. A job can
 // become known after one of its runs was seen, if another epoch started it at the moment of its
 // acceptance: none of its tasks start until that run is gone.
 func (c *Core) jobsWithUnknownRuns() map[string]bool {
@@ -352,6 +352,9 @@
 		for key := range w.unknownRuns {
 			jobs[key.task.Job] = true
 		}
+		for _, late := range w.lateStarts {
+			jobs[late.key.task.Job] = true
+		}
 	}
 	return jobs
 }
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -101,6 +101,40 @@
 	assert.Equal(t, b.starts, 0)
 }
 
+func TestALateStartDoesNotRunBesideTheNextOneWhenItsFirstStopIsLost(t *testing.T) {
+	b := newIncarnationBench(t, 2)
+	late := b.sentStart(gangJob("late", "batch", "other", 1, 4)).Order
+	b.answerWith(Action{Kind: ActStart, Order: late}, workload.VerdictUnknown)
+	b.restart(late.Worker)
+	b.listWorkers()
+	lost := 0
+	b.dropStops = func() bool { lost++; return lost <= 2 }
+	for b.starts == 0 && b.now.Sub(testStart) < 10*time.Second {
+		b.advance(50 * time.Millisecond)
+	}
+	assert.Equal(t, b.runningOf("late"), 1)
+	late.UntilMS = b.clockOf(b.workers[late.Worker])
+	assert.Equal(t, b.startRun(b.workers[late.Worker], late).Verdict, workload.VerdictOld)
+}
+
+func TestNothingOfALateStartsJobStartsBeforeTheNextIncarnationHasClosedIt(t *testing.T) {
+	b := newIncarnationBench(t, 2)
+	sent := b.sentStart(gangJob("late", "batch", "other", 1, 4))
+	b.answerWith(sent, workload.VerdictUnknown)
+	b.restart(sent.Order.Worker)
+	b.listWorkers()
+	other := sent.Order
+	other.Task.Job = "other"
+	b.core.StopAnswered(other, workload.OrderResult{Incarnation: 2, ClockMS: 1}, b.now, b.wallMS)
+	b.unresponsive[sent.Order.Worker] = true
+	b.advance(time.Second)
+	assert.Equal(t, b.starts, 0)
+	b.unresponsive[sent.Order.Worker] = false
+	b.advance(2 * time.Second)
+	assert.Equal(t, b.runningOf("late"), 1)
+	assert.Equal(t, b.workers[sent.Order.Worker].closed[sent.Order.Task], sent.Order.Attempt)
+}
+
 func TestARunOnANewIncarnationIsKeptForTheLongestLeaseWhenItFallsSilentBeforeItsFirstPoll(t *testing.T) {
 	b := newIncarnationBench(t, 2)
 	b.advance(time.Second)
