Send no second copy of calls that a failed handler may have taken

Cause: every error of a message to a hub but a lost response counted as "the hub took none of the calls", and the leader made them itself. An internal error says that the handler failed, after it may have passed calls on. Two copies of a start could reach a worker, and a refusal of one was taken for the outcome of both: the run was forgotten.

After an internal error the outcome of the calls is unknown, and a stop closes the attempts. No handler is known to fail in this way, and errors of a kind that an instance does not know count as internal ones.

--- a/internal/deployment/worker_reach.go
+++ b/internal/deployment/worker_reach.go
@@ -254,7 +254,7 @@
 	r.mu.Lock()
 	r.failedAt[hub] = bootTime()
 	r.mu.Unlock()
-	if api.IsKind(err, api.KindResultUnknown) {
+	if !notAccepted(err) {
 		return
 	}
 	for _, call := range batch {
@@ -264,6 +264,12 @@
 	}
 }
 
+// notAccepted reports whether an error of a message to a hub means that the hub makes none of its
+// calls. A handler that failed may have begun to.
+func notAccepted(err error) bool {
+	return !api.IsKind(err, api.KindResultUnknown) && !api.IsKind(err, api.KindInternal)
+}
+
 // receiveAnswers delivers a hub's answers to the calls that wait for them. Answers from
 // an instance that was not asked are ignored.
 func (r *routedWorkers) receiveAnswers(from string, answers []*peerpb.WorkerAnswer) {
