Tests: which copies of a call can reach a worker

A start that was sent once and answered `old`, refused or "not sent" is taken for never carried out; that holds if there is one copy of the call and the answer is its own.

- The core: a start that was sent twice stays in use after each refusal of a copy; the test now has all eight refusals.

--- a/internal/dispatch/repeat_test.go
+++ b/internal/dispatch/repeat_test.go
@@ -55,7 +55,10 @@
 }
 
 func TestARefusedCopyDoesNotSayThatTheOtherWasNotCarriedOut(t *testing.T) {
-	for _, verdict := range []workload.Verdict{workload.VerdictOld, workload.VerdictNoCapacity, workload.VerdictLate, workload.VerdictConnectionRefused} {
+	for _, verdict := range []workload.Verdict{
+		workload.VerdictOld, workload.VerdictNoCapacity, workload.VerdictLate, workload.VerdictConnectionRefused,
+		workload.VerdictUnsent, workload.VerdictUnavailable, workload.VerdictRejected, workload.VerdictNoTicket,
+	} {
 		t.Run(verdict.String(), func(t *testing.T) {
 			l := &dropFirst{bench: newBench(t, 1, false), kind: ActStart, worker: "w00"}
 			l.advance(50 * time.Millisecond)
