Close an unanswered start on each incarnation that follows

It concerns platforms on which a worker restarts under its id.

Cause: a start without an answer that a stop had closed counted as settled. The close lasts for the incarnation that answered the stop. When the worker restarted before the start arrived, the next incarnation carried it out, beside the run that had been started in its place, or after that one had ended done.

Evidence: the start is closed on the first incarnation, the second one gets it. Before, both with and without a poll between: "assertion failed: done ... != old (workload.VerdictOld ...)"; now it is refused.

A run whose start has not been confirmed, or was sent twice, is closed on the next incarnation in whatever state it is, and an attempt that was closed is remembered for 15 s for further ones. The time is a choice: a call may be carried out seconds after it was sent, and no longest time is promised. Where workers have no incarnations nothing changes.

--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/corianderbank/corianderbank/internal/workload"
@@ -97,6 +98,11 @@
 	for i := range w.lateStarts {
 		w.lateStarts[i].closedAt = 0 // this incarnation has not seen the stop
 	}
+	for _, closed := range w.closedStarts {
+		if !c.isForgotten(closed) && !present[closed.key] {
+			w.lateStarts = append(w.lateStarts, lateStart{key: closed.key})
+		}
+	}
 	lost := w.sortedRuns(func(r *run) bool { return !present[runKey{r.task.id(), r.attempt}] })
 	isolated := w.runsOneJob()
 	for _, r := range lost {
@@ -122,10 +128,29 @@
 
 // mayStartLate reports whether a call with the run's start may still be carried out, by whichever
 // incarnation receives it.
-func (r *run) mayStartLate() bool {
-	return r.state == stRunOrdered || r.state == stRunUnclear && r.settledAfter == 0 || r.startsSent > 1
+func (r *run) mayStartLate() bool { return !r.confirmed || r.startsSent > 1 }
+
+// lateStartRetention is the time for which an attempt that is closed on one incarnation is closed on
+// the next ones as well.
+const lateStartRetention = 15 * time.Second
+
+// closedStart is an attempt that is closed on this incarnation, and whose start may reach a later one.
+type closedStart struct {
+	key runKey
+	at  time.Time
 }
 
+// rememberClosedStart keeps an attempt for the next incarnation, on platforms that have them.
+func (c *Core) rememberClosedStart(w *worker, key runKey) {
+	if w.incarnation == 0 {
+		return
+	}
+	w.closedStarts = slices.DeleteFunc(w.closedStarts, c.isForgotten)
+	w.closedStarts = append(w.closedStarts, closedStart{key, c.now})
+}
+
+func (c *Core) isForgotten(closed closedStart) bool { return c.now.Sub(closed.at) > lateStartRetention }
+
 // lateStart is an attempt ordered from an earlier incarnation whose start may still reach this one.
 type lateStart struct {
 	key runKey
@@ -140,7 +165,11 @@
 	list := w.lateStarts
 	w.lateStarts = nil
 	for _, late := range list {
-		if w.runs[late.key] != nil || late.closedAt != 0 && sent >= late.closedAt {
+		if w.runs[late.key] != nil {
+			continue
+		}
+		if late.closedAt != 0 && sent >= late.closedAt {
+			c.rememberClosedStart(w, late.key)
 			continue
 		}
 		w.lateStarts = append(w.lateStarts, late)
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -120,6 +120,9 @@
 	if r.worker.runs[key] != r {
 		return
 	}
+	if r.startsSent > 1 || r.state == stRunStopped && !r.confirmed {
+		c.rememberClosedStart(r.worker, key)
+	}
 	r.transition(runGone)
 	c.endObservation(r)
 	if r.attemptRecorded {
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -54,6 +54,8 @@
 	lostAttempts []lostAttempt
 	// lateStarts are attempts ordered from an earlier incarnation that this one may still start.
 	lateStarts []lateStart
+	// closedStarts are attempts that are closed on this incarnation, for those that follow.
+	closedStarts []closedStart
 	// lastContact is the time of the last answer.
 	lastContact time.Time
 	// polling is set while a poll is in flight, quickPolling while an additional quick poll is.
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -146,3 +146,27 @@
 	b.advance(testBounds.MaxLease - time.Second)
 	assert.Equal(t, b.starts, 1)
 }
+
+func TestALateStartThatTheEarlierIncarnationClosedIsClosedOnTheNextOne(t *testing.T) {
+	for name, seen := range map[string]bool{"before a poll showed it": false, "after a poll showed it": true} {
+		t.Run(name, func(t *testing.T) {
+			b := newIncarnationBench(t, 2)
+			sent := b.sentStart(gangJob("late", "batch", "other", 1, 4))
+			b.answerWith(sent, workload.VerdictUnknown)
+			for _, a := range b.core.Decide(b.now, b.wallMS) {
+				if a.Kind == ActStop {
+					b.execute(a)
+				}
+			}
+			assert.Equal(t, b.stops, 1)
+			if seen {
+				b.advance(time.Second)
+			}
+			b.restart(sent.Order.Worker)
+			b.listWorkers()
+			b.advance(2 * time.Second)
+			sent.Order.UntilMS = b.clockOf(b.workers[sent.Order.Worker])
+			assert.Equal(t, b.startRun(b.workers[sent.Order.Worker], sent.Order).Verdict, workload.VerdictOld)
+		})
+	}
+}
