Tests: reports that overtake each other, and polls sent before a stop's answer

A report that a later one overtook adopts and ends no run, and the end that the later one listed stays. A poll that was sent before the answer to a stop does not end the run that the stop is for, whose start is carried out in between.

--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -170,3 +170,42 @@
 		})
 	}
 }
+
+func TestAReportThatALaterOneOvertookChangesNoRuns(t *testing.T) {
+	b := newBench(t, 2, false)
+	b.add(gangJob("job", "batch", "other", 1, 8))
+	b.advance(time.Second)
+	host := b.hostOf("job")
+	poll := func(sequence uint64) Action {
+		return Action{Kind: ActPoll, Poll: workload.Poll{Worker: host}, Sequence: sequence}
+	}
+	sequence := b.core.sequence
+	running := b.report(b.workers[host], workload.Poll{})
+	b.completeOn(host)
+	ended := b.report(b.workers[host], workload.Poll{})
+	b.core.PollAnswered(poll(sequence+1), ended, b.now, b.wallMS)
+	b.core.PollAnswered(poll(sequence), running, b.now, b.wallMS)
+	assert.Equal(t, len(b.core.workers[host].runs), 0)
+	b.advance(time.Second)
+	assert.Equal(t, b.finalState("job"), FinalCompleted)
+	assert.Equal(t, b.starts, 1)
+}
+
+func TestAPollThatWasSentBeforeTheAnswerToAStopDoesNotEndTheRun(t *testing.T) {
+	b := newBench(t, 2, false)
+	sent := b.sentStart(gangJob("job", "batch", "other", 1, 8))
+	host := sent.Order.Worker
+	before := Action{Kind: ActPoll, Poll: workload.Poll{Worker: host}, Sequence: b.core.sequence}
+	empty := b.report(b.workers[host], workload.Poll{})
+	b.answerWith(sent, workload.VerdictUnknown)
+	b.startRun(b.workers[host], sent.Order)
+	b.stopTakes = time.Hour
+	for _, a := range b.core.Decide(b.now, b.wallMS) {
+		if a.Kind == ActStop {
+			b.execute(a)
+		}
+	}
+	assert.Equal(t, b.stops, 1)
+	b.core.PollAnswered(before, empty, b.now, b.wallMS)
+	assert.Equal(t, len(b.core.workers[host].runs), 1)
+}
