--- a/internal/deployment/worker_reach.go
+++ b/internal/deployment/worker_reach.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -65,10 +66,12 @@
 	// bits of a float64.
 	directShare atomic.Uint64
 	calls       *batcher[*peerpb.WorkerCall]
-	lastID      atomic.Uint64
-	mu          sync.Mutex
-	pending     map[uint64]pendingCall
-	hubsByZone  map[string]hubList
+	// lastID is the id of the last call made by a hub. The first is random: hubs still answer the
+	// calls of a process that ran at the same address before.
+	lastID     atomic.Uint64
+	mu         sync.Mutex
+	pending    map[uint64]pendingCall
+	hubsByZone map[string]hubList
 	// failedAt is the time at which a hub last did not accept a message.
 	failedAt map[string]time.Time
 }
@@ -106,6 +109,7 @@
 		hubsByZone: make(map[string]hubList),
 		failedAt:   make(map[string]time.Time),
 	}
+	r.lastID.Store(rand.Uint64())
 	r.calls = newBatcher(callBatchLinger, maxCallsPerMessage, r.sendCalls)
 	r.setWorkerCount(0)
 	return r
@@ -181,9 +185,11 @@
 	case errors.Is(err, errNotRelayed):
 		return direct(ctx, o)
 	case err != nil:
-		return workload.OrderResult{Verdict: workload.VerdictUnknown, Err: err}
+		return workload.OrderResult{Verdict: workload.VerdictUnknown, Hub: hub, Err: err}
 	}
-	return orderResultFromProto(answer)
+	result := orderResultFromProto(answer)
+	result.Hub = hub
+	return result
 }
 
 // Poll implements workload.Workers.
@@ -248,7 +254,7 @@
 	r.mu.Lock()
 	r.failedAt[hub] = bootTime()
 	r.mu.Unlock()
-	if api.IsKind(err, api.KindResultUnknown) {
+	if !notAccepted(err) {
 		return
 	}
 	for _, call := range batch {
@@ -258,6 +264,12 @@
 	}
 }
 
+// notAccepted reports whether an error of a message to a hub means that the hub makes none of its
+// calls. A handler that failed may have begun to.
+func notAccepted(err error) bool {
+	return !api.IsKind(err, api.KindResultUnknown) && !api.IsKind(err, api.KindInternal)
+}
+
 // receiveAnswers delivers a hub's answers to the calls that wait for them. Answers from
 // an instance that was not asked are ignored.
 func (r *routedWorkers) receiveAnswers(from string, answers []*peerpb.WorkerAnswer) {
--- a/internal/dispatch/incarnation.go
+++ b/internal/dispatch/incarnation.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/corianderbank/corianderbank/internal/workload"
@@ -94,11 +95,19 @@
 	}
 	c.settleReplaced(w)
 	w.markReplaced()
+	for i := range w.lateStarts {
+		w.lateStarts[i].closedAt = 0 // this incarnation has not seen the stop
+	}
+	for _, closed := range w.closedStarts {
+		if !c.isForgotten(closed) && !present[closed.key] {
+			w.lateStarts = append(w.lateStarts, lateStart{key: closed.key})
+		}
+	}
 	lost := w.sortedRuns(func(r *run) bool { return !present[runKey{r.task.id(), r.attempt}] })
 	isolated := w.runsOneJob()
 	for _, r := range lost {
 		if r.mayStartLate() {
-			w.lateStarts = append(w.lateStarts, runKey{r.task.id(), r.attempt})
+			w.lateStarts = append(w.lateStarts, lateStart{key: runKey{r.task.id(), r.attempt}})
 		}
 		c.reportLostRun(r, LossReplaced, len(lost)-1)
 		c.recordLostAttempt(r, LossReplaced, isolated)
@@ -113,26 +122,69 @@
 	*w = worker{
 		Worker: w.Worker, stored: w.stored, storedLeaving: w.storedLeaving, storedIncarnation: w.storedIncarnation,
 		unlistedSince: w.unlistedSince, runs: w.runs, used: w.used, lostAttempts: w.lostAttempts, lateStarts: w.lateStarts,
-		wantPoll: true, speed: w.speed.afterRestart(&c.speeds.speedPrior),
+		clockAt: c.now, wantPoll: true, speed: w.speed.afterRestart(&c.speeds.speedPrior),
 	}
 }
 
 // mayStartLate reports whether a call with the run's start may still be carried out, by whichever
 // incarnation receives it.
-func (r *run) mayStartLate() bool {
-	return r.state == stRunOrdered || r.state == stRunUnclear && r.settledAfter == 0 || r.startsSent > 1
+func (r *run) mayStartLate() bool { return !r.confirmed || r.startsSent > 1 }
+
+// lateStartRetention is the time for which an attempt that is closed on one incarnation is closed on
+// the next ones as well.
+const lateStartRetention = 15 * time.Second
+
+// closedStart is an attempt that is closed on this incarnation, and whose start may reach a later one.
+type closedStart struct {
+	key runKey
+	at  time.Time
+}
+
+// rememberClosedStart keeps an attempt for the next incarnation, on platforms that have them.
+func (c *Core) rememberClosedStart(w *worker, key runKey) {
+	if w.incarnation == 0 {
+		return
+	}
+	w.closedStarts = slices.DeleteFunc(w.closedStarts, c.isForgotten)
+	w.closedStarts = append(w.closedStarts, closedStart{key, c.now})
+}
+
+func (c *Core) isForgotten(closed closedStart) bool { return c.now.Sub(closed.at) > lateStartRetention }
+
+// lateStart is an attempt ordered from an earlier incarnation whose start may still reach this one.
+type lateStart struct {
+	key runKey
+	// closedAt is the sequence from which a poll reflects its stop, or zero until a stop is answered.
+	closedAt uint64
 }
 
 // closeLateStarts stops, on the new incarnation, the attempts whose start may still reach it. A
-// worker rejects the start of an attempt that was stopped before. Their jobs wait until the next
-// poll.
-func (c *Core) closeLateStarts(w *worker) {
-	for _, key := range w.lateStarts {
-		if w.runs[key] == nil {
-			c.stopUnknownRun(w, workload.Running{Task: key.task, Attempt: key.attempt})
+// worker rejects the start of an attempt that was stopped before. Their jobs wait until a poll that
+// was sent after the answer to the stop.
+func (c *Core) closeLateStarts(w *worker, sent uint64) {
+	list := w.lateStarts
+	w.lateStarts = nil
+	for _, late := range list {
+		if w.runs[late.key] != nil {
+			continue
+		}
+		if late.closedAt != 0 && sent >= late.closedAt {
+			c.rememberClosedStart(w, late.key)
+			continue
+		}
+		w.lateStarts = append(w.lateStarts, late)
+		c.stopUnknownRun(w, workload.Running{Task: late.key.task, Attempt: late.key.attempt})
+	}
+}
+
+// lateStartClosed records the answer to the stop of a late start.
+func (c *Core) lateStartClosed(w *worker, key runKey) {
+	for i := range w.lateStarts {
+		if late := &w.lateStarts[i]; late.key == key && late.closedAt == 0 {
+			late.closedAt = c.sequence
+			w.wantPoll = true
 		}
 	}
-	w.lateStarts = nil
 }
 
 // maxClockLag bounds the age of an answer: the clock in it may be that much behind.
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -120,6 +120,9 @@
 	if r.worker.runs[key] != r {
 		return
 	}
+	if r.startsSent > 1 || r.state == stRunStopped && !r.confirmed {
+		c.rememberClosedStart(r.worker, key)
+	}
 	r.transition(runGone)
 	c.endObservation(r)
 	if r.attemptRecorded {
@@ -171,11 +174,15 @@
 	if w == nil {
 		return nil, nil, false
 	}
+	known := w.incarnation
 	if current = c.admitResult(w, order, result); current {
 		if result.Incarnation == 0 && w.clockRestarted(result.ClockMS, now) {
 			w.distrustAcknowledgments()
 		}
 		w.sampleClock(result.ClockMS, now)
+		if w.incarnation != known {
+			w.extendLease(w.clockMS + c.bounds.MaxLease.Milliseconds()) // by calls meant for the earlier one
+		}
 	}
 	return w, w.runs[runKey{order.Task, order.Attempt}], current
 }
@@ -210,7 +217,7 @@
 		c.fenced = true
 	case workload.VerdictOtherIncarnation:
 		c.settleRejectedStart(r, "start not sent: its worker was replaced")
-		c.workerReplaced(w)
+		c.otherIncarnationAnswered(w, order.Addr)
 	case workload.VerdictNoTicket:
 		delete(r.task.step.advice.tickets, w.ID)
 		c.settleRejectedStart(r, "start rejected: "+result.Verdict.String())
@@ -262,10 +269,11 @@
 			r.settledAfter = c.sequence
 			w.wantPoll = true
 		}
+		c.lateStartClosed(w, runKey{order.Task, order.Attempt})
 	case workload.VerdictFenced:
 		c.fenced = true
 	case workload.VerdictOtherIncarnation:
-		c.workerReplaced(w)
+		c.otherIncarnationAnswered(w, order.Addr)
 	default:
 		c.recordMiss(w)
 	}
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -16,8 +16,8 @@
 // worker is one incarnation of a worker, as seen by this epoch.
 type worker struct {
 	workload.Worker
-	// synced is set once the worker has answered in this epoch: it then rejects older epochs,
-	// and runs holds everything that runs on it.
+	// synced is set once the worker has answered in this epoch and has listed everything: it then
+	// rejects older epochs, and runs holds everything that runs on it.
 	synced bool
 	// replaced is set once another incarnation has answered.
 	replaced bool
@@ -53,7 +53,9 @@
 	// lostAttempts are runs that were lost with the worker and whose outcome is not known yet.
 	lostAttempts []lostAttempt
 	// lateStarts are attempts ordered from an earlier incarnation that this one may still start.
-	lateStarts []runKey
+	lateStarts []lateStart
+	// closedStarts are attempts that are closed on this incarnation, for those that follow.
+	closedStarts []closedStart
 	// lastContact is the time of the last answer.
 	lastContact time.Time
 	// polling is set while a poll is in flight, quickPolling while an additional quick poll is.
@@ -222,7 +224,7 @@
 		c.fenced = true
 		return
 	case workload.VerdictOtherIncarnation:
-		c.workerReplaced(w)
+		c.otherIncarnationAnswered(w, sent.Poll.Addr)
 		return
 	default:
 		c.recordMiss(w)
@@ -235,7 +237,12 @@
 		w.extendLease(w.clockMS + c.bounds.MaxLease.Milliseconds())
 	}
 	c.settleSurvived(w)
-	w.misses, w.nextPollAt, w.synced = 0, time.Time{}, true
+	w.misses, w.nextPollAt = 0, time.Time{}
+	if !w.synced && (report.EndsIncomplete() || report.Unparsed > 0) {
+		w.nextPollAt = now.Add(unstoredPollInterval) // or as soon as more ends may be acknowledged
+	} else {
+		w.synced = true
+	}
 	if sent.Poll.Incarnation == w.incarnation {
 		w.acknowledged = max(w.acknowledged, sent.Poll.Acknowledged)
 	}
@@ -249,7 +256,7 @@
 	}
 	w.lastPollSequence = sent.Sequence
 	c.reconcileRuns(w, report, sent.Sequence)
-	c.closeLateStarts(w)
+	c.closeLateStarts(w, sent.Sequence)
 }
 
 // reconcileRuns updates the runs of a worker to match the runs that it lists.
@@ -273,6 +280,9 @@
 			c.observeSurvival(r)
 		}
 	}
+	if report.EndsIncomplete() {
+		return // a run that is not listed may have an end that is not listed either
+	}
 	missing := w.sortedRuns(func(r *run) bool {
 		return !listed[runKey{r.task.id(), r.attempt}] && r.settledAfter != 0 && sent >= r.settledAfter
 	})
@@ -280,19 +290,25 @@
 		switch {
 		case !r.stopping():
 			c.markUnclear(r, "the worker no longer lists it")
-		case r.state == stRunStopped:
+		case r.state == stRunStopped && (report.Unparsed == 0 || c.stopTimeOver(r)):
 			c.runEnded(r, workload.CompletionStopped)
 		}
 	}
 }
 
+// stopTimeOver reports whether a run whose stop was answered is over, whatever its worker lists: one
+// of the rows that cannot be read may be its own.
+func (c *Core) stopTimeOver(r *run) bool {
+	return c.now.Sub(r.stopSentAt) > orderAnswerTimeout+maxElapsed(c.bounds.MaxStopTime)
+}
+
 // stopUnknownRun stops a run of a finished or unknown job. Its capacity stays in use until the
 // worker no longer lists it; if the job's row is gone, the capacity is unknown and the worker
 // gets no new work meanwhile.
 func (c *Core) stopUnknownRun(w *worker, running workload.Running) {
 	c.pollSoon(w)
 	c.actions = append(c.actions, Action{Kind: ActStop, Reason: "its job is finished or unknown", Order: workload.Order{
-		Worker: w.ID, Addr: w.Addr, Zone: w.Zone, Task: running.Task, Attempt: running.Attempt, Epoch: c.epoch,
+		Worker: w.ID, Addr: w.Addr, Zone: w.Zone, Incarnation: w.incarnation, Task: running.Task, Attempt: running.Attempt, Epoch: c.epoch,
 	}})
 	var need workload.Resources
 	j := c.jobs[running.Task.Job]
@@ -329,7 +345,7 @@
 	return sum
 }
 
-// jobsWithUnknownRuns returns the jobs with an unknown run that may not have ended. A job can
+// jobsWithUnknownRuns returns the jobs with an unknown run that may not have ended or begun. A job can
 // become known after one of its runs was seen, if another epoch started it at the moment of its
 // acceptance: none of its tasks start until that run is gone.
 func (c *Core) jobsWithUnknownRuns() map[string]bool {
@@ -338,6 +354,9 @@
 		for key := range w.unknownRuns {
 			jobs[key.task.Job] = true
 		}
+		for _, late := range w.lateStarts {
+			jobs[late.key.task.Job] = true
+		}
 	}
 	return jobs
 }
--- a/internal/workload/ports.go
+++ b/internal/workload/ports.go
@@ -173,7 +173,9 @@
 	Verdict     Verdict
 	ClockMS     int64
 	Incarnation int64
-	Err         error
+	// Hub is the instance that made the call for this one, or empty if this one made it.
+	Hub string
+	Err error
 }
 
 // Running is a run that a worker reports as in progress.
@@ -244,6 +246,13 @@
 	Err      error
 }
 
+// maxListedEnds is the number of ends that a worker lists in one answer at most. It lists the others
+// once these have been acknowledged.
+const maxListedEnds = 500
+
+// EndsIncomplete reports whether the worker may have left out ends for their number.
+func (r *Report) EndsIncomplete() bool { return len(r.Ended)+r.Unparsed >= maxListedEnds }
+
 // Workers sends orders and polls to workers.
 type Workers interface {
 	Start(ctx context.Context, order Order) OrderResult
