Pass jobs to the core only with all that is stored of them

Seen: a new leader leaves out a job whose record it cannot read, because what the job has completed is unknown, and yet the job came into its core, as one without progress: its tasks would all start again.

Cause: a change of a job was turned into an event with the row of the record as it was known at that moment: without its parts, without the start intent that is stored apart, and, while the table was being read, without any record. A job that the read left out was then added by its own change, which the read itself raised. Its cancellation did the same.

Evidence: on the code before, TestAJobWhoseRecordCannotBeReadNeverReachesTheCore failed for a missing part and for one that cannot be decoded ("added by the first read of the table"), and TestAJobThatArrivesWhileTheTableIsReadIsNotAddedWithoutItsRecord failed. A record whose head cannot be decoded was left out in the first of them.

Change: the event looks the job up when it is applied, after the read, by the same function as the first read does. A job that cannot be read is passed over; a cancellation still reaches a job that the core has.

--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -240,13 +240,16 @@
 // jobChanged passes a new job or a cancellation to the core if this instance leads.
 func (i *Instance) jobChanged(c change) {
 	leader := i.leader.Load()
-	known, ok := i.replica.get(c.job)
-	if leader == nil || !ok || known.unreadable {
+	if leader == nil {
 		return
 	}
 	leader.post(func(core *dispatch.Core, now time.Time, wallMS int64) {
-		core.AddJob(known.job, known.record, known.cancelled, now, wallMS)
-		if known.cancelled {
+		// Rows that arrived after the change count as well, such as those of the first read of the table.
+		known, readable := i.replica.jobForLeader(c.job)
+		if readable {
+			core.AddJob(known.job, known.record, known.cancelled, now, wallMS)
+		}
+		if c.cancelled || known.cancelled {
 			core.Cancel(c.job, now, wallMS)
 		}
 	})
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -414,15 +414,7 @@
 	defer r.mu.Unlock()
 	list := make([]knownJob, 0, len(r.jobs))
 	for _, known := range r.jobs {
-		if known.job != nil && !known.unreadable {
-			k := *known
-			record, err := known.wholeRecord()
-			if err != nil {
-				r.logger.Error("record cannot be read", zap.String("job", known.job.ID), zap.Error(err))
-				continue // the job must not run, because what it has completed is unknown
-			}
-			k.record = record
-			k.record.StartIntent = k.record.StartIntent || k.begun
+		if k, readable := r.whole(known); readable {
 			list = append(list, k)
 		}
 	}
@@ -435,6 +427,30 @@
 	return list
 }
 
+// whole returns a job with all that is stored of its progress; false if that cannot be read, because
+// what the job has completed would be unknown.
+func (r *replica) whole(known *knownJob) (knownJob, bool) {
+	if known == nil || known.job == nil || known.unreadable {
+		return knownJob{}, false
+	}
+	record, err := known.wholeRecord()
+	if err != nil {
+		r.logger.Error("record cannot be read", zap.String("job", known.job.ID), zap.Error(err))
+		return knownJob{}, false
+	}
+	k := *known
+	k.record = record
+	k.record.StartIntent = k.record.StartIntent || k.begun
+	return k, true
+}
+
+// jobForLeader returns a job as snapshot does.
+func (r *replica) jobForLeader(id string) (knownJob, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.whole(r.jobs[id])
+}
+
 // get returns the state of one job; false if the job is not known.
 func (r *replica) get(id string) (knownJob, bool) {
 	r.mu.Lock()
--- /dev/null
+++ b/internal/deployment/takeover_test.go
@@ -0,0 +1,80 @@
+package deployment
+
+import (
+	"testing"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/corianderbank/corianderbank/internal/dispatch"
+	"github.com/corianderbank/corianderbank/internal/workload"
+)
+
+// takeOver returns the leader of epoch 2 after it has read the store. Notes are rows that peers send
+// while it reads.
+func takeOver(t *testing.T, store *memoryStore, notes ...workload.Row) *leader {
+	settings := defaultSettings()
+	i := New(Options{Settings: &settings, Store: store, Decoder: plainDecoder{}, Logger: zap.NewNop()})
+	config := &workload.Configuration{}
+	config.Index()
+	i.configuration.Store(config)
+	c := newLeader(t.Context(), i, &grant{epoch: 2, hasPredecessor: true})
+	i.leader.Store(c)
+	i.replica.keepAll()
+	i.replica.apply(notes)
+	_, ok := c.load()
+	assert.Assert(t, ok)
+	c.applyQueued()
+	return c
+}
+
+// knows reports whether the core has a job.
+func (c *leader) knows(id string) bool {
+	before := c.core.UnstoredRecordCount()
+	c.core.MarkDirty(id)
+	return c.core.UnstoredRecordCount() > before
+}
+
+// putRows stores rows.
+func (s *memoryStore) putRows(rows ...workload.Row) {
+	for _, row := range rows {
+		s.ver++
+		row.Version = s.ver
+		s.rows[row.Key] = row
+	}
+}
+
+// What the job has completed would be unknown.
+func TestAJobWhoseRecordCannotBeReadNeverReachesTheCore(t *testing.T) {
+	split := dispatch.Record{StartIntent: true, Parts: 2}
+	part := dispatch.Record{Done: map[string]string{"0.0": "01"}}
+	head := func(data []byte) workload.Row { return workload.Row{Key: recordPrefix + "a", Value: data} }
+	partRow := func(index int, data []byte) workload.Row {
+		return workload.Row{Key: recordPartKey("a", 2, index), Value: data}
+	}
+	cancel := workload.Row{Key: cancelPrefix + "a", Value: []byte("1")}
+	for name, rows := range map[string][]workload.Row{
+		"the head cannot be decoded": {head([]byte("?"))},
+		"a part is missing":          {head(split.Encode()), partRow(0, part.Encode())},
+		"a part cannot be decoded":   {head(split.Encode()), partRow(0, part.Encode()), partRow(1, []byte("?"))},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := newMemoryStore()
+			store.putRows(jobRow("a", 0), jobRow("b", 0))
+			store.putRows(rows...)
+			c := takeOver(t, store)
+			assert.Assert(t, c.knows("b"))
+			assert.Assert(t, !c.knows("a"), "added by the first read of the table")
+			c.instance.replica.apply([]workload.Row{{Key: cancel.Key, Value: cancel.Value, Version: store.ver + 1}})
+			c.applyQueued()
+			assert.Assert(t, !c.knows("a"), "added by its cancellation")
+		})
+	}
+}
+
+func TestAJobThatArrivesWhileTheTableIsReadIsNotAddedWithoutItsRecord(t *testing.T) {
+	store := newMemoryStore()
+	store.putRows(jobRow("a", 0), workload.Row{Key: recordPrefix + "a", Value: []byte("?")})
+	c := takeOver(t, store, store.rows[jobPrefix+"a"])
+	assert.Assert(t, !c.knows("a"))
+}
