Keep the rows of ended jobs by a steady clock

Seen: the rows of a job that ended a moment ago are removed if the time of day differs between the leader that ended it and the one that removes old rows, or jumps forward by minutes in one of them. Callers get 410, and a caller whose answer was lost and who hands its job in again is accepted with a new job of that id: it runs again. With the clock of the first leader ahead, the rows stay for that much longer.

Cause: the time of the end, from the wall clock of one instance, was compared with the wall clock of another.

Evidence: TestRowsOfAJobThatHasJustEndedAreKeptWhateverTheWallClocksSay on the code before: clock of the leader that ended the job 10 minutes behind, 0 rows left instead of 2. TestRowsOfAJobAreRemovedOnceItsEndHasBeenKnownForLong: a clock an hour ahead, not removed.

Change: the time is counted on the steady clock of the instance that removes, from the moment at which it first had the stored final record. An instance that has started since counts from its first read, so rows go later, never earlier; a hub that takes the lease has counted before. The test of announced ends asks for a time an hour ahead instead of now, which is stricter.

--- a/internal/deployment/announce_test.go
+++ b/internal/deployment/announce_test.go
@@ -127,5 +127,5 @@
 	r := newReplica(zap.NewNop())
 	r.apply([]workload.Row{jobRow("a", 1), jobRow("b", 2), recordRow("b", dispatch.FinalCompleted, 3)})
 	r.applyAnnounced([]workload.Row{announced("a", dispatch.FinalCompleted, 1)})
-	assert.DeepEqual(t, r.expired(time.Now().UnixMilli(), 10), []string{"b"})
+	assert.DeepEqual(t, r.expired(bootTime().Add(time.Hour), 10), []string{"b"})
 }
--- a/internal/deployment/records.go
+++ b/internal/deployment/records.go
@@ -252,7 +252,7 @@
 	}
 	c.expiredRemovedAt = now
 	retention := retentionFactor * c.instance.liveSettings.Load().bounds().StatusRetention
-	ids := c.instance.replica.expired(time.Now().Add(-retention).UnixMilli(), maxRecordsPerWrite/2)
+	ids := c.instance.replica.expired(now.Add(-retention), maxRecordsPerWrite/2)
 	if len(ids) == 0 {
 		return
 	}
--- a/internal/deployment/records_test.go
+++ b/internal/deployment/records_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/alitto/pond/v2"
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"github.com/corianderbank/corianderbank/internal/dispatch"
@@ -111,3 +114,33 @@
 	assert.Equal(t, tx.Put[0].Version, int64(0))
 	assert.Equal(t, c.recordVersions[recordPrefix+"a"], int64(7))
 }
+
+// A caller whose answer was lost hands its job in again seconds later, and must not find the rows gone.
+func TestRowsOfAJobThatHasJustEndedAreKeptWhateverTheWallClocksSay(t *testing.T) {
+	for name, endedAgo := range map[string]time.Duration{
+		"the clock of the leader that ended it is behind": 10 * time.Minute,
+		"the clocks are equal":                            0,
+		"the clock of the leader that ended it is ahead":  -10 * time.Minute,
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWriter(t, 0, 0)
+			record := dispatch.Record{Final: dispatch.FinalCompleted, EndedMS: time.Now().Add(-endedAgo).UnixMilli()}
+			w.store.putRows(jobRow("a", 0), workload.Row{Key: recordPrefix + "a", Value: record.Encode()})
+			w.instance.replica.reload(rowsOf(w.store.memoryStore, rand.New(rand.NewPCG(1, 1))), w.store.ver)
+			w.orders = pond.NewPool(1)
+			w.removeExpired()
+			assert.NilError(t, w.orders.Submit(func() {}).Wait())
+			assert.Equal(t, len(w.store.rows), 2)
+		})
+	}
+}
+
+func TestRowsOfAJobAreRemovedOnceItsEndHasBeenKnownForLong(t *testing.T) {
+	r := newReplica(zap.NewNop())
+	ahead := dispatch.Record{Final: dispatch.FinalCompleted, EndedMS: time.Now().Add(time.Hour).UnixMilli()}
+	before := bootTime()
+	r.apply([]workload.Row{jobRow("a", 1), jobRow("b", 2), {Key: recordPrefix + "a", Value: ahead.Encode(), Version: 3}})
+	assert.Equal(t, len(r.expired(before, 10)), 0)
+	r.apply([]workload.Row{{Key: recordPrefix + "a", Value: ahead.Encode(), Version: 4}})
+	assert.DeepEqual(t, r.expired(bootTime().Add(time.Nanosecond), 10), []string{"a"})
+}
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -34,6 +34,9 @@
 	cancelled bool
 	// record is the stored record.
 	record dispatch.Record
+	// finalSince is the time at which this instance first had the stored final record; zero if there
+	// is none.
+	finalSince time.Time
 	// recordParts holds the parts of a large record as stored, by the rest of their keys.
 	recordParts map[string][]byte
 	// announced is the final record that the leader of announcedEpoch could not store yet; nil if
@@ -170,6 +173,9 @@
 		known.record, known.unreadable = record, false
 		if record.Final != "" {
 			known.announced = nil
+			if known.finalSince.IsZero() {
+				known.finalSince = bootTime()
+			}
 		}
 	case instancePrefix:
 		var peer instanceRow
@@ -462,14 +468,15 @@
 	return *known, true
 }
 
-// expired returns up to limit jobs that ended before a time in milliseconds since 1970,
-// including those whose record is all that is left.
-func (r *replica) expired(beforeMS int64, limit int) []string {
+// expired returns up to limit jobs whose stored final record this instance has had since before a time,
+// including those whose record is all that is left. The time at which the job ended does not count: it
+// comes from the wall clock of another instance, and either clock may jump.
+func (r *replica) expired(before time.Time, limit int) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var ids []string
 	for id, known := range r.jobs {
-		if known.record.Final != "" && known.record.EndedMS < beforeMS && len(ids) < limit {
+		if known.record.Final != "" && known.finalSince.Before(before) && len(ids) < limit {
 			ids = append(ids, id)
 		}
 	}
