Announce unstored ends by a steady clock

Seen: with a time of day that jumps back by ten minutes, the leader announces an end that the store does not take ten minutes late. If it is lost with the worker, its successor runs the job again although the end could have been known. Nobody was shown that end: work that is done twice, and no broken promise.

Cause: the age of an end was taken from the wall clock, as the age of ended rows was.

Evidence: TestAnEndThatIsNotStoredIsAnnouncedInTimeAlthoughTheTimeOfDayJumps on the code before: 0 ends instead of 1, jump of -600000 ms.

Change: the core notes the time of the end on its steady clock too.

--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -77,6 +77,8 @@
 	record    Record
 	steps     []*step
 	cancelled bool
+	// finalSince is the time from which this leader has had the job's final state.
+	finalSince time.Time
 	// fromEarlierEpoch is set if an earlier epoch may have started the job.
 	fromEarlierEpoch bool
 	started          bool
@@ -118,6 +120,7 @@
 	}
 	c.jobs[accepted.ID] = j
 	if record.Final != "" {
+		j.finalSince = now
 		return
 	}
 	for k := range accepted.Occurrences() {
@@ -198,7 +201,7 @@
 // finish sets a job's final state and stops its runs.
 func (c *Core) finish(j *job, state Final) {
 	j.record.Final = state
-	j.record.EndedMS = c.wallMS
+	j.record.EndedMS, j.finalSince = c.wallMS, c.now
 	c.markChanged(j)
 	for _, s := range j.steps {
 		for i := range s.tasks {
@@ -353,7 +356,7 @@
 func (c *Core) UnstoredFinalRecords(minAge time.Duration) []UnstoredRecord {
 	var list []UnstoredRecord
 	for _, j := range c.dirty {
-		if j.record.Final != "" && c.wallMS-j.record.EndedMS >= minAge.Milliseconds() {
+		if j.record.Final != "" && c.now.Sub(j.finalSince) >= minAge {
 			record := j.record
 			if j.parts.count > 0 {
 				record = j.record.head(j.parts.count) // nobody needs the rest of an ended job
--- a/internal/dispatch/watch_test.go
+++ b/internal/dispatch/watch_test.go
@@ -37,3 +37,20 @@
 	b.advance(100 * time.Millisecond)
 	assert.Equal(t, b.runningOf("waits"), 2, "the lease is back")
 }
+
+func TestAnEndThatIsNotStoredIsAnnouncedInTimeAlthoughTheTimeOfDayJumps(t *testing.T) {
+	for _, jump := range []int64{-600_000, 0, 600_000} {
+		b := newBench(t, 1, false)
+		b.add(gangJob("ends", "batch", "other", 1, 8))
+		b.advance(time.Second)
+		b.endAll(workload.CompletionDone)
+		b.advance(50 * time.Millisecond)
+		b.core.MarkDirty("ends") // the store does not answer
+		b.wallMS += jump
+		b.core.Watch(b.now, b.wallMS)
+		assert.Equal(t, len(b.core.UnstoredFinalRecords(time.Second)), 0, "too early, jump of %d ms", jump)
+		b.now, b.wallMS = b.now.Add(time.Second), b.wallMS+1000
+		b.core.Watch(b.now, b.wallMS)
+		assert.Equal(t, len(b.core.UnstoredFinalRecords(time.Second)), 1, "too late, jump of %d ms", jump)
+	}
+}
