Keep the record of a job whose own row is removed

Seen: if the rows of an ended job were removed and its record was not, since that write failed or came after the lease was lost, an instance no longer knew the record, although the store has it. If a row of that job came back (a hand-in of the same id, or a copy of it that was performed late), callers were shown `queued`, and this instance, as the next leader, would have started the job without progress: its whole read passes over a record whose version it has. Nor was the record ever removed.

Cause: the removal of the job's row dropped all that was known of the job, and left the versions of its other rows.

Evidence: TestAJobRowThatComesBackFindsTheRecordThatWasLeft on the code before: the record that is left is not among those to remove (nil instead of "a"); TestNothingIsKeptOfAJobWhoseRowsAreRemoved: 0 jobs instead of 1 while rows were left.

Change: the removal of a row drops what that row said. A job is forgotten once none of its rows is left.

--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -260,27 +260,55 @@
 }
 
 func (r *replica) drop(prefix, id, key string) {
+	if prefix != "a/" {
+		delete(r.versions, key)
+	}
 	switch prefix {
-	case jobPrefix:
-		delete(r.jobs, id)
-		delete(r.started, id)
+	case jobPrefix, cancelPrefix, intentPrefix, recordPrefix, recordPartPrefix:
+		job, part := id, ""
+		if prefix == recordPartPrefix {
+			job, part = splitPartKey(id)
+		}
+		if known := r.jobs[job]; known != nil {
+			known.drop(prefix, part)
+			if known.isEmpty() && r.versions[recordPrefix+job] == 0 {
+				delete(r.jobs, job)
+			}
+		}
+		if prefix == jobPrefix {
+			delete(r.started, job)
+		}
 	case instancePrefix:
 		delete(r.instances, id)
 	case workerPrefix:
 		delete(r.workers, id)
 	case knowledgePrefix:
 		delete(r.knowledge, id)
-	case recordPartPrefix:
-		job, part := splitPartKey(id)
-		if known := r.jobs[job]; known != nil {
-			delete(known.recordParts, part)
-		}
 	}
-	if prefix != "a/" {
-		delete(r.versions, key)
+}
+
+// drop drops what one row said of a job. The rest stays: a job whose row comes back without its record
+// would run again.
+func (k *knownJob) drop(prefix, part string) {
+	switch prefix {
+	case jobPrefix:
+		k.job, k.announced = nil, nil
+	case cancelPrefix:
+		k.cancelled = false
+	case intentPrefix:
+		k.begun = false
+	case recordPrefix:
+		k.record, k.unreadable, k.finalSince = dispatch.Record{}, false, time.Time{}
+	case recordPartPrefix:
+		delete(k.recordParts, part)
 	}
 }
 
+// isEmpty reports whether nothing is known of a job but perhaps its record.
+func (k *knownJob) isEmpty() bool {
+	return k.job == nil && !k.cancelled && !k.begun && len(k.recordParts) == 0
+}
+
 func (r *replica) ensureJob(id string) *knownJob {
 	known := r.jobs[id]
 	if known == nil {
--- a/internal/deployment/replica_test.go
+++ b/internal/deployment/replica_test.go
@@ -1,7 +1,9 @@
 package deployment
 
 import (
+	"math/rand/v2"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
@@ -73,3 +75,44 @@
 	r.keepOnlyInstances()
 	assert.Equal(t, len(r.snapshot()), 0)
 }
+
+// The rows of a job are removed before its record; the removal of the record may fail.
+func TestAJobRowThatComesBackFindsTheRecordThatWasLeft(t *testing.T) {
+	r := newReplica(zap.NewNop())
+	r.reload([]workload.Row{jobRow("a", 1), recordRow("a", dispatch.FinalCompleted, 5)}, 5)
+	r.apply([]workload.Row{{Key: jobPrefix + "a", Version: 6, Deleted: true}, {Key: cancelPrefix + "a", Version: 6, Deleted: true}})
+	_, ok := r.get("a")
+	assert.Assert(t, !ok)
+	assert.DeepEqual(t, r.expired(bootTime().Add(time.Hour), 10), []string{"a"})
+	handedInAgain := jobRow("a", 7)
+	r.apply([]workload.Row{handedInAgain})
+	state, _, _ := r.state("a")
+	assert.Equal(t, state, StateCompleted)
+	r.reload([]workload.Row{handedInAgain, recordRow("a", dispatch.FinalCompleted, 5)}, 8)
+	jobs := r.snapshot()
+	assert.Equal(t, len(jobs), 1)
+	assert.Equal(t, jobs[0].record.Final, dispatch.FinalCompleted, "it would run again")
+}
+
+func TestNothingIsKeptOfAJobWhoseRowsAreRemoved(t *testing.T) {
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		r := newReplica(zap.NewNop())
+		rows := []workload.Row{
+			jobRow("a", 1),
+			{Key: cancelPrefix + "a", Version: 2},
+			{Key: intentPrefix + "a", Version: 3},
+			{Key: recordPartKey("a", 2, 0), Version: 4},
+			{Key: recordPartKey("a", 2, 1), Version: 4},
+			recordRow("a", dispatch.FinalCompleted, 5),
+		}
+		r.reload(rows, 5)
+		r.setStarted(1, []string{"a"})
+		random.Shuffle(len(rows), func(a, b int) { rows[a], rows[b] = rows[b], rows[a] })
+		for n, row := range rows {
+			assert.Equal(t, len(r.jobs), 1)
+			r.apply([]workload.Row{{Key: row.Key, Version: int64(6 + n), Deleted: true}})
+		}
+		assert.Equal(t, len(r.jobs)+len(r.versions)+len(r.started), 0, "seed %d", seed)
+	}
+}
