Pass over old copies of rows that were removed

Seen: an old copy of a removed row counts as new. A note that a peer sent late, or a read of the table that began before the removal, brings the row of an ended job back, without the record that was removed with it: the leader gives the job to its core, and it runs again.

Cause: with a removal the version of the row is forgotten, so that any copy looks newer than nothing. Forgetting is needed, or the versions of all past jobs would stay in memory.

Evidence: TestAnOldCopyOfARemovedRowDoesNotBringItsJobBack on the code before, for a note and for a read from before the removal: the core has the job again.

Change: an instance that follows the table knows all rows up to a version of the store, that of its last whole read or of its feed. A row that is not newer than this and that it does not have was removed, and is passed over. This needs one number, and no list of what was removed. Rows of instances are excepted: leaves keep them by another rule. Tests that hold before and after: a hub that dropped the table and reads it again has all rows, and a note that is ahead of the feed makes nothing old that the feed still brings.

--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -106,6 +106,9 @@
 	workers map[string]workload.Worker
 	// knowledge holds the rows of what earlier leaders learned, by key.
 	knowledge map[string][]byte
+	// tableVersion is the version of the store up to which all rows are known, zero if not all are
+	// kept. An older row that is not known was removed.
+	tableVersion int64
 	// loaded is set once the whole table was read, and while it is followed.
 	loaded bool
 	// allRows is set if all rows are kept. A leaf keeps only those of the instances.
@@ -131,11 +134,23 @@
 }
 
 // apply applies rows that are newer than the known ones.
-func (r *replica) apply(rows []workload.Row) {
+func (r *replica) apply(rows []workload.Row) { r.applyUpTo(rows, 0) }
+
+// applyFeed applies the next changes of the table.
+func (r *replica) applyFeed(rows []workload.Row) {
+	newest := int64(0)
+	for _, row := range rows {
+		newest = max(newest, row.Version)
+	}
+	r.applyUpTo(rows, newest)
+}
+
+// applyUpTo applies rows; with them, all rows are known up to a version.
+func (r *replica) applyUpTo(rows []workload.Row, version int64) {
 	var changes []change
 	r.mu.Lock()
 	for _, row := range rows {
-		if row.Version <= r.versions[row.Key] || !r.allRows && !strings.HasPrefix(row.Key, instancePrefix) {
+		if row.Version <= r.versions[row.Key] || r.isRemoved(row) || !r.allRows && !strings.HasPrefix(row.Key, instancePrefix) {
 			continue
 		}
 		r.versions[row.Key] = row.Version
@@ -143,6 +158,7 @@
 			changes = append(changes, c)
 		}
 	}
+	r.advanceTable(version)
 	onChange := r.onChange
 	r.mu.Unlock()
 	for _, c := range changes {
@@ -150,6 +166,26 @@
 	}
 }
 
+// isRemoved reports whether a row is an old copy of one that was removed, as a late note or a read from
+// before may hold. With such a row, a job that has ended would come back without its record.
+func (r *replica) isRemoved(row workload.Row) bool {
+	return row.Version <= r.tableVersion && r.versions[row.Key] == 0 && !strings.HasPrefix(row.Key, instancePrefix)
+}
+
+func (r *replica) advanceTable(version int64) {
+	if r.loaded {
+		r.tableVersion = max(r.tableVersion, version)
+	}
+}
+
+// advance records that all rows are known up to a version of the store.
+func (r *replica) advance(version int64) {
+	r.advanceInstances(version)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.advanceTable(version)
+}
+
 func (r *replica) applyRow(row workload.Row) (change, bool) {
 	prefix, id := row.Key[:min(2, len(row.Key))], row.Key[min(2, len(row.Key)):]
 	if row.Deleted {
@@ -342,6 +378,7 @@
 		}
 	}
 	r.loaded = true
+	r.advanceTable(at)
 	r.instancesVersion = max(r.instancesVersion, at)
 }
 
@@ -371,7 +408,7 @@
 	if r.pinned || !r.allRows {
 		return
 	}
-	r.allRows, r.loaded = false, false
+	r.allRows, r.loaded, r.tableVersion = false, false, 0
 	r.jobs, r.started, r.workers = make(map[string]*knownJob), make(map[string]bool), make(map[string]workload.Worker)
 	r.knowledge = make(map[string][]byte)
 	r.leader = seenLeader{}
--- a/internal/deployment/takeover_test.go
+++ b/internal/deployment/takeover_test.go
@@ -1,7 +1,9 @@
 package deployment
 
 import (
+	"slices"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
@@ -30,9 +32,10 @@
 
 // knows reports whether the core has a job.
 func (c *leader) knows(id string) bool {
-	before := c.core.UnstoredRecordCount()
 	c.core.MarkDirty(id)
-	return c.core.UnstoredRecordCount() > before
+	list := slices.DeleteFunc(c.core.UnstoredRecords(maxEntriesPerWrite), func(u dispatch.UnstoredRecord) bool { return u.Job != id })
+	c.core.MarkRecordsStored(list, time.Now(), 0)
+	return len(list) == 1
 }
 
 // putRows stores rows.
@@ -78,3 +81,57 @@
 	c := takeOver(t, store, store.rows[jobPrefix+"a"])
 	assert.Assert(t, !c.knows("a"))
 }
+
+func TestAnOldCopyOfARemovedRowDoesNotBringItsJobBack(t *testing.T) {
+	deleted := func(key string, version int64) workload.Row {
+		return workload.Row{Key: key, Version: version, Deleted: true}
+	}
+	for name, late := range map[string]func(r *replica, old workload.Row){
+		"a note":             func(r *replica, old workload.Row) { r.apply([]workload.Row{old}) },
+		"a read from before": func(r *replica, old workload.Row) { r.reload([]workload.Row{old}, old.Version) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := newMemoryStore()
+			store.putRows(jobRow("a", 0), recordRow("a", dispatch.FinalCompleted, 0))
+			c := takeOver(t, store)
+			assert.Assert(t, c.knows("a"))
+			removedAt := store.ver + 1
+			c.instance.replica.applyFeed([]workload.Row{deleted(jobPrefix+"a", removedAt), deleted(recordPrefix+"a", removedAt+1)})
+			c.core.RemoveJob("a")
+			late(c.instance.replica, store.rows[jobPrefix+"a"])
+			c.applyQueued()
+			assert.Assert(t, !c.knows("a"), "it would run again")
+			_, known := c.instance.replica.get("a")
+			assert.Assert(t, !known)
+			c.instance.replica.apply([]workload.Row{jobRow("a", removedAt+2)})
+			c.applyQueued()
+			assert.Assert(t, c.knows("a"), "a new job of the same id")
+		})
+	}
+}
+
+func TestAHubAgainAcceptsTheRowsThatItHadDropped(t *testing.T) {
+	r := newReplica(zap.NewNop())
+	rows := []workload.Row{jobRow("a", 1), recordRow("a", dispatch.FinalCompleted, 2)}
+	r.reload(rows, 7)
+	r.advance(9)
+	r.keepOnlyInstances()
+	r.advance(11)
+	r.reload(rows, 12)
+	state, _, known := r.state("a")
+	assert.Assert(t, known)
+	assert.Equal(t, state, StateCompleted)
+}
+
+// A row that a peer sends ahead of the feed does not make what the feed still brings old.
+func TestTheFeedBringsRowsThatAreOlderThanANote(t *testing.T) {
+	r := newReplica(zap.NewNop())
+	r.reload(nil, 3)
+	r.apply([]workload.Row{jobRow("b", 9)})
+	removes := workload.Row{Key: jobPrefix + "x", Version: 5, Deleted: true}
+	r.applyFeed([]workload.Row{jobRow("a", 4), removes, jobRow("c", 5)})
+	for _, id := range []string{"a", "b", "c"} {
+		_, known := r.get(id)
+		assert.Assert(t, known, id)
+	}
+}
