Keep a removed job in the core while its record is to be written

Found by reading, not seen in a run: a job whose record changes while its rows are being removed was dropped by the core and stayed in the list of records to write. It was written again with each write until the leader changed, and its row was never removed.

Evidence: TestTheRecordOfARemovedJobIsNotWrittenForever on the code before: 1 record to write instead of 0, after three writes.

Change: such a job stays until its record is stored; the record that this write brings back is removed with the job after the usual time.

--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -401,9 +401,10 @@
 	}
 }
 
-// RemoveJob drops a final job whose row was removed from the store.
+// RemoveJob drops a final job whose row was removed from the store. A job with a record to be written
+// stays: the write would bring the record back, which is then removed with the job later.
 func (c *Core) RemoveJob(id string) {
-	if j := c.jobs[id]; j != nil && j.record.Final != "" && j.runs == 0 {
+	if j := c.jobs[id]; j != nil && j.record.Final != "" && j.runs == 0 && c.dirty[id] == nil {
 		delete(c.jobs, id)
 	}
 }
--- a/internal/dispatch/unstored_test.go
+++ b/internal/dispatch/unstored_test.go
@@ -86,3 +86,19 @@
 		assert.Assert(t, b.worker.leaseUntilMS > b.clockOf(b.worker), "the runs of the worker would end")
 	}
 }
+
+func TestTheRecordOfARemovedJobIsNotWrittenForever(t *testing.T) {
+	b := newBench(t, 1, false)
+	b.add(gangJob("ends", "batch", "other", 1, 8))
+	b.advance(time.Second)
+	b.endAll(workload.CompletionDone)
+	b.advance(time.Second)
+	b.core.MarkDirty("ends") // its record changes while its rows are being removed
+	b.core.RemoveJob("ends")
+	for range 3 {
+		b.core.MarkRecordsStored(b.core.UnstoredRecords(10), b.now, b.wallMS)
+	}
+	assert.Equal(t, b.core.UnstoredRecordCount(), 0)
+	b.core.RemoveJob("ends")
+	assert.Equal(t, len(b.core.jobs), 0)
+}
