--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -38,6 +38,9 @@
 	// cancelledVersion and finalVersion are those of the rows with which this instance first had the
 	// cancellation and the final state.
 	cancelledVersion, finalVersion int64
+	// finalSince is the time at which this instance first had the stored final record; zero if there
+	// is none.
+	finalSince time.Time
 	// recordParts holds the parts of a large record as stored, by the rest of their keys.
 	recordParts map[string][]byte
 	// announced is the final record that the leader of announcedEpoch could not store yet; nil if
@@ -107,6 +110,9 @@
 	workers map[string]workload.Worker
 	// knowledge holds the rows of what earlier leaders learned, by key.
 	knowledge map[string][]byte
+	// tableVersion is the version of the store up to which all rows are known, zero if not all are
+	// kept. An older row that is not known was removed.
+	tableVersion int64
 	// loaded is set once the whole table was read, and while it is followed.
 	loaded bool
 	// allRows is set if all rows are kept. A leaf keeps only those of the instances.
@@ -132,11 +138,23 @@
 }
 
 // apply applies rows that are newer than the known ones.
-func (r *replica) apply(rows []workload.Row) {
+func (r *replica) apply(rows []workload.Row) { r.applyUpTo(rows, 0) }
+
+// applyFeed applies the next changes of the table.
+func (r *replica) applyFeed(rows []workload.Row) {
+	newest := int64(0)
+	for _, row := range rows {
+		newest = max(newest, row.Version)
+	}
+	r.applyUpTo(rows, newest)
+}
+
+// applyUpTo applies rows; with them, all rows are known up to a version.
+func (r *replica) applyUpTo(rows []workload.Row, version int64) {
 	var changes []change
 	r.mu.Lock()
 	for _, row := range rows {
-		if row.Version <= r.versions[row.Key] || !r.allRows && !strings.HasPrefix(row.Key, instancePrefix) {
+		if row.Version <= r.versions[row.Key] || r.isRemoved(row) || !r.allRows && !strings.HasPrefix(row.Key, instancePrefix) {
 			continue
 		}
 		r.versions[row.Key] = row.Version
@@ -144,6 +162,7 @@
 			changes = append(changes, c)
 		}
 	}
+	r.advanceTable(version)
 	onChange := r.onChange
 	r.mu.Unlock()
 	for _, c := range changes {
@@ -151,6 +170,26 @@
 	}
 }
 
+// isRemoved reports whether a row is an old copy of one that was removed, as a late note or a read from
+// before may hold. With such a row, a job that has ended would come back without its record.
+func (r *replica) isRemoved(row workload.Row) bool {
+	return row.Version <= r.tableVersion && r.versions[row.Key] == 0 && !strings.HasPrefix(row.Key, instancePrefix)
+}
+
+func (r *replica) advanceTable(version int64) {
+	if r.loaded {
+		r.tableVersion = max(r.tableVersion, version)
+	}
+}
+
+// advance records that all rows are known up to a version of the store.
+func (r *replica) advance(version int64) {
+	r.advanceInstances(version)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.advanceTable(version)
+}
+
 func (r *replica) applyRow(row workload.Row) (change, bool) {
 	prefix, id := row.Key[:min(2, len(row.Key))], row.Key[min(2, len(row.Key)):]
 	if row.Deleted {
@@ -178,6 +217,9 @@
 		if record.Final != "" {
 			known.announced = nil
 			known.finalVersion = cmp.Or(known.finalVersion, row.Version)
+			if known.finalSince.IsZero() {
+				known.finalSince = bootTime()
+			}
 		}
 	case instancePrefix:
 		var peer instanceRow
@@ -262,27 +304,55 @@
 }
 
 func (r *replica) drop(prefix, id, key string) {
+	if prefix != "a/" {
+		delete(r.versions, key)
+	}
 	switch prefix {
-	case jobPrefix:
-		delete(r.jobs, id)
-		delete(r.started, id)
+	case jobPrefix, cancelPrefix, intentPrefix, recordPrefix, recordPartPrefix:
+		job, part := id, ""
+		if prefix == recordPartPrefix {
+			job, part = splitPartKey(id)
+		}
+		if known := r.jobs[job]; known != nil {
+			known.drop(prefix, part)
+			if known.isEmpty() && r.versions[recordPrefix+job] == 0 {
+				delete(r.jobs, job)
+			}
+		}
+		if prefix == jobPrefix {
+			delete(r.started, job)
+		}
 	case instancePrefix:
 		delete(r.instances, id)
 	case workerPrefix:
 		delete(r.workers, id)
 	case knowledgePrefix:
 		delete(r.knowledge, id)
-	case recordPartPrefix:
-		job, part := splitPartKey(id)
-		if known := r.jobs[job]; known != nil {
-			delete(known.recordParts, part)
-		}
 	}
-	if prefix != "a/" {
-		delete(r.versions, key)
+}
+
+// drop drops what one row said of a job. The rest stays: a job whose row comes back without its record
+// would run again.
+func (k *knownJob) drop(prefix, part string) {
+	switch prefix {
+	case jobPrefix:
+		k.job, k.announced = nil, nil
+	case cancelPrefix:
+		k.cancelled, k.cancelledVersion = false, 0
+	case intentPrefix:
+		k.begun = false
+	case recordPrefix:
+		k.record, k.unreadable, k.finalSince, k.finalVersion = dispatch.Record{}, false, time.Time{}, 0
+	case recordPartPrefix:
+		delete(k.recordParts, part)
 	}
 }
 
+// isEmpty reports whether nothing is known of a job but perhaps its record.
+func (k *knownJob) isEmpty() bool {
+	return k.job == nil && !k.cancelled && !k.begun && len(k.recordParts) == 0
+}
+
 func (r *replica) ensureJob(id string) *knownJob {
 	known := r.jobs[id]
 	if known == nil {
@@ -316,6 +386,7 @@
 		}
 	}
 	r.loaded = true
+	r.advanceTable(at)
 	r.instancesVersion = max(r.instancesVersion, at)
 }
 
@@ -345,7 +416,7 @@
 	if r.pinned || !r.allRows {
 		return
 	}
-	r.allRows, r.loaded = false, false
+	r.allRows, r.loaded, r.tableVersion = false, false, 0
 	r.jobs, r.started, r.workers = make(map[string]*knownJob), make(map[string]bool), make(map[string]workload.Worker)
 	r.knowledge = make(map[string][]byte)
 	r.leader = seenLeader{}
@@ -422,15 +493,7 @@
 	defer r.mu.Unlock()
 	list := make([]knownJob, 0, len(r.jobs))
 	for _, known := range r.jobs {
-		if known.job != nil && !known.unreadable {
-			k := *known
-			record, err := known.wholeRecord()
-			if err != nil {
-				r.logger.Error("record cannot be read", zap.String("job", known.job.ID), zap.Error(err))
-				continue // the job must not run, because what it has completed is unknown
-			}
-			k.record = record
-			k.record.StartIntent = k.record.StartIntent || k.begun
+		if k, readable := r.whole(known); readable {
 			list = append(list, k)
 		}
 	}
@@ -443,6 +506,30 @@
 	return list
 }
 
+// whole returns a job with all that is stored of its progress; false if that cannot be read, because
+// what the job has completed would be unknown.
+func (r *replica) whole(known *knownJob) (knownJob, bool) {
+	if known == nil || known.job == nil || known.unreadable {
+		return knownJob{}, false
+	}
+	record, err := known.wholeRecord()
+	if err != nil {
+		r.logger.Error("record cannot be read", zap.String("job", known.job.ID), zap.Error(err))
+		return knownJob{}, false
+	}
+	k := *known
+	k.record = record
+	k.record.StartIntent = k.record.StartIntent || k.begun
+	return k, true
+}
+
+// jobForLeader returns a job as snapshot does.
+func (r *replica) jobForLeader(id string) (knownJob, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.whole(r.jobs[id])
+}
+
 // get returns the state of one job; false if the job is not known.
 func (r *replica) get(id string) (knownJob, bool) {
 	r.mu.Lock()
@@ -454,14 +541,15 @@
 	return *known, true
 }
 
-// expired returns up to limit jobs that ended before a time in milliseconds since 1970,
-// including those whose record is all that is left.
-func (r *replica) expired(beforeMS int64, limit int) []string {
+// expired returns up to limit jobs whose stored final record this instance has had since before a time,
+// including those whose record is all that is left. The time at which the job ended does not count: it
+// comes from the wall clock of another instance, and either clock may jump.
+func (r *replica) expired(before time.Time, limit int) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var ids []string
 	for id, known := range r.jobs {
-		if known.record.Final != "" && known.record.EndedMS < beforeMS && len(ids) < limit {
+		if known.record.Final != "" && known.finalSince.Before(before) && len(ids) < limit {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -80,6 +80,8 @@
 	record    Record
 	steps     []*step
 	cancelled bool
+	// finalSince is the time from which this leader has had the job's final state.
+	finalSince time.Time
 	// fromEarlierEpoch is set if an earlier epoch may have started the job.
 	fromEarlierEpoch bool
 	started          bool
@@ -121,6 +123,7 @@
 	}
 	c.jobs[accepted.ID] = j
 	if record.Final != "" {
+		j.finalSince = now
 		return
 	}
 	for k := range accepted.Occurrences() {
@@ -201,7 +204,7 @@
 // finish sets a job's final state and stops its runs.
 func (c *Core) finish(j *job, state Final) {
 	j.record.Final = state
-	j.record.EndedMS = c.wallMS
+	j.record.EndedMS, j.finalSince = c.wallMS, c.now
 	c.markChanged(j)
 	for _, s := range j.steps {
 		for i := range s.tasks {
@@ -356,7 +359,7 @@
 func (c *Core) UnstoredFinalRecords(minAge time.Duration) []UnstoredRecord {
 	var list []UnstoredRecord
 	for _, j := range c.dirty {
-		if j.record.Final != "" && c.wallMS-j.record.EndedMS >= minAge.Milliseconds() {
+		if j.record.Final != "" && c.now.Sub(j.finalSince) >= minAge {
 			record := j.record
 			if j.parts.count > 0 {
 				record = j.record.head(j.parts.count) // nobody needs the rest of an ended job
@@ -401,9 +404,10 @@
 	}
 }
 
-// RemoveJob drops a final job whose row was removed from the store.
+// RemoveJob drops a final job whose row was removed from the store. A job with a record to be written
+// stays: the write would bring the record back, which is then removed with the job later.
 func (c *Core) RemoveJob(id string) {
-	if j := c.jobs[id]; j != nil && j.record.Final != "" && j.runs == 0 {
+	if j := c.jobs[id]; j != nil && j.record.Final != "" && j.runs == 0 && c.dirty[id] == nil {
 		delete(c.jobs, id)
 	}
 }
