Log ends of unknown jobs, and jobs that an earlier epoch may have started

An end of a run whose job the core does not know is logged with job, attempt, worker, number and epoch; a job that the leader learns of after it read the table, if an earlier epoch may have started it; and how many of those it has read, in the line 'leading'. No decision changes.

--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -245,7 +245,7 @@
 		return
 	}
 	leader.post(func(core *dispatch.Core, now time.Time, wallMS int64) {
-		core.AddJob(known.job, known.record, known.cancelled, now, wallMS)
+		leader.addJob(&known, now, wallMS)
 		if known.cancelled {
 			core.Cancel(c.job, now, wallMS)
 		}
--- a/internal/deployment/orders.go
+++ b/internal/deployment/orders.go
@@ -51,6 +51,9 @@
 			zap.String("state", action.State), zap.String("reason", action.Reason))...)
 	case dispatch.ActLost:
 		c.logLostRun(action)
+	case dispatch.ActUnknownEnd:
+		c.logger.Warn("end of an unknown job", append(taskFields(action.Order.Task), zap.Int64("attempt", action.Order.Attempt), zap.String("worker", action.Order.Worker),
+			zap.Int64("epoch", action.Order.Epoch), zap.String("kind", action.Reason), zap.Int64("number", action.Number))...)
 	case dispatch.ActAskAdvisor:
 		c.orders.Submit(func() { c.askAdvisor(action.AdviceRequest) })
 	}
--- a/internal/deployment/takeover.go
+++ b/internal/deployment/takeover.go
@@ -86,10 +86,12 @@
 	c.core.WorkersListed(c.instance.listedWorkers(), now, wallMS)
 	c.core.WorkersStored(stored)
 	jobs := c.instance.replica.snapshot()
-	ended, unstored := 0, 0
+	ended, unstored, earlier := 0, 0, 0
 	for _, known := range jobs {
 		record, isStored := known.recordForLeader(c.grant.epoch)
-		c.core.AddJob(known.job, record, known.cancelled, now, wallMS)
+		if c.core.AddJob(known.job, record, known.cancelled, now, wallMS) {
+			earlier++
+		}
 		if record.Final != "" {
 			ended++
 		}
@@ -99,7 +101,14 @@
 		}
 	}
 	c.logger.Info("leading", zap.Int64("epoch", c.grant.epoch), zap.Int("jobs", len(jobs)), zap.Int("jobs_ended", ended),
-		zap.Int("ends_unstored", unstored), zap.Int("workers_stored", len(stored)))
+		zap.Int("jobs_may_have_started", earlier), zap.Int("ends_unstored", unstored), zap.Int("workers_stored", len(stored)))
+}
+
+// addJob adds a job that this instance learned of after the core was filled.
+func (c *leader) addJob(known *knownJob, now time.Time, wallMS int64) {
+	if c.core.AddJob(known.job, known.record, known.cancelled, now, wallMS) {
+		c.logger.Info("job may have been started by an earlier epoch", zap.String("job", known.job.ID), zap.Int64("epoch", c.grant.epoch))
+	}
 }
 
 // predecessorActiveUntil returns the time until which a previous leader may have given
--- a/internal/dispatch/completions.go
+++ b/internal/dispatch/completions.go
@@ -15,6 +15,9 @@
 		}
 		w.lastCompletion = e.Number
 		j := c.jobs[e.Task.Job]
+		if j == nil {
+			c.reportUnknownEnd(w, e)
+		}
 		previous := uint64(0)
 		if j != nil {
 			previous = j.revision
@@ -27,6 +30,12 @@
 	c.advanceAcknowledgeable(w)
 }
 
+func (c *Core) reportUnknownEnd(w *worker, e workload.Completion) {
+	c.actions = append(c.actions, Action{Kind: ActUnknownEnd, Number: e.Number, Reason: string(e.Kind), Order: workload.Order{
+		Worker: w.ID, Addr: w.Addr, Zone: w.Zone, Task: e.Task, Attempt: e.Attempt, Epoch: c.epoch,
+	}})
+}
+
 // advanceAcknowledgeable updates the last completion that may be acknowledged: the one before
 // the first whose job record is not stored yet.
 func (c *Core) advanceAcknowledgeable(w *worker) {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -28,6 +28,8 @@
 	ActLost
 	// ActTrial is only logged: a step tries doubted workers, or its trial has ended.
 	ActTrial
+	// ActUnknownEnd is only logged: a run ended whose job is not known.
+	ActUnknownEnd
 )
 
 // Action is an operation for the driver to perform. Its answer is passed back as an event.
@@ -58,6 +60,8 @@
 	Lost *LostRun
 	// State is the new state of the worker of an ActWorkerSoundness, or of an ActTrial.
 	State string
+	// Number is the number of the completion of an ActUnknownEnd.
+	Number int64
 	// FailureCause is the cause of an ActJobAbandoned.
 	FailureCause FailureCause
 }
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -159,7 +159,7 @@
 		b.lostRuns = append(b.lostRuns, a)
 		return
 	}
-	if a.Kind == ActWorkerSoundness || a.Kind == ActTrial {
+	if a.Kind == ActWorkerSoundness || a.Kind == ActTrial || a.Kind == ActUnknownEnd {
 		return
 	}
 	if a.Kind == ActReason {
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -104,11 +104,12 @@
 	acceptedAt time.Time
 }
 
-// AddJob adds an accepted job with its record. Adding a known job again changes nothing.
-func (c *Core) AddJob(accepted *workload.Job, record Record, cancelled bool, now time.Time, wallMS int64) {
+// AddJob adds an accepted job with its record, and reports whether it is new to the core and an
+// earlier epoch may have started it. Adding a known job again changes nothing.
+func (c *Core) AddJob(accepted *workload.Job, record Record, cancelled bool, now time.Time, wallMS int64) (fromEarlierEpoch bool) {
 	c.tick(now, wallMS)
 	if c.jobs[accepted.ID] != nil {
-		return
+		return false
 	}
 	j := &job{Job: accepted, record: record.clone(), startIntentStored: record.StartIntent, acceptedAt: now}
 	j.parts = recordParts{count: record.Parts, headCount: record.Parts, stored: make([]uint64, record.Parts)}
@@ -118,7 +119,7 @@
 	}
 	c.jobs[accepted.ID] = j
 	if record.Final != "" {
-		return
+		return false
 	}
 	for k := range accepted.Occurrences() {
 		for s := range accepted.Steps {
@@ -128,10 +129,11 @@
 	c.queue = append(c.queue, j)
 	if cancelled {
 		c.cancel(j)
-		return
+		return j.fromEarlierEpoch
 	}
 	c.finishIfDone(j)
 	c.failExhausted(j)
+	return j.fromEarlierEpoch
 }
 
 // maxJobAge limits how far back an acceptance time is trusted: the wall clock of another
