Keep the ends of unknown jobs until all jobs of earlier leaders are known

Callers saw: a task ran again after a run of it had ended done and the end was acknowledged.

Cause: a leader that is replaced early goes on giving orders until its lease ends. A run that it started of a job that the successor does not know yet may end first; the successor passed over that end and acknowledged it, so the worker forgot it, and once the job became known it started again.

Change: until all jobs of earlier epochs are known (EarlierJobsKnown), the ends of unknown jobs are kept for each worker and not acknowledged; its other ends are taken as usual, and it is polled like a worker whose ends wait for the store. AddJob applies them, and they are acknowledged once stored. At the event the rest belongs to jobs whose rows were removed, and is dropped. A restarted worker's kept ends go with its incarnation: they were never acknowledged.

Evidence: TestATaskThatEndedBeforeItsJobWasKnownDoesNotRunAgain failed before: '1 (b.starts int) != 0', and the end was acknowledged at once ('1 (acknowledgeable) != 0'). Three more tests of the file failed with it.

--- a/internal/dispatch/completions.go
+++ b/internal/dispatch/completions.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/corianderbank/corianderbank/internal/workload"
@@ -14,22 +16,58 @@
 			continue
 		}
 		w.lastCompletion = e.Number
-		j := c.jobs[e.Task.Job]
-		if j == nil {
-			c.reportUnknownEnd(w, e)
-		}
-		previous := uint64(0)
-		if j != nil {
-			previous = j.revision
+		if j := c.jobs[e.Task.Job]; j != nil {
+			c.receiveCompletion(w, j, e)
+			continue
 		}
-		c.applyCompletion(w, e)
-		if j != nil && j.revision > j.storedRevision && (j.revision > previous || c.dirty[j.ID] != nil) {
-			w.unstored = append(w.unstored, unstoredCompletion{e.Number, j, j.revision})
+		c.reportUnknownEnd(w, e)
+		if !c.earlierJobsKnown {
+			w.deferred = append(w.deferred, e)
 		}
 	}
 	c.advanceAcknowledgeable(w)
 }
 
+// receiveCompletion applies a completion of a known job, and keeps it from being acknowledged before
+// the job's record is stored.
+func (c *Core) receiveCompletion(w *worker, j *job, e workload.Completion) {
+	previous := j.revision
+	c.applyCompletion(w, e)
+	if j.revision <= j.storedRevision || j.revision == previous && c.dirty[j.ID] == nil {
+		return
+	}
+	at, _ := slices.BinarySearchFunc(w.unstored, e.Number, func(u unstoredCompletion, number int64) int { return cmp.Compare(u.number, number) })
+	w.unstored = slices.Insert(w.unstored, at, unstoredCompletion{e.Number, j, j.revision})
+}
+
+// receiveDeferred applies the completions that were deferred because the job was not known.
+func (c *Core) receiveDeferred(j *job) {
+	for _, w := range c.fleet {
+		ofJob := func(e workload.Completion) bool { return e.Task.Job == j.ID }
+		if !slices.ContainsFunc(w.deferred, ofJob) {
+			continue
+		}
+		for _, e := range w.deferred {
+			if ofJob(e) {
+				c.receiveCompletion(w, j, e)
+			}
+		}
+		w.deferred = slices.DeleteFunc(w.deferred, ofJob)
+		c.advanceAcknowledgeable(w)
+	}
+}
+
+// dropDeferred drops the completions of jobs that are not known although all earlier ones are: their
+// rows were removed.
+func (c *Core) dropDeferred() {
+	for _, w := range c.fleet {
+		if len(w.deferred) > 0 {
+			w.deferred = nil
+			c.advanceAcknowledgeable(w)
+		}
+	}
+}
+
 func (c *Core) reportUnknownEnd(w *worker, e workload.Completion) {
 	c.actions = append(c.actions, Action{Kind: ActUnknownEnd, Number: e.Number, Reason: string(e.Kind), Order: workload.Order{
 		Worker: w.ID, Addr: w.Addr, Zone: w.Zone, Task: e.Task, Attempt: e.Attempt, Epoch: c.epoch,
@@ -37,7 +75,7 @@
 }
 
 // advanceAcknowledgeable updates the last completion that may be acknowledged: the one before
-// the first whose job record is not stored yet.
+// the first whose job is not known or whose job record is not stored yet.
 func (c *Core) advanceAcknowledgeable(w *worker) {
 	for len(w.unstored) > 0 && w.unstored[0].job.storedRevision >= w.unstored[0].revision {
 		w.unstored = w.unstored[1:]
@@ -48,6 +86,9 @@
 	} else {
 		w.unstored = nil
 	}
+	if len(w.deferred) > 0 {
+		acknowledgeable = min(acknowledgeable, w.deferred[0].Number-1)
+	}
 	if acknowledgeable > w.acknowledgeable {
 		w.acknowledgeable = acknowledgeable
 		w.nextPollAt = time.Time{}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -260,7 +260,11 @@
 // may still give orders.
 func (c *Core) EarlierJobsKnown(now time.Time, wallMS int64) {
 	c.tick(now, wallMS)
-	c.earlierJobsKnown = c.earlierJobsKnown || !now.Before(c.earlierOrdersUntil)
+	if c.earlierJobsKnown || now.Before(c.earlierOrdersUntil) {
+		return
+	}
+	c.earlierJobsKnown = true
+	c.dropDeferred()
 }
 
 // Fenced reports whether a worker has seen a higher epoch, which means that another instance
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -119,6 +119,7 @@
 	}
 	c.jobs[accepted.ID] = j
 	if record.Final != "" {
+		c.receiveDeferred(j)
 		return false
 	}
 	for k := range accepted.Occurrences() {
@@ -129,10 +130,12 @@
 	c.queue = append(c.queue, j)
 	if cancelled {
 		c.cancel(j)
+		c.receiveDeferred(j)
 		return j.fromEarlierEpoch
 	}
 	c.finishIfDone(j)
 	c.failExhausted(j)
+	c.receiveDeferred(j)
 	if j.fromEarlierEpoch && j.record.Final == "" {
 		c.awaitsStartIntent(j) // the promise of start intents must not wait until the job starts
 	}
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -48,7 +48,11 @@
 	// last one that may be acknowledged, and acknowledged that of the last one that was.
 	lastCompletion, acknowledgeable, acknowledged int64
 	unstored                                      []unstoredCompletion
-	// unstoredPollAt is the time from which the worker is polled although unstored is not empty.
+	// deferred are the completions of jobs that are not known. The worker would forget one that was
+	// acknowledged, and the task would run again once its job is known.
+	deferred []workload.Completion
+	// unstoredPollAt is the time from which the worker is polled although unstored or deferred is not
+	// empty.
 	unstoredPollAt time.Time
 	// lostAttempts are runs that were lost with the worker and whose outcome is not known yet.
 	lostAttempts []lostAttempt
@@ -166,7 +170,7 @@
 		case c.now.Before(w.nextPollAt):
 		case w.wantPoll || !w.synced || c.isSuspect(w):
 			due = append(due, duePoll{w, false})
-		case len(w.unstored) > 0:
+		case len(w.unstored)+len(w.deferred) > 0:
 			// Completions are listed again until they are acknowledged, which requires the
 			// store's answer first: a long poll would return immediately.
 			if !c.now.Before(w.unstoredPollAt) {
