Give the core the whole record of a job that is learned late

Callers saw nothing that is known; by reading, a task could run twice.

Cause: jobChanged handed the core the head of a record, without its parts and without a start intent stored apart, while a new leader's first read joins them. A job that becomes known after that read counted as one that never began, and what its parts list as done would have run again.

Change: both ways go through one function that joins the parts and the intent; a job whose record cannot be read so is left out, as at the first read. A cancellation reaches the core in any case.

Evidence: TestAJobThatIsLearnedLateHasItsWholeRecord failed before in two cases: the intent stored apart was not seen (false != true), and a job whose record lacks a part was added (true != false).

--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -240,13 +240,18 @@
 // jobChanged passes a new job or a cancellation to the core if this instance leads.
 func (i *Instance) jobChanged(c change) {
 	leader := i.leader.Load()
-	known, ok := i.replica.get(c.job)
-	if leader == nil || !ok || known.unreadable {
+	if leader == nil {
+		return
+	}
+	known, ok := i.replica.getWhole(c.job)
+	if !ok && !c.cancelled {
 		return
 	}
 	leader.post(func(core *dispatch.Core, now time.Time, wallMS int64) {
-		leader.addJob(&known, now, wallMS)
-		if known.cancelled {
+		if ok {
+			leader.addJob(&known, now, wallMS)
+		}
+		if c.cancelled || known.cancelled {
 			core.Cancel(c.job, now, wallMS)
 		}
 	})
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -419,15 +419,10 @@
 	defer r.mu.Unlock()
 	list := make([]knownJob, 0, len(r.jobs))
 	for _, known := range r.jobs {
-		if known.job != nil && !known.unreadable && !isKnown(known.job.ID) {
-			k := *known
-			record, err := known.wholeRecord()
-			if err != nil {
-				r.logger.Error("record cannot be read", zap.String("job", known.job.ID), zap.Error(err))
-				continue // the job must not run, because what it has completed is unknown
-			}
-			k.record = record
-			k.record.StartIntent = k.record.StartIntent || k.begun
+		if known.job == nil || isKnown(known.job.ID) {
+			continue
+		}
+		if k, ok := r.whole(known); ok {
 			list = append(list, k)
 		}
 	}
@@ -440,6 +435,34 @@
 	return list
 }
 
+// whole returns a job with all that is stored of its record; false if that cannot be read: the job
+// must not run then, because what it has completed is unknown.
+func (r *replica) whole(known *knownJob) (knownJob, bool) {
+	if known.unreadable {
+		return knownJob{}, false
+	}
+	record, err := known.wholeRecord()
+	if err != nil {
+		r.logger.Error("record cannot be read", zap.String("job", known.job.ID), zap.Error(err))
+		return knownJob{}, false
+	}
+	k := *known
+	k.record = record
+	k.record.StartIntent = k.record.StartIntent || k.begun
+	return k, true
+}
+
+// getWhole returns a job for a leader's core; false if the job is not known or cannot be read.
+func (r *replica) getWhole(id string) (knownJob, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.jobs[id]
+	if known == nil || known.job == nil {
+		return knownJob{}, false
+	}
+	return r.whole(known)
+}
+
 // get returns the state of one job; false if the job is not known.
 func (r *replica) get(id string) (knownJob, bool) {
 	r.mu.Lock()
--- a/internal/deployment/takeover_test.go
+++ b/internal/deployment/takeover_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"github.com/corianderbank/corianderbank/internal/dispatch"
@@ -68,3 +70,31 @@
 		})
 	}
 }
+
+func TestAJobThatIsLearnedLateHasItsWholeRecord(t *testing.T) {
+	head, err := dispatch.DecodeRecord([]byte(`{"parts":1}`))
+	assert.NilError(t, err)
+	assert.Equal(t, head.Parts, 1)
+	for name, c := range map[string]struct {
+		rows    []workload.Row
+		known   bool
+		intents bool
+	}{
+		"its start intent is stored apart":   {[]workload.Row{{Key: intentPrefix + waitingJob, Version: 3, Value: encode(1)}}, true, true},
+		"a part of its record is missing":    {[]workload.Row{{Key: recordPrefix + waitingJob, Version: 3, Value: head.Encode()}}, false, false},
+		"it has neither a record nor intent": {nil, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newOverlapLeader(t)
+			core, logs := observer.New(zap.InfoLevel)
+			l.logger = zap.New(core)
+			l.core.TrustStartIntents()
+			l.instance.replica.apply(append(c.rows, jobRow(waitingJob, 2)))
+			for range len(l.events) {
+				l.apply(<-l.events)
+			}
+			assert.Equal(t, l.core.Knows(waitingJob), c.known)
+			assert.Equal(t, logs.FilterMessage("job may have been started by an earlier epoch").Len() == 1, c.intents)
+		})
+	}
+}
