--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -247,7 +247,7 @@
 		// Rows that arrived after the change count as well, such as those of the first read of the table.
 		known, readable := i.replica.jobForLeader(c.job)
 		if readable {
-			core.AddJob(known.job, known.record, known.cancelled, now, wallMS)
+			leader.addJob(&known, now, wallMS)
 		}
 		if c.cancelled || known.cancelled {
 			core.Cancel(c.job, now, wallMS)
@@ -255,6 +255,20 @@
 	})
 }
 
+// tableReloaded applies a whole read of the product's table.
+func (i *Instance) tableReloaded(rows []workload.Row, at int64) {
+	i.replica.reload(rows, at)
+	i.tableAdvanced(at)
+}
+
+// tableAdvanced notes that all changes of the product's table up to a version were applied.
+func (i *Instance) tableAdvanced(version int64) {
+	i.replica.advance(version)
+	if leader := i.leader.Load(); leader != nil {
+		leader.tableKnown(version)
+	}
+}
+
 func (i *Instance) workersChanged() {
 	if leader := i.leader.Load(); leader != nil {
 		leader.post(func(core *dispatch.Core, now time.Time, wallMS int64) {
@@ -374,9 +388,9 @@
 		store:         i.store,
 		source:        workload.SourceOwn,
 		logger:        i.logger,
-		reload:        i.replica.reload,
+		reload:        i.tableReloaded,
 		apply:         i.replica.applyFeed,
-		advanced:      i.replica.advance,
+		advanced:      i.tableAdvanced,
 		gap:           i.tableGap,
 		wanted:        i.followsTable,
 		whileUnwanted: i.dropTable,
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -489,11 +489,19 @@
 
 // snapshot returns all readable jobs, oldest first, for a new leader's core.
 func (r *replica) snapshot() []knownJob {
+	return r.snapshotExcept(func(string) bool { return false })
+}
+
+// snapshotExcept returns the readable jobs that are not known, oldest first.
+func (r *replica) snapshotExcept(isKnown func(id string) bool) []knownJob {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	list := make([]knownJob, 0, len(r.jobs))
 	for _, known := range r.jobs {
-		if k, readable := r.whole(known); readable {
+		if known.job == nil || isKnown(known.job.ID) {
+			continue
+		}
+		if k, ok := r.whole(known); ok {
 			list = append(list, k)
 		}
 	}
--- a/internal/deployment/takeover_test.go
+++ b/internal/deployment/takeover_test.go
@@ -1,137 +1,100 @@
 package deployment
 
 import (
-	"slices"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"github.com/corianderbank/corianderbank/internal/dispatch"
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
-// takeOver returns the leader of epoch 2 after it has read the store. Notes are rows that peers send
-// while it reads.
-func takeOver(t *testing.T, store *memoryStore, notes ...workload.Row) *leader {
-	settings := defaultSettings()
-	i := New(Options{Settings: &settings, Store: store, Decoder: plainDecoder{}, Logger: zap.NewNop()})
-	config := &workload.Configuration{}
-	config.Index()
-	i.configuration.Store(config)
-	c := newLeader(t.Context(), i, &grant{epoch: 2, hasPredecessor: true})
-	i.leader.Store(c)
-	i.replica.keepAll()
-	i.replica.apply(notes)
-	_, ok := c.load()
-	assert.Assert(t, ok)
-	c.applyQueued()
+// newOverlapLeader returns a leader of epoch 2 whose predecessor's time is over, but was not when the
+// table was read.
+func newOverlapLeader(t *testing.T) *leader {
+	store := newMemoryStore()
+	takeEpoch(store, 2)
+	c := newKnowledgeLeader(t, store, 2)
+	now := bootTime()
+	c.grant.hasPredecessor, c.grant.predecessorUntil = true, now.Add(-time.Minute)
+	c.core = dispatch.New(workload.Bounds{}, 2, now.Add(-time.Hour), c.grant.predecessorUntil)
+	c.core.StoreStartIntents(true)
+	c.instance.leader.Store(c)
 	return c
 }
 
-// knows reports whether the core has a job.
-func (c *leader) knows(id string) bool {
-	c.core.MarkDirty(id)
-	list := slices.DeleteFunc(c.core.UnstoredRecords(maxEntriesPerWrite), func(u dispatch.UnstoredRecord) bool { return u.Job != id })
-	c.core.MarkRecordsStored(list, time.Now(), 0)
-	return len(list) == 1
-}
-
-// putRows stores rows.
-func (s *memoryStore) putRows(rows ...workload.Row) {
-	for _, row := range rows {
-		s.ver++
-		row.Version = s.ver
-		s.rows[row.Key] = row
-	}
+func TestAJobIsNewOnlyOnceTheFeedHasAllThatThePredecessorMayHaveStarted(t *testing.T) {
+	c := newOverlapLeader(t)
+	before, after := c.grant.predecessorUntil, c.grant.predecessorUntil.Add(2*leaseMargin)
+	c.grant.noteAnswer(before, 90)
+	c.instance.tableAdvanced(95)
+	c.grant.noteAnswer(after, 100)
+	c.grant.noteAnswer(after.Add(time.Second), 200)
+	c.instance.tableAdvanced(99)
+	assert.Equal(t, len(c.events), 0, "the table may lack jobs of the predecessor")
+	c.instance.replica.apply([]workload.Row{jobRow("aaaaaaaaaaaaaaaa", 99)})
+	<-c.events // its note is still on its way when the feed is complete
+	c.instance.tableAdvanced(100)
+	c.instance.tableAdvanced(101)
+	assert.Equal(t, len(c.events), 1)
+	c.apply(<-c.events)
+	c.instance.replica.apply([]workload.Row{jobRow("bbbbbbbbbbbbbbbb", 102)})
+	c.apply(<-c.events)
+	assert.Assert(t, c.core.Knows("bbbbbbbbbbbbbbbb"))
+	records := c.core.UnstoredRecords(10)
+	assert.Equal(t, len(records), 1)
+	assert.Equal(t, records[0].Job, "aaaaaaaaaaaaaaaa", "the predecessor may have started it")
+	assert.Assert(t, records[0].StartIntent)
 }
 
-// What the job has completed would be unknown.
-func TestAJobWhoseRecordCannotBeReadNeverReachesTheCore(t *testing.T) {
-	split := dispatch.Record{StartIntent: true, Parts: 2}
-	part := dispatch.Record{Done: map[string]string{"0.0": "01"}}
-	head := func(data []byte) workload.Row { return workload.Row{Key: recordPrefix + "a", Value: data} }
-	partRow := func(index int, data []byte) workload.Row {
-		return workload.Row{Key: recordPartKey("a", 2, index), Value: data}
-	}
-	cancel := workload.Row{Key: cancelPrefix + "a", Value: []byte("1")}
-	for name, rows := range map[string][]workload.Row{
-		"the head cannot be decoded": {head([]byte("?"))},
-		"a part is missing":          {head(split.Encode()), partRow(0, part.Encode())},
-		"a part cannot be decoded":   {head(split.Encode()), partRow(0, part.Encode()), partRow(1, []byte("?"))},
+func TestARenewalSentBeforeThePredecessorsTimeIsOverProvesNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		overFor time.Duration
+		covers  bool
+	}{
+		"the predecessor may give orders": {-time.Minute, false},
+		"its time is over":                {2 * leaseMargin, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			store := newMemoryStore()
-			store.putRows(jobRow("a", 0), jobRow("b", 0))
-			store.putRows(rows...)
-			c := takeOver(t, store)
-			assert.Assert(t, c.knows("b"))
-			assert.Assert(t, !c.knows("a"), "added by the first read of the table")
-			c.instance.replica.apply([]workload.Row{{Key: cancel.Key, Value: cancel.Value, Version: store.ver + 1}})
-			c.applyQueued()
-			assert.Assert(t, !c.knows("a"), "added by its cancellation")
+			l := newTestLease(t, "self", newMemoryStore())
+			l.storeLeaderRow(t, leaderRow{Leader: "other", Epoch: 4}, time.Hour)
+			g := l.tryTake(t.Context())
+			assert.Assert(t, g != nil)
+			g.predecessorUntil = bootTime().Add(-c.overFor)
+			assert.Assert(t, l.renewOnce(t.Context(), g, 1))
+			assert.Equal(t, g.coversPredecessor(g.version), c.covers)
+			assert.Assert(t, !g.coversPredecessor(g.version-1))
 		})
 	}
 }
 
-func TestAJobThatArrivesWhileTheTableIsReadIsNotAddedWithoutItsRecord(t *testing.T) {
-	store := newMemoryStore()
-	store.putRows(jobRow("a", 0), workload.Row{Key: recordPrefix + "a", Value: []byte("?")})
-	c := takeOver(t, store, store.rows[jobPrefix+"a"])
-	assert.Assert(t, !c.knows("a"))
-}
-
-func TestAnOldCopyOfARemovedRowDoesNotBringItsJobBack(t *testing.T) {
-	deleted := func(key string, version int64) workload.Row {
-		return workload.Row{Key: key, Version: version, Deleted: true}
-	}
-	for name, late := range map[string]func(r *replica, old workload.Row){
-		"a note":             func(r *replica, old workload.Row) { r.apply([]workload.Row{old}) },
-		"a read from before": func(r *replica, old workload.Row) { r.reload([]workload.Row{old}, old.Version) },
+func TestAJobThatIsLearnedLateHasItsWholeRecord(t *testing.T) {
+	head, err := dispatch.DecodeRecord([]byte(`{"parts":1}`))
+	assert.NilError(t, err)
+	assert.Equal(t, head.Parts, 1)
+	for name, c := range map[string]struct {
+		rows    []workload.Row
+		known   bool
+		intents bool
+	}{
+		"its start intent is stored apart":   {[]workload.Row{{Key: intentPrefix + waitingJob, Version: 3, Value: encode(1)}}, true, true},
+		"a part of its record is missing":    {[]workload.Row{{Key: recordPrefix + waitingJob, Version: 3, Value: head.Encode()}}, false, false},
+		"it has neither a record nor intent": {nil, true, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			store := newMemoryStore()
-			store.putRows(jobRow("a", 0), recordRow("a", dispatch.FinalCompleted, 0))
-			c := takeOver(t, store)
-			assert.Assert(t, c.knows("a"))
-			removedAt := store.ver + 1
-			c.instance.replica.applyFeed([]workload.Row{deleted(jobPrefix+"a", removedAt), deleted(recordPrefix+"a", removedAt+1)})
-			c.core.RemoveJob("a")
-			late(c.instance.replica, store.rows[jobPrefix+"a"])
-			c.applyQueued()
-			assert.Assert(t, !c.knows("a"), "it would run again")
-			_, known := c.instance.replica.get("a")
-			assert.Assert(t, !known)
-			c.instance.replica.apply([]workload.Row{jobRow("a", removedAt+2)})
-			c.applyQueued()
-			assert.Assert(t, c.knows("a"), "a new job of the same id")
+			l := newOverlapLeader(t)
+			core, logs := observer.New(zap.InfoLevel)
+			l.logger = zap.New(core)
+			l.core.TrustStartIntents()
+			l.instance.replica.apply(append(c.rows, jobRow(waitingJob, 2)))
+			for range len(l.events) {
+				l.apply(<-l.events)
+			}
+			assert.Equal(t, l.core.Knows(waitingJob), c.known)
+			assert.Equal(t, logs.FilterMessage("job may have been started by an earlier epoch").Len() == 1, c.intents)
 		})
 	}
 }
-
-func TestAHubAgainAcceptsTheRowsThatItHadDropped(t *testing.T) {
-	r := newReplica(zap.NewNop())
-	rows := []workload.Row{jobRow("a", 1), recordRow("a", dispatch.FinalCompleted, 2)}
-	r.reload(rows, 7)
-	r.advance(9)
-	r.keepOnlyInstances()
-	r.advance(11)
-	r.reload(rows, 12)
-	state, _, known := r.state("a")
-	assert.Assert(t, known)
-	assert.Equal(t, state, StateCompleted)
-}
-
-// A row that a peer sends ahead of the feed does not make what the feed still brings old.
-func TestTheFeedBringsRowsThatAreOlderThanANote(t *testing.T) {
-	r := newReplica(zap.NewNop())
-	r.reload(nil, 3)
-	r.apply([]workload.Row{jobRow("b", 9)})
-	removes := workload.Row{Key: jobPrefix + "x", Version: 5, Deleted: true}
-	r.applyFeed([]workload.Row{jobRow("a", 4), removes, jobRow("c", 5)})
-	for _, id := range []string{"a", "b", "c"} {
-		_, known := r.get(id)
-		assert.Assert(t, known, id)
-	}
-}
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -109,22 +109,24 @@
 	acceptedAt time.Time
 }
 
-// AddJob adds an accepted job with its record. Adding a known job again changes nothing.
-func (c *Core) AddJob(accepted *workload.Job, record Record, cancelled bool, now time.Time, wallMS int64) {
+// AddJob adds an accepted job with its record, and reports whether it is new to the core and an
+// earlier epoch may have started it. Adding a known job again changes nothing.
+func (c *Core) AddJob(accepted *workload.Job, record Record, cancelled bool, now time.Time, wallMS int64) (fromEarlierEpoch bool) {
 	c.tick(now, wallMS)
 	if c.jobs[accepted.ID] != nil {
-		return
+		return false
 	}
 	j := &job{Job: accepted, record: record.clone(), startIntentStored: record.StartIntent, acceptedAt: now}
 	j.parts = recordParts{count: record.Parts, headCount: record.Parts, stored: make([]uint64, record.Parts)}
-	j.fromEarlierEpoch = !c.earlierOrdersUntil.IsZero() && !now.After(c.earlierOrdersUntil) && (record.StartIntent || !c.trustStartIntents)
+	j.fromEarlierEpoch = !c.earlierJobsKnown && (record.StartIntent || !c.trustStartIntents)
 	if age := wallMS - accepted.AcceptedMS; age > 0 && age < maxJobAge.Milliseconds() {
 		j.acceptedAt = now.Add(-time.Duration(age) * time.Millisecond)
 	}
 	c.jobs[accepted.ID] = j
 	if record.Final != "" {
 		j.finalSince = now
-		return
+		c.receiveDeferred(j)
+		return false
 	}
 	for k := range accepted.Occurrences() {
 		for s := range accepted.Steps {
@@ -134,12 +136,21 @@
 	c.queue = append(c.queue, j)
 	if cancelled {
 		c.cancel(j)
-		return
+		c.receiveDeferred(j)
+		return j.fromEarlierEpoch
 	}
 	c.finishIfDone(j)
 	c.failExhausted(j)
+	c.receiveDeferred(j)
+	if j.fromEarlierEpoch && j.record.Final == "" {
+		c.awaitsStartIntent(j) // the promise of start intents must not wait until the job starts
+	}
+	return j.fromEarlierEpoch
 }
 
+// Knows reports whether a job was added.
+func (c *Core) Knows(id string) bool { return c.jobs[id] != nil }
+
 // maxJobAge limits how far back an acceptance time is trusted: the wall clock of another
 // instance may be off.
 const maxJobAge = time.Hour
