--- a/internal/deployment/worker_reach_test.go
+++ b/internal/deployment/worker_reach_test.go
@@ -92,8 +92,11 @@
 		settings := defaultSettings()
 		hub := New(Options{Settings: &settings, Store: newMemoryStore(), Workers: hubWorkers, Decoder: plainDecoder{}, Logger: zap.NewNop()})
 		hub.workerAnswers = newBatcher(answerBatchLinger, maxAnswersPerMessage, func(_ string, answers []*peerpb.WorkerAnswer) {
-			if !n.dropsAnswers[name] {
-				n.leader.receiveAnswers(name, answers)
+			n.mu.Lock()
+			drops, leader := n.dropsAnswers[name], n.leader
+			n.mu.Unlock()
+			if !drops {
+				leader.receiveAnswers(name, answers)
 			}
 		})
 		n.hubs[name] = hub
@@ -101,6 +104,13 @@
 	return n
 }
 
+// change changes the net while calls are under way.
+func (n *relayNet) change(change func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change()
+}
+
 // startAll sends a start to each worker concurrently and counts the verdicts.
 func (n *relayNet) startAll(t *testing.T, workers int) map[workload.Verdict]int {
 	verdicts := make(chan workload.Verdict, workers)
@@ -122,9 +132,10 @@
 		order := workload.Order{Worker: "w1", Zone: "zone"}
 		hub := n.leader.hubFor(order.Worker, order.Zone)
 		assert.Equal(t, n.leader.Start(t.Context(), order).Hub, hub)
-		n.dropsAnswers[hub] = true
+		n.change(func() { n.dropsAnswers[hub] = true })
 		assert.Equal(t, n.leader.Start(t.Context(), order).Hub, hub)
-		n.refusals["hub-1"], n.refusals["hub-2"] = api.NewError(api.KindNotReady, "injected"), api.NewError(api.KindNotReady, "injected")
+		unavailable := api.NewError(api.KindNotReady, "injected")
+		n.change(func() { n.refusals["hub-1"], n.refusals["hub-2"] = unavailable, unavailable })
 		assert.Equal(t, n.leader.Start(t.Context(), order).Hub, "")
 	})
 }
@@ -256,9 +267,10 @@
 		earlier := n.leader
 		go func() { _ = earlier.Stop(t.Context(), order) }()
 		time.Sleep(100 * time.Millisecond)
-		n.leader = newRoutedWorkers(earlier.direct, n, earlier.hubs, 1, zap.NewNop())
-		n.leader.setWorkerCount(1_000_000)
-		n.refusals["hub-1"], n.refusals["hub-2"] = api.NewError(api.KindResultUnknown, "injected"), api.NewError(api.KindResultUnknown, "injected")
+		next := newRoutedWorkers(earlier.direct, n, earlier.hubs, 1, zap.NewNop())
+		next.setWorkerCount(1_000_000)
+		lost := api.NewError(api.KindResultUnknown, "injected")
+		n.change(func() { n.leader, n.refusals["hub-1"], n.refusals["hub-2"] = next, lost, lost })
 		verdict := n.leader.Start(t.Context(), order).Verdict
 		time.Sleep(time.Second)
 		assert.Equal(t, verdict, workload.VerdictUnknown, "the start reached no worker")
