Fence each part with jobs before an early takeover reads it

Callers saw: a task could run twice after a leader that was frozen, or cut off from its peers, was replaced before its lease ended.

Cause: start intents stored apart from records expected no epoch. The replaced leader could store one after its successor had read the table, and then start the job. The successor trusted the lease row's promise, took the job for one that never began, and did not wait for workers that had not answered. The comment that the next leader reads such an intent held only for a lease that is over.

Change: a leader that takes the lease while its predecessor may be active writes its epoch into a fence row in each of the 16 parts with jobs before it reads them. A separate intent expects the fence that its leader read, so the successor either reads it or the store refuses it; a leader that meets a higher fence gives up. A fence is replaced only under its version and never by an older epoch, so a late write of one does no harm. If a part takes no fence within one attempt, promises are not trusted, and jobs wait as after a leader without one. After a lease that is over or was released there is no fence: the read follows the last order, and a later intent starts nothing.

Mixed versions: the promise has a name of its own, begins_fenced. An instance that writes no fences trusts it no more than none; begins_anywhere is trusted only once its leader's time is over.

--- a/internal/deployment/candidate.go
+++ b/internal/deployment/candidate.go
@@ -137,11 +137,11 @@
 	}
 	// A leader that did not promise start intents may have started jobs without a
 	// record of it, and until this leader has stored those records, it cannot promise
-	// them either.
-	g.trustIntents = g.hasPredecessor && seen.promisesIntents()
-	g.promise.init(l.tuning.enabled(dispatch.MechStoredStartIntents) && (g.trustIntents || !g.hasPredecessor))
+	// them either. The same holds for one that may yet store an intent which this leader does not read.
 	sent := bootTime()
-	row := leaderRow{Leader: l.self, Epoch: g.epoch, StoresIntentsAnywhere: g.promise.strict}
+	g.trustIntents = g.hasPredecessor && seen.promisesIntents() && (g.predecessorOver(sent) || seen.promisesRefusableIntents())
+	g.promise.init(l.tuning.enabled(dispatch.MechStoredStartIntents) && (g.trustIntents || !g.hasPredecessor))
+	row := leaderRow{Leader: l.self, Epoch: g.epoch, StoresIntentsFenced: g.promise.strict}
 	written, err := l.store.Write(ctx, workload.Write{
 		Expect: []workload.Row{{Key: leaderKey, Version: seen.version}, {Key: epochKey, Version: epochVersion}},
 		Put:    []workload.Row{{Key: leaderKey, Value: encode(row)}, {Key: epochKey, Value: encode(g.epoch)}},
--- a/internal/deployment/fill_bench_test.go
+++ b/internal/deployment/fill_bench_test.go
@@ -28,7 +28,7 @@
 			i.workers.reload(listed, 0)
 			c := &leader{instance: i, grant: &grant{epoch: 2, hasPredecessor: true, predecessorUntil: bootTime()}, logger: zap.NewNop()}
 			for b.Loop() {
-				c.fillCore()
+				c.fillCore(false)
 			}
 		})
 	}
--- a/internal/deployment/fill_test.go
+++ b/internal/deployment/fill_test.go
@@ -20,7 +20,7 @@
 	stored := workload.Worker{ID: "cut off", Addr: "cut off", Pool: "pool"}
 	i.replica.apply([]workload.Row{{Key: workerPrefix + stored.ID, Value: encode(stored), Version: 4}})
 	c := &leader{instance: i, grant: &grant{epoch: 2, hasPredecessor: true, predecessorUntil: bootTime().Add(time.Minute)}, logger: zap.NewNop()}
-	c.fillCore()
+	c.fillCore(false)
 	unsynced := make(map[string]bool)
 	for _, id := range c.core.Unsynced() {
 		unsynced[id] = true
--- a/internal/deployment/intents_test.go
+++ b/internal/deployment/intents_test.go
@@ -43,7 +43,7 @@
 	takeEpoch(store, 1)
 	l := newKnowledgeLeader(t, store, 1)
 	l.instance.store.direct = &partStore{store, refused}
-	l.orders, l.intentWrites = pond.NewPool(4), make(map[string]bool)
+	l.orders, l.intentWrites, l.fences = pond.NewPool(4), make(map[string]bool), make(map[string]fence)
 	it := &intentTest{leader: l, store: store, now: time.Unix(1000, 0)}
 	config := &workload.Configuration{Queues: []workload.Queue{{Name: "q", Pool: "pool", Attempts: 1, LatencyFactor: 2}}}
 	config.Index()
--- a/internal/deployment/leader.go
+++ b/internal/deployment/leader.go
@@ -79,6 +79,8 @@
 	learned *knowledge.Tracker
 	// intentWrites holds the jobs whose start intent is being written apart from their record.
 	intentWrites map[string]bool
+	// fences holds, by part, the fences as this leader has read them.
+	fences map[string]fence
 	// earlierJobsKnown is set once the core is told that it knows the jobs of earlier leaders.
 	earlierJobsKnown atomic.Bool
 	// startsHeld is set while nothing starts because the copy of the drained zones is
--- a/internal/deployment/lease.go
+++ b/internal/deployment/lease.go
@@ -197,7 +197,7 @@
 func (l *lease) renewOnce(ctx context.Context, g *grant, beat int64) bool {
 	sent := bootTime()
 	strict, seq := g.promise.next()
-	row := encode(leaderRow{Leader: l.self, Epoch: g.epoch, Beat: beat, StoresIntentsAnywhere: strict})
+	row := encode(leaderRow{Leader: l.self, Epoch: g.epoch, Beat: beat, StoresIntentsFenced: strict})
 	written, err := l.store.Write(ctx, workload.Write{
 		Expect: []workload.Row{{Key: leaderKey, Version: g.version}},
 		Put:    []workload.Row{{Key: leaderKey, Value: row}},
@@ -230,7 +230,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	strict, _ := g.promise.next()
-	row := leaderRow{Leader: l.self, Epoch: g.epoch, Released: true, StoresIntentsAnywhere: strict}
+	row := leaderRow{Leader: l.self, Epoch: g.epoch, Released: true, StoresIntentsFenced: strict}
 	_, err := l.store.Write(ctx, workload.Write{
 		Expect: []workload.Row{{Key: leaderKey, Version: g.version}},
 		Put:    []workload.Row{{Key: leaderKey, Value: encode(row)}},
--- a/internal/deployment/parts.go
+++ b/internal/deployment/parts.go
@@ -26,6 +26,9 @@
 
 // partOf returns the part of a key of the product's table.
 func partOf(key string) string {
+	if part, found := fencePart(key); found {
+		return part
+	}
 	for _, prefix := range []string{jobPrefix, cancelPrefix, intentPrefix} {
 		if id, found := strings.CutPrefix(key, prefix); found {
 			return jobPart(xxhash.Sum64String(id) % jobParts)
--- a/internal/deployment/parts_test.go
+++ b/internal/deployment/parts_test.go
@@ -24,6 +24,7 @@
 	for _, key := range []string{epochKey, leaderKey, recordPrefix + "a", workerPrefix + "w", instancePrefix + "i"} {
 		assert.Equal(t, partOf(key), mainPart)
 	}
+	assert.Equal(t, partOf(fencePrefix+jobPart(3)), jobPart(3))
 }
 
 func TestReadTableReturnsAllPartsAtTheOldestVersion(t *testing.T) {
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -56,13 +56,21 @@
 	Beat int64 `json:"beat"`
 	// StoresIntents promises that the record of every started job has its start
 	// intent. Leaders that may store intents apart from records promise StoresIntentsAnywhere
-	// instead, so that an instance that does not know of these trusts neither.
+	// instead, so that an instance that does not know of these trusts neither. Leaders whose separate
+	// intents expect the fence of their part promise StoresIntentsFenced, for the same reason.
 	StoresIntents         bool `json:"begins,omitempty"`
 	StoresIntentsAnywhere bool `json:"begins_anywhere,omitempty"`
+	StoresIntentsFenced   bool `json:"begins_fenced,omitempty"`
 }
 
 // promisesIntents reports whether every started job has its start intent stored.
-func (r leaderRow) promisesIntents() bool { return r.StoresIntents || r.StoresIntentsAnywhere }
+func (r leaderRow) promisesIntents() bool {
+	return r.StoresIntents || r.StoresIntentsAnywhere || r.StoresIntentsFenced
+}
+
+// promisesRefusableIntents reports whether, besides, none is stored any more once the next leader has
+// written its epoch and its fences.
+func (r leaderRow) promisesRefusableIntents() bool { return r.StoresIntents || r.StoresIntentsFenced }
 
 // seenLeader is the leader row as this instance has seen it.
 type seenLeader struct {
--- a/internal/deployment/takeover.go
+++ b/internal/deployment/takeover.go
@@ -34,6 +34,7 @@
 // start.
 func (c *leader) load() (int64, bool) {
 	for ; c.ctx.Err() == nil; pause(c.ctx, followRetryPause) {
+		trust := c.grant.trustIntents && (c.grant.predecessorOver(bootTime()) || c.writeFences())
 		sent := bootTime()
 		own, workers := c.startRead(workload.SourceOwn), c.startRead(workload.SourceWorkers)
 		operatorsErr := c.instance.readOperatorTable(c.ctx)
@@ -48,7 +49,8 @@
 		default:
 			c.instance.replica.reload(table.rows, table.version)
 			c.instance.workers.reload(workerList.rows, workerList.version)
-			c.fillCore()
+			c.readFences(table.rows)
+			c.fillCore(trust)
 			if c.grant.predecessorOver(sent) {
 				c.earlierJobsKnown.Store(true)
 				c.core.EarlierJobsKnown(bootTime(), time.Now().UnixMilli())
@@ -69,13 +71,14 @@
 	return result
 }
 
-// fillCore creates a core from the stored rows and the platform's list of workers.
-func (c *leader) fillCore() {
+// fillCore creates a core from the stored rows and the platform's list of workers. trustIntents is
+// set if the rows have the start intent of every job that an earlier epoch may have started.
+func (c *leader) fillCore(trustIntents bool) {
 	now, wallMS := bootTime(), time.Now().UnixMilli()
 	c.core = dispatch.New(c.instance.liveSettings.Load().bounds(), c.grant.epoch, now, c.predecessorActiveUntil(now))
 	c.core.LimitWrites(c.instance.settings.writeLimits())
 	c.core.Tune(c.instance.settings.Tuning.coreTuning())
-	if c.grant.trustIntents {
+	if trustIntents {
 		c.core.TrustStartIntents()
 	}
 	c.intents = newIntentMode(&c.grant.promise, c.core, c.instance.settings.Tuning, c.logger)
@@ -106,7 +109,7 @@
 		}
 	}
 	c.logger.Info("leading", zap.Int64("epoch", c.grant.epoch), zap.Int("jobs", len(jobs)), zap.Int("jobs_ended", ended),
-		zap.Int("jobs_may_have_started", earlier), zap.Int("ends_unstored", unstored), zap.Int("workers_stored", len(stored)))
+		zap.Bool("intents_trusted", trustIntents), zap.Int("jobs_may_have_started", earlier), zap.Int("ends_unstored", unstored), zap.Int("workers_stored", len(stored)))
 }
 
 // tableKnown tells the core that it knows every job that an earlier leader may have started, once
