Give up the lease once the table shows a successor

Cause: a leader that was frozen and goes on within its lease may learn of a job together with what its successor has stored of it. It took the successor's start intent for its own, and started the job without a write that the store would have refused. The successor's row in the lease came with the same rows, and nothing looked at it.

Change: the loop looks at the row of the lease before each round, and gives up if it is that of a higher epoch. The row of a lease precedes the records of its leader, in the feed and in a read.

--- a/internal/deployment/leader.go
+++ b/internal/deployment/leader.go
@@ -176,6 +176,11 @@
 		}
 		last = roundTiming{startedAt: time.Now()}
 		next.Reset(maxRoundInterval)
+		if epoch := c.instance.replica.seenLeader().Epoch; epoch > c.grant.epoch {
+			// What the table says of jobs is that leader's: its start intents are none of this one.
+			c.logger.Warn("the table has a higher epoch", zap.Int64("epoch", c.grant.epoch), zap.Int64("higher_epoch", epoch))
+			c.grant.end()
+		}
 		if c.grant.ended() {
 			return
 		}
--- a/internal/deployment/takeover_test.go
+++ b/internal/deployment/takeover_test.go
@@ -1,6 +1,7 @@
 package deployment
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -98,3 +99,19 @@
 		})
 	}
 }
+
+func TestALeaderThatSeesItsSuccessorGivesUp(t *testing.T) {
+	c := newOverlapLeader(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*maxRoundInterval)
+	defer cancel()
+	c.ctx, c.grant.expiresAt = ctx, bootTime().Add(time.Hour)
+	c.quiescing.Store(true) // it decides nothing
+	record := dispatch.Record{StartIntent: true}
+	c.instance.replica.apply([]workload.Row{
+		jobRow(waitingJob, 10),
+		{Key: leaderKey, Version: 11, Value: encode(leaderRow{Leader: "next", Epoch: c.grant.epoch + 1})},
+		{Key: recordPrefix + waitingJob, Version: 12, Value: record.Encode()},
+	})
+	c.run()
+	assert.Assert(t, c.grant.ended(), "it would take its successor's start intents for its own")
+}
