--- a/internal/deployment/leader.go
+++ b/internal/deployment/leader.go
@@ -79,6 +79,8 @@
 	learned *knowledge.Tracker
 	// intentWrites holds the jobs whose start intent is being written apart from their record.
 	intentWrites map[string]bool
+	// fences holds, by part, the fences as this leader has read them.
+	fences map[string]fence
 	// earlierJobsKnown is set once the core is told that it knows the jobs of earlier leaders.
 	earlierJobsKnown atomic.Bool
 	// startsHeld is set while nothing starts because the copy of the drained zones is
@@ -227,10 +229,12 @@
 
 // endIfReplaced ends the grant once this instance's copy of the table has a later epoch.
 func (c *leader) endIfReplaced() {
-	if c.grant.ended() || c.instance.replica.version(epochKey) <= c.grant.epochVersion {
+	r, g := c.instance.replica, c.grant
+	seen := r.seenLeader().Epoch
+	if g.ended() || seen <= g.epoch && r.version(epochKey) <= g.epochVersion {
 		return
 	}
-	c.logger.Warn("the table has a higher epoch", zap.Int64("epoch", c.grant.epoch))
+	c.logger.Warn("the table has a higher epoch", zap.Int64("epoch", g.epoch), zap.Int64("higher_epoch", seen))
 	c.grant.end()
 }
 
--- a/internal/deployment/records_random_test.go
+++ b/internal/deployment/records_random_test.go
@@ -115,7 +115,7 @@
 		}
 	}
 	p.leader.instance.replica.reload(rows, version)
-	p.leader.fillCore()
+	p.leader.fillCore(false)
 	p.leader.core.LimitWrites(p.limits)
 	jobs := p.leader.instance.replica.snapshot()
 	assert.Equal(p.t, len(jobs), 1, "seed %d: the job is left out in epoch %d", p.seed, p.epoch)
