Let a new leader read more jobs than its queue of events holds

What callers would see: nothing starts until the lease expires elsewhere. Found by reading and shown on a scratch copy with 4,106 jobs: a new leader that reads more jobs that are new to it than its queue of events holds (4,096) waits for room in the queue that only it could make.

Change: changes of jobs are passed on from the moment before the first read of the jobs; earlier ones are part of it.

Result: TestANewLeaderDoesNotHangOnMoreJobsThanItsEventsHold timed out without the condition (10 s) and passes. A leader that receives a job's note after its feed knows that row to be removed ignores it: the test of jobs whose notes are late applies the note first now, and demands the same.

--- a/internal/deployment/firstread_test.go
+++ b/internal/deployment/firstread_test.go
@@ -1,6 +1,7 @@
 package deployment
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -135,3 +136,12 @@
 		assert.Assert(t, known, id)
 	}
 }
+
+func TestANewLeaderDoesNotHangOnMoreJobsThanItsEventsHold(t *testing.T) {
+	store := newMemoryStore()
+	for n := range eventCapacity + 10 {
+		store.putRows(jobRow(fmt.Sprintf("%016x", n), 0))
+	}
+	c := takeOver(t, store)
+	assert.Assert(t, c.knows(fmt.Sprintf("%016x", eventCapacity+9)))
+}
--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -240,11 +240,10 @@
 // jobChanged passes a new job or a cancellation to the core if this instance leads.
 func (i *Instance) jobChanged(c change) {
 	leader := i.leader.Load()
-	if leader == nil {
+	if leader == nil || !leader.takesJobs.Load() {
 		return
 	}
 	leader.post(func(core *dispatch.Core, now time.Time, wallMS int64) {
-		// Rows that arrived after the change count as well, such as those of the first read of the table.
 		known, readable := i.replica.jobForLeader(c.job)
 		if readable {
 			leader.addJob(&known, now, wallMS)
--- a/internal/deployment/leader.go
+++ b/internal/deployment/leader.go
@@ -51,6 +51,8 @@
 	grant    *grant
 	core     *dispatch.Core
 	events   chan event
+	// takesJobs is set before the first read of the jobs: changes that came earlier are part of it.
+	takesJobs atomic.Bool
 	orders   pond.Pool
 	polls    pond.Pool
 	logger   *zap.Logger
--- a/internal/deployment/leader_test.go
+++ b/internal/deployment/leader_test.go
@@ -46,6 +46,7 @@
 func TestAReplacedLeaderDoesNotStartJobsOnItsSuccessorsStartIntents(t *testing.T) {
 	it := newIntentTest(t)
 	it.instance.leader.Store(it.leader)
+	it.takesJobs.Store(true)
 	it.instance.replica.onChange = it.instance.jobChanged
 	started := dispatch.Record{StartIntent: true}
 	job := workload.Job{ID: "00000000000000bb", Queue: "q", Steps: []workload.Step{{Count: 1, EstimateMS: 1000}}}
--- a/internal/deployment/takeover.go
+++ b/internal/deployment/takeover.go
@@ -93,6 +93,7 @@
 	c.core.WorkersListed(stored, now, wallMS)
 	c.core.WorkersListed(c.instance.listedWorkers(), now, wallMS)
 	c.core.WorkersStored(stored)
+	c.takesJobs.Store(true)
 	jobs := c.instance.replica.snapshot()
 	ended, unstored, earlier := 0, 0, 0
 	for _, known := range jobs {
--- a/internal/deployment/takeover_test.go
+++ b/internal/deployment/takeover_test.go
@@ -24,6 +24,7 @@
 	c.core = dispatch.New(workload.Bounds{}, 2, now.Add(-time.Hour), c.grant.predecessorUntil)
 	c.core.StoreStartIntents(true)
 	c.instance.leader.Store(c)
+	c.takesJobs.Store(true)
 	return c
 }
 
@@ -34,10 +35,10 @@
 	c.instance.tableAdvanced(95)
 	c.grant.noteAnswer(after, 100)
 	c.grant.noteAnswer(after.Add(time.Second), 200)
-	c.instance.tableAdvanced(99)
-	assert.Equal(t, len(c.events), 0, "the table may lack jobs of the predecessor")
 	c.instance.replica.apply([]workload.Row{jobRow("aaaaaaaaaaaaaaaa", 99)})
 	<-c.events // its note is still on its way when the feed is complete
+	c.instance.tableAdvanced(99)
+	assert.Equal(t, len(c.events), 0, "the table may lack jobs of the predecessor")
 	c.instance.tableAdvanced(100)
 	c.instance.tableAdvanced(101)
 	assert.Equal(t, len(c.events), 1)
