Send a stored cancellation to all hubs

What callers saw: a job shown as completed by one instance and a moment later as cancelled by another.

Cause: of a cancellation and an end that cross, the one stored first is shown. The leader sends the record of an end to all hubs; a cancellation that was stored before went to the leader and one hub alone, and reached the others with their feed, up to 0.6 s later.

Change: both go to all hubs, in the order in which they are stored. Hubs whose note is lost still show the end until their feed has the cancellation.

--- a/internal/deployment/accept.go
+++ b/internal/deployment/accept.go
@@ -240,9 +240,14 @@
 	state, err := i.findJob(ctx, caller, id)
 	if err == nil && state != StateCancelled && state != StateCompleted && state != StateFailed {
 		key := cancelPrefix + id
-		err = i.writeOnce(ctx, workload.Write{
+		write := workload.Write{
 			Part: partOf(key), Expect: []workload.Row{{Key: key}}, Put: []workload.Row{{Key: key, Value: encode(time.Now().UnixMilli())}},
-		}, func([]workload.Row) error { return nil })
+		}
+		err = i.writeOnce(ctx, write, func([]workload.Row) error { return nil })
+		if write.Put[0].Version > 0 {
+			// Before the record of an end that is stored later reaches them in the same way.
+			i.sendToHubs(workload.SourceOwn, write.Put)
+		}
 	}
 	i.logger.Info("cancel", zap.String("job", id), zap.String("queue", caller.Queue.Name), zap.String("state_before", string(state)),
 		zap.String("error_kind", kindName(err)), zap.Error(err))
