Take a start intent for one's own only if it was read first or written

Cause: the leader ends when its copy of the table has a later epoch. The feed brings that row before its records; two other ways need not. A caller who asks for a job that is not known has its rows read, without the epoch; and a whole read is made in pages and parts, so that a later page may have records of a leader whose epoch is not in the first.

Change: a start intent that comes with a job after the leader's first read does not count as stored. The leader stores its own, under its epoch, which the store refuses if it was replaced. A first read that has records, parts of records or separate intents of a later epoch ends the grant.

--- a/internal/deployment/firstread_test.go
+++ b/internal/deployment/firstread_test.go
@@ -13,18 +13,24 @@
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
 
-// takeOver returns the leader of epoch 2 after it has read the store. Notes are rows that peers send
-// while it reads.
-func takeOver(t *testing.T, store *memoryStore, notes ...workload.Row) *leader {
+// newReadingLeader returns the leader of epoch 2 before it reads the store, all of whose rows are older.
+func newReadingLeader(t *testing.T, store *memoryStore) *leader {
 	settings := defaultSettings()
 	i := New(Options{Settings: &settings, Store: store, Decoder: plainDecoder{}, Logger: zap.NewNop()})
 	config := &workload.Configuration{}
 	config.Index()
 	i.configuration.Store(config)
-	c := newLeader(t.Context(), i, &grant{epoch: 2, hasPredecessor: true})
+	c := newLeader(t.Context(), i, &grant{epoch: 2, epochVersion: store.ver, hasPredecessor: true})
 	i.leader.Store(c)
 	i.replica.keepAll()
-	i.replica.apply(notes)
+	return c
+}
+
+// takeOver returns the leader of epoch 2 after it has read the store. Notes are rows that peers send
+// while it reads.
+func takeOver(t *testing.T, store *memoryStore, notes ...workload.Row) *leader {
+	c := newReadingLeader(t, store)
+	c.instance.replica.apply(notes)
 	_, ok := c.load()
 	assert.Assert(t, ok)
 	c.applyQueued()
--- a/internal/deployment/leader_test.go
+++ b/internal/deployment/leader_test.go
@@ -59,3 +59,76 @@
 	assert.Equal(t, it.starts(0), 0)
 	assert.Assert(t, it.grant.ended())
 }
+
+// A caller asks the replaced leader's instance for the job before its feed has brought the epoch.
+func TestAReplacedLeaderDoesNotStartAJobThatACallerAsksFor(t *testing.T) {
+	it := newIntentTest(t)
+	it.core.JobsRead()
+	i := it.instance
+	i.leader.Store(it.leader)
+	it.takesJobs.Store(true)
+	i.replica.onChange = i.jobChanged
+	rows, version, err := readTable(it.ctx, it.store, workload.SourceOwn)
+	assert.NilError(t, err)
+	i.tableReloaded(rows, version)
+	for len(it.events) > 0 {
+		it.apply(<-it.events)
+	}
+	// The successor takes the lease, a job is accepted, and the successor stores its start intent.
+	takeEpoch(it.store, 2)
+	job := workload.Job{ID: "00000000000000bb", Queue: "q", Steps: []workload.Step{{Count: 1, EstimateMS: 1000, Need: workload.Resources{Accelerators: 1}}}}
+	begun := dispatch.Record{StartIntent: true}
+	it.store.putRows(
+		workload.Row{Key: jobPrefix + job.ID, Value: encode(job)},
+		workload.Row{Key: recordPrefix + job.ID, Value: begun.Encode()},
+	)
+	_, err = i.readJob(t.Context(), job.ID)
+	assert.NilError(t, err)
+	for len(it.events) > 0 {
+		it.apply(<-it.events)
+	}
+	assert.Assert(t, !it.grant.ended(), "the feed has not brought the later epoch")
+	assert.Equal(t, it.starts(0), 0)
+}
+
+// The whole read is done in pages: the epoch is in the first one, records are in later ones.
+func TestAReplacedLeaderDoesNotStartAJobThatAPagedReadBrings(t *testing.T) {
+	it := newIntentTest(t)
+	it.core.JobsRead()
+	i := it.instance
+	i.leader.Store(it.leader)
+	it.takesJobs.Store(true)
+	i.replica.onChange = i.jobChanged
+	rows, version, err := readTable(it.ctx, it.store, workload.SourceOwn)
+	assert.NilError(t, err)
+	job := workload.Job{ID: "00000000000000bb", Queue: "q", Steps: []workload.Step{{Count: 1, EstimateMS: 1000, Need: workload.Resources{Accelerators: 1}}}}
+	begun := dispatch.Record{StartIntent: true}
+	// What readAll returns if the successor writes between two pages: version of the first page.
+	rows = append(rows, workload.Row{Key: jobPrefix + job.ID, Value: encode(job), Version: version + 2},
+		workload.Row{Key: recordPrefix + job.ID, Value: begun.Encode(), Version: version + 3})
+	i.tableReloaded(rows, version)
+	for len(it.events) > 0 {
+		it.apply(<-it.events)
+	}
+	assert.Assert(t, !it.grant.ended(), "the feed has not brought the later epoch")
+	assert.Equal(t, it.starts(0), 0)
+}
+
+func TestALeaderThatIsReplacedWhileItReadsTheTableDoesNotLead(t *testing.T) {
+	begun := dispatch.Record{StartIntent: true}
+	for name, row := range map[string]workload.Row{
+		"a record":                    {Key: recordPrefix + "a", Value: begun.Encode()},
+		"a part of a record":          {Key: recordPartKey("a", 1, 0), Value: begun.Encode()},
+		"a start intent stored apart": {Key: intentPrefix + "a", Value: encode(3)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := newMemoryStore()
+			store.putRows(jobRow("b", 0), recordRow("b", "", 0), workload.Row{Key: intentPrefix + "b", Value: encode(1)})
+			c := newReadingLeader(t, store)
+			store.putRows(row)
+			_, leads := c.load()
+			assert.Assert(t, !leads)
+			assert.Assert(t, c.grant.ended())
+		})
+	}
+}
--- a/internal/deployment/takeover.go
+++ b/internal/deployment/takeover.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -46,6 +48,10 @@
 			c.logger.Warn("reading the workers failed", zap.Error(workerList.err))
 		case operatorsErr != nil:
 			c.logger.Warn("reading the operators' table failed", zap.Error(operatorsErr))
+		case c.showsSuccessor(table.rows):
+			c.logger.Warn("the table has records of a higher epoch", zap.Int64("epoch", c.grant.epoch))
+			c.grant.end()
+			return 0, false
 		default:
 			c.instance.replica.reload(table.rows, table.version)
 			c.instance.workers.reload(workerList.rows, workerList.version)
@@ -61,6 +67,21 @@
 	return 0, false
 }
 
+// showsSuccessor reports whether rows of the first read were written by a later leader. A read is made
+// in pages and parts, so that it may have such rows and not that of their epoch.
+func (c *leader) showsSuccessor(rows []workload.Row) bool {
+	return slices.ContainsFunc(rows, func(row workload.Row) bool {
+		switch row.Key[:min(len(recordPrefix), len(row.Key))] {
+		case recordPrefix, recordPartPrefix:
+			return row.Version > c.grant.epochVersion
+		case intentPrefix:
+			epoch := int64(0)
+			return json.Unmarshal(row.Value, &epoch) == nil && epoch > c.grant.epoch
+		}
+		return false
+	})
+}
+
 // startRead starts reading a whole table and returns a channel for the result.
 func (c *leader) startRead(source workload.Source) <-chan readResult {
 	result := make(chan readResult, 1)
@@ -109,6 +130,7 @@
 			c.core.MarkDirty(known.job.ID)
 		}
 	}
+	c.core.JobsRead()
 	c.logger.Info("leading", zap.Int64("epoch", c.grant.epoch), zap.Int("jobs", len(jobs)), zap.Int("jobs_ended", ended),
 		zap.Bool("intents_trusted", trustIntents), zap.Int("jobs_may_have_started", earlier), zap.Int("ends_unstored", unstored), zap.Int("workers_stored", len(stored)))
 }
--- a/internal/dispatch/begins.go
+++ b/internal/dispatch/begins.go
@@ -17,6 +17,10 @@
 // start, so that a job without one was never started. Call it before the first AddJob.
 func (c *Core) TrustStartIntents() { c.trustStartIntents = c.enabled(MechStoredStartIntents) }
 
+// JobsRead records that all jobs of the first read of the table were added. A start intent that a job
+// brings later is not this leader's: it stores its own, which the store refuses if it was replaced.
+func (c *Core) JobsRead() { c.jobsRead = true }
+
 // StoreStartIntents sets whether a job's start intent is stored before its first start.
 func (c *Core) StoreStartIntents(on bool) {
 	c.storeStartIntents = on && c.enabled(MechStoredStartIntents)
--- a/internal/dispatch/completions.go
+++ b/internal/dispatch/completions.go
@@ -23,6 +23,7 @@
 		c.reportUnknownEnd(w, e)
 		if !c.earlierJobsKnown {
 			w.deferred = append(w.deferred, e)
+			c.hasDeferred = true
 		}
 	}
 	c.advanceAcknowledgeable(w)
@@ -42,6 +43,9 @@
 
 // receiveDeferred applies the completions that were deferred because the job was not known.
 func (c *Core) receiveDeferred(j *job) {
+	if !c.hasDeferred {
+		return
+	}
 	for _, w := range c.fleet {
 		ofJob := func(e workload.Completion) bool { return e.Task.Job == j.ID }
 		if !slices.ContainsFunc(w.deferred, ofJob) {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -137,6 +137,8 @@
 	// definitelyStoppedAt is the time after which nothing that an earlier epoch started can run
 	// on a worker that has not answered yet.
 	definitelyStoppedAt time.Time
+	// jobsRead is set once the jobs of the first read of the table were added.
+	jobsRead bool
 	// trustStartIntents is set if earlier epochs stored start intents, storeStartIntents if
 	// this one does.
 	trustStartIntents, storeStartIntents bool
@@ -152,7 +154,9 @@
 	// lostUnsynced is set once a worker was lost on which an earlier epoch may have started
 	// work that this epoch never saw.
 	lostUnsynced bool
-	dirty        map[string]*job
+	// hasDeferred is set once a worker has had deferred completions.
+	hasDeferred bool
+	dirty       map[string]*job
 	// suspects holds the racks and zones with unresponsive workers and the time of the last
 	// suspicion.
 	suspects map[domain]time.Time
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -116,7 +116,8 @@
 	if c.jobs[accepted.ID] != nil {
 		return false
 	}
-	j := &job{Job: accepted, record: record.clone(), startIntentStored: record.StartIntent, acceptedAt: now}
+	j := &job{Job: accepted, record: record.clone(), startIntentStored: record.StartIntent && !c.jobsRead, acceptedAt: now}
+	j.record.StartIntent = j.startIntentStored
 	j.parts = recordParts{count: record.Parts, headCount: record.Parts, stored: make([]uint64, record.Parts)}
 	j.fromEarlierEpoch = !c.earlierJobsKnown && (record.StartIntent || !c.trustStartIntents)
 	if age := wallMS - accepted.AcceptedMS; age > 0 && age < maxJobAge.Milliseconds() {
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -285,6 +285,7 @@
 		}
 	}
 	if report.EndsIncomplete() {
+		w.keepUnknownRuns(previouslyUnknown)
 		return // a run that is not listed may have an end that is not listed either
 	}
 	missing := w.sortedRuns(func(r *run) bool {
@@ -300,6 +301,19 @@
 	}
 }
 
+// keepUnknownRuns adds runs to the unknown ones that the worker lists.
+func (w *worker) keepUnknownRuns(runs map[runKey]workload.Resources) {
+	for key, need := range runs {
+		if _, listed := w.unknownRuns[key]; listed || w.runs[key] != nil {
+			continue
+		}
+		if w.unknownRuns == nil {
+			w.unknownRuns = make(map[runKey]workload.Resources)
+		}
+		w.unknownRuns[key] = need
+	}
+}
+
 // stopTimeOver reports whether a run whose stop was answered is over, whatever its worker lists: one
 // of the rows that cannot be read may be its own.
 func (c *Core) stopTimeOver(r *run) bool {
--- a/internal/dispatch/unavailable.go
+++ b/internal/dispatch/unavailable.go
@@ -40,13 +40,19 @@
 	return s.spare
 }
 
-// startupLimit is the time after which a run that is not at work yet is not expected to be soon.
-const startupLimit = 5 * time.Second
+const (
+	// startupLimit is the time for which a run has to be reported as not at work before it is not
+	// expected to come to work soon.
+	startupLimit = 5 * time.Second
+	// freshReport is the age up to which a report tells whether a run is at work now.
+	freshReport = longPollWait + pollRetryPause
+)
 
 // missedStartup reports whether a run of long-running work has not come to work, so that its task is
 // unavailable with or without it.
 func (c *Core) missedStartup(r *run) bool {
-	return r.state == stRunRunning && r.percent < fullPercent && c.now.Sub(r.since) > startupLimit
+	fresh := r.worker.misses == 0 && c.now.Sub(r.worker.lastContact) <= freshReport
+	return fresh && r.state == stRunRunning && r.percent < fullPercent && r.observed > startupLimit
 }
 
 // mayMakeUnavailable reports whether a run of a step that limits its unavailable tasks may be stopped
