--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # make demo: builds the programs, starts every component as a separate process,
 # sends work and stops.
 # make test: runs everything that CI runs.
-.PHONY: demo up test build fmt generate measure soak bench
+.PHONY: demo up test build fmt generate measure soak soak-processes bench
 
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
@@ -35,5 +35,15 @@
 soak:
 	SOAK_SEEDS=$(SEEDS) $(GO) test -count=1 -timeout 80m ./test/invariants/...
 
+# Plays real processes under faults. FIRST is the first seed, LENGTH how many seconds of faults
+# each seed plays, PLAYS how many seeds play beside each other.
+FIRST ?= 1
+LENGTH ?= 40
+PLAYS ?= 3
+soak-processes: SEEDS = 50
+soak-processes:
+	SOAK_SEEDS=$(SEEDS) SOAK_FIRST=$(FIRST) SOAK_SECONDS=$(LENGTH) $(GO) test -count=1 -timeout 24h -parallel $(PLAYS) \
+		-v -run TestRulesHoldWithRealProcessesUnderFaults ./test/soak
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./internal/...
