--- a/internal/deployment/leader.go
+++ b/internal/deployment/leader.go
@@ -53,9 +53,9 @@
 	events   chan event
 	// takesJobs is set before the first read of the jobs: changes that came earlier are part of it.
 	takesJobs atomic.Bool
-	orders   pond.Pool
-	polls    pond.Pool
-	logger   *zap.Logger
+	orders    pond.Pool
+	polls     pond.Pool
+	logger    *zap.Logger
 	// writing is set while a write of records is in flight.
 	writing bool
 	// itemLimit bounds the items of the next write.
