Add package inbound: bounds for what clients can make a process hold

A group of connections displaces the one that waits longest for its client; a pool of bytes is shared by large bodies, of which stalled and then slow ones give way; a session between instances counts the bytes of its messages as they are read from the connection; a heap admits accepted work by live objects.

The defaults follow from memory_mb and descriptors, as the page says: 284 MB and 4,100 descriptors give 1,025 connections of callers, 512 of peers, 35.5 MB of large bodies. Connections to workers get five eighths of the descriptors less 328, at least half: with the 900 that were left so far, neither callers nor the peers of a fleet of 585 instances had a bound that fits.

The new kind `overloaded` (503) says that nothing was done.

--- a/api/kind.go
+++ b/api/kind.go
@@ -60,6 +60,7 @@
 	KindStaleEpoch          Kind = "stale_epoch"
 	KindNoCapacity          Kind = "no_capacity"
 	KindConflict            Kind = "conflict"
+	KindOverloaded          Kind = "overloaded"
 	KindInternal            Kind = "internal"
 )
 
@@ -111,6 +112,7 @@
 	{KindStaleEpoch, http.StatusConflict, 1, "The caller's epoch is older than the highest one seen."},
 	{KindNoCapacity, http.StatusConflict, 1, "The worker does not have the accelerators free."},
 	{KindConflict, http.StatusConflict, 0, "The resource is in another state than the call expects."},
+	{KindOverloaded, http.StatusServiceUnavailable, 1, "This instance has no memory left for a call of this size; nothing was done."},
 	{KindInternal, http.StatusInternalServerError, 1, "An internal error; the log has the details."},
 }
 
--- a/internal/deployment/settings.go
+++ b/internal/deployment/settings.go
@@ -1,11 +1,13 @@
 package deployment
 
 import (
+	"cmp"
 	_ "embed"
 	"encoding/base64"
 	"os"
 	"time"
 
+	"github.com/corianderbank/corianderbank/internal/inbound"
 	"github.com/corianderbank/corianderbank/internal/strictjson"
 	"github.com/corianderbank/corianderbank/internal/workload"
 )
@@ -34,6 +36,8 @@
 	// Descriptors is the number of file descriptors that the process may have open;
 	// zero means no bound.
 	Descriptors int `json:"descriptors"`
+	// Inbound bounds what callers and peers can make the process hold.
+	Inbound Inbound `json:"inbound"`
 	// RowBytes is the largest value of a row that the store takes, in bytes of base64.
 	RowBytes int `json:"row_bytes"`
 	// StopWithinMS is the time that a planned stop may take, in milliseconds.
@@ -53,9 +57,14 @@
 
 func (p Processor) cores() float64 { return p.Share * p.Cores }
 
-// reservedDescriptors is the number of descriptors reserved for callers, peers, the
-// store, files and the runtime.
-const reservedDescriptors = 900
+const (
+	// workerDescriptorShare is the share of the descriptors for connections to workers, before
+	// inbound.OtherDescriptors.
+	workerDescriptorShare = 0.625
+	// leastInboundShare is the least share of the descriptors for inbound connections, as a
+	// divisor.
+	leastInboundShare = 8
+)
 
 // WorkerConnections returns how many connections to workers the process may have open;
 // zero means no bound.
@@ -63,7 +72,33 @@
 	if s.Descriptors == 0 {
 		return 0
 	}
-	return max(s.Descriptors-reservedDescriptors, s.Descriptors/2)
+	return max(int(workerDescriptorShare*float64(s.Descriptors))-inbound.OtherDescriptors, s.Descriptors/2)
+}
+
+// Inbound bounds what callers and peers can make the process hold. A field that is zero is derived
+// from the memory and the descriptors.
+type Inbound struct {
+	// Connections bounds the open connections of callers.
+	Connections int `json:"connections"`
+	// PeerConnections bounds the open connections that other instances have dialed.
+	PeerConnections int `json:"peer_connections"`
+	// BodyKB bounds what large bodies of callers hold together, in kilobytes; one alone always fits.
+	BodyKB int64 `json:"body_kb"`
+	// PeerKB bounds what large messages of peers hold together, in kilobytes; one alone always fits.
+	PeerKB int64 `json:"peer_kb"`
+}
+
+// InboundLimits returns the bounds of what callers and peers can make the process hold.
+func (s *Settings) InboundLimits() inbound.Limits {
+	limits := inbound.Derive(s.MemoryMB)
+	if d := s.Descriptors; d > 0 {
+		limits = limits.Within(max(d-s.WorkerConnections()-inbound.OtherDescriptors, d/leastInboundShare))
+	}
+	own := s.Inbound
+	return inbound.Limits{
+		Connections: cmp.Or(own.Connections, limits.Connections), PeerConnections: cmp.Or(own.PeerConnections, limits.PeerConnections),
+		BodyBytes: cmp.Or(own.BodyKB<<10, limits.BodyBytes), PeerBytes: cmp.Or(own.PeerKB<<10, limits.PeerBytes),
+	}
 }
 
 // Listen holds the addresses that an instance listens on.
--- /dev/null
+++ b/internal/inbound/conn.go
@@ -0,0 +1,90 @@
+package inbound
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// writePieceBytes is the part of a response that has to be sent within StallTimeout.
+const writePieceBytes = 16 << 10
+
+// Conn is a connection of a group.
+type Conn struct {
+	net.Conn
+	group *Group
+	phase atomic.Int32
+	// progressAt is when the connection last made progress, in nanoseconds since the group was
+	// made; pending are the bytes since then.
+	progressAt, pending atomic.Int64
+	// unread is set while the body of the request in progress has not been read.
+	unread atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.count(n)
+	return n, err
+}
+
+// Write implements net.Conn. A client that does not read its response fails the write. The writes of
+// a session have the deadlines of the session.
+func (c *Conn) Write(p []byte) (int, error) {
+	if phase(c.phase.Load()) == phaseSession {
+		return c.Conn.Write(p)
+	}
+	before := c.phase.Swap(int32(phaseSending))
+	defer c.phase.Store(before)
+	written := 0
+	for {
+		piece := p[written:min(len(p), written+writePieceBytes)]
+		if err := c.SetWriteDeadline(time.Now().Add(StallTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(piece)
+		written += n
+		if c.count(n); err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// CloseWrite closes the sending side, so that the client sees the end of its response.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.group.remove(c)
+	return c.Conn.Close()
+}
+
+// BeginSession notes that the connection carries a session between instances.
+func (c *Conn) BeginSession() { c.enter(phaseSession) }
+
+// count adds bytes that were received or sent.
+func (c *Conn) count(n int) {
+	if c.pending.Add(int64(n)) >= progressBytes {
+		c.progress()
+	}
+}
+
+func (c *Conn) progress() {
+	c.pending.Store(0)
+	c.progressAt.Store(int64(c.group.now()))
+}
+
+// enter changes the phase, which counts as progress.
+func (c *Conn) enter(p phase) {
+	c.phase.Store(int32(p))
+	c.progress()
+}
+
+func (c *Conn) state(now time.Duration) connState {
+	return connState{phase: phase(c.phase.Load()), still: now - time.Duration(c.progressAt.Load())}
+}
--- a/test/docs/docs_test.go
+++ b/test/docs/docs_test.go
@@ -163,6 +163,7 @@
 		"then":       {"internal/rules/rules.go", "Then"},
 		"account":    {"internal/model/model.go", "ClientAccount"},
 		"objectives": {"internal/model/model.go", "Objectives"},
+		"inbound":    {"internal/deployment/settings.go", "Inbound"},
 	} {
 		checkBlock(t, operatingPage, marker, fieldTable(structFields(t, source.file, source.name)))
 	}
@@ -183,7 +184,7 @@
 // deployment-wide scheduler logs above debug level with the page.
 func TestLogLinesMatchThePage(t *testing.T) {
 	var inCode []string
-	for _, dir := range []string{"internal/deployment", "platform"} {
+	for _, dir := range []string{"internal/deployment", "internal/inbound", "platform"} {
 		files, err := filepath.Glob(filepath.Join(root, dir, "*.go"))
 		assert.NilError(t, err)
 		for _, file := range files {
