--- a/internal/workload/check.go
+++ b/internal/workload/check.go
@@ -7,8 +7,9 @@
 // Limits of a job. They prevent a single caller, or a row of another writer, from
 // using up an instance's memory.
 const (
-	maxSpecBytes   = 4000
-	maxSteps       = 256
+	maxSpecBytes = 4000
+	// MaxSteps is the largest number of steps.
+	MaxSteps       = 256
 	maxTasks       = 20_000
 	maxOccurrences = 10_000
 )
@@ -18,8 +19,8 @@
 	switch {
 	case len(j.Spec) > maxSpecBytes:
 		return fmt.Errorf("spec has %d bytes, at most %d are allowed", len(j.Spec), maxSpecBytes)
-	case len(j.Steps) == 0 || len(j.Steps) > maxSteps:
-		return fmt.Errorf("%d steps, 1 to %d are allowed", len(j.Steps), maxSteps)
+	case len(j.Steps) == 0 || len(j.Steps) > MaxSteps:
+		return fmt.Errorf("%d steps, 1 to %d are allowed", len(j.Steps), MaxSteps)
 	case j.OccurrenceCount < 0 || j.OccurrenceCount > maxOccurrences || j.IntervalMS < 0 || j.FirstDueMS < 0:
 		return fmt.Errorf("%d occurrences each %d ms from %d ms on: out of range", j.OccurrenceCount, j.IntervalMS, j.FirstDueMS)
 	}
