Bound the connections of peers

Cause: each connection was accepted and had the time of a handshake. The link to each name that a peer gave stayed for good.

Now the listener has a group: a connection without a handshake gives way to a new one, a session only once it has been idle for ten seconds. This works because the silent ones never get past the handshake. A link without connection, calls and failed dials is dropped at the end of its session; it takes the locks one after the other, since a dial takes that of the link first.

--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -135,6 +135,7 @@
 		Logger:      o.Logger,
 		Resolve:     func(id string) (string, bool) { return id, true },
 		Limits:      peerLimits,
+		Inbound:     s.InboundLimits(),
 	})
 	i.routedWorkers = newRoutedWorkers(o.Workers, i.node, i.relayHubs, maxDirectWorkers(s), o.Logger)
 	i.relayPool = pond.NewPool(maxRelayedCalls, pond.WithQueueSize(maxRelayedCalls), pond.WithNonBlocking(true))
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -105,6 +105,14 @@
 	return l.current
 }
 
+// inUse reports whether the link has a connection, calls, or a dial to wait for.
+func (l *link) inUse() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	connected := l.current != nil && !l.current.IsClosed()
+	return connected || l.dialing != nil || len(l.calls) > 0 || l.dialBackoff.Failures() > 0
+}
+
 // drop removes c from the link, so that the next call dials.
 func (l *link) drop(c *connection) {
 	l.mu.Lock()
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -15,6 +15,7 @@
 
 	"github.com/corianderbank/corianderbank/api"
 	"github.com/corianderbank/corianderbank/internal/backoff"
+	"github.com/corianderbank/corianderbank/internal/inbound"
 )
 
 // Limits bounds the resources that peers can make an instance use. A zero field
@@ -46,6 +47,8 @@
 	defaultDialTimeout     = 2 * time.Second
 	defaultCallTimeout     = 30 * time.Second
 	defaultIOTimeout       = 5 * time.Second
+	// defaultMemoryMB is the memory from which bounds are derived if the options set none.
+	defaultMemoryMB = 256
 )
 
 func (l Limits) withDefaults() Limits {
@@ -83,6 +86,8 @@
 	// Resolve returns the peer address of an instance.
 	Resolve func(instance string) (addr string, ok bool)
 	Limits  Limits
+	// Inbound bounds what peers can make the instance hold.
+	Inbound inbound.Limits
 	// WrapConn, if set, wraps each new connection, for example to count bytes
 	// in measurements.
 	WrapConn func(net.Conn) net.Conn
@@ -118,6 +123,9 @@
 func New(options Options) *Node {
 	ctx, cancel := context.WithCancel(context.Background())
 	limits := options.Limits.withDefaults()
+	if options.Inbound == (inbound.Limits{}) {
+		options.Inbound = inbound.Derive(defaultMemoryMB)
+	}
 	logger := options.Logger
 	if logger == nil {
 		logger = zap.NewNop()
@@ -144,11 +152,11 @@
 
 // Start starts listening for peers. It returns an error if that fails.
 func (n *Node) Start() error {
-	listener, err := net.Listen("tcp", n.options.Listen)
+	listener, err := inbound.Listen(n.options.Listen, inbound.PeerReceiveBytes)
 	if err != nil {
 		return err
 	}
-	n.listener = listener
+	n.listener = inbound.NewGroup("peers", n.options.Inbound.PeerConnections, n.logger).Wrap(listener)
 	n.goroutines.Add(1)
 	go n.acceptLoop()
 	return nil
@@ -215,6 +223,7 @@
 // its calls.
 func (n *Node) handleIncoming(conn net.Conn) {
 	defer n.goroutines.Done()
+	bounded, _ := conn.(*inbound.Conn)
 	conn = n.wrap(conn)
 	from, incarnation, err := n.handshake(conn, false)
 	if err != nil {
@@ -222,6 +231,9 @@
 		_ = conn.Close()
 		return
 	}
+	if bounded != nil {
+		bounded.BeginSession()
+	}
 	c, err := n.startSession(conn, yamux.Server)
 	if err != nil {
 		n.logger.Warn("session", zap.String("peer", from), zap.Error(err))
@@ -265,6 +277,20 @@
 	return l
 }
 
+// forget drops the link to an instance without a connection and without calls, so that names that
+// peers make up take no memory. A call that has just chosen the link goes on with it.
+func (n *Node) forget(instance string) {
+	l := n.link(instance)
+	if l.inUse() {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.links[instance] == l {
+		delete(n.links, instance)
+	}
+}
+
 // adopt registers a new connection, starts serving it, and retires the
 // connection that is no longer needed.
 func (n *Node) adopt(instance string, c *connection) {
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -17,6 +17,7 @@
 func (n *Node) serveSession(instance string, c *connection) {
 	defer n.goroutines.Done()
 	defer func() { <-c.conn.done }() // wait until the last bytes are written or dropped
+	defer n.forget(instance)
 	defer n.untrack(c)
 	defer c.terminate()
 	for {
