Bound what the messages of peers hold

Cause: the buffer of a message had its whole announced length at once, up to 4 MB, for 576 messages; yamux holds up to 256 KB and more for each stream before that, for as many streams as a peer opens.

Now the bytes are counted by stream as they are read from the connection, before yamux has them, until the message has been handled, and the buffer grows with what has arrived.

--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -47,7 +47,8 @@
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = stream.Close() }()
+	c.held.Open(stream.StreamID())
+	defer c.end(stream)
 	response, err := n.exchange(ctx, instance, stream, message)
 	if errors.Is(err, yamux.ErrTimeout) {
 		n.probeConnection(c)
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -45,13 +45,34 @@
 	if uint64(size) > uint64(limit) {
 		return fmt.Errorf("%w: %d of %d bytes", errTooLarge, size, limit)
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(r, data); err != nil {
+	data, err := readGrowing(r, int(size))
+	if err != nil {
 		return err
 	}
 	return proto.Unmarshal(data, message)
 }
 
+// firstReadBytes is the size of the first buffer for a message.
+const firstReadBytes = 8 << 10
+
+// readGrowing reads a number of bytes into a buffer that grows with what has arrived, so that a
+// message that is only announced takes no memory.
+func readGrowing(r io.Reader, size int) ([]byte, error) {
+	data := make([]byte, min(size, firstReadBytes))
+	for filled := 0; ; {
+		n, err := io.ReadFull(r, data[filled:])
+		if filled += n; err != nil {
+			return nil, err
+		}
+		if filled == size {
+			return data, nil
+		}
+		larger := make([]byte, min(size, 2*len(data)))
+		copy(larger, data)
+		data = larger
+	}
+}
+
 // maxHandshakeBytes bounds a handshake message.
 const maxHandshakeBytes = 1 << 10
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -13,12 +13,15 @@
 	"go.uber.org/zap"
 
 	"github.com/corianderbank/corianderbank/internal/backoff"
+	"github.com/corianderbank/corianderbank/internal/inbound"
 )
 
 // connection is one established session with a peer.
 type connection struct {
 	*yamux.Session
 	conn *coalescingConn
+	// held counts what the messages of the session hold.
+	held *inbound.Session
 	// incarnation is the incarnation of the peer.
 	incarnation int64
 	// dialedBy is the id of the instance that dialed.
@@ -250,11 +253,12 @@
 // startSession starts a session on a connection after its handshake, as client
 // or server.
 func (n *Node) startSession(conn net.Conn, newSession func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error)) (*connection, error) {
-	coalesced := newCoalescingConn(conn)
+	held := n.messages.NewSession(conn)
+	coalesced := newCoalescingConn(held)
 	session, err := newSession(coalesced, n.sessionConfig())
 	if err != nil {
 		_ = coalesced.Close()
 		return nil, err
 	}
-	return &connection{Session: session, conn: coalesced}, nil
+	return &connection{Session: session, conn: coalesced, held: held}, nil
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -100,6 +101,7 @@
 	limits      Limits
 	logger      *zap.Logger
 	listener    net.Listener
+	messages    *inbound.Pool
 	controlPool pond.Pool
 	workPool    pond.Pool
 	readerPool  pond.Pool
@@ -134,6 +136,7 @@
 		options:     options,
 		limits:      limits,
 		logger:      logger.Named("peer"),
+		messages:    inbound.NewPool("peers", options.Inbound.PeerBytes, math.MaxInt, logger),
 		controlPool: newPool(limits.MaxControl),
 		workPool:    newPool(limits.MaxWork),
 		readerPool:  newPool(limits.MaxControl + limits.MaxWork),
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -26,28 +26,29 @@
 			n.logger.Debug("session ended", zap.String("peer", instance), zap.Error(err))
 			return
 		}
-		if n.readerPool.Go(func() { n.readRequest(instance, stream) }) != nil {
-			n.rejectCall(stream)
+		if n.readerPool.Go(func() { n.readRequest(instance, c, stream) }) != nil {
+			n.rejectCall(c, stream)
 		}
 	}
 }
 
 // readRequest reads one request from its stream and passes it to the pool for
 // its type, so that long forwarded work never delays state messages.
-func (n *Node) readRequest(instance string, stream *yamux.Stream) {
+func (n *Node) readRequest(instance string, c *connection, stream *yamux.Stream) {
 	_ = stream.SetReadDeadline(time.Now().Add(n.limits.IOTimeout))
 	var request peerpb.Request
 	if err := readMessage(stream, &request, n.limits.MaxMessageBytes); err != nil {
 		n.logger.Debug("request", zap.String("peer", instance), zap.Error(err))
-		_ = stream.Close()
+		c.end(stream)
 		return
 	}
+	c.held.Finish(stream.StreamID())
 	if request.GetFrom() != instance {
-		n.writeResponse(stream, errorResponse(api.NewError(api.KindInvalidField, "request of %q on the connection of %q", request.GetFrom(), instance)))
+		n.writeResponse(c, stream, errorResponse(api.NewError(api.KindInvalidField, "request of %q on the connection of %q", request.GetFrom(), instance)))
 		return
 	}
-	if n.poolFor(&request).Go(func() { n.handle(stream, &request) }) != nil {
-		n.rejectCall(stream)
+	if n.poolFor(&request).Go(func() { n.handle(c, stream, &request) }) != nil {
+		n.rejectCall(c, stream)
 	}
 }
 
@@ -61,13 +62,13 @@
 }
 
 // rejectCall answers a call that will not be handled.
-func (n *Node) rejectCall(stream *yamux.Stream) {
-	n.writeResponse(stream, errorResponse(api.NewError(api.KindQueueFull, "too many calls from peers")))
+func (n *Node) rejectCall(c *connection, stream *yamux.Stream) {
+	n.writeResponse(c, stream, errorResponse(api.NewError(api.KindQueueFull, "too many calls from peers")))
 }
 
 // handle runs the handler. The handler's context ends when the node closes, or
 // when the caller cancels the call and thereby closes the stream.
-func (n *Node) handle(stream *yamux.Stream, request *peerpb.Request) {
+func (n *Node) handle(c *connection, stream *yamux.Stream, request *peerpb.Request) {
 	if blocksDrain(request) {
 		n.inFlight.Add(1)
 		defer n.inFlight.Add(-1)
@@ -83,7 +84,7 @@
 		cancel()
 	}()
 	response := n.callHandler(ctx, request)
-	n.writeResponse(stream, response)
+	n.writeResponse(c, stream, response)
 	_ = stream.SetReadDeadline(time.Unix(1, 0))
 	<-watcherDone
 }
@@ -143,12 +144,18 @@
 }
 
 // writeResponse writes the response and closes the stream.
-func (n *Node) writeResponse(stream *yamux.Stream, response *peerpb.Response) {
+func (n *Node) writeResponse(c *connection, stream *yamux.Stream, response *peerpb.Response) {
 	_ = stream.SetWriteDeadline(time.Now().Add(n.limits.IOTimeout))
 	if err := writeMessage(stream, response, n.limits.MaxMessageBytes); err != nil {
 		n.logger.Debug("response", zap.Error(err))
 	}
+	c.end(stream)
+}
+
+// end closes a stream, whose message is no longer held.
+func (c *connection) end(stream *yamux.Stream) {
 	_ = stream.Close()
+	c.held.Release(stream.StreamID())
 }
 
 func errorResponse(err error) *peerpb.Response {
