Accept callers of an entry instance at its limit of connections

Cause: the limit of connections accepted nobody once it was met, and neither headers but for their time, nor responses, nor idle connections gave way.

Now the address has a group of connections, as in `deployment`, and peers have limits of their own (`max_peer_connections`, `max_held_body_mb`). This works because a new connection displaces the one that has waited longest for its client. Headers have 16 KB and 3 s in place of 1 MB and 5 s.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -16,10 +16,10 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
-	"golang.org/x/net/netutil"
 
 	"github.com/corianderbank/corianderbank/api"
 	"github.com/corianderbank/corianderbank/internal/config"
+	"github.com/corianderbank/corianderbank/internal/inbound"
 	"github.com/corianderbank/corianderbank/internal/settings"
 )
 
@@ -56,6 +56,8 @@
 	// Metrics, if set, writes the metrics of components that have their own
 	// metric sets.
 	Metrics func(w io.Writer)
+	// Inbound bounds what callers and operators can make the process hold.
+	Inbound inbound.Limits
 }
 
 // Server serves the HTTP API. It is safe for concurrent use.
@@ -68,16 +70,15 @@
 
 // Timeouts of the HTTP server.
 const (
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-	operatorTimeout   = 10 * time.Second
+	idleTimeout     = 2 * time.Minute
+	operatorTimeout = 10 * time.Second
 )
 
 // New returns a server that handles calls once Serve is called.
 func New(opts Options) *Server {
 	s := &Server{opts: opts, answers: metrics.NewSet()}
 	s.answers.NewGauge("corianderbank_requests_in_flight", func() float64 { return float64(s.inFlight.Load()) })
-	s.http = &http.Server{Handler: s.closeWhenStopping(s.routes()), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	s.http = inbound.NewServer(s.closeWhenStopping(s.routes()), idleTimeout)
 	return s
 }
 
@@ -116,8 +117,8 @@
 
 // Serve handles calls on listener until Shutdown.
 func (s *Server) Serve(listener net.Listener) error {
-	limited := netutil.LimitListener(listener, s.opts.Settings.Limits.MaxConnections)
-	if err := s.http.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
+	group := inbound.NewGroup("callers", s.opts.Inbound.Connections, s.opts.Logger)
+	if err := s.http.Serve(group.Wrap(listener)); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -22,6 +21,7 @@
 	"github.com/corianderbank/corianderbank/internal/decision"
 	"github.com/corianderbank/corianderbank/internal/entry"
 	"github.com/corianderbank/corianderbank/internal/estimate"
+	"github.com/corianderbank/corianderbank/internal/inbound"
 	"github.com/corianderbank/corianderbank/internal/jobs"
 	"github.com/corianderbank/corianderbank/internal/jobstore"
 	"github.com/corianderbank/corianderbank/internal/lease"
@@ -87,7 +87,7 @@
 	incarnation := time.Now().UnixMilli()
 	i.node = peer.New(peer.Options{
 		Instance: s.Instance, Incarnation: incarnation, Listen: s.PeerListen,
-		Handler: peerHandler{i}, Logger: logger, Resolve: func(id string) (string, bool) { return i.fleet.Resolve(id) },
+		Inbound: inboundLimits(s), Handler: peerHandler{i}, Logger: logger, Resolve: func(id string) (string, bool) { return i.fleet.Resolve(id) },
 	})
 	i.fleet = membership.New(membership.Options{
 		Self:  model.Instance{ID: s.Instance, Addr: s.Listen, PeerAddr: s.PeerListen, Zone: s.AvailabilityZone, Incarnation: incarnation},
@@ -97,7 +97,7 @@
 	})
 	i.buildExecution(incarnation)
 	i.server = entry.New(entry.Options{
-		Settings: s, Requests: i.executor, Jobs: i.jobs, Fleet: fleetView{i}, Config: i.config, Logger: logger, Ready: i.ready, Metrics: i.writeMetrics,
+		Settings: s, Requests: i.executor, Jobs: i.jobs, Fleet: fleetView{i}, Config: i.config, Logger: logger, Ready: i.ready, Metrics: i.writeMetrics, Inbound: inboundLimits(s),
 	})
 	i.lifecycle = i.newLifecycle()
 	return i
@@ -136,7 +136,7 @@
 // run starts the servers and background loops, and stops them after the shutdown
 // that a signal has triggered.
 func (i *instance) run(signals <-chan os.Signal) error {
-	listener, err := net.Listen("tcp", i.settings.Listen)
+	listener, err := inbound.Listen(i.settings.Listen, inbound.CallerReceiveBytes)
 	if err != nil {
 		return err
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,6 +52,13 @@
 	MaxBodyBytes int64 `json:"max_body_bytes"`
 	// MaxConnections bounds the open connections from callers and operators.
 	MaxConnections int `json:"max_connections"`
+	// MaxPeerConnections bounds the open connections that other instances have dialed; zero means
+	// half of max_connections.
+	MaxPeerConnections int `json:"max_peer_connections"`
+	// MaxHeldBodyMB bounds what the large bodies of callers and operators hold together, in
+	// megabytes, and apart from them what large messages of peers hold; zero means an eighth of
+	// memory_mb. One body alone always fits.
+	MaxHeldBodyMB int64 `json:"max_held_body_mb"`
 	// MaxRequests bounds the requests inside the instance, waiting or not.
 	MaxRequests int `json:"max_requests"`
 	// MaxBackendConnections bounds the connections to one backend server.
@@ -60,7 +67,8 @@
 	MaxJobs int `json:"max_jobs"`
 	// MaxGoroutines is the number of goroutines above which the instance is not ready.
 	MaxGoroutines int `json:"max_goroutines"`
-	// MemoryMB is the soft limit of the Go heap, in megabytes.
+	// MemoryMB is the memory that the process may use, in megabytes; connections are bounded to a
+	// quarter of it, at 64 KB each.
 	MemoryMB int64 `json:"memory_mb"`
 }
 
