Bound what bodies and jobs hold in an entry instance

Cause: a body had no limit of time, the decoder's buffer grew to twice its size, and a request kept its payload while it waited, with no bound but that of 2,000 requests. Payloads of accepted jobs were not bounded by the memory at all. The collector had the whole memory before it worked harder.

Now bodies, decoded requests until they are answered, and configurations take room from the pool; jobs with their payloads need room in the heap; one configuration at a time is checked, which takes a multiple of its size; the collector's limit leaves room for the program.

--- a/internal/entry/bodies_test.go
+++ b/internal/entry/bodies_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/corianderbank/corianderbank/api"
+	"github.com/corianderbank/corianderbank/internal/inbound"
 	"github.com/corianderbank/corianderbank/internal/settings"
 )
 
@@ -41,6 +42,7 @@
 	defaults := settings.Default()
 	return New(Options{
 		Settings: &defaults, Requests: acceptAll{}, Jobs: acceptAll{}, Logger: zap.NewNop(), Ready: func() error { return nil },
+		Inbound: inbound.Derive(defaults.Limits.MemoryMB),
 	}).routes()
 }
 
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -25,7 +25,9 @@
 func (s *Server) postRequest(w http.ResponseWriter, r *http.Request) {
 	id := request.NewID()
 	var submission api.RequestSubmission
-	if err := s.admitRequest(w, r, &submission); err != nil {
+	release, err := s.admitRequest(w, r, &submission)
+	defer release()
+	if err != nil {
 		s.writeRequest(w, request.Refusal(id, "", err))
 		return
 	}
@@ -37,18 +39,19 @@
 }
 
 // admitRequest checks whether the instance can accept a request, and decodes and
-// validates its body.
-func (s *Server) admitRequest(w http.ResponseWriter, r *http.Request, submission *api.RequestSubmission) error {
+// validates its body, which the caller releases.
+func (s *Server) admitRequest(w http.ResponseWriter, r *http.Request, submission *api.RequestSubmission) (release func(), err error) {
 	if err := s.opts.Ready(); err != nil {
-		return err
+		return func() {}, err
 	}
 	if s.inFlight.Load() >= int64(s.opts.Settings.Limits.MaxRequests) {
-		return api.NewError(api.KindQueueFull, "%d requests are under way in this instance", s.inFlight.Load())
+		return func() {}, api.NewError(api.KindQueueFull, "%d requests are under way in this instance", s.inFlight.Load())
 	}
-	if err := s.decode(w, r, submission); err != nil {
-		return err
+	release, err = s.decode(w, r, submission)
+	if err != nil {
+		return release, err
 	}
-	return s.validateRequest(submission)
+	return release, s.validateRequest(submission)
 }
 
 // validateRequest checks the fields and sets the default deadline if there is none.
@@ -95,7 +98,9 @@
 
 func (s *Server) postJob(w http.ResponseWriter, r *http.Request) {
 	var job api.JobSubmission
-	if err := s.admitJob(w, r, &job); err != nil {
+	release, err := s.admitJob(w, r, &job)
+	defer release()
+	if err != nil {
 		s.writeJob(w, jobs.RefusalAnswer(api.JobAnswer{ID: request.NewID()}, err))
 		return
 	}
@@ -107,15 +112,21 @@
 }
 
 // admitJob checks whether the instance can accept a job, and decodes and validates
-// its body.
-func (s *Server) admitJob(w http.ResponseWriter, r *http.Request, job *api.JobSubmission) error {
+// its body, which the caller releases. An accepted job stays in memory.
+func (s *Server) admitJob(w http.ResponseWriter, r *http.Request, job *api.JobSubmission) (release func(), err error) {
 	if err := s.opts.Ready(); err != nil {
-		return err
+		return func() {}, err
 	}
-	if err := s.decode(w, r, job); err != nil {
-		return err
+	if release, err = s.decode(w, r, job); err != nil {
+		return release, err
+	}
+	if err := validateJob(job, time.Now()); err != nil {
+		return release, err
+	}
+	if err := s.heap.Admit(int64(len(job.Payload))); err != nil {
+		return release, api.NewError(api.KindOverloaded, "%w", err)
 	}
-	return validateJob(job, time.Now())
+	return release, nil
 }
 
 func validateJob(job *api.JobSubmission, now time.Time) error {
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -15,12 +15,21 @@
 
 func (s *Server) applyConfig(w http.ResponseWriter, r *http.Request) {
 	var apply api.ConfigApply
-	if err := s.decode(w, r, &apply); err != nil {
+	release, err := s.decode(w, r, &apply)
+	defer release()
+	if err != nil {
 		writeOperatorError(w, err)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
 	defer cancel()
+	select {
+	case s.publishing <- struct{}{}:
+		defer func() { <-s.publishing }()
+	case <-ctx.Done():
+		writeOperatorError(w, api.NewError(api.KindOverloaded, "other configurations are being published"))
+		return
+	}
 	version, err := s.opts.Config.Publish(ctx, apply.Expect, configDocumentName, apply.Document)
 	if err != nil {
 		writeOperatorError(w, err)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -2,6 +2,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -66,6 +67,11 @@
 	http     *http.Server
 	inFlight atomic.Int64
 	answers  *metrics.Set
+	bodies   *inbound.Pool
+	heap     *inbound.Heap
+	// publishing has an entry while a configuration is checked and published, which takes a
+	// multiple of its size.
+	publishing chan struct{}
 }
 
 // Timeouts of the HTTP server.
@@ -76,7 +82,11 @@
 
 // New returns a server that handles calls once Serve is called.
 func New(opts Options) *Server {
-	s := &Server{opts: opts, answers: metrics.NewSet()}
+	s := &Server{
+		opts: opts, answers: metrics.NewSet(), publishing: make(chan struct{}, 1),
+		bodies: inbound.NewPool("callers", opts.Inbound.BodyBytes, opts.Inbound.LargeBodies(), opts.Logger),
+		heap:   inbound.NewHeap(opts.Settings.Limits.MemoryMB, opts.Logger),
+	}
 	s.answers.NewGauge("corianderbank_requests_in_flight", func() float64 { return float64(s.inFlight.Load()) })
 	s.http = inbound.NewServer(s.closeWhenStopping(s.routes()), idleTimeout)
 	return s
@@ -152,31 +162,53 @@
 	metrics.WritePrometheus(w, true)
 }
 
-// decode reads a JSON body of bounded size into target. It rejects unknown
-// fields and trailing data.
-func (s *Server) decode(w http.ResponseWriter, r *http.Request, target any) error {
-	body := http.MaxBytesReader(w, r.Body, s.opts.Settings.Limits.MaxBodyBytes)
-	decoder := json.NewDecoder(body)
+// decode reads a JSON body of bounded size into target. It rejects unknown fields and trailing
+// data. The caller releases the body when target is no longer held, whatever the error.
+func (s *Server) decode(w http.ResponseWriter, r *http.Request, target any) (release func(), err error) {
+	limit := s.opts.Settings.Limits.MaxBodyBytes
+	body, err := s.bodies.ReadBody(w, r, limit)
+	if err != nil {
+		return func() {}, bodyError(err, limit)
+	}
+	size := int64(0)
+	err = body.Decode(r.Context(), func(data []byte) error {
+		size = int64(len(data))
+		return decodeStrictly(data, target)
+	})
+	if err == nil {
+		err = body.Replace(size)
+	}
+	if err != nil {
+		err = bodyError(err, limit)
+	}
+	return body.Release, err
+}
+
+func decodeStrictly(data []byte, target any) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(target); err != nil {
-		return bodyError(err)
+		return err
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return api.NewError(api.KindMalformedBody, "data after the end of the body")
+		return errTrailingData
 	}
 	return nil
 }
 
+var errTrailingData = errors.New("data after the end of the body")
+
 // unknownFieldPrefix starts the error of encoding/json for an unknown field;
 // that error has no type of its own.
 const unknownFieldPrefix = "json: unknown field"
 
-func bodyError(err error) error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return api.NewError(api.KindBodyTooLarge, "the body exceeds %d bytes", tooLarge.Limit)
-	}
-	if strings.HasPrefix(err.Error(), unknownFieldPrefix) {
+func bodyError(err error, limit int64) error {
+	switch {
+	case errors.Is(err, inbound.ErrTooLarge):
+		return api.NewError(api.KindBodyTooLarge, "the body exceeds %d bytes", limit)
+	case errors.Is(err, inbound.ErrNoRoom):
+		return api.NewError(api.KindOverloaded, "%w", err)
+	case strings.HasPrefix(err.Error(), unknownFieldPrefix):
 		return api.NewError(api.KindInvalidField, "%v", err)
 	}
 	return api.NewError(api.KindMalformedBody, "%v", err)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(loaded.Limits.MemoryMB << 20)
+	debug.SetMemoryLimit(inbound.CollectorLimit(loaded.Limits.MemoryMB))
 	stop := make(chan os.Signal, 2)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	return build(loaded, logger).run(stop)
