Give peers as many connections as callers

An instance with 4,100 descriptors had 512 connections for peers. A fleet of 585 instances may all connect to one of them when it becomes a hub, and a session in use does not give way, so that the last ones would be turned away. Half of the descriptors for inbound connections each is 769 and 769. By reading; a fleet of that size was not played on this code.

--- a/internal/inbound/limits.go
+++ b/internal/inbound/limits.go
@@ -76,9 +76,9 @@
 }
 
 // Within returns the limits with connections of callers and of peers within a number of
-// descriptors, of which two thirds are for callers.
+// descriptors, half of them each.
 func (l Limits) Within(descriptors int) Limits {
-	l.Connections = max(1, min(l.Connections, descriptors*2/3))
-	l.PeerConnections = max(1, descriptors/3)
+	l.Connections = max(1, min(l.Connections, descriptors/2))
+	l.PeerConnections = max(1, descriptors/2)
 	return l
 }
