Derive the bounds of an entry server that is given none

Its entry servers are made without bounds, so that their limit of connections was zero and they accepted nobody. `serve` sets them.

Without bounds they now follow from the memory in the settings. The test failed before and passes; the change to the test handler of package entry is undone.

--- a/internal/entry/bodies_test.go
+++ b/internal/entry/bodies_test.go
@@ -13,7 +13,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/corianderbank/corianderbank/api"
-	"github.com/corianderbank/corianderbank/internal/inbound"
 	"github.com/corianderbank/corianderbank/internal/settings"
 )
 
@@ -42,7 +41,6 @@
 	defaults := settings.Default()
 	return New(Options{
 		Settings: &defaults, Requests: acceptAll{}, Jobs: acceptAll{}, Logger: zap.NewNop(), Ready: func() error { return nil },
-		Inbound: inbound.Derive(defaults.Limits.MemoryMB),
 	}).routes()
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -43,7 +43,7 @@
 	Explain(ctx context.Context, id string) api.Explanation
 }
 
-// Options configures a Server. All fields except Metrics are required.
+// Options configures a Server. All fields except Metrics and Inbound are required.
 type Options struct {
 	Settings *settings.Settings
 	Requests Requests
@@ -57,7 +57,8 @@
 	// Metrics, if set, writes the metrics of components that have their own
 	// metric sets.
 	Metrics func(w io.Writer)
-	// Inbound bounds what callers and operators can make the process hold.
+	// Inbound, if set, bounds what callers and operators can make the process hold; otherwise the
+	// bounds follow from the memory in the settings.
 	Inbound inbound.Limits
 }
 
@@ -82,6 +83,9 @@
 
 // New returns a server that handles calls once Serve is called.
 func New(opts Options) *Server {
+	if opts.Inbound == (inbound.Limits{}) {
+		opts.Inbound = inbound.Derive(opts.Settings.Limits.MemoryMB)
+	}
 	s := &Server{
 		opts: opts, answers: metrics.NewSet(), publishing: make(chan struct{}, 1),
 		bodies: inbound.NewPool("callers", opts.Inbound.BodyBytes, opts.Inbound.LargeBodies(), opts.Logger),
@@ -135,7 +139,9 @@
 }
 
 // Shutdown stops accepting connections and waits for the calls in flight.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+func (s *Server) Shutdown(ctx context.Context) error {
+	return s.http.Shutdown(ctx)
+}
 
 // InFlight returns the number of callers' requests in flight.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
