Do not wait for clients that stall during a shutdown

During a shutdown, clients have half a second without progress for what they have begun to send, new connections are not taken, and a body that does not arrive is answered with 503. Requests that are complete are waited for as before.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -68,6 +68,7 @@
 	http     *http.Server
 	inFlight atomic.Int64
 	answers  *metrics.Set
+	callers  *inbound.Group
 	bodies   *inbound.Pool
 	heap     *inbound.Heap
 	// publishing has an entry while a configuration is checked and published, which takes a
@@ -88,8 +89,9 @@
 	}
 	s := &Server{
 		opts: opts, answers: metrics.NewSet(), publishing: make(chan struct{}, 1),
-		bodies: inbound.NewPool("callers", opts.Inbound.BodyBytes, opts.Inbound.LargeBodies(), opts.Logger),
-		heap:   inbound.NewHeap(opts.Settings.Limits.MemoryMB, opts.Logger),
+		callers: inbound.NewGroup("callers", opts.Inbound.Connections, opts.Logger),
+		bodies:  inbound.NewPool("callers", opts.Inbound.BodyBytes, opts.Inbound.LargeBodies(), opts.Logger),
+		heap:    inbound.NewHeap(opts.Settings.Limits.MemoryMB, opts.Logger),
 	}
 	s.answers.NewGauge("corianderbank_requests_in_flight", func() float64 { return float64(s.inFlight.Load()) })
 	s.http = inbound.NewServer(s.closeWhenStopping(s.routes()), idleTimeout)
@@ -131,8 +133,7 @@
 
 // Serve handles calls on listener until Shutdown.
 func (s *Server) Serve(listener net.Listener) error {
-	group := inbound.NewGroup("callers", s.opts.Inbound.Connections, s.opts.Logger)
-	if err := s.http.Serve(group.Wrap(listener)); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(s.callers.Wrap(listener)); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
@@ -140,6 +141,7 @@
 
 // Shutdown stops accepting connections and waits for the calls in flight.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.callers.Drain()
 	return s.http.Shutdown(ctx)
 }
 
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -35,7 +35,7 @@
 	if c != nil {
 		c.enter(phaseReceiving)
 	}
-	err := b.read(control, r, limit)
+	err := b.read(control, r, limit, c)
 	if err == nil {
 		err = p.finish(b.holder)
 	}
@@ -51,7 +51,7 @@
 	return b, nil
 }
 
-func (b *Body) read(control *http.ResponseController, r *http.Request, limit int64) error {
+func (b *Body) read(control *http.ResponseController, r *http.Request, limit int64, c *Conn) error {
 	if r.ContentLength > limit {
 		return ErrTooLarge
 	}
@@ -62,8 +62,11 @@
 	if err := b.grow(min(expected, firstBufferBytes)); err != nil {
 		return err
 	}
-	// A recorder in place of a connection has no deadlines.
-	renew := func() { _ = control.SetReadDeadline(time.Now().Add(StallTimeout)) }
+	renew := func() {
+		if c != nil { // a recorder in place of a connection has no deadlines
+			_ = control.SetReadDeadline(time.Now().Add(c.group.stallTimeout()))
+		}
+	}
 	renew()
 	var extra [1]byte
 	for {
@@ -120,16 +123,29 @@
 // Decode decodes the body. Few large bodies are decoded at once; the others wait within ctx.
 func (b *Body) Decode(ctx context.Context, decode func(data []byte) error) error {
 	if len(b.data) > smallBodyBytes {
-		select {
-		case b.pool.decoders <- struct{}{}:
-			defer func() { <-b.pool.decoders }()
-		case <-ctx.Done():
-			return ErrNoRoom
+		if err := b.pool.awaitDecoder(ctx); err != nil {
+			return err
 		}
+		defer func() { <-b.pool.decoders }()
 	}
 	return decode(b.data)
 }
 
+// awaitDecoder waits for a place in decoders.
+func (p *Pool) awaitDecoder(ctx context.Context) error {
+	select {
+	case p.decoders <- struct{}{}:
+		return nil
+	default:
+	}
+	select {
+	case p.decoders <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ErrNoRoom
+	}
+}
+
 // Replace drops the bytes of the body, and reserves what the value decoded from it holds until
 // Release.
 func (b *Body) Replace(bytes int64) error {
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -39,7 +39,7 @@
 	written := 0
 	for {
 		piece := p[written:min(len(p), written+writePieceBytes)]
-		if err := c.SetWriteDeadline(time.Now().Add(StallTimeout)); err != nil {
+		if err := c.SetWriteDeadline(time.Now().Add(c.group.stallTimeout())); err != nil {
 			return written, err
 		}
 		n, err := c.Conn.Write(piece)
--- a/internal/inbound/conns.go
+++ b/internal/inbound/conns.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -21,6 +22,8 @@
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
 	log   limitLog
+	// draining is set once unfinished requests are no longer waited for.
+	draining atomic.Bool
 }
 
 // NewGroup returns a group of at most limit connections. Its name identifies the address in logs
@@ -82,6 +85,9 @@
 func (g *Group) add(c *Conn) (displaced *Conn, admitted bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.draining.Load() {
+		return nil, false
+	}
 	if len(g.conns) >= g.limit {
 		g.log.reached()
 		if displaced = g.choose(); displaced == nil {
@@ -93,6 +99,27 @@
 	return displaced, true
 }
 
+// Drain gives clients a moment to finish the requests that they have begun to send, so that a
+// shutdown does not wait for those who never do.
+func (g *Group) Drain() {
+	g.draining.Store(true)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.conns {
+		if p := phase(c.phase.Load()); p == phaseWaiting || p == phaseReceiving {
+			_ = c.SetReadDeadline(time.Now().Add(drainTimeout))
+		}
+	}
+}
+
+// stallTimeout returns how long progress is waited for.
+func (g *Group) stallTimeout() time.Duration {
+	if g.draining.Load() {
+		return drainTimeout
+	}
+	return StallTimeout
+}
+
 // choose returns the connection to close in favor of a new one, or nil. The caller holds mu.
 func (g *Group) choose() *Conn {
 	now := g.now()
--- a/internal/inbound/limits.go
+++ b/internal/inbound/limits.go
@@ -39,13 +39,14 @@
 	// stalledAfter is the time without progress after which a body gives way to others if room is
 	// needed.
 	stalledAfter = time.Second
-	// StallTimeout is the time without progress after which a body is not waited for and a
-	// response is given up.
-	StallTimeout = 6 * time.Second
 	// slowAfter is the age from which a body gives way if it arrives at less than slowRate bytes
 	// per second and room is needed.
 	slowAfter = 3 * time.Second
 	slowRate  = 16 << 10
+	// StallTimeout is the time without progress after which a body is not waited for and a
+	// response is given up; drainTimeout is the same during a shutdown.
+	StallTimeout = 6 * time.Second
+	drainTimeout = 500 * time.Millisecond
 	// lingerTimeout is how long the rest of a refused body is read and discarded. A connection
 	// closed with unread bytes is reset, which can drop the response on its way.
 	lingerTimeout = 500 * time.Millisecond
--- a/test/clients/crowd_test.go
+++ b/test/clients/crowd_test.go
@@ -95,6 +95,15 @@
 	assert.Check(t, most.descriptors <= b.descriptors, "uses %s of %d descriptors", most, b.descriptors)
 }
 
+// stopsBeside stops a process beside a crowd.
+func stopsBeside(t *testing.T, p *process, c *crowd, size int) {
+	t.Helper()
+	c.start(size)
+	time.Sleep(crowdLasts)
+	assert.NilError(t, p.stops())
+	c.stop()
+}
+
 // post is the start of a request with a body.
 func post(path, header string) string {
 	return "POST " + path + " HTTP/1.1\r\nHost: " + host + "\r\nAuthorization: Bearer key\r\nContent-Type: application/json\r\n" + header + "\r\n"
--- a/test/clients/deployment_test.go
+++ b/test/clients/deployment_test.go
@@ -137,3 +137,18 @@
 		})
 	}
 }
+
+func TestDeploymentStopsBesideClientsThatStall(t *testing.T) {
+	body := steps(250)
+	for name, play := range map[string]client{
+		"silent connections":          silent,
+		"headers without an end":      endlessHeaders,
+		"bodies one byte short":       sends(newJobPath, contentLength(len(body)), body[:len(body)-1]),
+		"responses that are not read": pipelined("/q/"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := startDeployment(t)
+			stopsBeside(t, d.process, &crowd{addr: d.callers, play: play}, fewConnections)
+		})
+	}
+}
--- a/test/clients/process_test.go
+++ b/test/clients/process_test.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -55,6 +56,8 @@
 	ended chan struct{}
 	ports map[string]bool
 	log   string
+	// result is how the process ended, after ended is closed.
+	result error
 }
 
 // start runs a program until the test ends.
@@ -69,7 +72,7 @@
 	assert.NilError(t, cmd.Start())
 	p.pid = cmd.Process.Pid
 	go func() {
-		_ = cmd.Wait()
+		p.result = cmd.Wait()
 		_ = log.Close()
 		close(p.ended)
 	}()
@@ -104,6 +107,19 @@
 	return p
 }
 
+// stops asks the process to end, and returns how it ended.
+func (p *process) stops() error {
+	if err := syscall.Kill(p.pid, syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-p.ended:
+		return p.result
+	case <-time.After(waitTimeout):
+		return errors.New("the process does not end")
+	}
+}
+
 func (p *process) lives() bool {
 	select {
 	case <-p.ended:
--- a/test/clients/serve_test.go
+++ b/test/clients/serve_test.go
@@ -121,3 +121,16 @@
 		})
 	}
 }
+
+func TestEntryInstanceStopsBesideClientsThatStall(t *testing.T) {
+	for name, play := range map[string]client{
+		"silent connections":     silent,
+		"headers without an end": endlessHeaders,
+		"bodies one byte short":  sends(func(int) string { return "/v1/requests" }, contentLength(entryBodyBytes), largeRequest()[:entryBodyBytes-1]),
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := startEntry(t)
+			stopsBeside(t, e.process, &crowd{addr: e.addr, play: play}, fewConnections)
+		})
+	}
+}
