--- a/test/clients/crowd_test.go
+++ b/test/clients/crowd_test.go
@@ -1,9 +1,12 @@
 package clients
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -104,6 +107,28 @@
 	c.stop()
 }
 
+// servedSlowly sends a body in pieces with pauses, and reports whether it is answered with 2xx.
+func servedSlowly(t *testing.T, addr, path, body string) bool {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, post(path, contentLength(len(body))))
+	assert.NilError(t, err)
+	for piece := range slices.Chunk([]byte(body), len(body)/slowPieces) {
+		time.Sleep(tricklePause)
+		_, err = conn.Write(piece)
+		assert.NilError(t, err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	t.Log(response.Status)
+	return response.StatusCode/100 == 2
+}
+
+// slowPieces is the number of pieces of a body on a slow line.
+const slowPieces = 40
+
 // post is the start of a request with a body.
 func post(path, header string) string {
 	return "POST " + path + " HTTP/1.1\r\nHost: " + host + "\r\nAuthorization: Bearer key\r\nContent-Type: application/json\r\n" + header + "\r\n"
--- a/test/clients/deployment_test.go
+++ b/test/clients/deployment_test.go
@@ -152,3 +152,8 @@
 		})
 	}
 }
+
+func TestDeploymentServesABodyOverASlowLine(t *testing.T) {
+	d := startDeployment(t)
+	assert.Assert(t, servedSlowly(t, d.callers, newJobPath(0), steps(250)))
+}
--- a/test/clients/serve_test.go
+++ b/test/clients/serve_test.go
@@ -134,3 +134,9 @@
 		})
 	}
 }
+
+func TestEntryInstanceServesABodyOverASlowLine(t *testing.T) {
+	e := startEntry(t)
+	waitFor(t, "answer", e.answersARequest)
+	assert.Assert(t, servedSlowly(t, e.addr, "/v1/requests", largeRequest()))
+}
