--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -82,9 +82,9 @@
 			space = extra[:]
 		}
 		n, err := r.Body.Read(space)
-		progress, gaveWay := b.pool.advance(b.holder, n)
+		progress, evicted := b.pool.advance(b.holder, n)
 		switch {
-		case gaveWay:
+		case evicted:
 			return ErrNoRoom
 		case full && n > 0:
 			return ErrTooLarge
--- a/internal/inbound/body_test.go
+++ b/internal/inbound/body_test.go
@@ -83,11 +83,11 @@
 	defer pool.mu.Unlock()
 	for h := range pool.holders {
 		h.startedAt = time.Now().Add(-ago)
-		h.movedAt = h.startedAt
+		h.progressAt = h.startedAt
 	}
 }
 
-func TestStalledBodiesGiveWayToOthersAndSmallOnesNeedNoRoom(t *testing.T) {
+func TestStalledBodiesAreEvictedAndSmallOnesNeedNoRoom(t *testing.T) {
 	const size = 50_000
 	pool := NewPool(t.Name(), size, 10, zap.NewNop())
 	url := readServer(t, pool, size, 10)
--- a/internal/inbound/choose.go
+++ b/internal/inbound/choose.go
@@ -77,7 +77,7 @@
 	return float64(b.received) / max(b.age, time.Millisecond).Seconds()
 }
 
-// chooseBodies returns the bodies that give way to one that needs a number of bytes: first those
+// chooseBodies returns the bodies to evict in favor of one that needs a number of bytes: first those
 // that have stalled, the longest first, then slow ones, the slowest first. It returns none if all of
 // them together do not free enough; the new body is then refused, and the others go on.
 func chooseBodies(bodies []bodyState, need int64) []int {
--- a/internal/inbound/doc.go
+++ b/internal/inbound/doc.go
@@ -2,7 +2,7 @@
 // slowly: connections, bytes in receive queues, bodies and the values decoded from them.
 //
 //	limits.go    the limits, derived from the memory and the descriptors of the process
-//	choose.go    which connection or body gives way: decisions without a network
+//	choose.go    which connection to close and which body to evict: decisions without a network
 //	conns.go     a group of connections; conn.go: one connection and its progress
 //	listen.go    listeners whose connections have small receive queues
 //	pool.go      the bytes shared by bodies; body.go: the reading of one body
--- a/internal/inbound/limits.go
+++ b/internal/inbound/limits.go
@@ -30,16 +30,15 @@
 	PeerReceiveBytes = 64 << 10
 	// sessionBytes is what unfinished messages of a session hold without room in the pool.
 	sessionBytes = 64 << 10
-	// idleSessionAfter is the time without progress after which a session between instances gives
-	// way to a new connection.
+	// idleSessionAfter is the time without progress after which a session between instances is closed
+	// in favor of a new connection.
 	idleSessionAfter = 10 * time.Second
 	// progressBytes is what has to arrive or be sent to count as progress, so that a client that
 	// sends a byte at a time does not count as one that makes progress.
 	progressBytes = 512
-	// stalledAfter is the time without progress after which a body gives way to others if room is
-	// needed.
+	// stalledAfter is the time without progress after which a body is evicted if room is needed.
 	stalledAfter = time.Second
-	// slowAfter is the age from which a body gives way if it arrives at less than slowRate bytes
+	// slowAfter is the age from which a body is evicted if it arrives at less than slowRate bytes
 	// per second and room is needed.
 	slowAfter = 3 * time.Second
 	slowRate  = 16 << 10
--- a/internal/inbound/pool.go
+++ b/internal/inbound/pool.go
@@ -11,12 +11,12 @@
 	"go.uber.org/zap"
 )
 
-// ErrNoRoom is the error of a body or message for which there is no room, or which gave way to
-// others. It was not acted upon.
+// ErrNoRoom is the error of a body or message for which there is no room, or which was evicted in
+// favor of others. It was not acted upon.
 var ErrNoRoom = errors.New("no memory is left for a body of this size")
 
-// errGaveWay is the error of a holder that gave way before.
-var errGaveWay = fmt.Errorf("it gave way to others: %w", ErrNoRoom)
+// errEvicted is the error of a holder that was evicted before.
+var errEvicted = fmt.Errorf("evicted in favor of others: %w", ErrNoRoom)
 
 // Pool is the bytes that the bodies of a process share.
 type Pool struct {
@@ -60,30 +60,30 @@
 
 // holder is one body or message that holds bytes of a pool. The pool's mutex guards its fields.
 type holder struct {
-	// end makes the holder give way: it interrupts the reader.
-	end                func()
-	reserved, received int64
-	pending            int64
-	complete, gaveWay  bool
-	startedAt, movedAt time.Time
+	// interrupt makes the reader of an evicted holder return.
+	interrupt             func()
+	reserved, received    int64
+	pending               int64
+	complete, evicted     bool
+	startedAt, progressAt time.Time
 }
 
-func newHolder(end func()) *holder {
+func newHolder(interrupt func()) *holder {
 	now := time.Now()
-	return &holder{end: end, startedAt: now, movedAt: now}
+	return &holder{interrupt: interrupt, startedAt: now, progressAt: now}
 }
 
 func (h *holder) state(now time.Time) bodyState {
-	return bodyState{reserved: h.reserved, received: h.received, complete: h.complete, age: now.Sub(h.startedAt), still: now.Sub(h.movedAt)}
+	return bodyState{reserved: h.reserved, received: h.received, complete: h.complete, age: now.Sub(h.startedAt), still: now.Sub(h.progressAt)}
 }
 
-// reserve changes what a holder has reserved to a number of bytes. If there is no room, others give
-// way, or ErrNoRoom is returned and the reservation stays. A holder that gave way gets no more.
+// reserve changes what a holder has reserved to a number of bytes. If there is no room, others are
+// evicted, or ErrNoRoom is returned and the reservation stays. An evicted holder gets no more.
 func (p *Pool) reserve(h *holder, bytes int64) error {
 	p.mu.Lock()
-	if h.gaveWay {
+	if h.evicted {
 		p.mu.Unlock()
-		return errGaveWay
+		return errEvicted
 	}
 	var ended []*holder
 	need := p.used + bytes - h.reserved - p.capacity
@@ -101,7 +101,7 @@
 	}
 	for _, other := range ended {
 		p.release(other)
-		other.gaveWay = true
+		other.evicted = true
 	}
 	p.used += bytes - h.reserved
 	h.reserved = bytes
@@ -109,12 +109,12 @@
 	p.mu.Unlock()
 	for _, other := range ended {
 		p.evicted.Inc()
-		other.end()
+		other.interrupt()
 	}
 	return nil
 }
 
-// choose returns the holders that give way to h. The caller holds mu.
+// choose returns the holders to evict in favor of h. The caller holds mu.
 func (p *Pool) choose(h *holder, need int64) []*holder {
 	now := time.Now()
 	var others []*holder
@@ -152,7 +152,7 @@
 	p.release(h)
 	h.received, h.pending = 0, 0
 	h.startedAt = time.Now()
-	h.movedAt = h.startedAt
+	h.progressAt = h.startedAt
 }
 
 // take reserves bytes for a holder without regard to the capacity, for what others have reserved
@@ -169,22 +169,22 @@
 }
 
 // advance notes bytes that have arrived. It reports whether they count as progress, and whether the
-// holder gave way.
-func (p *Pool) advance(h *holder, n int) (progress, gaveWay bool) {
+// holder was evicted.
+func (p *Pool) advance(h *holder, n int) (progress, evicted bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h.received += int64(n)
 	if h.pending += int64(n); h.pending >= progressBytes {
-		h.pending, h.movedAt, progress = 0, time.Now(), true
+		h.pending, h.progressAt, progress = 0, time.Now(), true
 	}
-	return progress, h.gaveWay
+	return progress, h.evicted
 }
 
-// finish notes that all has arrived. It returns ErrNoRoom if the holder gave way before.
+// finish notes that all has arrived. It returns ErrNoRoom if the holder was evicted before.
 func (p *Pool) finish(h *holder) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if h.gaveWay {
+	if h.evicted {
 		return ErrNoRoom
 	}
 	h.complete = true
--- a/internal/inbound/session.go
+++ b/internal/inbound/session.go
@@ -23,13 +23,13 @@
 )
 
 const (
-	// roomTimeout is how long a session that has no room is not read from before it ends. It is above
-	// the time after which stalled ones give way.
+	// roomTimeout bounds the pause of a session that has no room; after it the session ends. It is above
+	// the time after which stalled sessions are evicted.
 	roomTimeout = 3 * stalledAfter / 2
 	roomPoll    = 20 * time.Millisecond
 )
 
-// messageCopies is how often a message is held while it arrives: in the session and in its buffer.
+// messageCopies counts the copies of a message that arrives: in the session and in its buffer.
 const messageCopies = 2
 
 // lateAfter is the time after which bytes for streams that have ended are no longer held by yamux.
@@ -37,8 +37,8 @@
 
 // Session bounds what the messages of one session between instances hold, from the moment that they
 // are read from the connection. Yamux itself holds up to its window for each stream, and the streams
-// of a session are many. A session that there is no room for is not read from for a while, and then
-// ends; so does one that gives way to others.
+// of a session are many. A session without room is not read from for a while, and then ends; an
+// evicted one ends at once.
 type Session struct {
 	net.Conn
 	pool *Pool
@@ -72,8 +72,8 @@
 // NewSession returns the connection of a session whose messages hold bytes of the pool.
 func (p *Pool) NewSession(conn net.Conn) *Session {
 	s := &Session{Conn: conn, pool: p, streams: make(map[uint32]*streamBytes)}
-	end := func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) }
-	s.unfinished, s.finished = newHolder(end), newHolder(end)
+	interrupt := func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) }
+	s.unfinished, s.finished = newHolder(interrupt), newHolder(interrupt)
 	s.finished.complete = true
 	return s
 }
@@ -116,7 +116,7 @@
 	}
 	s.data = binary.BigEndian.Uint32(s.header[frameLengthAt:])
 	err := s.arrives(stream, messageCopies*int64(s.data))
-	for waited := time.Duration(0); errors.Is(err, ErrNoRoom) && !errors.Is(err, errGaveWay) && waited < roomTimeout; waited += roomPoll {
+	for waited := time.Duration(0); errors.Is(err, ErrNoRoom) && !errors.Is(err, errEvicted) && waited < roomTimeout; waited += roomPoll {
 		time.Sleep(roomPoll)
 		err = s.retry()
 	}
