Bound what the check of a configuration holds

Cause: every problem was listed, each with its message and its line, for which the document was searched from its start; and a configuration counted for its size alone while its check holds the position of each value and a tree of errors beside it.

Now a configuration also reserves sixteen times its size of the pool until it is answered: no other large body is held beside one of the largest size, and without room it is refused before it is checked. The unit test fails on the code before: 50,001 problems.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -47,7 +47,7 @@
 	if s.inFlight.Load() >= int64(s.opts.Settings.Limits.MaxRequests) {
 		return func() {}, api.NewError(api.KindQueueFull, "%d requests are under way in this instance", s.inFlight.Load())
 	}
-	release, err = s.decode(w, r, submission)
+	release, err = s.decode(w, r, submission, 1)
 	if err != nil {
 		return release, err
 	}
@@ -117,7 +117,7 @@
 	if err := s.opts.Ready(); err != nil {
 		return func() {}, err
 	}
-	if release, err = s.decode(w, r, job); err != nil {
+	if release, err = s.decode(w, r, job, 1); err != nil {
 		return release, err
 	}
 	if err := validateJob(job, time.Now()); err != nil {
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -13,9 +13,13 @@
 // configuration.
 const configDocumentName = "configuration"
 
+// configCopies is what a configuration takes while it is checked, with the position of each value and
+// its problems, as a multiple of its size.
+const configCopies = 16
+
 func (s *Server) applyConfig(w http.ResponseWriter, r *http.Request) {
 	var apply api.ConfigApply
-	release, err := s.decode(w, r, &apply)
+	release, err := s.decode(w, r, &apply, configCopies)
 	defer release()
 	if err != nil {
 		writeOperatorError(w, err)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -171,8 +171,9 @@
 }
 
 // decode reads a JSON body of bounded size into target. It rejects unknown fields and trailing
-// data. The caller releases the body when target is no longer held, whatever the error.
-func (s *Server) decode(w http.ResponseWriter, r *http.Request, target any) (release func(), err error) {
+// data. What is made of the body takes a number of copies of it; the caller releases them when they
+// are no longer held, whatever the error.
+func (s *Server) decode(w http.ResponseWriter, r *http.Request, target any, copies int64) (release func(), err error) {
 	limit := s.opts.Settings.Limits.MaxBodyBytes
 	body, err := s.bodies.ReadBody(w, r, limit)
 	if err != nil {
@@ -184,7 +185,7 @@
 		return decodeStrictly(data, target)
 	})
 	if err == nil {
-		err = body.Replace(size)
+		err = body.Replace(copies * size)
 	}
 	if err != nil {
 		err = bodyError(err, limit)
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -1,5 +1,5 @@
 // Package strictjson validates a JSON file against a JSON schema and reports all
-// errors at once, each with file, path, line and column. The validation is done
+// errors at once, up to a bound, each with file, path, line and column. The validation is done
 // by santhosh-tekuri/jsonschema; this package adds positions, the detection of
 // duplicate names and the decoding into a Go type.
 package strictjson
@@ -75,6 +75,10 @@
 	return nil
 }
 
+// maxProblems bounds the problems that the validation of one file lists. Each takes a message, and the
+// time to find its line.
+const maxProblems = 1000
+
 func (s *Schema) validate(file string, data []byte, positions *Positions) []api.Problem {
 	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
 	if err != nil {
@@ -86,9 +90,14 @@
 	}
 	printer := message.NewPrinter(language.English)
 	var problems []api.Problem
+	more := 0
 	var walk func(*jsonschema.ValidationError)
 	walk = func(e *jsonschema.ValidationError) {
-		if len(e.Causes) == 0 {
+		switch {
+		case len(e.Causes) > 0:
+		case len(problems) == maxProblems:
+			more++
+		default:
 			problems = append(problems, positions.Problem(jsonPointer(e.InstanceLocation), e.ErrorKind.LocalizedString(printer)))
 		}
 		for _, cause := range e.Causes {
@@ -96,6 +105,9 @@
 		}
 	}
 	walk(validationErr)
+	if more > 0 {
+		problems = append(problems, positions.Problem("/", fmt.Sprintf("%d more problems are not listed", more)))
+	}
 	return problems
 }
 
--- a/internal/strictjson/strictjson_test.go
+++ b/internal/strictjson/strictjson_test.go
@@ -66,3 +66,13 @@
 		}
 	})
 }
+
+func TestAFileOfManyErrorsListsABoundedNumber(t *testing.T) {
+	many := MustCompile("many.json", []byte(`{"items": {"type": "string"}}`))
+	var target []string
+	err := many.Decode("f", []byte("["+strings.Repeat("1,", 50_000)+"1]"), &target)
+	var listed *Error
+	assert.Assert(t, errors.As(err, &listed), "%v", err)
+	assert.Equal(t, len(listed.Problems), maxProblems+1)
+	assert.Equal(t, listed.Problems[0].Message, "49001 more problems are not listed")
+}
--- a/test/clients/serve_test.go
+++ b/test/clients/serve_test.go
@@ -83,6 +83,18 @@
 	return head + strings.Repeat("x", entryBodyBytes-len(head)-len(tail)) + tail
 }
 
+// largeConfiguration is a configuration of nearly the largest size with as many client accounts as
+// fit. It expects a version that is no longer in force, so that it is checked and not applied.
+func largeConfiguration(account string) string {
+	const tail = `{"name": "last"}], "rules": [{"name": "all", "when": {}, "then": {}}]}}`
+	var b strings.Builder
+	b.WriteString(`{"expect": 0, "document": {"client_accounts": [`)
+	for n := 0; b.Len() < entryBodyBytes-len(tail)-len(account)-10; n++ {
+		fmt.Fprintf(&b, account, n)
+	}
+	return b.String() + tail
+}
+
 func TestEntryInstanceWithstandsLargeBodies(t *testing.T) {
 	const size = 300
 	path := func(path string) func(int) string { return func(int) string { return path } }
@@ -92,6 +104,12 @@
 	kinds["jobs of the largest size"] = sends(path("/v1/jobs"), contentLength(len(body)), largeJob())
 	kinds["jobs one byte short"] = sends(path("/v1/jobs"), contentLength(len(body)), body[:len(body)-1])
 	kinds["configurations one byte short"] = sends(path("/v1/config"), contentLength(len(body)), body[:len(body)-1])
+	for name, document := range map[string]string{
+		"configurations of the largest size": largeConfiguration(`{"name": "account-%d"},`),
+		"configurations of many errors":      largeConfiguration(`{"nonsense": %d},`),
+	} {
+		kinds[name] = sends(path("/v1/config"), contentLength(len(document)), document)
+	}
 	for name, play := range kinds {
 		t.Run(name, func(t *testing.T) {
 			e := startEntry(t)
