Review case 4: each instance that leads exceeds its memory for jobs that are due later

Cause: LOST is broken, and Fault: all occurrences of scheduled jobs are expanded when a leader learns of the jobs, so that 80 jobs of 8,640 times, sent at a usual rate, take more than the memory of a machine; each instance that leads next reads them and is killed as well. Change: review/4 shows it and takes the place of the count of waiting jobs, which stays in review/rig as 'refusals'. The stand-in of the platform watches the memory of the processes in all cases.

--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -28,6 +28,10 @@
 	runnersInRack = 8
 	runnersInZone = 16
 	gracePeriod   = 6 * time.Second
+	// memoryMB is the memory of a machine. A process over it is killed and started again after a delay.
+	memoryMB     = 284
+	memoryCheck  = 50 * time.Millisecond
+	restartDelay = time.Second
 )
 
 // zones are those of the site, with the number of instances in each.
@@ -40,8 +44,15 @@
 type instance struct {
 	name, zone                    string
 	callers, ready, peers, metric string
-	process                       *exec.Cmd
-	exited                        chan struct{}
+	settings                      string
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	exited  chan struct{}
+	// stopped is set once the process is not to be started again, kills counts the times that it was
+	// killed for its memory.
+	stopped bool
+	kills   int
 }
 
 // fleet is a small deployment: the store, the runners and the processes of the scheduler.
@@ -56,6 +67,7 @@
 
 	mu    sync.Mutex
 	plans map[string]taskPlan
+	calls int
 }
 
 // queue describes a route of the configuration.
@@ -153,7 +165,7 @@
 	}
 	for _, zone := range zones {
 		for n := range zone.instances {
-			i := &instance{name: fmt.Sprintf("edge-%s-%d", zone.name, n+1), zone: zone.name, exited: make(chan struct{})}
+			i := &instance{name: fmt.Sprintf("edge-%s-%d", zone.name, n+1), zone: zone.name}
 			i.callers, i.ready, i.peers, i.metric = free[0], free[1], free[2], free[3]
 			free = free[addressesOfInstance:]
 			if n == 0 {
@@ -170,51 +182,127 @@
 	return nil
 }
 
-// startInstance starts a process with the command of the deploy file and settings as its template
-// gives for the site.
+// startInstance starts a process with settings as the template of the deploy file gives for the site.
 func (f *fleet) startInstance(i *instance, seeds []string) error {
 	settings, err := json.MarshalIndent(map[string]any{
 		"instance": i.name, "availability_zone": i.zone,
 		"listen": map[string]any{"callers": i.callers, "ready": i.ready, "peers": i.peers, "metrics": i.metric},
 		"seeds":  seeds, "store": f.store.address, "advisor": "",
-		"processor": map[string]any{"cores": 1, "share": 0.4}, "memory_mb": 284, "row_bytes": 65536, "descriptors": 4100,
+		"processor": map[string]any{"cores": 1, "share": 0.4}, "memory_mb": memoryMB, "row_bytes": 65536, "descriptors": 4100,
 		"bounds":         map[string]any{"longest_lease_ms": 6000, "reclaim_ms": 3400, "status_kept_s": 120, "remote_factor": 3, "stop_ms": 900},
 		"stop_within_ms": 4500,
 	}, "", "  ")
 	if err != nil {
 		return err
 	}
-	file := filepath.Join(f.folder, i.name+".json")
-	if err := os.WriteFile(file, settings, 0o600); err != nil {
+	i.settings = filepath.Join(f.folder, i.name+".json")
+	if err := os.WriteFile(i.settings, settings, 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(f.folder, i.name+".log"))
+	if err := f.launch(i); err != nil {
+		return err
+	}
+	go f.watchMemory(i)
+	return nil
+}
+
+// launch starts the process of an instance with the command of the deploy file.
+func (f *fleet) launch(i *instance) error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.stopped {
+		return nil
+	}
+	log, err := os.OpenFile(filepath.Join(f.folder, i.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
-	i.process = exec.Command("target/corianderbank", "deployment", "--settings", file)
-	i.process.Stdout, i.process.Stderr = log, log
-	if err := i.process.Start(); err != nil {
+	process, exited := exec.Command("target/corianderbank", "deployment", "--settings", i.settings), make(chan struct{})
+	process.Stdout, process.Stderr = log, log
+	if err := process.Start(); err != nil {
 		return err
 	}
 	go func() {
-		_ = i.process.Wait() // how it ended shows nothing
-		close(i.exited)
+		_ = process.Wait() // how it ended shows nothing
+		_ = log.Close()
+		close(exited)
 	}()
+	i.process, i.exited = process, exited
 	f.rec.add("platform", "starts %s", i.name)
 	return nil
 }
 
+// residentMB returns the resident memory of the instance's process.
+func (i *instance) residentMB() int64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", i.process.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int64
+	_, _ = fmt.Sscan(string(data), &size, &resident) // of a process that has ended there is nothing to read
+	return resident * int64(os.Getpagesize()) >> 20
+}
+
+// watchMemory kills the process of an instance when it exceeds the memory of its machine, and starts it
+// again after a delay.
+func (f *fleet) watchMemory(i *instance) {
+	for {
+		time.Sleep(memoryCheck)
+		mb := i.residentMB()
+		i.mu.Lock()
+		stopped, process, exited := i.stopped, i.process, i.exited
+		over := mb > memoryMB && !stopped
+		if over {
+			i.kills++
+		}
+		i.mu.Unlock()
+		if stopped {
+			return
+		}
+		if !over {
+			continue
+		}
+		f.rec.add("platform", "kills %s, which uses %d MB of %d", i.name, mb, memoryMB)
+		_ = process.Process.Kill() // it may have ended
+		<-exited
+		time.Sleep(restartDelay)
+		if err := f.launch(i); err != nil {
+			f.rec.add("platform", "%s does not start: %v", i.name, err)
+			return
+		}
+	}
+}
+
+// memoryKills returns how often processes were killed for their memory, and how many of them three
+// times or more.
+func (f *fleet) memoryKills() (kills, often int) {
+	const many = 3
+	for _, i := range f.instances {
+		i.mu.Lock()
+		kills += i.kills
+		if i.kills >= many {
+			often++
+		}
+		i.mu.Unlock()
+	}
+	return kills, often
+}
+
 // stop ends all processes that were started.
 func (f *fleet) stop() {
 	for _, i := range f.instances {
-		if i.process != nil && i.process.Process != nil {
+		i.mu.Lock()
+		i.stopped = true
+		if i.process != nil {
 			_ = i.process.Process.Signal(syscall.SIGTERM) // it may have ended
 		}
+		i.mu.Unlock()
 	}
 	deadline := time.After(gracePeriod)
 	for _, i := range f.instances {
-		if i.process == nil || i.process.Process == nil {
+		if i.process == nil {
 			continue
 		}
 		select {
@@ -332,6 +420,14 @@
 	return fmt.Errorf("job %s was not accepted: %v", id, last)
 }
 
+// turn returns a number that rises with each call, so that clients use all instances.
+func (f *fleet) turn() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	return f.calls
+}
+
 func (f *fleet) expect(id string, plan taskPlan) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -24,10 +24,12 @@
 
 // cases are the cases by name. trouble is false if they are played without their disruption.
 var cases = map[string]func(f *fleet, trouble bool) (verdict, error){
-	"crashes":  playCrashes,
-	"route":    playRoute,
-	"abandon":  playAbandon,
-	"serving":  playServing,
+	"crashes":   playCrashes,
+	"route":     playRoute,
+	"abandon":   playAbandon,
+	"serving":   playServing,
+	"schedules": playSchedules,
+	// It takes no place of a case.
 	"refusals": playRefusals,
 }
 
