Review cases 4 to 8: the whole run is bounded

Cause: a start of 30 s and a case of 110 s could take longer than the 120 s of a script. Change: review/rig counts its limit of 105 s from its own start; the records are of this program.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -12,8 +12,8 @@
 	exitHeld   = 0
 	exitBroken = 1
 	exitNotRun = 2
-	// limit is the longest time that a case takes.
-	limit = 110 * time.Second
+	// limit is the longest time from the start to the result.
+	limit = 105 * time.Second
 )
 
 // verdict is the result of a case.
@@ -37,6 +37,7 @@
 
 func play() int {
 	const wanted = 3
+	over := time.After(limit)
 	if len(os.Args) != wanted || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
 		return exitNotRun
@@ -72,7 +73,7 @@
 		return report(rec, r.verdict, r.err)
 	case s := <-stop:
 		return report(rec, verdict{}, fmt.Errorf("stopped by %v", s))
-	case <-time.After(limit):
+	case <-over:
 		return report(rec, verdict{}, fmt.Errorf("not over after %v", limit))
 	}
 }
