--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -71,6 +72,8 @@
 	life     *life
 	lives    int
 	draining bool
+	// cut is set while the runner is cut off: it answers nothing.
+	cut bool
 	// refusing is set while the runner is unhealthy and refuses starts.
 	refusing bool
 	// started counts the starts, and ended the ends by kind, of all lives.
@@ -175,19 +178,29 @@
 	l.changed = make(chan struct{})
 }
 
-// crash ends this life without a word. Its entry stays until it has been silent for long enough.
-func (r *runner) crash() {
+// crashBehindCut cuts the runner off for a time, in which it crashes and starts again: nothing is
+// answered meanwhile, and afterwards another life is there. The old entry stays until it has been
+// silent for long enough.
+func (r *runner) crashBehindCut(cut time.Duration) {
 	r.mu.Lock()
 	l := r.life
-	l.over = true
+	r.cut, l.over = true, true
 	for key, running := range l.running {
 		running.timer.Stop()
-		r.rec.add("runner", "%s crashes under %s attempt %d", l.id, key.task, key.attempt)
+		r.rec.add("runner", "%s is cut off for %v and crashes under %s attempt %d", l.id, cut, key.task, key.attempt)
 	}
-	r.life = nil
+	clear(l.running)
 	r.mu.Unlock()
-	_ = l.server.Close() // its listener and connections
 	time.AfterFunc(missedBeats*heartbeat, func() { r.store.remove(runnerTable, l.id) })
+	time.AfterFunc(cut, func() {
+		_ = l.server.Close() // its listener and connections
+		r.mu.Lock()
+		r.cut, r.life = false, nil
+		r.mu.Unlock()
+		if err := r.begin(); err != nil {
+			r.rec.add("runner", "%s does not come back: %v", r.name, err)
+		}
+	})
 }
 
 // drainTime is the time for which a draining runner serves on.
@@ -225,6 +238,14 @@
 }
 
 func (r *runner) serve(l *life, w http.ResponseWriter, q *http.Request) {
+	r.mu.Lock()
+	cut := r.cut
+	r.mu.Unlock()
+	if cut {
+		_, _ = io.Copy(io.Discard, q.Body) // the end of the connection is seen once the body is read
+		<-q.Context().Done()
+		return
+	}
 	if target := q.Header.Get("Target-Instance"); target != "" && target != l.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -335,8 +356,12 @@
 			l.ends = l.ends[1:]
 		}
 		body := map[string]any{"running": l.list(), "finished": append([][]any{}, l.ends[:min(len(l.ends), endsListed)]...)}
-		found, changed := len(l.ends) > 0, l.changed
+		found, changed, cut := len(l.ends) > 0, l.changed, r.cut
 		r.mu.Unlock()
+		if cut {
+			<-q.Context().Done()
+			return
+		}
 		if found || over {
 			r.reply(l, w, http.StatusOK, "", body)
 			return
