Log where a cancellation found its job, and jobs that are stored late

The logs had the submission (result_unknown), the cancellation (gone) and the start, but did not tell three causes apart: the instance answered from a copy that lagged behind the store, the store did the insert after the cancellation, or the leader passed over a cancellation that was stored.

The line of a cancellation now has the source of the answer (copy, hub or store), and the leader logs a job that reaches it a second or more after the call that submitted it, with the version of its row and whether it is cancelled.

--- a/internal/deployment/accept.go
+++ b/internal/deployment/accept.go
@@ -208,22 +208,26 @@
 
 // findJob returns the state of a job of the caller's client account, or KindGone if
 // there is none.
-func (i *Instance) findJob(ctx context.Context, caller Caller, id string) (JobState, error) {
+func (i *Instance) findJob(ctx context.Context, caller Caller, id string) (jobView, error) {
 	view, err := i.lookupJob(ctx, id)
 	switch {
 	case err != nil:
-		return "", err
+		return view, err
 	case !view.known:
-		return "", api.NewError(api.KindGone, "no job %s", id)
+		return view, api.NewError(api.KindGone, "no job %s", id)
 	case view.account != caller.Account:
-		return "", api.NewError(api.KindGone, "no job %s of this client account", id)
+		return view, api.NewError(api.KindGone, "no job %s of this client account", id)
 	}
-	return view.state, nil
+	return view, nil
 }
 
 // State returns the state of a job.
 func (i *Instance) State(ctx context.Context, caller Caller, id string) (JobState, error) {
-	return i.findJob(ctx, caller, id)
+	view, err := i.findJob(ctx, caller, id)
+	if err != nil {
+		return "", err
+	}
+	return view.state, nil
 }
 
 // Pending returns the number of jobs of the queue that have not started.
@@ -237,8 +241,8 @@
 // Cancel cancels a job. It returns nil once the store has the cancellation, and also if
 // the job has already ended.
 func (i *Instance) Cancel(ctx context.Context, caller Caller, id string) error {
-	state, err := i.findJob(ctx, caller, id)
-	if err == nil && state != StateCancelled && state != StateCompleted && state != StateFailed {
+	view, err := i.findJob(ctx, caller, id)
+	if err == nil && !view.state.isFinal() {
 		key := cancelPrefix + id
 		write := workload.Write{
 			Part: partOf(key), Expect: []workload.Row{{Key: key}}, Put: []workload.Row{{Key: key, Value: encode(time.Now().UnixMilli())}},
@@ -249,7 +253,7 @@
 			i.sendToHubs(workload.SourceOwn, write.Put)
 		}
 	}
-	i.logger.Info("cancel", zap.String("job", id), zap.String("queue", caller.Queue.Name), zap.String("state_before", string(state)),
+	i.logger.Info("cancel", zap.String("job", id), zap.String("queue", caller.Queue.Name), zap.String("state_before", string(view.state)), zap.String("source", string(view.source)),
 		zap.String("error_kind", kindName(err)), zap.Error(err))
 	return err
 }
--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -247,6 +247,7 @@
 	leader.post(func(core *dispatch.Core, now time.Time, wallMS int64) {
 		known, readable := i.replica.jobForLeader(c.job)
 		if readable {
+			leader.logLateJob(&known, wallMS)
 			leader.addJob(&known, now, wallMS)
 		}
 		if c.cancelled || known.cancelled {
--- a/internal/deployment/query.go
+++ b/internal/deployment/query.go
@@ -18,8 +18,19 @@
 	known   bool
 	state   JobState
 	account string
+	source  viewSource
 }
 
+// viewSource is where an instance found a job, or found that there is none.
+type viewSource string
+
+// The sources of a job's state.
+const (
+	viewFromCopy  viewSource = "copy"
+	viewFromHub   viewSource = "hub"
+	viewFromStore viewSource = "store"
+)
+
 // queryTimeout bounds a query to one hub; within a zone it answers in a few
 // milliseconds.
 const queryTimeout = 250 * time.Millisecond
@@ -29,7 +40,7 @@
 func (i *Instance) lookupJob(ctx context.Context, id string) (jobView, error) {
 	if state, job, ok := i.replica.state(id); ok {
 		i.logShown(id, state, i.replica.version(recordPrefix+id))
-		return jobView{known: true, state: state, account: job.Account}, nil
+		return jobView{known: true, state: state, account: job.Account, source: viewFromCopy}, nil
 	}
 	if !i.replica.isLoaded() {
 		if view, ok := i.queryHubs(ctx, id); ok {
@@ -79,7 +90,7 @@
 		return jobView{}, err
 	}
 	job := response.GetJobView()
-	return jobView{known: job.GetKnown(), state: JobState(job.GetState()), account: job.GetClientAccount()}, nil
+	return jobView{known: job.GetKnown(), state: JobState(job.GetState()), account: job.GetClientAccount(), source: viewFromHub}, nil
 }
 
 // answerQuery answers the query of a leaf.
@@ -108,7 +119,7 @@
 		read.apply(page.Rows)
 		i.replica.apply(page.Rows)
 		if len(page.Rows) == 0 && prefix == jobPrefix {
-			return jobView{}, nil
+			return jobView{source: viewFromStore}, nil
 		}
 	}
 	replica := i.replica
@@ -117,8 +128,8 @@
 	}
 	state, job, ok := replica.state(id)
 	if !ok {
-		return jobView{}, nil // the row cannot be decoded
+		return jobView{source: viewFromStore}, nil // the row cannot be decoded
 	}
 	i.logShown(id, state, replica.version(recordPrefix+id))
-	return jobView{known: true, state: state, account: job.Account}, nil
+	return jobView{known: true, state: state, account: job.Account, source: viewFromStore}, nil
 }
--- a/internal/deployment/takeover.go
+++ b/internal/deployment/takeover.go
@@ -158,6 +158,19 @@
 	}
 }
 
+// lateJobAge is the age from which a job that is new to the leader is logged: its row was stored late,
+// or no note of it arrived.
+const lateJobAge = time.Second
+
+// logLateJob logs a job that is new to the core long after the call that submitted it.
+func (c *leader) logLateJob(known *knownJob, wallMS int64) {
+	age := time.Duration(wallMS-known.job.AcceptedMS) * time.Millisecond
+	if age >= lateJobAge && !c.core.Knows(known.job.ID) {
+		c.logger.Info("job stored late", zap.String("job", known.job.ID), zap.Int64("version", c.instance.replica.version(jobPrefix+known.job.ID)),
+			zap.Int64("age_ms", age.Milliseconds()), zap.Bool("cancelled", known.cancelled))
+	}
+}
+
 // predecessorActiveUntil returns the time until which a previous leader may have given
 // orders; zero if there was none.
 func (c *leader) predecessorActiveUntil(now time.Time) time.Time {
