Store cancellations of jobs that do not exist yet

Cause: the store did not answer the insert, its caller left and cancelled the job at another instance, which found no row, answered "no such job" and wrote nothing. The store did the insert 5.5 s after it was sent, and its condition, no row of the job, held.

Change: a cancellation is stored whether or not there is a job. Its row names the client accounts that cancelled the id, and inserts expect that theirs is not among them. Both rows lie in one part of the table, so the store decides which came first, whoever wrote them and whenever they are done; no copy, note or answer matters. An insert that comes second does nothing, and its caller or a retry is answered 409. Another account's job under the id is neither barred nor cancelled. An older instance inserts without expecting the cancellation; its job is cancelled from the start, since the two rows are joined wherever they are read. Rows without a job are not shown, not counted and not handed to the core. They are removed after status_kept_s, under the condition that there is still no job; 40 a second for the whole deployment are taken, half of what is saved up by one account.

--- a/internal/deployment/accept.go
+++ b/internal/deployment/accept.go
@@ -134,26 +134,52 @@
 	if known, ok := i.replica.get(job.ID); ok {
 		return checkResubmission(known.job, job)
 	}
-	key := jobPrefix + job.ID
-	row := workload.Row{Key: key, Value: encode(job)}
+	if i.replica.isCancelledBy(job.Account, job.ID) {
+		return errCancelledBefore(job.ID)
+	}
+	row := workload.Row{Key: jobPrefix + job.ID, Value: encode(job)}
 	if limit := i.settings.RowBytes; len(row.Value) > limit {
 		return api.NewError(api.KindBodyTooLarge, "the job takes %d bytes in the store, at most %d are allowed", len(row.Value), limit)
 	}
-	err := i.writeOnce(ctx, workload.Write{
-		Part: partOf(key), Expect: []workload.Row{{Key: key}}, Put: []workload.Row{row},
-	}, func(rows []workload.Row) error {
-		for _, existing := range rows {
+	err := i.insertJob(ctx, job, row)
+	if errors.Is(err, workload.ErrRefused) {
+		return api.NewError(api.KindBodyTooLarge, "the store refuses the job's row of %d bytes: %v", len(row.Value), err)
+	}
+	return err
+}
+
+// insertJob inserts a job's row, under the condition that there is none and that the client account
+// has not cancelled the id.
+func (i *Instance) insertJob(ctx context.Context, job *workload.Job, row workload.Row) error {
+	cancellation := workload.Row{Key: cancelPrefix + job.ID}
+	for {
+		unexpected := false // another account has cancelled the id, or its cancellation was removed
+		err := i.writeOnce(ctx, workload.Write{
+			Part: partOf(row.Key), Expect: []workload.Row{{Key: row.Key}, cancellation}, Put: []workload.Row{row},
+		}, func(rows []workload.Row) error {
 			var accepted workload.Job
-			if existing.Key == key && json.Unmarshal(existing.Value, &accepted) == nil {
+			if existing := findRow(rows, row.Key); existing.Version > 0 && json.Unmarshal(existing.Value, &accepted) == nil {
 				return checkResubmission(&accepted, job)
 			}
+			found := findRow(rows, cancellation.Key)
+			if found.Version > 0 && decodeCancelRow(found.Value).covers(job.Account) {
+				return errCancelledBefore(job.ID)
+			}
+			if unexpected = found.Version != cancellation.Version; unexpected {
+				cancellation.Version = found.Version
+				return errIfOver(ctx)
+			}
+			return api.NewError(api.KindResultUnknown, "the store refused the job and showed no row")
+		})
+		if err != nil || !unexpected {
+			return err
 		}
-		return api.NewError(api.KindResultUnknown, "the store refused the job and showed no row")
-	})
-	if errors.Is(err, workload.ErrRefused) {
-		return api.NewError(api.KindBodyTooLarge, "the store refuses the job's row of %d bytes: %v", len(row.Value), err)
 	}
-	return err
+}
+
+// errCancelledBefore is the result of submitting a job that was cancelled before it was accepted.
+func errCancelledBefore(id string) error {
+	return api.NewError(api.KindCancelled, "job %s was cancelled before it was accepted; it never runs", id)
 }
 
 // checkResubmission returns the result of submitting an id that was accepted before: a
@@ -206,26 +232,17 @@
 	}
 }
 
-// findJob returns the state of a job of the caller's client account, or KindGone if
+// State returns the state of a job of the caller's client account, or KindGone if
 // there is none.
-func (i *Instance) findJob(ctx context.Context, caller Caller, id string) (jobView, error) {
+func (i *Instance) State(ctx context.Context, caller Caller, id string) (JobState, error) {
 	view, err := i.lookupJob(ctx, id)
 	switch {
 	case err != nil:
-		return view, err
+		return "", err
 	case !view.known:
-		return view, api.NewError(api.KindGone, "no job %s", id)
+		return "", errNoJob(id)
 	case view.account != caller.Account:
-		return view, api.NewError(api.KindGone, "no job %s of this client account", id)
-	}
-	return view, nil
-}
-
-// State returns the state of a job.
-func (i *Instance) State(ctx context.Context, caller Caller, id string) (JobState, error) {
-	view, err := i.findJob(ctx, caller, id)
-	if err != nil {
-		return "", err
+		return "", errOtherAccountsJob(id)
 	}
 	return view.state, nil
 }
@@ -237,23 +254,3 @@
 	}
 	return i.peers.latest().pending[caller.Queue.Name]
 }
-
-// Cancel cancels a job. It returns nil once the store has the cancellation, and also if
-// the job has already ended.
-func (i *Instance) Cancel(ctx context.Context, caller Caller, id string) error {
-	view, err := i.findJob(ctx, caller, id)
-	if err == nil && !view.state.isFinal() {
-		key := cancelPrefix + id
-		write := workload.Write{
-			Part: partOf(key), Expect: []workload.Row{{Key: key}}, Put: []workload.Row{{Key: key, Value: encode(time.Now().UnixMilli())}},
-		}
-		err = i.writeOnce(ctx, write, func([]workload.Row) error { return nil })
-		if write.Put[0].Version > 0 {
-			// Before the record of an end that is stored later reaches them in the same way.
-			i.sendToHubs(workload.SourceOwn, write.Put)
-		}
-	}
-	i.logger.Info("cancel", zap.String("job", id), zap.String("queue", caller.Queue.Name), zap.String("state_before", string(view.state)), zap.String("source", string(view.source)),
-		zap.String("error_kind", kindName(err)), zap.Error(err))
-	return err
-}
--- a/internal/deployment/instance.go
+++ b/internal/deployment/instance.go
@@ -81,6 +81,7 @@
 	partition     *partitionWatch
 	silence       *silenceWatch
 	probeRequests chan string
+	cancelBudget  *cancelBudget
 	rotation      rotation
 	// unreadable holds the configuration rows that were logged as undecodable.
 	unreadable    unreadableRows
@@ -122,6 +123,7 @@
 		partition:     newPartitionWatch(),
 		silence:       newSilenceWatch(),
 		probeRequests: make(chan string, jobParts+1),
+		cancelBudget:  newCancelBudget(),
 		peers:         newPeers(),
 		peerCalls:     pond.NewPool(maxPeerCalls, pond.WithQueueSize(maxPeerCalls), pond.WithNonBlocking(true)),
 	}
--- a/internal/deployment/replica.go
+++ b/internal/deployment/replica.go
@@ -31,8 +31,11 @@
 
 // knownJob is the state of one job as this instance has it.
 type knownJob struct {
-	job       *workload.Job
+	job *workload.Job
+	// cancelled is set if the job's client account has cancelled it.
 	cancelled bool
+	// cancellation is nil if no account has cancelled the id.
+	cancellation *cancellation
 	// record is the stored record.
 	record dispatch.Record
 	// cancelledVersion and finalVersion are those of the rows with which this instance first had the
@@ -53,6 +56,45 @@
 	unreadable bool
 }
 
+// cancellation is a cancelled id as this instance has it.
+type cancellation struct {
+	// byAccount holds the client accounts that cancelled the id, with the version of the row with which
+	// this instance first had that; byAny is the version of the first row without accounts.
+	byAccount []accountVersion
+	byAny     int64
+	// since is the time at which this instance first had the cancellation.
+	since time.Time
+}
+
+type accountVersion struct {
+	account string
+	version int64
+}
+
+// add adds what a row of a version says.
+func (c *cancellation) add(row cancelRow, version int64) {
+	if len(row.Accounts) == 0 {
+		c.byAny = cmp.Or(c.byAny, version)
+	}
+	for _, account := range row.Accounts {
+		if !slices.ContainsFunc(c.byAccount, func(known accountVersion) bool { return known.account == account }) {
+			c.byAccount = append(c.byAccount, accountVersion{account, version})
+		}
+	}
+}
+
+// versionFor returns the version with which the id was first cancelled for a client account; zero if
+// it was not.
+func (c *cancellation) versionFor(account string) int64 {
+	version := c.byAny
+	for _, known := range c.byAccount {
+		if known.account == account && (version == 0 || known.version < version) {
+			version = known.version
+		}
+	}
+	return version
+}
+
 // leaderRow is the row that names the holder of the lease.
 type leaderRow struct {
 	Leader string `json:"leader"`
@@ -206,13 +248,16 @@
 	}
 	switch prefix {
 	case jobPrefix:
-		return change{job: id}, r.applyJob(id, row)
+		isNew := r.applyJob(id, row)
+		return change{job: id, cancelled: isNew && r.jobs[id].cancelled}, isNew
 	case cancelPrefix:
 		known := r.ensureJob(id)
-		if !known.cancelled {
-			known.cancelled, known.cancelledVersion = true, row.Version
+		if known.cancellation == nil {
+			known.cancellation = &cancellation{since: bootTime()}
 		}
-		return change{job: id, cancelled: true}, true
+		known.cancellation.add(decodeCancelRow(row.Value), row.Version)
+		known.applyCancellation()
+		return change{job: id, cancelled: known.cancelled}, known.cancelled
 	case recordPrefix:
 		record, err := dispatch.DecodeRecord(row.Value)
 		if err != nil {
@@ -278,6 +323,7 @@
 		return false
 	}
 	known.job = &job
+	known.applyCancellation()
 	return true
 }
 
@@ -345,7 +391,9 @@
 	switch prefix {
 	case jobPrefix:
 		k.job, k.announced = nil, nil
+		k.cancelled, k.cancelledVersion = false, 0
 	case cancelPrefix:
+		k.cancellation = nil
 		k.cancelled, k.cancelledVersion = false, 0
 	case intentPrefix:
 		k.begun = false
@@ -358,7 +406,16 @@
 
 // isEmpty reports whether nothing is known of a job but perhaps its record.
 func (k *knownJob) isEmpty() bool {
-	return k.job == nil && !k.cancelled && !k.begun && len(k.recordParts) == 0
+	return k.job == nil && k.cancellation == nil && !k.begun && len(k.recordParts) == 0
+}
+
+// applyCancellation cancels the job if its client account has cancelled the id.
+func (k *knownJob) applyCancellation() {
+	if k.job == nil || k.cancellation == nil {
+		return
+	}
+	k.cancelledVersion = k.cancellation.versionFor(k.job.Account)
+	k.cancelled = k.cancelledVersion > 0
 }
 
 func (r *replica) ensureJob(id string) *knownJob {
@@ -557,6 +614,32 @@
 	return *known, true
 }
 
+// isCancelledBy reports whether a client account has cancelled an id for which no job is known.
+func (r *replica) isCancelledBy(account, id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.jobs[id]
+	return known != nil && known.job == nil && known.cancellation != nil && known.cancellation.versionFor(account) > 0
+}
+
+// expiredCancellations returns up to limit rows of cancellations that this instance has had since before
+// a time, and for which there is no row of a job.
+func (r *replica) expiredCancellations(before time.Time, limit int) []workload.Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var rows []workload.Row
+	for id, known := range r.jobs {
+		if len(rows) >= limit {
+			break
+		}
+		if known.cancellation != nil && known.cancellation.since.Before(before) && r.versions[jobPrefix+id] == 0 {
+			key := cancelPrefix + id
+			rows = append(rows, workload.Row{Key: key, Version: r.versions[key]})
+		}
+	}
+	return rows
+}
+
 // expired returns up to limit jobs whose stored final record this instance has had since before a time,
 // including those whose record is all that is left. The time at which the job ended does not count: it
 // comes from the wall clock of another instance, and either clock may jump.
