Reject entries of workers that are out of range

Cause: the decoder checked that numbers were not negative and that the address could be parsed. Sums of capacities over a pool and the time of a leaving worker in nanoseconds overflow with such values; calls went to port 0; the largest start time made every later entry of that worker one of an earlier incarnation; labels of 60 KB gave the worker a row that the store refuses, which halves the writes of records again and again.

--- a/internal/workload/check.go
+++ b/internal/workload/check.go
@@ -14,6 +14,18 @@
 	maxOccurrences = 10_000
 )
 
+// Limits of a worker's entry. Sums over all workers, and times derived from its numbers, must not
+// overflow.
+const (
+	// maxResource bounds each resource of a worker: thousandths of a core, megabytes, accelerators.
+	maxResource = 1 << 40
+	// maxLeavesInMS bounds the time that a leaving worker has left, in milliseconds.
+	maxLeavesInMS = 366 * 24 * 3600 * 1000
+	// maxIncarnation is the largest integer that every JSON decoder represents exactly.
+	maxIncarnation = 1 << 53
+	maxLabelBytes  = 4096
+)
+
 // Check returns an error if the job is malformed or exceeds a limit.
 func (j *Job) Check() error {
 	switch {
@@ -54,7 +66,12 @@
 
 func (r Resources) valid() bool { return r.MilliCPU >= 0 && r.MemoryMB >= 0 && r.Accelerators >= 0 }
 
-// Check returns an error if the id, address or pool is empty or a number is negative.
+func (r Resources) within(limit int64) bool {
+	return r.MilliCPU <= limit && r.MemoryMB <= limit && r.Accelerators <= limit
+}
+
+// Check returns an error if the id, address or pool is empty, or a number or the labels are out of
+// range.
 func (w *Worker) Check() error {
 	switch {
 	case w.ID == "":
@@ -65,6 +82,15 @@
 		return fmt.Errorf("pool is empty")
 	case !w.Capacity.valid() || w.LeavesInMS < 0 || w.Incarnation < 0:
 		return fmt.Errorf("a field is negative")
+	case !w.Capacity.within(maxResource) || w.LeavesInMS > maxLeavesInMS || w.Incarnation > maxIncarnation:
+		return fmt.Errorf("a field is too large")
+	}
+	labelBytes := 0
+	for _, label := range w.Labels {
+		labelBytes += len(label)
+	}
+	if labelBytes > maxLabelBytes {
+		return fmt.Errorf("%d bytes of labels, at most %d are allowed", labelBytes, maxLabelBytes)
 	}
 	return nil
 }
