Entries that name a live worker's address do not shut it out

Cause: polls of such an entry reach the live worker, which answers that it is another incarnation. The core took each of them for a worker that had crashed and come back under a new id, and counted a crash of the machine at that address. With two, the machine counted as flapping and got nothing; each new leader counted anew.

Change: only a worker that has itself answered this leader can have crashed. A machine that crashes while leaders change is counted by what its runs had, as before, but no longer as flapping.

Evidence: TestEntriesThatNameALiveWorkersAddressDoNotShutItOut failed before, for entries that appear and for those that a new leader finds, and passes now.

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -33,6 +33,8 @@
 	startHosts []string
 	// zones maps racks to their zones; racks without an entry have none.
 	zones map[string]string
+	// addrs holds the addresses of workers that do not follow from their id.
+	addrs map[string]string
 	// leavesIn holds the remaining time of leaving workers.
 	leavesIn map[string]time.Duration
 	// dropStops, if set, reports whether to leave stops unanswered and undone.
@@ -131,8 +133,12 @@
 		}
 		timeLeft, leaving := b.leavesIn[id]
 		rack := "r" + id[1:len(id)-1]
+		addr := id[1:]
+		if b.addrs[id] != "" {
+			addr = b.addrs[id]
+		}
 		list = append(list, workload.Worker{
-			ID: id, Incarnation: w.listedIncarnation, Addr: id[1:], Pool: "pool", Zone: b.zones[rack], Rack: rack, Capacity: w.capacity, Leaving: leaving, LeavesInMS: timeLeft.Milliseconds(),
+			ID: id, Incarnation: w.listedIncarnation, Addr: addr, Pool: "pool", Zone: b.zones[rack], Rack: rack, Capacity: w.capacity, Leaving: leaving, LeavesInMS: timeLeft.Milliseconds(),
 		})
 	}
 	b.core.WorkersListed(list, b.now, b.wallMS)
--- a/internal/dispatch/leases.go
+++ b/internal/dispatch/leases.go
@@ -25,6 +25,9 @@
 	}
 }
 
+// hasAnswered reports whether the worker itself has answered this epoch.
+func (w *worker) hasAnswered() bool { return !w.lastContact.IsZero() }
+
 // estimatedClock returns the worker's estimated clock, assuming a rate of one since the last
 // sample.
 func (w *worker) estimatedClock(now time.Time) int64 {
@@ -92,10 +95,11 @@
 	c.workerReplaced(w)
 }
 
-// workerReplaced handles an answer from another incarnation of the worker: this one is over.
+// workerReplaced handles an answer from another incarnation of the worker: this one is over. Only a
+// worker that was there can have crashed: an entry of another writer may name the address of a live one.
 func (c *Core) workerReplaced(w *worker) {
 	c.recordLostUnsynced(w)
-	if !w.replaced && !w.Leaving {
+	if !w.replaced && !w.Leaving && w.hasAnswered() {
 		c.recordMachineCrash(w)
 	}
 	w.replaced = true
--- a/internal/dispatch/stored_test.go
+++ b/internal/dispatch/stored_test.go
@@ -98,3 +98,25 @@
 	b.core.WorkersRemoved(b.core.WorkersToRemove(10))
 	assert.Equal(t, len(b.core.UnstoredWorkers(10)), 1)
 }
+
+// Failure: a worker gets nothing while entries of another writer name its address.
+func TestEntriesThatNameALiveWorkersAddressDoNotShutItOut(t *testing.T) {
+	for name, takeover := range map[string]bool{"entries that appear": false, "entries that a new leader finds": true} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 5, takeover)
+			b.addrs = map[string]string{"w90": "00", "w91": "00", "w92": "00"}
+			for id := range b.addrs {
+				b.addWorker(id)
+				b.replaced[id] = true
+			}
+			if !takeover {
+				b.advance(time.Second)
+			}
+			b.listWorkers()
+			b.add(gangJob("all", "batch", "other", 5, 8))
+			b.advance(2 * time.Second)
+			assert.Equal(t, b.runningOf("all"), 5)
+			assert.Equal(t, len(b.core.machineCrashes), 0)
+		})
+	}
+}
