One entry with a foreign incarnation does not shut a worker out

What callers saw: a worker got nothing from then on, 0 of 48 tasks in place of 8, after one entry of another writer under its id with a start time, where workers write none. It went on writing its entries; one log line said that the incarnation was missing. It lasted until another leader read the list.

Cause: the roster held the start time for the worker's incarnation, and took every later entry for one of another writer, or of an earlier incarnation. Where workers do write start times, a larger one has the same effect.

Change: entries that contradict the known incarnation are counted. After three in a row of the same one, the known incarnation is given up, and the line "worker's incarnation discredited" names both. Of an earlier incarnation only the last writes can arrive late, and the entries of the living one lie between them, so that a restart is not undone; the test for that is unchanged and passes.

Evidence: TestOneEntryWithAForeignIncarnationDoesNotShutAWorkerOut, with such entries for 90 of 100 workers: before, 10 of 100 were listed (90 of 100 had the wrong incarnation); now all after three heartbeats.

--- a/internal/deployment/entries_test.go
+++ b/internal/deployment/entries_test.go
@@ -108,6 +108,44 @@
 	assert.Equal(t, incarnation(), int64(3))
 }
 
+// Failure: after one entry of another writer with a start time, a worker got nothing until another leader
+// read the list.
+func TestOneEntryWithAForeignIncarnationDoesNotShutAWorkerOut(t *testing.T) {
+	for name, own := range map[string]string{"workers without incarnations": "pool", "workers with incarnations": "pool@5"} {
+		t.Run(name, func(t *testing.T) {
+			const workers, odd = 100, 90
+			r, version := newRoster(plainDecoder{}, time.Minute, zap.NewNop()), int64(0)
+			write := func(n int, text string) {
+				version++
+				row := entryRow(fmt.Sprint(n), text, version)
+				r.apply([]workload.Row{row})
+				r.apply([]workload.Row{row})
+			}
+			beat := func() {
+				for n := range workers {
+					write(n, own)
+				}
+			}
+			beat()
+			for n := range odd {
+				write(n, "pool@1790000000123")
+			}
+			for range discreditedAfter {
+				beat()
+			}
+			assert.Equal(t, len(r.list()), workers)
+			for _, w := range r.list() {
+				assert.Equal(t, w.Incarnation == 5, own == "pool@5")
+			}
+			write(0, "pool@6")
+			write(0, own)
+			write(0, "pool@6")
+			write(0, own)
+			assert.Equal(t, r.entries["0"].worker.Incarnation, int64(6), "entries of an earlier incarnation that are done late")
+		})
+	}
+}
+
 func TestWorkersOfUnconfiguredPoolsAreNotListed(t *testing.T) {
 	settings := defaultSettings()
 	i := New(Options{Settings: &settings, Store: newMemoryStore(), Decoder: plainDecoder{}, Logger: zap.NewNop()})
--- a/internal/deployment/workers.go
+++ b/internal/deployment/workers.go
@@ -31,6 +31,29 @@
 	worker     workload.Worker
 	version    int64
 	delistedAt time.Time
+	// contradicted counts the latest entries, all of the incarnation contradicting, that contradict the
+	// one that is known.
+	contradicted  int
+	contradicting int64
+}
+
+// discreditedAfter is the number of consecutive entries of an earlier incarnation, or without one,
+// after which the known incarnation counts as that of another writer. A worker goes on writing its
+// entries; the last ones of an earlier incarnation may be done late, but are few.
+const discreditedAfter = 3
+
+// contradict counts an entry that contradicts the known incarnation, and reports whether so many have
+// come in a row that the known one is given up.
+func (e *rosterEntry) contradict(incarnation, version int64) bool {
+	if version == e.version {
+		return false // a whole read brings the same entry again
+	}
+	if e.contradicting != incarnation {
+		e.contradicted, e.contradicting = 0, incarnation
+	}
+	e.contradicted++
+	e.version = version
+	return e.contradicted >= discreditedAfter
 }
 
 func newRoster(decoder Decoder, retention time.Duration, logger *zap.Logger) *roster {
@@ -69,7 +92,13 @@
 		return
 	}
 	worker, err := r.decoder.Worker(row.Key, row.Value)
-	if err == nil && known != nil && known.worker.Incarnation != 0 && worker.Incarnation == 0 {
+	contradicts := err == nil && known != nil && worker.Incarnation < known.worker.Incarnation
+	if contradicts && known.contradict(worker.Incarnation, row.Version) {
+		r.logger.Warn("worker's incarnation discredited", zap.String("worker", worker.ID),
+			zap.Int64("incarnation", worker.Incarnation), zap.Int64("known", known.worker.Incarnation))
+		contradicts = false
+	}
+	if contradicts && worker.Incarnation == 0 {
 		err = errNoIncarnation
 	}
 	if err != nil {
@@ -77,7 +106,7 @@
 		return
 	}
 	r.unreadable.forget(row.Key)
-	if known != nil && worker.Incarnation < known.worker.Incarnation {
+	if contradicts {
 		logger.Info("entry of an earlier incarnation ignored", zap.String("worker", worker.ID),
 			zap.Int64("incarnation", worker.Incarnation), zap.Int64("known", known.worker.Incarnation))
 		return
