A late removal does not remove a job that was submitted again

What callers would see: a job that was accepted is gone (410), if its id is that of a job that ended minutes before.

Cause: the rows of a job that ended long ago are removed without a condition. If that write has no answer, it is repeated five seconds later, and the record goes last; the first copy may be done after that, and removes whatever job has been submitted under the id meanwhile.

Change: the removal expects the job's row with the version that the leader knows. A job's row is written once, so that holds until the row is removed. After a conflict the leader has the rows that it lacked, and tries again.

Evidence: TestALateRemovalDoesNotRemoveAJobThatWasSubmittedAgain fails without the expected row, and passes with it. 20 jobs are removed at once, four entries each, so a transaction has 80 of 100 at most.

--- a/internal/deployment/cancel_test.go
+++ b/internal/deployment/cancel_test.go
@@ -116,6 +116,26 @@
 	assert.Equal(t, submit("a"), api.Kind(""))
 }
 
+// Failure: the rows of an ended job are removed, the job is submitted again under its id, and an earlier copy
+// of the removal that is done late removes it.
+func TestALateRemovalDoesNotRemoveAJobThatWasSubmittedAgain(t *testing.T) {
+	store := newMemoryStore()
+	takeEpoch(store, 2)
+	c := newKnowledgeLeader(t, store, 2)
+	submit, _ := callsOf(t, store)
+	assert.Equal(t, submit("a"), api.Kind(""))
+	c.instance.replica.apply([]workload.Row{store.rows[jobPrefix+cancelledID]})
+	late := removals([]string{cancelledID}, nil, c.instance.replica.version, 2)
+	c.removeRows([]string{cancelledID})
+	assert.Equal(t, store.rows[jobPrefix+cancelledID].Version, int64(0))
+	assert.Equal(t, submit("a"), api.Kind(""))
+	for _, tx := range late {
+		_, err := store.Write(t.Context(), tx)
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, store.rows[jobPrefix+cancelledID].Version > 0)
+}
+
 func TestRemovalsOfCancellationsFitIntoTransactions(t *testing.T) {
 	var rows []workload.Row
 	for n := range maxCancelRemovals {
--- a/internal/deployment/intents_test.go
+++ b/internal/deployment/intents_test.go
@@ -124,7 +124,7 @@
 }
 
 func TestTheRowsOfAnEndedJobAreRemovedWithItsIntent(t *testing.T) {
-	for _, write := range removals([]string{waitingJob}, nil, 1) {
+	for _, write := range removals([]string{waitingJob}, nil, func(string) int64 { return 1 }, 1) {
 		if write.Part == partOf(jobPrefix+waitingJob) {
 			assert.Assert(t, slices.Contains(write.Remove, intentPrefix+waitingJob))
 			return
--- a/internal/deployment/parts_test.go
+++ b/internal/deployment/parts_test.go
@@ -41,7 +41,7 @@
 }
 
 func TestAJobIsRemovedBeforeItsRecord(t *testing.T) {
-	list := removals([]string{"a", "b", "c"}, nil, 7)
+	list := removals([]string{"a", "b", "c"}, nil, func(string) int64 { return 1 }, 7)
 	for n, tx := range list {
 		last := n == len(list)-1
 		assert.Equal(t, tx.Part == mainPart, last)
--- a/internal/deployment/records.go
+++ b/internal/deployment/records.go
@@ -306,15 +306,17 @@
 }
 
 // removals returns the writes that remove the rows of ended jobs: the jobs first and
-// their records last, since a job without its record would run again. partKeys are the rows of the
-// parts of the records.
-func removals(ids, partKeys []string, epochVersion int64) []workload.Write {
+// their records last, since a job without its record would run again. The jobs must have the versions
+// that versionOf returns: a removal that is done late must not remove a job that was submitted again.
+// partKeys are the rows of the parts of the records.
+func removals(ids, partKeys []string, versionOf func(key string) int64, epochVersion int64) []workload.Write {
 	parts := make(map[string]*workload.Write)
 	for _, id := range ids {
 		part := partOf(jobPrefix + id)
 		if parts[part] == nil {
 			parts[part] = &workload.Write{Part: part}
 		}
+		parts[part].Expect = append(parts[part].Expect, workload.Row{Key: jobPrefix + id, Version: versionOf(jobPrefix + id)})
 		parts[part].Remove = append(parts[part].Remove, jobPrefix+id, cancelPrefix+id, intentPrefix+id)
 	}
 	var list []workload.Write
@@ -332,9 +334,11 @@
 }
 
 func (c *leader) removeRows(ids []string) {
-	for _, tx := range removals(ids, c.instance.replica.recordPartKeys(ids), c.grant.epochVersion) {
+	replica := c.instance.replica
+	for _, tx := range removals(ids, replica.recordPartKeys(ids), replica.version, c.grant.epochVersion) {
 		written, err := c.instance.store.Write(c.ctx, tx)
 		if err != nil || written.Conflict {
+			replica.apply(written.Rows)
 			c.logger.Debug("removing old rows failed", zap.Error(err), zap.Bool("conflict", written.Conflict))
 			return
 		}
