serve: a cancellation of a job that its placer does not know is not dropped

What callers saw: DELETE of a job was answered with the state accepted, and the job ran all the same.

Cause: the answer to the row of an accepted job was lost, so its caller got its id with an unknown result and cancelled it. The placer has only what it accepted itself and what it read at the last reconciliation, ten seconds apart. For an id that it lacks, the cancellation was answered from the stored row, and nothing was cancelled: an answer from a copy that lags behind the store.

Change: the placer reads the row of an id that it lacks, adopts an open one as the reconciliation does, and cancels it.

--- a/internal/placer/calls.go
+++ b/internal/placer/calls.go
@@ -56,6 +56,12 @@
 	reply chan reply
 }
 
+// cancelStoredCall cancels a job whose row was read from the store, because the core may not know it yet.
+type cancelStoredCall struct {
+	record jobstore.Record
+	reply  chan reply
+}
+
 // checkGuaranteesCall checks whether guarantees pack into the zone's workers.
 type checkGuaranteesCall struct {
 	accounts []model.ClientAccount
@@ -201,6 +207,13 @@
 	call.reply <- reply{answer: c.answer(e)}
 }
 
+func (call cancelStoredCall) apply(c *core, now time.Time) {
+	if _, known := c.jobs[call.record.ID]; !known && c.checkActive() == nil {
+		c.adopt(call.record, nil, now)
+	}
+	cancelJobCall{call.record.ID, call.reply}.apply(c, now)
+}
+
 func (c *core) cancelJob(e *entry, now time.Time) {
 	before := e.state
 	if !c.transition(e, evCancel, "cancelled by the caller", now) {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -352,12 +352,28 @@
 // stored.
 func (p *Placer) Cancel(ctx context.Context, id string) (api.JobAnswer, error) {
 	answer, err := p.call(ctx, func(r chan reply) event { return cancelJobCall{id, r} })
+	if api.IsKind(err, api.KindNotFound) {
+		answer, err = p.cancelStored(ctx, id)
+	}
 	if err != nil || answer.Outcome != api.OutcomeAccepted {
 		return answer, err
 	}
 	return p.Get(ctx, id, cancelWait)
 }
 
+// cancelStored cancels a job that is not in memory. Its row may have been stored by a call whose answer
+// was lost, and is adopted only at the next reconciliation.
+func (p *Placer) cancelStored(ctx context.Context, id string) (api.JobAnswer, error) {
+	record, err := p.opts.Jobs.Get(ctx, id)
+	switch {
+	case err != nil:
+		return api.JobAnswer{}, err
+	case record.Phase == jobstore.PhaseEnded || record.Zone != p.opts.Zone:
+		return jobstore.Answer(record), nil
+	}
+	return p.call(ctx, func(r chan reply) event { return cancelStoredCall{record, r} })
+}
+
 // CheckGuarantees returns an error of KindShapeNeverFits if the guarantees of
 // all accounts do not pack into the zone's workers.
 func (p *Placer) CheckGuarantees(ctx context.Context, accounts []model.ClientAccount) error {
