The deadline of a shutdown is not replaced by the server's

What callers and operators saw: a planned stop beside silent connections, or headers that never end, ended with status 1 after 4.5 s ("drain: context deadline exceeded").

Cause: two owners of one deadline. Group.Drain gives clients half a second by the read deadline of their connections, and the HTTP server sets the same deadline to three seconds when it begins to read headers. The later of the two wins.

Change: the connection owns its read deadline. It keeps the one that was asked for last and, during a shutdown, applies the earlier of it and the shutdown's, under one lock. The bound holds only until the request is complete: a read that fails later would cancel the request in progress.

Evidence: TestADeadlineOfTheServerDoesNotOutlastAShutdown failed before.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -1,7 +1,9 @@
 package inbound
 
 import (
+	"errors"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -19,6 +21,43 @@
 	progressAt, pending atomic.Int64
 	// unread is set while the body of the request in progress has not been read.
 	unread atomic.Bool
+
+	// deadlineMu is held while the read deadline is set, so that a shutdown limits the newest one.
+	deadlineMu sync.Mutex
+	// wantedDeadline is the read deadline that was asked for last.
+	wantedDeadline time.Time
+}
+
+// SetReadDeadline implements net.Conn. During a shutdown, a client that has not sent its whole request
+// gets no later deadline than drainTimeout: the server sets its own for the headers at any time.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	c.wantedDeadline = t
+	return c.applyDeadline()
+}
+
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// limitDeadline applies the bound of a shutdown, or lifts it once the request is complete.
+func (c *Conn) limitDeadline() {
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	_ = c.applyDeadline() // a connection that is closed needs none
+}
+
+// applyDeadline sets the read deadline. The caller holds deadlineMu.
+func (c *Conn) applyDeadline() error {
+	t := c.wantedDeadline
+	if p := phase(c.phase.Load()); c.group.draining.Load() && (p == phaseWaiting || p == phaseReceiving) {
+		if latest := time.Now().Add(drainTimeout); t.IsZero() || t.After(latest) {
+			t = latest
+		}
+	}
+	return c.Conn.SetReadDeadline(t)
 }
 
 // Read implements net.Conn.
@@ -83,6 +122,9 @@
 func (c *Conn) enter(p phase) {
 	c.phase.Store(int32(p))
 	c.progress()
+	if c.group.draining.Load() {
+		c.limitDeadline()
+	}
 }
 
 func (c *Conn) state(now time.Duration) connState {
--- a/internal/inbound/conns.go
+++ b/internal/inbound/conns.go
@@ -106,9 +106,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for c := range g.conns {
-		if p := phase(c.phase.Load()); p == phaseWaiting || p == phaseReceiving {
-			_ = c.SetReadDeadline(time.Now().Add(drainTimeout))
-		}
+		c.limitDeadline()
 	}
 }
 
--- a/internal/inbound/drain_test.go
+++ b/internal/inbound/drain_test.go
@@ -12,6 +12,51 @@
 	"gotest.tools/v3/assert"
 )
 
+// deadlineConn records the read deadline that is in force.
+type deadlineConn struct {
+	net.Conn
+	deadline time.Time
+}
+
+func (c *deadlineConn) SetReadDeadline(t time.Time) error {
+	c.deadline = t
+	return nil
+}
+
+// Failure: a planned stop ended with status 1 beside headers that never end, since the server set its
+// deadline for headers after that of the shutdown.
+func TestADeadlineOfTheServerDoesNotOutlastAShutdown(t *testing.T) {
+	for name, c := range map[string]struct {
+		phase   phase
+		limited bool
+	}{
+		"between requests, or in the headers": {phaseWaiting, true},
+		"in the body":                         {phaseReceiving, true},
+		"the client waits for its response":   {phaseWorking, false},
+		"a session between instances":         {phaseSession, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			group, recorded := NewGroup(t.Name(), 1, zap.NewNop()), &deadlineConn{}
+			conn := group.admit(recorded)
+			conn.enter(c.phase)
+			group.Drain()
+			latest := time.Now().Add(drainTimeout)
+			isLimited := func() bool { return !recorded.deadline.IsZero() && !recorded.deadline.After(latest.Add(drainTimeout)) }
+			assert.Equal(t, isLimited(), c.limited)
+			for _, wanted := range []time.Time{time.Now().Add(HeaderTimeout), {}} {
+				assert.NilError(t, conn.SetReadDeadline(wanted))
+				assert.Equal(t, isLimited(), c.limited)
+				conn.enter(phaseWorking)
+				assert.Assert(t, recorded.deadline.Equal(wanted), "the request is complete: it is not cut off")
+				conn.enter(c.phase)
+			}
+			past := time.Unix(1, 0)
+			assert.NilError(t, conn.SetReadDeadline(past))
+			assert.Assert(t, recorded.deadline.Equal(past))
+		})
+	}
+}
+
 func TestAShutdownDoesNotWaitForClientsThatStall(t *testing.T) {
 	const size = 50_000
 	listener, err := Listen("127.0.0.1:0", CallerReceiveBytes)
