A job has started once a task of it has started

Cause: attach marked the job as started when a start was sent. No refusal took that back, and GET, the count of waiting jobs and what hubs are told went by it.

Change: two marks. Sent stays what start intents and the next leader go by, as a task may have started. Begun is set by an answer "done", by a run or an end that a worker lists, and by what the record has; it is what callers are shown. Both only rise.

--- a/internal/dispatch/completions.go
+++ b/internal/dispatch/completions.go
@@ -105,6 +105,7 @@
 	if t == nil {
 		return
 	}
+	t.step.job.begun = true
 	r := w.runs[runKey{e.Task, e.Attempt}]
 	if e.Checkpoint != "" {
 		c.saveCheckpoint(t, e.Checkpoint)
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -84,7 +84,10 @@
 	finalSince time.Time
 	// fromEarlierEpoch is set if an earlier epoch may have started the job.
 	fromEarlierEpoch bool
-	started          bool
+	// started is set once a start was sent: a task may have started.
+	started bool
+	// begun is set once a task is known to have started: its worker said so, or has listed it.
+	begun bool
 	// startIntentStored is set once the store has the start intent, which was requested at
 	// startIntentRequestedAt.
 	startIntentStored      bool
@@ -118,6 +121,7 @@
 	}
 	j := &job{Job: accepted, record: record.clone(), startIntentStored: record.StartIntent && !c.jobsRead, acceptedAt: now}
 	j.record.StartIntent = j.startIntentStored
+	j.begun = len(record.Failed)+len(record.Checkpoints)+len(record.SurvivedMS) > 0
 	j.parts = recordParts{count: record.Parts, headCount: record.Parts, stored: make([]uint64, record.Parts)}
 	j.fromEarlierEpoch = !c.earlierJobsKnown && (record.StartIntent || !c.trustStartIntents)
 	if age := wallMS - accepted.AcceptedMS; age > 0 && age < maxJobAge.Milliseconds() {
@@ -165,6 +169,7 @@
 			s.openTasks++
 		}
 		s.started = s.started || done
+		j.begun = j.begun || done
 		s.tasks[i].loadCrashes()
 	}
 	j.started = j.started || s.started
@@ -424,11 +429,12 @@
 	}
 }
 
-// StartedJobs returns the ids of the jobs that have started and are not final.
+// StartedJobs returns the ids of the jobs of which a task has started and that are not final. A start
+// that was refused, or may yet be, does not count: callers are told that the job waits.
 func (c *Core) StartedJobs() []string {
 	var ids []string
 	for _, j := range c.queue {
-		if j.started && j.record.Final == "" {
+		if j.begun && j.record.Final == "" {
 			ids = append(ids, j.ID)
 		}
 	}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -202,6 +202,7 @@
 		c.resends.earn()
 		r.transition(runStarted)
 		r.confirmed = true
+		r.task.step.job.begun = true
 		r.observeAlive(result.ClockMS)
 		r.order = nil
 		r.settledAfter = c.sequence
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -420,6 +420,7 @@
 
 func (c *Core) applyProgress(r *run, running workload.Running) {
 	r.confirmed = true
+	r.task.step.job.begun = true
 	if r.state == stRunOrdered {
 		r.transition(runStarted)
 		r.settledAfter = c.sequence
