Crashes of workers fail no job that lasts

Cause: the limits on crashes made no difference between tasks that end and tasks that last. The latter are restarted however they end and have no limit of attempts.

Change: where the limit would end the job, the count of a task that lasts starts over, which also bounds its record, and such a task does not wait for evidence of a crash.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -62,9 +62,14 @@
 	return t.crashes
 }
 
+// crashDecision returns how the task may start. Long-running tasks are restarted however they end, so
+// that no crash keeps them waiting.
 func (t *task) crashDecision() quarantine.CrashDecision {
-	if t.crashes == nil {
+	switch {
+	case t.crashes == nil:
 		return quarantine.StartFreely
+	case t.step.spec.LongRunning:
+		return min(t.crashes.Decide(), quarantine.StartRecorded)
 	}
 	return t.crashes.Decide()
 }
@@ -159,7 +164,8 @@
 	}
 }
 
-// countCrash counts a crash against a task, and fails its job permanently at the limit.
+// countCrash counts a crash against a task, and fails its job permanently at the limit. The count of a
+// long-running task starts over there, so that its record stays small.
 func (c *Core) countCrash(lost lostAttempt) {
 	t := lost.task
 	if t.isFinished() {
@@ -175,7 +181,12 @@
 	}
 	t.refreshCounts()
 	c.markChanged(t.step.job)
-	if t.crashDecision() == quarantine.Abandon {
+	switch {
+	case t.crashes.Decide() != quarantine.Abandon:
+	case t.step.spec.LongRunning:
+		record.forgetCrashes(key)
+		t.refreshCounts()
+	default:
 		c.failPermanently(t)
 	}
 }
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -625,3 +625,53 @@
 		}
 	}
 }
+
+// Failure: a job that lasts was shown as failed after three crashes of the workers of one task.
+func TestCrashesOfWorkersFailNoJobThatLasts(t *testing.T) {
+	const crashes = 12
+	for name, c := range map[string]struct {
+		takeover bool
+		crashing func(workload.TaskID) bool
+	}{
+		"workers crash under it":                            {false, noTask},
+		"workers crash under it while leaders change":       {true, noTask},
+		"its task crashes its workers":                      {false, taskIs("lasting", 0)},
+		"its task crashes its workers while leaders change": {true, taskIs("lasting", 0)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newCrashBench(t, 12, c.crashing)
+			b.runTime = time.Hour
+			b.crashDelay = 900 * time.Millisecond
+			job := independentJob("lasting", 3)
+			job.Steps[0].LongRunning = true
+			b.add(job)
+			first := workload.TaskID{Job: "lasting"}
+			for n := range crashes {
+				b.advance(time.Second)
+				if host := b.hostOfTask(first); host != "" && !c.crashing(first) {
+					b.crash(host)
+				}
+				if c.takeover && n%3 == 1 {
+					b.takeover()
+				}
+				b.advance(6 * time.Second)
+				assert.Equal(t, b.finalState("lasting"), Final(""))
+				assert.Assert(t, b.startsOf[first] >= n+2, "%d starts after %d crashes", b.startsOf[first], n+1)
+			}
+			record := b.table["lasting"]
+			assert.Assert(t, len(record.Encode()) < 1000, "%s", record.Encode())
+		})
+	}
+}
+
+// hostOfTask returns the worker that runs a task, or an empty string.
+func (c *crashBench) hostOfTask(task workload.TaskID) string {
+	for id, w := range c.workers {
+		for key := range w.running {
+			if key.task == task {
+				return id
+			}
+		}
+	}
+	return ""
+}
