An accepted job keeps the terms of its queue

Cause: the pool, the priority and the attempts of a job were looked up by the name of its queue in the configuration in force. Steps of a queue that it lacks were passed over.

Change: the row of a job has the terms of its queue as of acceptance, and a leader remembers the queue as it last saw it configured. The configuration goes first where it has the queue. All readers go through queueOf.

--- a/internal/deployment/accept.go
+++ b/internal/deployment/accept.go
@@ -107,7 +107,7 @@
 // answered with a Retry-After means that the job was not accepted and never runs;
 // KindResultUnknown means that it may have been accepted.
 func (i *Instance) Submit(ctx context.Context, caller Caller, job *workload.Job) error {
-	job.Queue, job.Account = caller.Queue.Name, caller.Account
+	job.Queue, job.Account, job.Terms = caller.Queue.Name, caller.Account, caller.Queue.Terms()
 	job.AcceptedMS = time.Now().UnixMilli()
 	start := time.Now()
 	err := i.submit(ctx, caller, job)
--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -76,10 +76,7 @@
 
 // isInUrgentQueue reports whether a step's queue has the highest priority.
 func (c *Core) isInUrgentQueue(s *step) bool {
-	if c.config == nil {
-		return false
-	}
-	q := c.config.Queue(s.job.Queue)
+	q := c.queueOf(s.job)
 	return q != nil && q.Priority == 0
 }
 
@@ -96,7 +93,7 @@
 func (c *Core) applyRestartClaims(pools map[string][]*workerCapacity) {
 	for _, s := range c.restarting {
 		need := s.spec.CountedResources()
-		for _, r := range pools[c.config.Queue(s.job.Queue).Pool] {
+		for _, r := range pools[c.queueOf(s.job).Pool] {
 			for _, place := range s.claim.places {
 				if place.worker != r.worker {
 					continue
--- a/internal/dispatch/completions.go
+++ b/internal/dispatch/completions.go
@@ -233,19 +233,29 @@
 // allowedAttempts returns the number of failed attempts after which a task fails its job, as last
 // configured, or zero while no configuration with the job's queue is known.
 func (c *Core) allowedAttempts(j *job) int {
+	q := c.queueOf(j)
+	if c.config == nil || q == nil {
+		return 0
+	}
+	return max(q.Attempts, 1)
+}
+
+// queueOf returns the queue of a job: as configured, or, if the configuration lacks it, as last
+// configured or accepted. What was accepted does not depend on the queue that brought it.
+func (c *Core) queueOf(j *job) *workload.Queue {
 	if c.config != nil {
 		if q := c.config.Queue(j.Queue); q != nil {
-			j.allowedAttempts = max(q.Attempts, 1)
+			j.queue = q
 		}
 	}
-	return j.allowedAttempts
+	return j.queue
 }
 
-// Configure applies a configuration. Jobs whose queue it lacks keep their allowed attempts, and
+// Configure applies a configuration. Jobs whose queue it lacks keep the one that they have, and
 // those whose attempts were exhausted before their queue was known fail now.
 func (c *Core) Configure(config *workload.Configuration) {
 	for _, j := range c.queue {
-		c.allowedAttempts(j)
+		c.queueOf(j)
 	}
 	c.config = config
 	for _, j := range c.queue {
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -102,9 +102,9 @@
 		if j.hasEarlierAttempts {
 			c.countEarlierAttempts(j)
 		}
-		q := c.config.Queue(j.Queue)
+		q := c.queueOf(j)
 		if q == nil || j.record.Final != "" {
-			continue // its queue was removed, so its pool is unknown, or counting its crashes failed it
+			continue // its queue was removed before this leader knew it, or counting its crashes failed it
 		}
 		list = c.pendingStepsOf(list, j, q)
 	}
@@ -260,7 +260,7 @@
 	guaranteed := make(map[string]int64)
 	for _, j := range c.queue {
 		j.guaranteed = false
-		q := c.config.Queue(j.Queue)
+		q := c.queueOf(j)
 		if j.record.Final != "" || q == nil || q.Priority != 0 {
 			continue
 		}
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -58,7 +58,7 @@
 			if run.task.crashDecision() != quarantine.StartFreely {
 				r.crashSuspects.add(run.task.step.job)
 			}
-			r.countUse(run, c.config.Queue(run.task.step.job.Queue))
+			r.countUse(run, c.queueOf(run.task.step.job))
 			if run.task.step.job.guaranteed {
 				r.guaranteedUse = r.guaranteedUse.Add(run.need)
 			}
--- a/internal/dispatch/victims.go
+++ b/internal/dispatch/victims.go
@@ -221,10 +221,10 @@
 // mayPreempt reports whether a run may be stopped for the step: urgent work may preempt lower
 // priorities, and work inside a guarantee anything outside one. Of long-running tasks with a limit
 // on how many may be unavailable no more than that are preempted, and only for guaranteed capacity;
-// work whose queue was removed never is.
+// work whose queue is not known never is.
 func (c *Core) mayPreempt(victim *run, u *pendingStep) bool {
 	s := victim.task.step
-	q := c.config.Queue(s.job.Queue)
+	q := c.queueOf(s.job)
 	if s.job.guaranteed || q == nil {
 		return false
 	}
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -122,6 +122,41 @@
 	FirstDueMS int64 `json:"first_ms,omitempty"`
 	// IntervalMS is the interval between occurrences.
 	IntervalMS int64 `json:"every_ms,omitempty"`
+	// Terms are those of the queue at acceptance. Rows written by instances that do not know them have
+	// none.
+	Terms *QueueTerms `json:"terms,omitempty"`
+}
+
+// QueueTerms are the terms of a queue under which its jobs run. A job keeps them when a later
+// configuration lacks its queue.
+type QueueTerms struct {
+	Pool          string         `json:"pool"`
+	Priority      int            `json:"priority,omitempty"`
+	Attempts      int            `json:"attempts,omitempty"`
+	LatencyFactor float64        `json:"latency_factor,omitempty"`
+	GracePeriodMS int64          `json:"grace_ms,omitempty"`
+	Advice        *AdvisorTiming `json:"advice,omitempty"`
+}
+
+// Terms returns the terms of the queue.
+func (q *Queue) Terms() *QueueTerms {
+	return &QueueTerms{q.Pool, q.Priority, q.Attempts, q.LatencyFactor, q.GracePeriodMS, q.Advice}
+}
+
+// queue returns a queue with the terms, which takes no jobs.
+func (t *QueueTerms) queue(name string) *Queue {
+	return &Queue{
+		Name: name, Pool: t.Pool, Priority: t.Priority, Attempts: t.Attempts, LatencyFactor: t.LatencyFactor,
+		GracePeriodMS: t.GracePeriodMS, Advice: t.Advice,
+	}
+}
+
+// AcceptedQueue returns the queue of the job as it was at acceptance, or nil if that is not known.
+func (j *Job) AcceptedQueue() *Queue {
+	if j.Terms == nil {
+		return nil
+	}
+	return j.Terms.queue(j.Queue)
 }
 
 // Occurrences returns the number of times that the steps run, at least 1.
