Cancellations of unknown jobs: a least rate for each instance

Cause: the share of an instance is the rate divided by the number of instances, and the rows of instances that are gone are never removed. After thousands of replacements nobody could have cancelled an unknown id any more.

Change: an instance has at least 0.2 a second, and four at once. Removals keep up with such a flood on a fleet: 800 rows each five seconds in place of 400.

--- a/internal/deployment/cancelbudget.go
+++ b/internal/deployment/cancelbudget.go
@@ -15,8 +15,10 @@
 
 const (
 	// unknownCancelsPerS is the rate, for all instances together, of cancellations of jobs that do
-	// not exist.
-	unknownCancelsPerS = 40
+	// not exist, and minUnknownCancelsPerS the least share of one instance: instances that are gone
+	// still count among those that share the rate.
+	unknownCancelsPerS    = 40
+	minUnknownCancelsPerS = 0.2
 	// unknownCancelBurst is the time for which an instance saves up its share of the rate, and
 	// minUnknownCancelBurst the least number of cancellations that it saves up.
 	unknownCancelBurst    = 10 * time.Second
@@ -42,7 +44,7 @@
 func (b *cancelBudget) take(account string, instances int, now time.Time) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	rate := unknownCancelsPerS / float64(max(instances, 1))
+	rate := max(unknownCancelsPerS/float64(max(instances, 1)), minUnknownCancelsPerS)
 	burst := max(rate*unknownCancelBurst.Seconds(), minUnknownCancelBurst)
 	b.settle(rate * now.Sub(b.updatedAt).Seconds())
 	b.updatedAt = now
--- a/internal/deployment/records.go
+++ b/internal/deployment/records.go
@@ -34,7 +34,7 @@
 	minCancelRetention = 60 * time.Second
 	// maxCancelRemovals bounds the cancellations that are removed at an interval, and
 	// entriesPerCancelRemoval is the number of entries of a transaction that each of them takes.
-	maxCancelRemovals       = 400
+	maxCancelRemovals       = 800
 	entriesPerCancelRemoval = 3
 )
 
