Keep only the queue of a job, not the configuration that had it

Cause: a job of a removed queue referred to its queue in the last configuration that had it, and with it to all queues of that configuration; each accepted job had a queue of its own besides.

Change: the queue is copied when the next configuration lacks it, and made from the job's terms only when it is needed.

--- a/internal/dispatch/completions.go
+++ b/internal/dispatch/completions.go
@@ -248,6 +248,9 @@
 			j.queue = q
 		}
 	}
+	if j.queue == nil {
+		j.queue = j.AcceptedQueue()
+	}
 	return j.queue
 }
 
@@ -255,7 +258,10 @@
 // those whose attempts were exhausted before their queue was known fail now.
 func (c *Core) Configure(config *workload.Configuration) {
 	for _, j := range c.queue {
-		c.queueOf(j)
+		if q := c.queueOf(j); q != nil && (config == nil || config.Queue(j.Queue) == nil) {
+			kept := *q // the rest of the configuration that had it is not needed
+			j.queue = &kept
+		}
 	}
 	c.config = config
 	for _, j := range c.queue {
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -100,8 +100,7 @@
 	runs    int
 	// interruptions counts the job's interrupted gangs and its preempted runs.
 	interruptions int
-	// queue is the job's queue in the last configuration that had it, or as of its acceptance; nil if
-	// neither is known.
+	// queue is what queueOf returned last.
 	queue *workload.Queue
 	// hasEarlierAttempts is set if tasks have recorded attempts of earlier leaders.
 	hasEarlierAttempts bool
@@ -121,7 +120,6 @@
 	}
 	j := &job{Job: accepted, record: record.clone(), startIntentStored: record.StartIntent && !c.jobsRead, acceptedAt: now}
 	j.record.StartIntent = j.startIntentStored
-	j.queue = accepted.AcceptedQueue()
 	j.begun = len(record.Failed)+len(record.Checkpoints)+len(record.SurvivedMS) > 0
 	j.parts = recordParts{count: record.Parts, headCount: record.Parts, stored: make([]uint64, record.Parts)}
 	j.fromEarlierEpoch = !c.earlierJobsKnown && (record.StartIntent || !c.trustStartIntents)
